--- /dev/null
+++ b/entry/runner/runner.go
@@ -0,0 +1,164 @@
+// Package runner reads an entry's settings, starts it and stops it gracefully.
+package runner
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
+	"k8s.io/klog/v2"
+
+	"github.com/lycheeladder/lycheeladder/entry/publisher"
+	"github.com/lycheeladder/lycheeladder/entry/receiver"
+	"github.com/lycheeladder/lycheeladder/ladder/appender"
+	"github.com/lycheeladder/lycheeladder/ladder/coordinator"
+	"github.com/lycheeladder/lycheeladder/ladder/dispatcher"
+	"github.com/lycheeladder/lycheeladder/ladder/encoder"
+	"github.com/lycheeladder/lycheeladder/ladder/heartbeater"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/linker"
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/recorder"
+	"github.com/lycheeladder/lycheeladder/ladder/router"
+	"github.com/lycheeladder/lycheeladder/ladder/server"
+	"github.com/lycheeladder/lycheeladder/ladder/starter"
+)
+
+const manual = `Faces callers, trainers and operators, and gives their requests to sidecars.
+
+Callers and trainers use --listen, sidecars --peer-listen, operators
+--operator-listen. What is in force comes from the platform's log; a log that is
+down is waited for. On SIGTERM the entry stops accepting and finishes what it
+has, at most for --drain-timeout. Each flag can be set by the environment
+variable shown.`
+
+// Settings are an entry's flags and environment variables.
+type Settings struct {
+	starter.Common
+	Name           string          `help:"This entry's name." required:""`
+	Zone           string          `help:"The availability zone of this host." required:""`
+	Listen         starter.Address `help:"Where callers and trainers come in, IP:port." required:""`
+	PeerListen     starter.Address `help:"Where sidecars come in, IP:port." required:""`
+	OperatorListen starter.Address `help:"Where operators come in, IP:port." required:""`
+	Log            starter.Address `help:"The platform's log service, IP:port." required:""`
+	DrainTimeout   time.Duration   `help:"How long a stop waits for requests in progress." default:"30s"`
+	KeyMaxAge      time.Duration   `help:"The oldest idempotency key taken; shorter than the log keeps records." default:"15m"`
+	SampleTimeout  time.Duration   `help:"The longest attempt at one sample." default:"10m"`
+}
+
+// Validate checks what the flags' types don't.
+func (s Settings) Validate() error {
+	switch {
+	case s.DrainTimeout < 0:
+		return fmt.Errorf("--drain-timeout: %s is below 0", s.DrainTimeout)
+	case s.KeyMaxAge <= 0:
+		return fmt.Errorf("--key-max-age: %s is not above 0", s.KeyMaxAge)
+	case s.SampleTimeout <= 0:
+		return fmt.Errorf("--sample-timeout: %s is not above 0", s.SampleTimeout)
+	}
+	return nil
+}
+
+// Main runs an entry and returns its exit code.
+func Main(arguments []string, stdout, stderr io.Writer) int {
+	var s Settings
+	d := starter.Description{Name: "entry", Text: manual}
+	if _, code, ok := starter.Parse(d, &s, arguments, stdout, stderr); !ok {
+		return code
+	}
+	starter.SetUpLogs(s.LogVerbosity)
+	defer klog.Flush()
+	if err := run(s); err != nil {
+		fmt.Fprintf(stderr, "entry: %s\n", err)
+		return starter.ExitFailed
+	}
+	return starter.ExitOK
+}
+
+const (
+	// bodyLimit bounds any body; the document in force bounds it further.
+	bodyLimit = 5 << 20
+	// peerBodyLimit is for the peer listener, which takes links only.
+	peerBodyLimit = 1 << 10
+)
+
+func run(s Settings) error {
+	e, err := encoder.New()
+	if err != nil {
+		return err
+	}
+	listeners, err := listen(s.Listen, s.PeerListen, s.OperatorListen)
+	if err != nil {
+		return err
+	}
+	r := recorder.New()
+	r.Publish("lycheeladder")
+	c := newCoordinator(s, r)
+	stopping, release := starter.UntilSignal()
+	defer release()
+	working, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var tasks conc.WaitGroup
+	tasks.Go(func() { c.Run(working) })
+	peers := peerApp(working, c, linker.New(e))
+	tasks.Go(func() { serve(working, "peers", peers, listeners[1], 0) })
+	tasks.Go(func() { serve(working, "operators", publisher.New(c), listeners[2], time.Second) })
+	klog.InfoS("entry started", "entry", s.Name, "zone", s.Zone, "listen", listeners[0].Addr().String())
+	callers := receiver.New(c, bodyLimit)
+	go func() {
+		<-stopping.Done()
+		callers.Leave()
+	}()
+	serve(stopping, "callers", callers.App(), listeners[0], s.DrainTimeout)
+	cancel()
+	tasks.Wait()
+	klog.InfoS("entry stopped", "entry", s.Name)
+	return nil
+}
+
+func listen(addresses ...starter.Address) ([]net.Listener, error) {
+	listeners := make([]net.Listener, 0, len(addresses))
+	for _, address := range addresses {
+		l, err := server.Listen(string(address))
+		if err != nil {
+			return nil, err
+		}
+		listeners = append(listeners, l)
+	}
+	return listeners, nil
+}
+
+func serve(ctx context.Context, name string, app *fiber.App, l net.Listener, grace time.Duration) {
+	if err := server.Serve(ctx, app, l, grace); err != nil {
+		klog.ErrorS(err, "listener failed", "listener", name)
+	}
+}
+
+func newCoordinator(s Settings, r *recorder.Recorder) *coordinator.Coordinator {
+	options := coordinator.Options{
+		Dispatch: dispatcher.DefaultOptions(), Heartbeats: heartbeater.DefaultOptions(),
+		Policy: router.Expected{}, KeyMaxAge: s.KeyMaxAge, SampleTimeout: s.SampleTimeout,
+	}
+	options.Dispatch.Entry = identifier.EntryName(s.Name)
+	options.Dispatch.Zone = identifier.ZoneName(s.Zone)
+	options.Dispatch.Incarnation = identifier.NewIncarnation()
+	seed := uint64(time.Now().UnixNano())
+	return coordinator.New(clockwork.NewRealClock(), appender.NewHTTP(string(s.Log)), router.NewRandom(seed), r, options)
+}
+
+func peerApp(ctx context.Context, c *coordinator.Coordinator, l *linker.Linker) *fiber.App {
+	app := server.NewApp("peers", peerBodyLimit)
+	app.Get(linker.Path, func(x fiber.Ctx) error {
+		return l.Upgrade(x.RequestCtx(), func(link messenger.Link) {
+			if err := c.ServeLink(ctx, link); err != nil {
+				klog.V(1).InfoS("link ended", "err", err)
+			}
+		})
+	})
+	return app
+}
--- /dev/null
+++ b/ladder/appender/http.go
@@ -0,0 +1,74 @@
+package appender
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lycheeladder/lycheeladder/ladder/annotator"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/requester"
+)
+
+const (
+	// appendTimeout bounds an append; a later answer counts as lost.
+	appendTimeout = 3 * time.Second
+	// pollTime is how long the service holds a read that has nothing.
+	pollTime = 2 * time.Second
+	// readTimeout bounds a read.
+	readTimeout = pollTime + 3*time.Second
+)
+
+// HTTP is the platform's log over HTTP.
+type HTTP struct{ requester *requester.Requester }
+
+// NewHTTP returns the log at address, IP:port.
+func NewHTTP(address string) *HTTP {
+	return &HTTP{requester: requester.New(address, "")}
+}
+
+// AppendRequest is the body of POST /streams/{stream}/records.
+type AppendRequest struct {
+	Records [][]byte `json:"records"`
+}
+
+// AppendAnswer is its answer.
+type AppendAnswer struct {
+	First identifier.LogOffset `json:"first-offset"`
+}
+
+// Append implements Log.
+func (h *HTTP) Append(ctx context.Context, stream identifier.StreamName, records [][]byte) (first identifier.LogOffset, err error) {
+	defer annotator.Annotate(&err, "append to %s", stream)
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	a, err := h.requester.Do(ctx, fasthttp.MethodPost, "/streams/"+string(stream)+"/records", AppendRequest{Records: records})
+	switch {
+	case errors.Is(err, requester.ErrNotSent):
+		return 0, errors.WithMessage(ErrUnavailable, err.Error())
+	case err != nil:
+		return 0, errors.WithMessage(ErrAnswerLost, err.Error())
+	case a.Status == fasthttp.StatusServiceUnavailable || a.Status == fasthttp.StatusTooManyRequests:
+		return 0, errors.WithMessagef(ErrUnavailable, "status %d", a.Status)
+	case a.Status != fasthttp.StatusOK:
+		return 0, errors.WithMessagef(ErrAnswerLost, "status %d", a.Status)
+	}
+	var answer AppendAnswer
+	if err := json.Unmarshal(a.Body, &answer); err != nil {
+		return 0, errors.WithMessage(ErrAnswerLost, err.Error())
+	}
+	return answer.First, nil
+}
+
+// Read implements Log.
+func (h *HTTP) Read(ctx context.Context, stream identifier.StreamName, from identifier.LogOffset, limit int) (p Page, err error) {
+	defer annotator.Annotate(&err, "read %s from %d", stream, from)
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	path := fmt.Sprintf("/streams/%s/records?from=%d&limit=%d&wait-ms=%d", stream, from, limit, pollTime.Milliseconds())
+	return p, h.requester.Into(ctx, fasthttp.MethodGet, path, nil, &p)
+}
--- /dev/null
+++ b/ladder/approver/approver.go
@@ -0,0 +1,63 @@
+// Package approver signs and checks a service owner's approval of one team.
+package approver
+
+import (
+	"crypto/ed25519"
+	"encoding/base64"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lycheeladder/lycheeladder/ladder/annotator"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/validator"
+)
+
+// canonical is what an owner signs: exactly one team, service, owner and
+// expiry, so that a copied or altered approval fails. Names are kebab-case,
+// so line ends separate them without doubt.
+func canonical(team identifier.TeamName, service identifier.ServiceName, owner identifier.OwnerName, expires time.Time) []byte {
+	return fmt.Appendf(nil, "lycheeladder-grant-1\n%s\n%s\n%s\n%s\n", team, service, owner, expires.UTC().Format(time.RFC3339))
+}
+
+// Approve returns owner's approval of team for service until expires, which
+// is cut to whole seconds.
+func Approve(key ed25519.PrivateKey, team identifier.TeamName, service identifier.ServiceName, owner identifier.OwnerName, expires time.Time) validator.Approval {
+	expires = expires.UTC().Truncate(time.Second)
+	signature := ed25519.Sign(key, canonical(team, service, owner, expires))
+	return validator.Approval{
+		Owner:     owner,
+		Expires:   expires,
+		Signature: base64.StdEncoding.EncodeToString(signature),
+	}
+}
+
+// Check returns nil if the grant carries a valid approval of the service's
+// owner in d at the time now.
+func Check(d *validator.Document, g validator.Grant, now time.Time) (err error) {
+	defer annotator.Annotate(&err, "grant of %s to %s", g.Service, g.Team)
+	s, ok := d.ServiceByName(g.Service)
+	if !ok {
+		return errors.New("unknown service")
+	}
+	if g.Approval.Owner != s.Owner {
+		return errors.Errorf("approved by %q, owner is %q", g.Approval.Owner, s.Owner)
+	}
+	if !now.Before(g.Approval.Expires) {
+		return errors.Errorf("approval expired at %s", g.Approval.Expires.UTC().Format(time.RFC3339))
+	}
+	o, ok := d.OwnerByName(s.Owner)
+	if !ok {
+		return errors.Errorf("unknown owner %q", s.Owner)
+	}
+	key, err := base64.StdEncoding.DecodeString(o.PublicKey)
+	if err != nil || len(key) != ed25519.PublicKeySize {
+		return errors.Errorf("owner %q has no usable key", o.Name)
+	}
+	signature, err := base64.StdEncoding.DecodeString(g.Approval.Signature)
+	if err != nil || !ed25519.Verify(key, canonical(g.Team, g.Service, g.Approval.Owner, g.Approval.Expires), signature) {
+		return errors.New("signature doesn't match")
+	}
+	return nil
+}
--- /dev/null
+++ b/ladder/coordinator/call.go
@@ -0,0 +1,118 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/lycheeladder/lycheeladder/ladder/authorizer"
+	"github.com/lycheeladder/lycheeladder/ladder/dispatcher"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/limiter"
+	"github.com/lycheeladder/lycheeladder/ladder/recorder"
+	"github.com/lycheeladder/lycheeladder/ladder/validator"
+)
+
+// Call is one caller's call.
+type Call struct {
+	ID identifier.RequestID
+	// Key is the caller's bearer key.
+	Key     string
+	Service identifier.ServiceName
+	Call    identifier.CallName
+	Body    []byte
+	// IdempotencyKey is empty if the caller gave none.
+	IdempotencyKey identifier.IdempotencyKey
+	// Timeout is how long the caller waits; 0 is the longest allowed.
+	Timeout time.Duration
+	// Stream, if set, is given the answer as it comes.
+	Stream func([]byte) error
+}
+
+// The codes that an entry gives beside those of the dispatcher and the
+// authorizer. Nothing has left the entry then.
+const (
+	CodeTeamLimit dispatcher.Code = "team-limit"
+	CodeTooLarge  dispatcher.Code = "body-too-large"
+)
+
+// retryAfterNotReady is the wait asked while nothing is in force yet.
+const retryAfterNotReady = 2 * time.Second
+
+// Handle runs a call to its final outcome.
+func (c *Coordinator) Handle(ctx context.Context, call Call) dispatcher.Outcome {
+	began := c.clock.Now()
+	state, _ := c.follower.State()
+	t, refusal := authorizer.Team(state.Document, call.Key)
+	if refusal != authorizer.RefusalNone {
+		return c.refuse(refusal)
+	}
+	s, refusal := authorizer.Service(state.Document, t.Name, call.Service, began)
+	if refusal != authorizer.RefusalNone {
+		return c.refuse(refusal)
+	}
+	if len(call.Body) > state.Document.Limits.MaxBodyBytes {
+		return c.counted(dispatcher.NotRun{Code: CodeTooLarge})
+	}
+	bounds := limiter.Bounds{RequestsPerSecond: t.RequestsPerSecond, Burst: t.Burst, InFlight: t.InFlightLimit}
+	if retryAfter, ok := c.limiter.Enter(t.Name, bounds); !ok {
+		return c.counted(dispatcher.NotRun{Code: CodeTeamLimit, RetryAfter: retryAfter})
+	}
+	defer c.limiter.Leave(t.Name)
+	r := c.requestOf(call, t, s, began, state.Document.Limits)
+	r.Stream = c.timed(r, began, call.Stream)
+	var o dispatcher.Outcome
+	if call.IdempotencyKey != "" && !r.Idempotent {
+		o = c.dispatcher.DispatchOnce(ctx, c.claimer, r, call.IdempotencyKey)
+	} else {
+		o = c.dispatcher.Dispatch(ctx, r)
+	}
+	c.recorder.Time(recorder.Series{Team: t.Name, Class: t.Class, Measure: recorder.MeasureTotal}, c.clock.Since(began))
+	return c.counted(o)
+}
+
+func (c *Coordinator) requestOf(call Call, t validator.Team, s validator.Service, now time.Time, l validator.Limits) dispatcher.Request {
+	timeout := time.Duration(l.MaxTimeoutSeconds) * time.Second
+	if call.Timeout > 0 {
+		timeout = min(timeout, call.Timeout)
+	}
+	return dispatcher.Request{
+		ID: call.ID, Team: t.Name, Class: t.Class, Service: s.Name, Call: call.Call, Body: call.Body,
+		Idempotent: s.MayRepeat(call.Call), Deadline: now.Add(timeout),
+	}
+}
+
+// timed notes the time of the first byte.
+func (c *Coordinator) timed(r dispatcher.Request, began time.Time, stream func([]byte) error) func([]byte) error {
+	if stream == nil {
+		return nil
+	}
+	first := true
+	return func(data []byte) error {
+		if first {
+			first = false
+			c.recorder.Time(recorder.Series{Team: r.Team, Class: r.Class, Measure: recorder.MeasureFirst}, c.clock.Since(began))
+		}
+		return stream(data)
+	}
+}
+
+func (c *Coordinator) refuse(refusal authorizer.Refusal) dispatcher.Outcome {
+	o := dispatcher.NotRun{Code: dispatcher.Code(refusal)}
+	if refusal == authorizer.RefusalNotReady {
+		o.RetryAfter = retryAfterNotReady
+	}
+	return c.counted(o)
+}
+
+// counted counts an outcome by its kind and code.
+func (c *Coordinator) counted(o dispatcher.Outcome) dispatcher.Outcome {
+	switch o := o.(type) {
+	case dispatcher.Completed:
+		c.recorder.Count("completed")
+	case dispatcher.NotRun:
+		c.recorder.Count("not-run-" + string(o.Code))
+	case dispatcher.Unknown:
+		c.recorder.Count("unknown-" + string(o.Code))
+	}
+	return o
+}
--- /dev/null
+++ b/ladder/coordinator/coordinator.go
@@ -0,0 +1,173 @@
+// Package coordinator is the whole of an entry but its listeners: it puts
+// together who may call, what is in force, and how requests and samples find
+// their targets.
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
+	"k8s.io/klog/v2"
+
+	"github.com/lycheeladder/lycheeladder/ladder/accepter"
+	"github.com/lycheeladder/lycheeladder/ladder/appender"
+	"github.com/lycheeladder/lycheeladder/ladder/claimer"
+	"github.com/lycheeladder/lycheeladder/ladder/converger"
+	"github.com/lycheeladder/lycheeladder/ladder/deliverer"
+	"github.com/lycheeladder/lycheeladder/ladder/dispatcher"
+	"github.com/lycheeladder/lycheeladder/ladder/heartbeater"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/limiter"
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/recorder"
+	"github.com/lycheeladder/lycheeladder/ladder/router"
+)
+
+// Options are a Coordinator's settings.
+type Options struct {
+	Dispatch   dispatcher.Options
+	Heartbeats heartbeater.Options
+	Policy     router.Policy
+	// KeyMaxAge is the oldest idempotency key taken; it is shorter than the
+	// log keeps claims.
+	KeyMaxAge time.Duration
+	// SampleTimeout bounds one attempt at a sample.
+	SampleTimeout time.Duration
+}
+
+// The retry budget: a tenth of recent successes, and a few to begin with.
+const (
+	retryShare = 0.1
+	retryMost  = 20
+)
+
+// Coordinator is one entry.
+type Coordinator struct {
+	clock      clockwork.Clock
+	options    Options
+	follower   *accepter.Follower
+	goals      *converger.Goals
+	dispatcher *dispatcher.Dispatcher
+	deliverer  *deliverer.Deliverer
+	claimer    *claimer.Claimer
+	limiter    *limiter.Limiter
+	recorder   *recorder.Recorder
+}
+
+// New returns a Coordinator that follows log. It serves nobody until the end
+// of the log was reached once.
+func New(clock clockwork.Clock, log appender.Log, random router.Random, r *recorder.Recorder, options Options) *Coordinator {
+	c := &Coordinator{
+		clock: clock, options: options, recorder: r,
+		follower: accepter.NewFollower(clock, log),
+		goals:    converger.NewGoals(),
+		claimer:  claimer.New(clock, log, options.KeyMaxAge),
+		limiter:  limiter.New(clock),
+	}
+	c.dispatcher = dispatcher.New(
+		clock, router.New(clock, random, options.Policy), heartbeater.New(clock, options.Heartbeats),
+		limiter.NewBudget(retryShare, retryMost), c.goals, configurations{c.follower}, options.Dispatch,
+	)
+	c.deliverer = deliverer.New(clock, &generator{coordinator: c}, c.goals)
+	return c
+}
+
+// Run follows the log and spreads what is in force, until ctx ends.
+func (c *Coordinator) Run(ctx context.Context) {
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	tasks.Go(func() { c.follower.Run(ctx) })
+	tasks.Go(func() { c.deliverer.Run(ctx) })
+	tasks.Go(func() { c.spreadConfiguration(ctx) })
+	tasks.Go(func() { c.spreadGoals(ctx) })
+}
+
+// ServeLink talks to one sidecar until the link fails or ctx ends.
+func (c *Coordinator) ServeLink(ctx context.Context, l messenger.Link) error {
+	return c.dispatcher.Serve(ctx, l)
+}
+
+func (c *Coordinator) spreadConfiguration(ctx context.Context) {
+	var sent identifier.Revision
+	for {
+		changed := c.follower.Changed()
+		if s, _ := c.follower.State(); s.Revision != sent {
+			sent = s.Revision
+			klog.InfoS("configuration in force", "revision", s.Revision)
+			c.dispatcher.Configure(ctx)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *Coordinator) spreadGoals(ctx context.Context) {
+	for {
+		changed := c.goals.Changed()
+		c.dispatcher.Announce(ctx)
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Ready says whether the entry knows what is in force.
+func (c *Coordinator) Ready() bool {
+	s, caughtUp := c.follower.State()
+	return caughtUp && s.Document != nil
+}
+
+// Status is what an entry knows of itself and its neighbours.
+type Status struct {
+	Entry       identifier.EntryName      `json:"entry"`
+	Zone        identifier.ZoneName       `json:"zone"`
+	Incarnation identifier.Incarnation    `json:"incarnation"`
+	Revision    identifier.Revision       `json:"revision"`
+	Ready       bool                      `json:"ready"`
+	Targets     []dispatcher.TargetStatus `json:"targets"`
+	Sessions    []deliverer.Status        `json:"sessions"`
+	Goals       []messenger.WeightGoal    `json:"goals"`
+	Dropped     uint64                    `json:"dropped-answers"`
+	Counters    map[string]int64          `json:"counters"`
+	Histograms  []recorder.Summary        `json:"histograms"`
+}
+
+// Status returns the entry's status.
+func (c *Coordinator) Status() Status {
+	s, _ := c.follower.State()
+	return Status{
+		Entry: c.options.Dispatch.Entry, Zone: c.options.Dispatch.Zone, Incarnation: c.options.Dispatch.Incarnation,
+		Revision: s.Revision, Ready: c.Ready(),
+		Targets: c.dispatcher.Targets(), Sessions: c.deliverer.Sessions(), Goals: c.goals.All(),
+		Dropped: c.dispatcher.Dropped(), Counters: c.recorder.Counters(), Histograms: c.recorder.Summaries(),
+	}
+}
+
+// Follower returns the follower of the accepted configuration.
+func (c *Coordinator) Follower() *accepter.Follower { return c.follower }
+
+// configurations gives sidecars their part of the accepted document.
+type configurations struct{ follower *accepter.Follower }
+
+// For implements dispatcher.Configurations.
+func (c configurations) For(service identifier.ServiceName, rank, peers int) (messenger.Configuration, bool) {
+	state, _ := c.follower.State()
+	if state.Document == nil {
+		return messenger.Configuration{}, false
+	}
+	s, ok := state.Document.ServiceByName(service)
+	if !ok {
+		return messenger.Configuration{}, false
+	}
+	return messenger.Configuration{
+		Revision: state.Revision, Slots: s.Slots, QueueLimit: s.QueueLimit, Model: s.Model,
+		FencingChecked: s.FencingChecked, AwayPercent: s.AwayPercent, Peers: peers, Rank: rank,
+	}, true
+}
--- /dev/null
+++ b/ladder/coordinator/train.go
@@ -0,0 +1,116 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lycheeladder/lycheeladder/ladder/authorizer"
+	"github.com/lycheeladder/lycheeladder/ladder/deliverer"
+	"github.com/lycheeladder/lycheeladder/ladder/dispatcher"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/recorder"
+	"github.com/lycheeladder/lycheeladder/ladder/validator"
+)
+
+// RefusalNotTrainer says that the team doesn't train the model.
+const RefusalNotTrainer authorizer.Refusal = "team-not-trainer"
+
+// Trainer returns the plan for a trainer's model, or why there is none.
+func (c *Coordinator) Trainer(key string, m identifier.ModelName) (deliverer.Plan, authorizer.Refusal) {
+	state, _ := c.follower.State()
+	t, refusal := authorizer.Team(state.Document, key)
+	if refusal != authorizer.RefusalNone {
+		return deliverer.Plan{}, refusal
+	}
+	model, ok := state.Document.ModelByName(m)
+	if !ok || model.Trainer != t.Name {
+		return deliverer.Plan{}, RefusalNotTrainer
+	}
+	s, ok := serviceOf(state.Document, m)
+	if !ok {
+		return deliverer.Plan{}, authorizer.RefusalUnknownService
+	}
+	if _, refusal := authorizer.Service(state.Document, t.Name, s.Name, c.clock.Now()); refusal != authorizer.RefusalNone {
+		return deliverer.Plan{}, refusal
+	}
+	return deliverer.Plan{
+		Team: t.Name, Model: m, Service: s.Name, Scorer: model.Scorer, Bound: model.StalenessBound,
+		Parallel: t.InFlightLimit, Timeout: c.options.SampleTimeout,
+	}, authorizer.RefusalNone
+}
+
+func serviceOf(d *validator.Document, m identifier.ModelName) (validator.Service, bool) {
+	for _, s := range d.Services {
+		if s.Model == m {
+			return s, true
+		}
+	}
+	return validator.Service{}, false
+}
+
+// Deliverer returns the keeper of trainer sessions.
+func (c *Coordinator) Deliverer() *deliverer.Deliverer { return c.deliverer }
+
+// Announce takes a trainer's word of new weights.
+func (c *Coordinator) Announce(a deliverer.Announcement) {
+	c.goals.Learn([]messenger.WeightGoal{{Model: a.Model, Version: a.Version}})
+}
+
+// generator makes samples through the dispatcher.
+type generator struct{ coordinator *Coordinator }
+
+// Generate implements deliverer.Generator.
+func (g *generator) Generate(ctx context.Context, r dispatcher.Request) dispatcher.Outcome {
+	c := g.coordinator
+	began := c.clock.Now()
+	o := c.dispatcher.Dispatch(ctx, r)
+	c.recorder.Time(recorder.Series{Team: r.Team, Class: r.Class, Measure: recorder.MeasureTotal}, c.clock.Since(began))
+	return c.counted(o)
+}
+
+// Held implements deliverer.Generator.
+func (g *generator) Held(ctx context.Context, service identifier.ServiceName, samples []identifier.SampleID) map[identifier.SampleID]dispatcher.HeldAt {
+	return g.coordinator.dispatcher.Locate(ctx, service, samples)
+}
+
+// TakeOver implements deliverer.Generator.
+func (g *generator) TakeOver(ctx context.Context, r dispatcher.Request, at dispatcher.HeldAt) dispatcher.Outcome {
+	return g.coordinator.dispatcher.TakeOver(ctx, r, at)
+}
+
+// scoreTimeout bounds one score.
+const scoreTimeout = 10 * time.Second
+
+// Score implements deliverer.Generator. Scoring is idempotent.
+func (g *generator) Score(ctx context.Context, p deliverer.Plan, sample identifier.SampleID, text string) (reward *float64, err error) {
+	if p.Scorer == "" {
+		return nil, nil
+	}
+	c := g.coordinator
+	body, err := json.Marshal(struct {
+		Sample identifier.SampleID `json:"sample-id"`
+		Text   string              `json:"text"`
+	}{sample, text})
+	if err != nil {
+		return nil, err
+	}
+	o := c.dispatcher.Dispatch(ctx, dispatcher.Request{
+		ID: identifier.NewRequestID(), Team: p.Team, Class: identifier.ClassRollout, Service: p.Scorer,
+		Call: "score", Body: body, Idempotent: true, Deadline: c.clock.Now().Add(scoreTimeout),
+	})
+	completed, ok := o.(dispatcher.Completed)
+	if !ok || completed.Status != 200 {
+		return nil, errors.Errorf("score of %s: %+v", sample, o)
+	}
+	var answer struct {
+		Reward float64 `json:"reward"`
+	}
+	if err := json.Unmarshal(completed.Body, &answer); err != nil {
+		return nil, errors.Wrapf(err, "score of %s", sample)
+	}
+	return &answer.Reward, nil
+}
--- /dev/null
+++ b/ladder/dispatcher/peer.go
@@ -0,0 +1,256 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/lycheeladder/lycheeladder/ladder/accumulator"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+)
+
+// helloTimeout bounds the wait for a new link's first message.
+const helloTimeout = 5 * time.Second
+
+var (
+	errUnexpected = errors.New("message not for an entry")
+	errNoHello    = errors.New("first message is not a hello")
+)
+
+type key struct {
+	request identifier.RequestID
+	attempt identifier.Attempt
+}
+
+// peer is one incarnation of a sidecar.
+type peer struct {
+	target      identifier.TargetName
+	incarnation identifier.Incarnation
+	service     identifier.ServiceName
+	zone        identifier.ZoneName
+	// link is nil while no link is up.
+	link     messenger.Link
+	leaving  bool
+	revision identifier.Revision
+	load     messenger.Load
+	loadAt   time.Time
+	// attempts are those open at this incarnation.
+	attempts map[key]*attempt
+	// gone is closed when the incarnation will not be heard of again.
+	gone chan struct{}
+	// located is given the answer to a Locate.
+	located chan messenger.Located
+}
+
+// attempt is one open dispatch of a request.
+type attempt struct {
+	key    key
+	peer   *peer
+	output *accumulator.Accumulator
+	// answer is an End or a Refused that fits the output, set before output
+	// ends; nil if the sidecar is lost.
+	answer messenger.Answer
+}
+
+// Serve talks to one sidecar over link until it fails or ctx ends.
+func (d *Dispatcher) Serve(ctx context.Context, l messenger.Link) error {
+	hello := messenger.Hello{
+		Name: string(d.options.Entry), Incarnation: d.options.Incarnation,
+		Zone: d.options.Zone, Goals: d.goals.All(),
+	}
+	if err := d.beats.SendWithin(ctx, l, hello); err != nil {
+		return err
+	}
+	p, err := d.greet(ctx, l)
+	if err != nil {
+		_ = l.Close()
+		return err
+	}
+	klog.InfoS("sidecar linked", "target", p.target, "incarnation", p.incarnation, "zone", p.zone)
+	d.resume(ctx, p, l)
+	err = d.beats.Run(ctx, l, d.heartbeat, func(m messenger.Message) error { return d.handle(ctx, p, l, m) })
+	klog.InfoS("sidecar link ended", "target", p.target, "incarnation", p.incarnation, "err", err)
+	d.detach(p, l)
+	return err
+}
+
+// greet waits for the sidecar's hello and makes l its link.
+func (d *Dispatcher) greet(ctx context.Context, l messenger.Link) (*peer, error) {
+	bounded, cancel := clockwork.WithTimeout(ctx, d.clock, helloTimeout)
+	defer cancel()
+	m, err := l.Receive(bounded)
+	if err != nil {
+		return nil, err
+	}
+	hello, ok := m.(messenger.Hello)
+	if !ok || hello.Name == "" || hello.Incarnation == "" || hello.Service == "" {
+		return nil, errNoHello
+	}
+	d.goals.Learn(hello.Goals)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	p := d.peers[identifier.TargetName(hello.Name)]
+	if p == nil || p.incarnation != hello.Incarnation {
+		if p != nil {
+			d.lose(p)
+		}
+		p = &peer{
+			target: identifier.TargetName(hello.Name), incarnation: hello.Incarnation,
+			service: hello.Service, zone: hello.Zone,
+			attempts: make(map[key]*attempt), gone: make(chan struct{}),
+			located: make(chan messenger.Located, 1),
+		}
+		d.peers[p.target] = p
+	}
+	if p.link != nil {
+		_ = p.link.Close()
+	}
+	p.link, p.leaving, p.revision = l, hello.Leaving, hello.Revision
+	return p, nil
+}
+
+// resume sends the sidecar its configuration and asks for every open answer
+// from where it broke off.
+func (d *Dispatcher) resume(ctx context.Context, p *peer, l messenger.Link) {
+	d.mutex.Lock()
+	var messages []messenger.Message
+	if m, ok := d.configurationOf(p); ok {
+		messages = append(messages, m)
+	}
+	for _, a := range p.attempts {
+		messages = append(messages, a.resumption())
+	}
+	d.mutex.Unlock()
+	for _, m := range messages {
+		if d.beats.SendWithin(ctx, l, m) != nil {
+			_ = l.Close()
+			return
+		}
+	}
+}
+
+func (a *attempt) resumption() messenger.Resume {
+	return messenger.Resume{Request: a.key.request, Attempt: a.key.attempt, Offset: a.output.Length()}
+}
+
+// detach marks the link as down, and after a while the peer as lost.
+func (d *Dispatcher) detach(p *peer, l messenger.Link) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if p.link != l {
+		return
+	}
+	p.link = nil
+	d.clock.AfterFunc(d.options.Reconnect, func() {
+		d.mutex.Lock()
+		defer d.mutex.Unlock()
+		if p.link == nil {
+			d.lose(p)
+		}
+	})
+}
+
+// lose ends every attempt at a peer without an answer. The caller holds the
+// mutex.
+func (d *Dispatcher) lose(p *peer) {
+	select {
+	case <-p.gone:
+		return
+	default:
+	}
+	close(p.gone)
+	if p.link != nil {
+		_ = p.link.Close()
+		p.link = nil
+	}
+	for _, a := range p.attempts {
+		a.output.End()
+	}
+	if d.peers[p.target] == p {
+		delete(d.peers, p.target)
+		d.router.Forget(p.target)
+	}
+}
+
+func (d *Dispatcher) handle(ctx context.Context, p *peer, l messenger.Link, m messenger.Message) error {
+	switch m := m.(type) {
+	case messenger.Hello:
+		return nil
+	case messenger.Heartbeat:
+		d.goals.Learn(m.Goals)
+		d.mutex.Lock()
+		defer d.mutex.Unlock()
+		p.leaving, p.revision, p.load, p.loadAt = m.Leaving, m.Revision, m.Load, d.clock.Now()
+		return nil
+	case messenger.Chunk:
+		return d.chunk(ctx, p, l, m)
+	case messenger.End:
+		return d.end(ctx, p, l, m)
+	case messenger.Refused:
+		d.answer(p, key{m.Request, m.Attempt}, m.Incarnation, m)
+		return nil
+	case messenger.Located:
+		select {
+		case p.located <- m:
+		default:
+		}
+		return nil
+	case messenger.Crashed:
+		return nil
+	case messenger.Start, messenger.Cancel, messenger.Resume, messenger.Release, messenger.Configuration, messenger.Locate:
+		return errUnexpected
+	}
+	return errUnexpected
+}
+
+// attemptOf finds the open attempt that an answer belongs to. An answer must
+// match on request, attempt and incarnation, or it is dropped and counted.
+func (d *Dispatcher) attemptOf(p *peer, k key, incarnation identifier.Incarnation) *attempt {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	a, ok := p.attempts[k]
+	if !ok || incarnation != p.incarnation || a.answer != nil {
+		d.dropped++
+		return nil
+	}
+	return a
+}
+
+func (d *Dispatcher) chunk(ctx context.Context, p *peer, l messenger.Link, m messenger.Chunk) error {
+	a := d.attemptOf(p, key{m.Request, m.Attempt}, m.Incarnation)
+	if a == nil || a.output.WriteAt(m.Offset, m.Data) {
+		return nil
+	}
+	return d.beats.SendWithin(ctx, l, a.resumption())
+}
+
+func (d *Dispatcher) end(ctx context.Context, p *peer, l messenger.Link, m messenger.End) error {
+	k := key{m.Request, m.Attempt}
+	a := d.attemptOf(p, k, m.Incarnation)
+	if a == nil {
+		return nil
+	}
+	if m.Reason == messenger.EndWhole && a.output.Length() != m.Length {
+		return d.beats.SendWithin(ctx, l, a.resumption())
+	}
+	if m.Reason == messenger.EndWhole && a.output.Checksum() != m.Checksum {
+		return errors.Errorf("checksum of request %s attempt %d differs", m.Request, m.Attempt)
+	}
+	d.answer(p, k, m.Incarnation, m)
+	return d.beats.SendWithin(ctx, l, messenger.Release{Request: m.Request, Attempt: m.Attempt})
+}
+
+func (d *Dispatcher) answer(p *peer, k key, incarnation identifier.Incarnation, m messenger.Answer) {
+	a := d.attemptOf(p, k, incarnation)
+	if a == nil {
+		return
+	}
+	d.mutex.Lock()
+	a.answer = m
+	d.mutex.Unlock()
+	a.output.End()
+}
--- /dev/null
+++ b/ladder/executor/connection.go
@@ -0,0 +1,192 @@
+package executor
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sourcegraph/conc"
+
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+)
+
+const (
+	// chunkBytes is small, so that a long stream doesn't block a short one.
+	chunkBytes = 16 << 10
+	// retryAfterFull is the wait that a full queue asks for.
+	retryAfterFull = time.Second
+	// retryAfterLeaving is short: other targets are there.
+	retryAfterLeaving = 200 * time.Millisecond
+)
+
+// connection serves the messages of one link.
+type connection struct {
+	executor *Executor
+	link     messenger.Link
+	pumps    *conc.WaitGroup
+	// ctx ends with the link.
+	ctx context.Context
+}
+
+func (c *connection) handle(m messenger.Message) error {
+	e := c.executor
+	switch m := m.(type) {
+	case messenger.Hello:
+		e.goals.Learn(m.Goals)
+	case messenger.Heartbeat:
+		e.goals.Learn(m.Goals)
+	case messenger.Start:
+		c.start(m)
+	case messenger.Cancel:
+		c.cancel(m)
+	case messenger.Resume:
+		c.resume(m)
+	case messenger.Release:
+		e.mutex.Lock()
+		e.release(key{m.Request, m.Attempt})
+		e.mutex.Unlock()
+	case messenger.Configuration:
+		e.configure(m)
+	case messenger.Locate:
+		c.send(e.locate(m))
+	case messenger.Chunk, messenger.End, messenger.Refused, messenger.Crashed, messenger.Located:
+		return errUnexpected
+	}
+	return nil
+}
+
+func (c *connection) send(m messenger.Message) {
+	c.pumps.Go(func() { _ = c.executor.beats.SendWithin(c.ctx, c.link, m) })
+}
+
+// start takes a new attempt, or joins the one already known under its name.
+func (c *connection) start(m messenger.Start) {
+	e := c.executor
+	k := key{m.Request, m.Attempt}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if t, ok := e.traces[k]; ok {
+		c.send(t.answer)
+		return
+	}
+	j, ok := e.jobs[k]
+	if !ok {
+		if refused := e.admit(m); refused != nil {
+			e.traces[k] = trace{since: e.clock.Now(), answer: *refused}
+			c.send(*refused)
+			return
+		}
+		j = newJob(m, e.clock.Now())
+		e.jobs[k] = j
+	}
+	c.pump(j, 0)
+}
+
+// admit returns why the attempt can't start, or nil once it is queued. The
+// caller holds the mutex.
+func (e *Executor) admit(m messenger.Start) *messenger.Refused {
+	if m.Incarnation != e.options.Incarnation {
+		return e.refused(m, messenger.RefusedIncarnation, 0)
+	}
+	if e.leaving {
+		return e.refused(m, messenger.RefusedLeaving, retryAfterLeaving)
+	}
+	i := itemOf(m)
+	if err := e.queue.Put(i); err != nil {
+		return e.refused(m, messenger.RefusedQueueFull, retryAfterFull)
+	}
+	return nil
+}
+
+func (e *Executor) refused(m messenger.Start, reason messenger.RefusalReason, retryAfter time.Duration) *messenger.Refused {
+	return &messenger.Refused{
+		Request: m.Request, Attempt: m.Attempt, Incarnation: e.options.Incarnation,
+		Reason: reason, RetryAfter: retryAfter,
+	}
+}
+
+// cancel takes waiting work out of the queue, or stops running work.
+func (c *connection) cancel(m messenger.Cancel) {
+	e := c.executor
+	k := key{m.Request, m.Attempt}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	j, ok := e.jobs[k]
+	if !ok {
+		c.send(e.traceOrTombstone(k))
+		return
+	}
+	if e.queue.Remove(m.Request, m.Attempt) {
+		e.finish(j, *e.refused(j.start, messenger.RefusedNeverStarted, 0))
+		return
+	}
+	j.cancel()
+}
+
+// resume sends an attempt's answer from an offset.
+func (c *connection) resume(m messenger.Resume) {
+	e := c.executor
+	k := key{m.Request, m.Attempt}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if j, ok := e.jobs[k]; ok {
+		c.pump(j, m.Offset)
+		return
+	}
+	c.send(e.traceOrTombstone(k))
+}
+
+// traceOrTombstone answers for an attempt that isn't held. One without a
+// trace never started here, if it is young enough to have left one; the
+// answer makes sure that it never will. The caller holds the mutex.
+func (e *Executor) traceOrTombstone(k key) messenger.Answer {
+	if t, ok := e.traces[k]; ok {
+		return t.answer
+	}
+	if e.clock.Now().Sub(issuedAt(k)) > e.options.Memory/2 {
+		return messenger.End{Request: k.request, Attempt: k.attempt, Incarnation: e.options.Incarnation, Reason: messenger.EndDropped}
+	}
+	answer := messenger.Refused{
+		Request: k.request, Attempt: k.attempt, Incarnation: e.options.Incarnation,
+		Reason: messenger.RefusedNeverStarted,
+	}
+	e.traces[k] = trace{since: e.clock.Now(), answer: answer}
+	return answer
+}
+
+// issuedAt reads the time in the request's UUIDv7; the zero time if it has
+// none.
+func issuedAt(k key) time.Time {
+	id, err := uuid.Parse(string(k.request))
+	if err != nil || id.Version() != 7 {
+		return time.Time{}
+	}
+	seconds, nanoseconds := id.Time().UnixTime()
+	return time.Unix(seconds, nanoseconds)
+}
+
+func (e *Executor) configure(m messenger.Configuration) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if m.Revision < e.configuration.Revision || m == e.configuration {
+		return
+	}
+	e.configuration = m
+	e.queue.Resize(m.Slots, m.QueueLimit)
+}
+
+func (e *Executor) locate(m messenger.Locate) messenger.Located {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	located := messenger.Located{Incarnation: e.options.Incarnation}
+	wanted := make(map[string]bool, len(m.Samples))
+	for _, s := range m.Samples {
+		wanted[string(s)] = true
+	}
+	for k, j := range e.jobs {
+		if s := j.start.Sample; s != "" && wanted[string(s)] && j.useful() {
+			located.Held = append(located.Held, messenger.HeldSample{Sample: s, Request: k.request, Attempt: k.attempt})
+		}
+	}
+	return located
+}
--- /dev/null
+++ b/ladder/executor/executor.go
@@ -0,0 +1,248 @@
+// Package executor runs at a sidecar: it takes requests from entries over
+// links, hands them to the one target beside it, and keeps every answer until
+// the entry has it whole.
+package executor
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+	"k8s.io/klog/v2"
+
+	"github.com/lycheeladder/lycheeladder/ladder/caller"
+	"github.com/lycheeladder/lycheeladder/ladder/heartbeater"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/queuer"
+)
+
+// A sidecar answers "never started" only for an attempt that it has no trace
+// of, and leaves a tombstone by answering. Since it forgets old traces, it
+// says so only of requests younger than its memory.
+
+// Options are an Executor's settings.
+type Options struct {
+	Target      identifier.TargetName
+	Service     identifier.ServiceName
+	Zone        identifier.ZoneName
+	Incarnation identifier.Incarnation
+	// Engine says that the target is a model engine: its state is read.
+	Engine bool
+	// Memory is how long traces of ended attempts are kept. It is longer than
+	// any caller may wait.
+	Memory time.Duration
+	// Retention is how long an answer that nobody has taken is kept.
+	Retention time.Duration
+	// OrphanTimeout is how long live work goes on after its link failed.
+	OrphanTimeout time.Duration
+}
+
+// DefaultOptions returns the usual times.
+func DefaultOptions() Options {
+	return Options{Memory: 20 * time.Minute, Retention: 5 * time.Minute, OrphanTimeout: 10 * time.Second}
+}
+
+// Goals is where weight goals are kept and spread from.
+type Goals interface {
+	// Learn takes goals that a peer has sent.
+	Learn(goals []messenger.WeightGoal)
+	// All returns every goal known.
+	All() []messenger.WeightGoal
+}
+
+// Executor runs requests on one target.
+type Executor struct {
+	clock   clockwork.Clock
+	target  caller.Target
+	queue   *queuer.Queuer
+	beats   *heartbeater.Heartbeater
+	goals   Goals
+	options Options
+
+	mutex sync.Mutex
+	// jobs has every attempt whose answer is still held.
+	jobs map[key]*job
+	// traces has every attempt that was refused or has ended, until it is
+	// older than Memory. An attempt is never in jobs and traces at once.
+	traces map[key]trace
+	// links are those that heartbeats go out on.
+	links map[messenger.Link]struct{}
+	// configuration is the newest received.
+	configuration messenger.Configuration
+	leaving       bool
+	// version is the weight version last read from the engine.
+	version identifier.WeightVersion
+}
+
+type key struct {
+	request identifier.RequestID
+	attempt identifier.Attempt
+}
+
+// trace is what is remembered of an attempt.
+type trace struct {
+	since time.Time
+	// answer is a Refused or an End, sent again to whoever asks.
+	answer messenger.Answer
+}
+
+// New returns an Executor for target.
+func New(clock clockwork.Clock, target caller.Target, q *queuer.Queuer, beats *heartbeater.Heartbeater, goals Goals, options Options) *Executor {
+	return &Executor{
+		clock: clock, target: target, queue: q, beats: beats, goals: goals, options: options,
+		jobs:   make(map[key]*job),
+		traces: make(map[key]trace),
+		links:  make(map[messenger.Link]struct{}),
+	}
+}
+
+// Serve talks to one entry over link until it fails or ctx ends.
+func (e *Executor) Serve(ctx context.Context, l messenger.Link) error {
+	if err := e.beats.SendWithin(ctx, l, e.hello()); err != nil {
+		return err
+	}
+	e.setLink(l, true)
+	defer e.orphan(l)
+	defer e.setLink(l, false)
+	ctx, cancel := context.WithCancel(ctx)
+	var pumps conc.WaitGroup
+	defer pumps.Wait()
+	defer cancel()
+	c := &connection{executor: e, link: l, pumps: &pumps, ctx: ctx}
+	return e.beats.Run(ctx, l, e.heartbeat, c.handle)
+}
+
+func (e *Executor) hello() messenger.Hello {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return messenger.Hello{
+		Name: string(e.options.Target), Incarnation: e.options.Incarnation,
+		Zone: e.options.Zone, Service: e.options.Service,
+		Revision: e.configuration.Revision, Leaving: e.leaving, Goals: e.goals.All(),
+	}
+}
+
+func (e *Executor) heartbeat() messenger.Heartbeat {
+	running, waiting, slots := e.queue.Lengths()
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return messenger.Heartbeat{
+		Revision: e.configuration.Revision, Leaving: e.leaving, Goals: e.goals.All(),
+		Load: messenger.Load{InFlight: running, Queued: waiting, Slots: slots, Version: e.version},
+	}
+}
+
+// SetVersion notes the weight version read from the engine.
+func (e *Executor) SetVersion(v identifier.WeightVersion) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.version = v
+}
+
+// Version returns the weight version last read from the engine.
+func (e *Executor) Version() identifier.WeightVersion {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.version
+}
+
+// Configuration returns the newest configuration received.
+func (e *Executor) Configuration() messenger.Configuration {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.configuration
+}
+
+// Announce sends a heartbeat on every link at once, for news that can't wait.
+func (e *Executor) Announce(ctx context.Context) {
+	h := e.heartbeat()
+	e.mutex.Lock()
+	links := make([]messenger.Link, 0, len(e.links))
+	for l := range e.links {
+		links = append(links, l)
+	}
+	e.mutex.Unlock()
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	for _, l := range links {
+		tasks.Go(func() { _ = e.beats.SendWithin(ctx, l, h) })
+	}
+}
+
+// Leave makes every later Start refused and tells all entries.
+func (e *Executor) Leave(ctx context.Context) {
+	e.mutex.Lock()
+	e.leaving = true
+	e.mutex.Unlock()
+	e.Announce(ctx)
+}
+
+// Drain waits until every answer has been taken, or ctx ends. It returns how
+// many were left.
+func (e *Executor) Drain(ctx context.Context) int {
+	const poll = 20 * time.Millisecond
+	for {
+		e.mutex.Lock()
+		left := len(e.jobs)
+		e.mutex.Unlock()
+		if left == 0 {
+			return 0
+		}
+		select {
+		case <-ctx.Done():
+			return left
+		case <-e.clock.After(poll):
+		}
+	}
+}
+
+// Forget drops traces and untaken answers that have grown too old. Run calls
+// it now and then.
+func (e *Executor) forget() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	now := e.clock.Now()
+	for k, t := range e.traces {
+		if now.Sub(t.since) > e.options.Memory {
+			delete(e.traces, k)
+		}
+	}
+	for k, j := range e.jobs {
+		if j.answer != nil && now.Sub(j.endedAt) > e.options.Retention {
+			klog.InfoS("answer dropped, nobody took it", "request", k.request, "attempt", k.attempt)
+			e.release(k)
+		}
+	}
+}
+
+// release drops an ended job's answer and keeps a trace. The caller holds the
+// mutex.
+func (e *Executor) release(k key) {
+	j, ok := e.jobs[k]
+	if !ok || j.answer == nil {
+		return
+	}
+	delete(e.jobs, k)
+	answer := j.answer
+	if end, ok := answer.(messenger.End); ok {
+		end.Reason = messenger.EndDropped
+		answer = end
+	}
+	e.traces[k] = trace{since: e.clock.Now(), answer: answer}
+}
+
+func (e *Executor) setLink(l messenger.Link, up bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if up {
+		e.links[l] = struct{}{}
+	} else {
+		delete(e.links, l)
+	}
+}
+
+var errUnexpected = errors.New("message not for a sidecar")
--- /dev/null
+++ b/ladder/executor/status.go
@@ -0,0 +1,32 @@
+package executor
+
+import "github.com/lycheeladder/lycheeladder/ladder/identifier"
+
+// Status is what a sidecar tells of itself.
+type Status struct {
+	Target      identifier.TargetName    `json:"target"`
+	Service     identifier.ServiceName   `json:"service"`
+	Zone        identifier.ZoneName      `json:"zone"`
+	Incarnation identifier.Incarnation   `json:"incarnation"`
+	Revision    identifier.Revision      `json:"revision"`
+	Version     identifier.WeightVersion `json:"version"`
+	Leaving     bool                     `json:"leaving"`
+	Links       int                      `json:"links"`
+	Running     int                      `json:"running"`
+	Waiting     int                      `json:"waiting"`
+	Held        int                      `json:"held"`
+	Traces      int                      `json:"traces"`
+}
+
+// Status returns the sidecar's status.
+func (e *Executor) Status() Status {
+	running, waiting, _ := e.queue.Lengths()
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return Status{
+		Target: e.options.Target, Service: e.options.Service, Zone: e.options.Zone,
+		Incarnation: e.options.Incarnation, Revision: e.configuration.Revision, Version: e.version,
+		Leaving: e.leaving, Links: len(e.links), Running: running, Waiting: waiting,
+		Held: len(e.jobs), Traces: len(e.traces),
+	}
+}
--- /dev/null
+++ b/ladder/fetcher/http.go
@@ -0,0 +1,73 @@
+package fetcher
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lycheeladder/lycheeladder/ladder/deliverer"
+	"github.com/lycheeladder/lycheeladder/ladder/requester"
+)
+
+// The paths of an entry's trainer calls.
+const (
+	PathOpen     = "/v1/trainer/open"
+	PathSubmit   = "/v1/trainer/submit"
+	PathFetch    = "/v1/trainer/fetch"
+	PathAnnounce = "/v1/trainer/announce"
+)
+
+// FetchWait is how long an entry holds a fetch that finds no sample.
+const FetchWait = 5 * time.Second
+
+// callTimeout bounds each call; it is longer than FetchWait.
+const callTimeout = FetchWait + 5*time.Second
+
+// HTTP is an Entry over HTTP.
+type HTTP struct{ requester *requester.Requester }
+
+// NewHTTP returns the entry at address, IP:port, for the team whose key is
+// given.
+func NewHTTP(address, key string) *HTTP {
+	return &HTTP{requester: requester.New(address, key)}
+}
+
+// Open implements Entry.
+func (h *HTTP) Open(ctx context.Context, o deliverer.Opening) error {
+	return h.do(ctx, PathOpen, o, nil)
+}
+
+// Submit implements Entry.
+func (h *HTTP) Submit(ctx context.Context, s deliverer.Submission) error {
+	return h.do(ctx, PathSubmit, s, nil)
+}
+
+// Fetch implements Entry.
+func (h *HTTP) Fetch(ctx context.Context, f deliverer.Fetch) (b deliverer.Batch, err error) {
+	return b, h.do(ctx, PathFetch, f, &b)
+}
+
+// Announce implements Entry.
+func (h *HTTP) Announce(ctx context.Context, a deliverer.Announcement) error {
+	return h.do(ctx, PathAnnounce, a, nil)
+}
+
+func (h *HTTP) do(ctx context.Context, path string, v, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	a, err := h.requester.Do(ctx, fasthttp.MethodPost, path, v)
+	switch {
+	case err != nil:
+		return err
+	case a.Status == fasthttp.StatusConflict:
+		return ErrSuperseded
+	case a.Status != fasthttp.StatusOK:
+		return errors.WithMessagef(errStatus, "%s: status %d: %s", path, a.Status, a.Body)
+	case out == nil:
+		return nil
+	}
+	return json.Unmarshal(a.Body, out)
+}
--- /dev/null
+++ b/ladder/server/server.go
@@ -0,0 +1,60 @@
+// Package server runs HTTP listeners.
+package server
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/expvarhandler"
+)
+
+// NewApp returns a fiber application with the given bounds.
+func NewApp(name string, bodyLimit int) *fiber.App {
+	return fiber.New(fiber.Config{
+		AppName:        name,
+		BodyLimit:      bodyLimit,
+		ReadBufferSize: 8 << 10,
+		IdleTimeout:    time.Minute,
+		// Immutable: a handler may keep what it was given.
+		Immutable:         true,
+		ReduceMemoryUsage: true,
+	})
+}
+
+// Metrics serves expvar.
+func Metrics(c fiber.Ctx) error {
+	expvarhandler.ExpvarHandler(c.RequestCtx())
+	return nil
+}
+
+// Listen opens a TCP listener, or says early that the address can't be had.
+func Listen(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	return l, errors.Wrap(err, "listen")
+}
+
+// Serve runs app on l until ctx ends, then waits up to grace for requests in
+// progress. It returns nil after a wanted end.
+func Serve(ctx context.Context, app *fiber.App, l net.Listener, grace time.Duration) error {
+	done := make(chan error, 1)
+	go func() { done <- app.Listener(l, fiber.ListenConfig{DisableStartupMessage: true}) }()
+	select {
+	case err := <-done:
+		return errors.Wrapf(err, "serve %s", l.Addr())
+	case <-ctx.Done():
+	}
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace)
+	defer cancel()
+	err := app.ShutdownWithContext(bounded)
+	if served := <-done; err == nil {
+		err = served
+	}
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, fasthttp.ErrConnectionClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/ladder/starter/starter.go
@@ -0,0 +1,126 @@
+// Package starter starts and stops a program: settings, logs, signals.
+package starter
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+)
+
+// Version is set by the linker.
+var Version = "dev"
+
+// The exit codes of every program.
+const (
+	// ExitOK is a wanted end.
+	ExitOK = 0
+	// ExitFailed is an end by a fault.
+	ExitFailed = 1
+	// ExitUsage is a wrong setting or argument.
+	ExitUsage = 2
+)
+
+// Common are the settings that every daemon has.
+type Common struct {
+	LogVerbosity int              `help:"Log verbosity: 0 events, 1 details, 2 messages." default:"0" placeholder:"N"`
+	Version      kong.VersionFlag `help:"Print the version and exit." env:"-"`
+}
+
+// Validate checks the common settings.
+func (c Common) Validate() error {
+	if c.LogVerbosity < 0 || c.LogVerbosity > 9 {
+		return errors.Errorf("--log-verbosity: %d is not in 0 to 9", c.LogVerbosity)
+	}
+	return nil
+}
+
+// Address is an IP number and a port.
+type Address string
+
+// UnmarshalText checks that the address is IP:port.
+func (a *Address) UnmarshalText(text []byte) error {
+	if _, err := netip.ParseAddrPort(string(text)); err != nil {
+		return errors.Errorf("%q is not IP:port", text)
+	}
+	*a = Address(text)
+	return nil
+}
+
+// Description is what --help says of a program.
+type Description struct {
+	Name string
+	// Text is the manual's first part.
+	Text string
+	// Options are added to the parser's own.
+	Options []kong.Option
+}
+
+// Parse reads the settings of a program from arguments and environment
+// variables (LYCHEELADDER_ and the flag in capitals) into settings. It returns
+// the exit code and false where the program must not go on.
+func Parse(d Description, settings any, arguments []string, stdout, stderr io.Writer) (parsed *kong.Context, code int, ok bool) {
+	exited := false
+	options := append([]kong.Option{
+		kong.Name(d.Name),
+		kong.Description(d.Text),
+		kong.DefaultEnvars("LYCHEELADDER"),
+		kong.Vars{"version": d.Name + " " + Version},
+		kong.Writers(stdout, stderr),
+		kong.Exit(func(c int) { code, exited = c, true }),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+	}, d.Options...)
+	parser, err := kong.New(settings, options...)
+	if err != nil {
+		fmt.Fprintf(stderr, "%s: %s\n", d.Name, err)
+		return nil, ExitUsage, false
+	}
+	parsed, err = parser.Parse(arguments)
+	if exited {
+		return nil, code, false
+	}
+	if err != nil {
+		fmt.Fprintf(stderr, "%s: setting %s\n", d.Name, oneLine(err))
+		return nil, ExitUsage, false
+	}
+	return parsed, ExitOK, true
+}
+
+func oneLine(err error) string {
+	return strings.ReplaceAll(err.Error(), "\n", " ")
+}
+
+// SetUpLogs sends logs to standard error, one event a line.
+func SetUpLogs(verbosity int) {
+	var flags flag.FlagSet
+	klog.InitFlags(&flags)
+	_ = flags.Set("logtostderr", "true")
+	_ = flags.Set("v", fmt.Sprint(verbosity))
+}
+
+// UntilSignal returns a context that ends at the first SIGTERM or SIGINT. A
+// second one ends the process at once.
+func UntilSignal() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		s := <-signals
+		klog.InfoS("stopping", "signal", s.String())
+		cancel()
+		<-signals
+		klog.InfoS("second signal, ending at once")
+		klog.Flush()
+		os.Exit(ExitFailed)
+	}()
+	return ctx, cancel
+}
--- /dev/null
+++ b/sidecar/runner/runner.go
@@ -0,0 +1,141 @@
+// Package runner reads a sidecar's settings, starts it and stops it
+// gracefully.
+package runner
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
+	"k8s.io/klog/v2"
+
+	"github.com/lycheeladder/lycheeladder/ladder/caller"
+	"github.com/lycheeladder/lycheeladder/ladder/encoder"
+	"github.com/lycheeladder/lycheeladder/ladder/executor"
+	"github.com/lycheeladder/lycheeladder/ladder/heartbeater"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/linker"
+	"github.com/lycheeladder/lycheeladder/ladder/lister"
+	"github.com/lycheeladder/lycheeladder/ladder/server"
+	"github.com/lycheeladder/lycheeladder/ladder/starter"
+	"github.com/lycheeladder/lycheeladder/ladder/supervisor"
+)
+
+const manual = `Runs beside one target and hands it all its work and orders.
+
+It dials the entries named by --entry and by the platform's host list, keeps
+every answer until the entry has it whole, and brings an engine to new weights.
+On SIGTERM it takes no new work and finishes what it has, at most for
+--drain-timeout. Each flag can be set by the environment variable shown.`
+
+// Settings are a sidecar's flags and environment variables.
+type Settings struct {
+	starter.Common
+	Target       string            `help:"This target's name, unique in its service." required:""`
+	Service      string            `help:"The service that the target belongs to." required:""`
+	Zone         string            `help:"The availability zone of this host." required:""`
+	Kind         string            `help:"What the target is: model-engine or plain." enum:"model-engine,plain" required:""`
+	Address      starter.Address   `help:"Where the target listens, IP:port." required:""`
+	Entry        []starter.Address `help:"An entry's peer listener, IP:port. May be given often."`
+	Hosts        starter.Address   `help:"The platform's host list, IP:port."`
+	Listen       starter.Address   `help:"Where to serve status and metrics, IP:port." default:"127.0.0.1:0"`
+	DrainTimeout time.Duration     `help:"How long a stop waits for work in progress." default:"30s"`
+	Retention    time.Duration     `help:"How long an answer that no entry has taken is kept." default:"5m"`
+}
+
+// Validate checks what the flags' types don't.
+func (s Settings) Validate() error {
+	switch {
+	case len(s.Entry) == 0 && s.Hosts == "":
+		return fmt.Errorf("--entry: none given, and no --hosts; give one at least")
+	case s.DrainTimeout < 0:
+		return fmt.Errorf("--drain-timeout: %s is below 0", s.DrainTimeout)
+	case s.Retention < time.Second:
+		return fmt.Errorf("--retention: %s is below 1s", s.Retention)
+	}
+	return nil
+}
+
+// Main runs a sidecar and returns its exit code.
+func Main(arguments []string, stdout, stderr io.Writer) int {
+	var s Settings
+	d := starter.Description{Name: "sidecar", Text: manual}
+	if _, code, ok := starter.Parse(d, &s, arguments, stdout, stderr); !ok {
+		return code
+	}
+	starter.SetUpLogs(s.LogVerbosity)
+	defer klog.Flush()
+	if err := run(s); err != nil {
+		fmt.Fprintf(stderr, "sidecar: %s\n", err)
+		return starter.ExitFailed
+	}
+	return starter.ExitOK
+}
+
+// statusGrace is how long a stop waits for readers of status.
+const statusGrace = time.Second
+
+func run(s Settings) error {
+	e, err := encoder.New()
+	if err != nil {
+		return err
+	}
+	listener, err := server.Listen(string(s.Listen))
+	if err != nil {
+		return err
+	}
+	stopping, release := starter.UntilSignal()
+	defer release()
+	p := newSupervisor(s, linker.New(e))
+	working, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	tasks.Go(func() { p.Run(working) })
+	tasks.Go(func() {
+		if err := server.Serve(working, statusApp(p), listener, statusGrace); err != nil {
+			klog.ErrorS(err, "status listener failed")
+		}
+	})
+	klog.InfoS("sidecar started", "target", s.Target, "service", s.Service, "zone", s.Zone, "listen", listener.Addr().String())
+	<-stopping.Done()
+	bounded, stop := context.WithTimeout(working, s.DrainTimeout)
+	defer stop()
+	left := p.Stop(bounded)
+	klog.InfoS("sidecar stopped", "target", s.Target, "left", left)
+	cancel()
+	return nil
+}
+
+func newSupervisor(s Settings, l *linker.Linker) *supervisor.Supervisor {
+	engine := s.Kind == "model-engine"
+	options := supervisor.Options{
+		Executor: executor.DefaultOptions(), Heartbeats: heartbeater.DefaultOptions(),
+		ListInterval: 2 * time.Second,
+	}
+	options.Executor.Target = identifier.TargetName(s.Target)
+	options.Executor.Service = identifier.ServiceName(s.Service)
+	options.Executor.Zone = identifier.ZoneName(s.Zone)
+	options.Executor.Incarnation = identifier.NewIncarnation()
+	options.Executor.Engine = engine
+	options.Executor.Retention = s.Retention
+	for _, address := range s.Entry {
+		options.Entries = append(options.Entries, string(address))
+	}
+	var hosts lister.HostList
+	if s.Hosts != "" {
+		hosts = lister.NewHTTP(string(s.Hosts))
+	}
+	return supervisor.New(clockwork.NewRealClock(), caller.NewHTTP(string(s.Address), engine), l, hosts, options)
+}
+
+func statusApp(p *supervisor.Supervisor) *fiber.App {
+	app := server.NewApp("sidecar", 1<<10)
+	app.Get("/debug/vars", server.Metrics)
+	app.Get("/v1/status", func(c fiber.Ctx) error { return c.JSON(p.Executor().Status()) })
+	return app
+}
--- /dev/null
+++ b/standin/runner/engine.go
@@ -0,0 +1,237 @@
+package runner
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lycheeladder/lycheeladder/ladder/caller"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/requester"
+	"github.com/lycheeladder/lycheeladder/ladder/server"
+	"github.com/lycheeladder/lycheeladder/ladder/starter"
+)
+
+// engine stands in for a model engine with continuous batching: all its slots
+// make a token at each tick. It makes words that name their prompt and place,
+// so that a reader can tell a whole answer, and whose it is.
+type engine struct {
+	Listen       starter.Address          `help:"Where to listen, IP:port." default:"127.0.0.1:0"`
+	Weights      starter.Address          `help:"The weight store, IP:port." required:""`
+	Slots        int                      `help:"Requests served at once." default:"8"`
+	TokenTime    time.Duration            `help:"Time per token." default:"5ms"`
+	SwitchTime   time.Duration            `help:"Time of a weight switch, in which no tokens are made." default:"50ms"`
+	Version_     identifier.WeightVersion `name:"weight-version" help:"Weight version at the start." default:"1"`
+	Stamps       bool                     `help:"Stamp each piece with its version." default:"true" negatable:""`
+	CheckFencing bool                     `help:"Refuse orders with an old fencing number." default:"true" negatable:""`
+
+	store  *requester.Requester
+	bootID string
+
+	mutex sync.Mutex
+	// running has a cancel channel per request.
+	running  map[identifier.RequestID]chan struct{}
+	waiting  int
+	version  identifier.WeightVersion
+	loaded   []identifier.WeightVersion
+	switches uint64
+	fencing  identifier.FencingNumber
+	// paused is closed when tokens may be made.
+	paused chan struct{}
+	slots  chan struct{}
+}
+
+// prompt is the part of a request's body that an engine reads.
+type prompt struct {
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max-tokens"`
+	// Crash kills the engine, as some real requests do.
+	Crash bool `json:"crash,omitempty"`
+}
+
+// maxTokens bounds an answer.
+const maxTokens = 1 << 20
+
+func (e *engine) run(ctx context.Context, _ io.Writer) error {
+	e.store = requester.New(string(e.Weights), "")
+	e.bootID = uuid.NewString()
+	e.running = make(map[identifier.RequestID]chan struct{})
+	e.version, e.loaded = e.Version_, []identifier.WeightVersion{e.Version_}
+	e.paused = make(chan struct{})
+	close(e.paused)
+	e.slots = make(chan struct{}, e.Slots)
+	app := server.NewApp("engine", bodyLimit)
+	newFaults(app)
+	app.Post("/generate", e.generate)
+	app.Post("/cancel", e.cancel)
+	app.Get("/state", e.state)
+	app.Post("/load", e.load)
+	app.Post("/switch", e.switchTo)
+	return serve(ctx, "engine", e.Listen, app)
+}
+
+func (e *engine) generate(c fiber.Ctx) error {
+	var request struct {
+		Request identifier.RequestID `json:"request-id"`
+		Body    prompt               `json:"body"`
+	}
+	if err := json.Unmarshal(c.Body(), &request); err != nil || request.Body.MaxTokens < 1 || request.Body.MaxTokens > maxTokens {
+		return c.Status(fiber.StatusBadRequest).SendString(`{"error":"max-tokens is 1 or more"}`)
+	}
+	if request.Body.Crash {
+		os.Exit(3)
+	}
+	cancelled := make(chan struct{})
+	e.mutex.Lock()
+	e.running[request.Request] = cancelled
+	e.waiting++
+	e.mutex.Unlock()
+	c.Set("Content-Type", "text/event-stream")
+	return c.SendStreamWriter(func(w *bufio.Writer) {
+		defer e.forget(request.Request)
+		e.slots <- struct{}{}
+		defer func() { <-e.slots }()
+		e.mutex.Lock()
+		e.waiting--
+		e.mutex.Unlock()
+		e.write(w, request.Body, cancelled)
+	})
+}
+
+func (e *engine) write(w *bufio.Writer, p prompt, cancelled chan struct{}) {
+	ticker := time.NewTicker(e.TokenTime)
+	defer ticker.Stop()
+	for n := range p.MaxTokens {
+		select {
+		case <-cancelled:
+			return
+		case <-ticker.C:
+		}
+		e.mutex.Lock()
+		paused := e.paused
+		e.mutex.Unlock()
+		<-paused
+		piece := struct {
+			Text    string                   `json:"text"`
+			Tokens  int                      `json:"tokens"`
+			Version identifier.WeightVersion `json:"version,omitempty"`
+		}{Text: fmt.Sprintf("%s-%d ", p.Prompt, n), Tokens: 1, Version: e.stamp()}
+		data, _ := json.Marshal(piece)
+		if _, err := fmt.Fprintf(w, "data: %s\n\n", data); err != nil {
+			return
+		}
+		if w.Flush() != nil {
+			return
+		}
+	}
+	_, _ = w.WriteString("data: {\"done\":true}\n\n")
+	_ = w.Flush()
+}
+
+func (e *engine) stamp() identifier.WeightVersion {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if !e.Stamps {
+		return 0
+	}
+	return e.version
+}
+
+func (e *engine) forget(r identifier.RequestID) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	delete(e.running, r)
+}
+
+func (e *engine) cancel(c fiber.Ctx) error {
+	var request struct {
+		Request identifier.RequestID `json:"request-id"`
+	}
+	if err := c.Bind().JSON(&request); err != nil {
+		return fiber.ErrBadRequest
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if cancelled, ok := e.running[request.Request]; ok {
+		delete(e.running, request.Request)
+		close(cancelled)
+	}
+	return c.SendStatus(fiber.StatusOK)
+}
+
+func (e *engine) state(c fiber.Ctx) error {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return c.JSON(caller.State{
+		BootID: e.bootID, Version: e.version, Loaded: e.loaded, SwitchCount: e.switches,
+		InFlight: len(e.running) - e.waiting, Queued: e.waiting, Slots: e.Slots,
+	})
+}
+
+// fence takes an order's fencing number, or refuses it.
+func (e *engine) fence(o caller.Order) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if o.Fencing < e.fencing && e.CheckFencing {
+		return false
+	}
+	e.fencing = max(e.fencing, o.Fencing)
+	return true
+}
+
+func (e *engine) load(c fiber.Ctx) error {
+	var o caller.Order
+	if err := c.Bind().JSON(&o); err != nil {
+		return fiber.ErrBadRequest
+	}
+	if !e.fence(o) {
+		return c.SendStatus(fiber.StatusConflict)
+	}
+	path := fmt.Sprintf("/weights/%s/%d", o.Model, o.Version)
+	a, err := e.store.Do(context.Background(), fasthttp.MethodGet, path, nil)
+	if err != nil || a.Status != fiber.StatusOK {
+		return c.Status(fiber.StatusServiceUnavailable).SendString(fmt.Sprintf("weight store: %d %v", a.Status, err))
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if !slices.Contains(e.loaded, o.Version) {
+		e.loaded = append(e.loaded, o.Version)
+	}
+	return c.SendStatus(fiber.StatusOK)
+}
+
+func (e *engine) switchTo(c fiber.Ctx) error {
+	var o caller.Order
+	if err := c.Bind().JSON(&o); err != nil {
+		return fiber.ErrBadRequest
+	}
+	if !e.fence(o) {
+		return c.SendStatus(fiber.StatusConflict)
+	}
+	e.mutex.Lock()
+	if !slices.Contains(e.loaded, o.Version) {
+		e.mutex.Unlock()
+		return c.Status(fiber.StatusNotFound).SendString("version not loaded")
+	}
+	open := make(chan struct{})
+	e.paused = open
+	e.mutex.Unlock()
+	time.Sleep(e.SwitchTime)
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.version = o.Version
+	e.switches++
+	e.loaded = []identifier.WeightVersion{o.Version}
+	close(open)
+	return c.SendStatus(fiber.StatusOK)
+}
--- /dev/null
+++ b/standin/runner/log.go
@@ -0,0 +1,103 @@
+package runner
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/lycheeladder/lycheeladder/ladder/appender"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/server"
+	"github.com/lycheeladder/lycheeladder/ladder/starter"
+)
+
+// logService stands in for the append-only log service.
+type logService struct {
+	Listen    starter.Address `help:"Where to listen, IP:port." default:"127.0.0.1:0"`
+	Retention time.Duration   `help:"How long records are kept." default:"24h"`
+
+	mutex   sync.Mutex
+	streams map[identifier.StreamName]*stream
+}
+
+type stream struct {
+	first   identifier.LogOffset
+	records []appender.Record
+	changed chan struct{}
+}
+
+func (l *logService) run(ctx context.Context, _ io.Writer) error {
+	l.streams = make(map[identifier.StreamName]*stream)
+	app := server.NewApp("log", bodyLimit)
+	newFaults(app)
+	app.Post("/streams/:stream/records", l.append)
+	app.Get("/streams/:stream/records", l.read)
+	return serve(ctx, "log", l.Listen, app)
+}
+
+func (l *logService) append(c fiber.Ctx) error {
+	var request appender.AppendRequest
+	if err := c.Bind().JSON(&request); err != nil || len(request.Records) == 0 {
+		return fiber.ErrBadRequest
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	s := l.stream(identifier.StreamName(c.Params("stream")))
+	first := s.next()
+	for _, data := range request.Records {
+		s.records = append(s.records, appender.Record{Offset: s.next(), Time: time.Now(), Data: data})
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return c.JSON(appender.AppendAnswer{First: first})
+}
+
+func (l *logService) read(c fiber.Ctx) error {
+	from := identifier.LogOffset(fiber.Query[uint64](c, "from"))
+	limit := fiber.Query(c, "limit", 100)
+	wait := time.After(time.Duration(fiber.Query[int](c, "wait-ms")) * time.Millisecond)
+	name := identifier.StreamName(string([]byte(c.Params("stream"))))
+	for {
+		page, changed := l.page(name, from, limit)
+		if len(page.Records) > 0 {
+			return c.JSON(page)
+		}
+		select {
+		case <-changed:
+		case <-wait:
+			return c.JSON(page)
+		}
+	}
+}
+
+func (l *logService) page(name identifier.StreamName, from identifier.LogOffset, limit int) (appender.Page, chan struct{}) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	s := l.stream(name)
+	for len(s.records) > 0 && time.Since(s.records[0].Time) > l.Retention {
+		s.first = s.records[0].Offset + 1
+		s.records = s.records[1:]
+	}
+	page := appender.Page{FirstKept: s.first, Next: s.next()}
+	if skip := max(from, s.first) - s.first; skip < identifier.LogOffset(len(s.records)) {
+		records := s.records[skip:]
+		page.Records = records[:min(len(records), limit)]
+	}
+	return page, s.changed
+}
+
+func (l *logService) stream(name identifier.StreamName) *stream {
+	s, ok := l.streams[name]
+	if !ok {
+		s = &stream{changed: make(chan struct{})}
+		l.streams[name] = s
+	}
+	return s
+}
+
+func (s *stream) next() identifier.LogOffset {
+	return s.first + identifier.LogOffset(len(s.records))
+}
--- /dev/null
+++ b/standin/runner/runner.go
@@ -0,0 +1,89 @@
+// Package runner has one file per stand-in and a table of them all.
+package runner
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/gofiber/fiber/v3"
+	"k8s.io/klog/v2"
+
+	"github.com/lycheeladder/lycheeladder/ladder/server"
+	"github.com/lycheeladder/lycheeladder/ladder/starter"
+)
+
+// verb is one subcommand. Its fields are its settings.
+type verb interface {
+	// run works until ctx ends.
+	run(ctx context.Context, stdout io.Writer) error
+}
+
+// entry is a line of the table.
+type entry struct {
+	name string
+	help string
+	verb func() verb
+}
+
+// table lists every stand-in once.
+var table = []entry{
+	{"log", "The platform's append-only log service.", func() verb { return &logService{} }},
+	{"engine", "A model engine.", func() verb { return &engine{} }},
+	{"service", "A plain service.", func() verb { return &plainService{} }},
+	{"weights", "The rate-limited weight store.", func() verb { return &weightStore{} }},
+	{"hosts", "The lagging list of hosts.", func() verb { return &hostList{} }},
+	{"trainer", "A trainer: takes steps of samples and announces weights.", func() verb { return &trainer{} }},
+	{"caller", "Live callers, for some seconds.", func() verb { return &liveCaller{} }},
+	{"summary", "Print reports as one table.", func() verb { return &summary{} }},
+	{"scorer", "A service that scores samples.", func() verb { return &scorer{} }},
+	{"ports", "Print free TCP ports of 127.0.0.1, one a line.", func() verb { return &ports{} }},
+}
+
+// Main parses the arguments and runs the chosen stand-in.
+func Main(arguments []string, stdout, stderr io.Writer) int {
+	settings := &struct{ starter.Common }{}
+	chosen := make(map[string]verb, len(table))
+	commands := make([]kong.Option, 0, len(table))
+	for _, e := range table {
+		v := e.verb()
+		chosen[e.name] = v
+		commands = append(commands, kong.DynamicCommand(e.name, e.help, "", v))
+	}
+	d := starter.Description{
+		Name: "standin", Text: "Stands in for the systems around lycheeladder, in tests and the demo.",
+		Options: commands,
+	}
+	parsed, code, ok := starter.Parse(d, settings, arguments, stdout, stderr)
+	if !ok {
+		return code
+	}
+	starter.SetUpLogs(settings.LogVerbosity)
+	defer klog.Flush()
+	ctx, cancel := starter.UntilSignal()
+	defer cancel()
+	if err := chosen[parsed.Selected().Name].run(ctx, stdout); err != nil {
+		fmt.Fprintf(stderr, "standin: %s: %s\n", parsed.Selected().Name, err)
+		return starter.ExitFailed
+	}
+	return starter.ExitOK
+}
+
+const (
+	// bodyLimit bounds the requests to a stand-in.
+	bodyLimit = 16 << 20
+	// stopGrace is how long a stand-in finishes requests.
+	stopGrace = 2 * time.Second
+)
+
+// serve runs app at address until ctx ends.
+func serve(ctx context.Context, name string, address starter.Address, app *fiber.App) error {
+	l, err := server.Listen(string(address))
+	if err != nil {
+		return err
+	}
+	klog.InfoS("listening", "stand-in", name, "address", l.Addr().String())
+	return server.Serve(ctx, app, l, stopGrace)
+}
--- /dev/null
+++ b/standin/runner/service.go
@@ -0,0 +1,61 @@
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/google/uuid"
+
+	"github.com/lycheeladder/lycheeladder/ladder/caller"
+	"github.com/lycheeladder/lycheeladder/ladder/server"
+	"github.com/lycheeladder/lycheeladder/ladder/starter"
+)
+
+// plainService stands in for a service such as a stock of spares. It counts
+// how often each request ran, which tests read at /ran.
+type plainService struct {
+	Listen  starter.Address `help:"Where to listen, IP:port." default:"127.0.0.1:0"`
+	CallFor time.Duration   `help:"Time per call." default:"5ms"`
+
+	bootID string
+	mutex  sync.Mutex
+	// ran counts executions by body.
+	ran map[string]int
+}
+
+func (p *plainService) run(ctx context.Context, _ io.Writer) error {
+	p.bootID = uuid.NewString()
+	p.ran = make(map[string]int)
+	app := server.NewApp("service", bodyLimit)
+	newFaults(app)
+	app.Post("/calls/:call", p.call)
+	app.Get("/ran", func(c fiber.Ctx) error {
+		p.mutex.Lock()
+		defer p.mutex.Unlock()
+		return c.JSON(p.ran)
+	})
+	app.Get("/state", func(c fiber.Ctx) error { return c.JSON(caller.State{BootID: p.bootID}) })
+	return serve(ctx, "service", p.Listen, app)
+}
+
+func (p *plainService) call(c fiber.Ctx) error {
+	body := string(c.Body())
+	p.mutex.Lock()
+	p.ran[body]++
+	times := p.ran[body]
+	p.mutex.Unlock()
+	time.Sleep(p.CallFor)
+	echo := json.RawMessage(body)
+	if !json.Valid(echo) {
+		return fiber.ErrBadRequest
+	}
+	return c.JSON(struct {
+		Call  string          `json:"call"`
+		Echo  json.RawMessage `json:"echo"`
+		Times int             `json:"times"`
+	}{c.Params("call"), echo, times})
+}
--- /dev/null
+++ b/standin/runner/trainer.go
@@ -0,0 +1,131 @@
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"github.com/lycheeladder/lycheeladder/ladder/deliverer"
+	"github.com/lycheeladder/lycheeladder/ladder/fetcher"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/labeler"
+	"github.com/lycheeladder/lycheeladder/ladder/starter"
+)
+
+// trainer stands in for a trainer, through the library's own client. It ends
+// after its steps and prints what it got as one JSON object.
+type trainer struct {
+	Entry     []starter.Address        `help:"An entry, IP:port. May be given often." required:""`
+	Key       string                   `help:"The trainer team's key." required:""`
+	Model     identifier.ModelName     `help:"The model." required:""`
+	Steps     int                      `help:"Steps to take." default:"3"`
+	Groups    int                      `help:"Groups a step." default:"4"`
+	Samples   int                      `help:"Samples a group." default:"4"`
+	Tokens    int                      `help:"Tokens of a usual sample." default:"20"`
+	Straggler int                      `help:"How many times longer the last group of a step is." default:"5"`
+	TrainFor  time.Duration            `help:"Time to train on a step's samples." default:"200ms"`
+	First     identifier.WeightVersion `help:"Weight version at the start." default:"1"`
+}
+
+// report is what the trainer prints at its end.
+type report struct {
+	Steps        int     `json:"steps"`
+	Wanted       int     `json:"wanted"`
+	Delivered    int     `json:"delivered"`
+	Duplicates   int     `json:"duplicates"`
+	Stale        int     `json:"stale"`
+	Cut          int     `json:"cut-short"`
+	WithoutSpans int     `json:"without-spans"`
+	Unscored     int     `json:"unscored"`
+	Spans        int     `json:"spans"`
+	MeanLag      float64 `json:"mean-staleness"`
+	MostLag      int     `json:"most-staleness"`
+	IdleSeconds  float64 `json:"idle-seconds"`
+	TotalSeconds float64 `json:"total-seconds"`
+}
+
+func (t *trainer) run(ctx context.Context, stdout io.Writer) error {
+	entries := make([]fetcher.Entry, 0, len(t.Entry))
+	for _, address := range t.Entry {
+		entries = append(entries, fetcher.NewHTTP(string(address), t.Key))
+	}
+	f := fetcher.New(clockwork.NewRealClock(), entries, fetcher.Options{
+		Model: t.Model, Limit: 64, Pause: 200 * time.Millisecond,
+	})
+	r := &report{}
+	began := time.Now()
+	version := t.First
+	for step := range t.Steps {
+		if err := t.step(ctx, f, step, version, r); err != nil {
+			return errors.WithMessagef(err, "step %d", step)
+		}
+		time.Sleep(t.TrainFor)
+		version++
+		if err := f.Announce(ctx, version); err != nil {
+			return err
+		}
+	}
+	r.TotalSeconds = time.Since(began).Seconds()
+	r.MeanLag /= float64(max(1, r.Delivered))
+	r.Duplicates, r.Stale = f.Returned()
+	return json.NewEncoder(stdout).Encode(r)
+}
+
+func (t *trainer) step(ctx context.Context, f *fetcher.Fetcher, step int, version identifier.WeightVersion, r *report) error {
+	wanted := make(map[identifier.GroupID]prompt, t.Groups)
+	groups := make([]deliverer.Group, 0, t.Groups)
+	for g := range t.Groups {
+		p := prompt{Prompt: fmt.Sprintf("s%dg%d", step, g), MaxTokens: t.Tokens}
+		if g == t.Groups-1 {
+			p.MaxTokens *= t.Straggler
+		}
+		body, err := json.Marshal(p)
+		if err != nil {
+			return err
+		}
+		id := identifier.GroupID(fmt.Sprintf("%s-step-%d-group-%d", t.Model, step, g))
+		wanted[id] = p
+		groups = append(groups, deliverer.Group{ID: id, Body: body, Samples: t.Samples, Expected: identifier.TokenCount(p.MaxTokens)})
+	}
+	if err := f.Submit(ctx, groups); err != nil {
+		return err
+	}
+	r.Steps++
+	r.Wanted += t.Groups * t.Samples
+	for range t.Groups * t.Samples {
+		waiting := time.Now()
+		s, err := f.Next(ctx, version)
+		if err != nil {
+			return err
+		}
+		r.IdleSeconds += time.Since(waiting).Seconds()
+		r.take(s, wanted[s.Group], version)
+	}
+	return nil
+}
+
+// take checks one sample against what was asked for.
+func (r *report) take(s deliverer.Sample, p prompt, version identifier.WeightVersion) {
+	r.Delivered++
+	r.Spans += len(s.Spans)
+	if len(s.Spans) == 0 || int(s.Spans[len(s.Spans)-1].To) != p.MaxTokens {
+		r.WithoutSpans++
+	}
+	if strings.Count(s.Text, p.Prompt+"-") != p.MaxTokens {
+		r.Cut++
+	}
+	if s.Reward == nil {
+		r.Unscored++
+	}
+	if oldest := labeler.Oldest(s.Spans); oldest < version {
+		lag := int(version - oldest)
+		r.MeanLag += float64(lag)
+		r.MostLag = max(r.MostLag, lag)
+	}
+}
