--- a/entry/publisher/publisher.go
+++ b/entry/publisher/publisher.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/gofiber/fiber/v3"
+	"github.com/pkg/errors"
 
 	"github.com/lycheeladder/lycheeladder/ladder/accepter"
 	"github.com/lycheeladder/lycheeladder/ladder/authorizer"
@@ -71,7 +72,8 @@
 func (p *publisher) publish(c fiber.Ctx) error {
 	d, err := validator.Parse(c.Body())
 	if err != nil {
-		faults, _ := err.(validator.Faults)
+		var faults validator.Faults
+		errors.As(err, &faults)
 		return c.Status(fiber.StatusUnprocessableEntity).JSON(Result{Verdict: "invalid", Faults: faults})
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), publishTimeout)
--- a/standin/runner/engine.go
+++ b/standin/runner/engine.go
@@ -31,7 +31,7 @@
 	Slots        int                      `help:"Requests served at once." default:"8"`
 	TokenTime    time.Duration            `help:"Time per token." default:"5ms"`
 	SwitchTime   time.Duration            `help:"Time of a weight switch, in which no tokens are made." default:"50ms"`
-	Version_     identifier.WeightVersion `name:"weight-version" help:"Weight version at the start." default:"1"`
+	FirstVersion identifier.WeightVersion `name:"weight-version" help:"Weight version at the start." default:"1"`
 	Stamps       bool                     `help:"Stamp each piece with its version." default:"true" negatable:""`
 	CheckFencing bool                     `help:"Refuse orders with an old fencing number." default:"true" negatable:""`
 
@@ -66,7 +66,7 @@
 	e.store = requester.New(string(e.Weights), "")
 	e.bootID = uuid.NewString()
 	e.running = make(map[identifier.RequestID]chan struct{})
-	e.version, e.loaded = e.Version_, []identifier.WeightVersion{e.Version_}
+	e.version, e.loaded = e.FirstVersion, []identifier.WeightVersion{e.FirstVersion}
 	e.paused = make(chan struct{})
 	close(e.paused)
 	e.slots = make(chan struct{}, e.Slots)
