--- /dev/null
+++ b/ladder/faker/engine.go
@@ -0,0 +1,217 @@
+package faker
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"github.com/lycheeladder/lycheeladder/ladder/caller"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+)
+
+// EngineOptions are an Engine's settings.
+type EngineOptions struct {
+	Slots      int
+	TokenTime  time.Duration
+	LoadTime   time.Duration
+	SwitchTime time.Duration
+	// Version is in use after every start.
+	Version identifier.WeightVersion
+	// Stamps says that each piece names its version.
+	Stamps bool
+	// FencingChecked says that orders with an old fencing number are refused.
+	FencingChecked bool
+	// FailSwitches is how many switches fail while they answer that all is well.
+	FailSwitches int
+}
+
+// Engine is a model engine. The nth token of a run says prompt:run:n, so that
+// its true version and owner can be looked up.
+type Engine struct {
+	clock   clockwork.Clock
+	options EngineOptions
+	ledger  *Ledger
+	name    identifier.TargetName
+	slots   chan struct{}
+
+	mutex    sync.Mutex
+	boot     int
+	crashed  chan struct{}
+	version  identifier.WeightVersion
+	loaded   []identifier.WeightVersion
+	switches uint64
+	fencing  identifier.FencingNumber
+	failed   int
+	running  map[identifier.RequestID]context.CancelFunc
+}
+
+// NewEngine returns an engine that accounts for its runs in ledger.
+func NewEngine(clock clockwork.Clock, name identifier.TargetName, ledger *Ledger, options EngineOptions) *Engine {
+	e := &Engine{
+		clock: clock, options: options, ledger: ledger, name: name,
+		slots: make(chan struct{}, options.Slots), running: make(map[identifier.RequestID]context.CancelFunc),
+	}
+	e.start()
+	return e
+}
+
+func (e *Engine) start() {
+	e.boot++
+	e.crashed = make(chan struct{})
+	e.version, e.loaded, e.switches, e.fencing = e.options.Version, []identifier.WeightVersion{e.options.Version}, 0, 0
+}
+
+// Crash kills the engine's process, which starts anew at once.
+func (e *Engine) Crash() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	close(e.crashed)
+	e.start()
+}
+
+// Prompt is the body of an engine's request.
+type Prompt struct {
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max-tokens"`
+}
+
+// Body returns the prompt's JSON.
+func (p Prompt) Body() []byte {
+	data, _ := json.Marshal(p)
+	return data
+}
+
+const statusOK = 200
+
+// Do implements caller.Target.
+func (e *Engine) Do(ctx context.Context, work caller.Work, sink func(caller.Piece) error) (int, error) {
+	var p Prompt
+	if err := json.Unmarshal(work.Body, &p); err != nil {
+		return 0, errors.WithMessage(caller.ErrRefused, err.Error())
+	}
+	select {
+	case e.slots <- struct{}{}:
+	case <-ctx.Done():
+		return 0, caller.ErrBroken
+	}
+	defer func() { <-e.slots }()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	e.mutex.Lock()
+	crashed := e.crashed
+	e.running[work.Request] = cancel
+	e.mutex.Unlock()
+	defer func() {
+		e.mutex.Lock()
+		defer e.mutex.Unlock()
+		delete(e.running, work.Request)
+	}()
+	r := e.ledger.begin(e.name, p.Prompt, e.clock.Now())
+	for n := range p.MaxTokens {
+		select {
+		case <-e.clock.After(e.options.TokenTime):
+		case <-ctx.Done():
+			return 0, caller.ErrBroken
+		case <-crashed:
+			return 0, caller.ErrBroken
+		}
+		if err := sink(e.token(p, r, n)); err != nil {
+			return 0, caller.ErrBroken
+		}
+	}
+	return statusOK, nil
+}
+
+func (e *Engine) token(p Prompt, r RunNumber, n int) caller.Piece {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.ledger.token(r, e.version)
+	piece := caller.Piece{Data: fmt.Appendf(nil, "%s:%d:%d ", p.Prompt, r, n), Tokens: 1}
+	if e.options.Stamps {
+		piece.Version = e.version
+	}
+	return piece
+}
+
+// Cancel implements caller.Target.
+func (e *Engine) Cancel(_ context.Context, request identifier.RequestID) error {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if cancel, ok := e.running[request]; ok {
+		cancel()
+	}
+	return nil
+}
+
+// State implements caller.Target.
+func (e *Engine) State(ctx context.Context) (caller.State, error) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return caller.State{
+		BootID: fmt.Sprintf("%s-%d", e.name, e.boot), Version: e.version, Loaded: slices.Clone(e.loaded),
+		SwitchCount: e.switches, InFlight: len(e.running), Slots: e.options.Slots,
+	}, ctx.Err()
+}
+
+// Load implements caller.Target.
+func (e *Engine) Load(ctx context.Context, o caller.Order) error {
+	if !e.fence(o) {
+		return caller.ErrFenced
+	}
+	if err := e.sleep(ctx, e.options.LoadTime); err != nil {
+		return err
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if !slices.Contains(e.loaded, o.Version) {
+		e.loaded = append(e.loaded, o.Version)
+	}
+	return nil
+}
+
+// Switch implements caller.Target.
+func (e *Engine) Switch(ctx context.Context, o caller.Order) error {
+	if !e.fence(o) {
+		return caller.ErrFenced
+	}
+	if err := e.sleep(ctx, e.options.SwitchTime); err != nil {
+		return err
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if !slices.Contains(e.loaded, o.Version) {
+		return errors.Errorf("version %d is not loaded", o.Version)
+	}
+	if e.failed < e.options.FailSwitches {
+		e.failed++
+		return nil
+	}
+	e.version = o.Version
+	e.switches++
+	return nil
+}
+
+func (e *Engine) sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-e.clock.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (e *Engine) fence(o caller.Order) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.options.FencingChecked && o.Fencing < e.fencing {
+		return false
+	}
+	e.fencing = max(e.fencing, o.Fencing)
+	return true
+}
--- /dev/null
+++ b/ladder/faker/network.go
@@ -0,0 +1,71 @@
+package faker
+
+import (
+	"context"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/lycheeladder/lycheeladder/ladder/lister"
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+)
+
+// Network joins dialers to listeners within one process.
+type Network struct {
+	mutex     sync.Mutex
+	listeners map[string]func(messenger.Link)
+	tasks     sync.WaitGroup
+}
+
+// NewNetwork returns a Network without listeners.
+func NewNetwork() *Network { return &Network{listeners: make(map[string]func(messenger.Link))} }
+
+// Listen has serve run on every link that is dialled to address from now on;
+// nil ends that.
+func (n *Network) Listen(address string, serve func(messenger.Link)) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.listeners[address] = serve
+}
+
+// Dial implements supervisor.Dialer.
+func (n *Network) Dial(ctx context.Context, address string) (messenger.Link, error) {
+	n.mutex.Lock()
+	serve := n.listeners[address]
+	n.mutex.Unlock()
+	if serve == nil {
+		return nil, errors.Errorf("dial %s: connection refused", address)
+	}
+	near, far := messenger.NewPipe()
+	n.tasks.Go(func() {
+		defer far.Close()
+		serve(far)
+	})
+	return near, ctx.Err()
+}
+
+// Wait returns when no link is served any longer.
+func (n *Network) Wait() { n.tasks.Wait() }
+
+// HostList is a list that shows what was last set.
+type HostList struct {
+	mutex sync.Mutex
+	hosts []lister.Host
+}
+
+// NewHostList returns a list of hosts.
+func NewHostList(hosts ...lister.Host) *HostList { return &HostList{hosts: hosts} }
+
+// Set replaces the list.
+func (l *HostList) Set(hosts ...lister.Host) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.hosts = hosts
+}
+
+// Hosts implements lister.HostList.
+func (l *HostList) Hosts(ctx context.Context) ([]lister.Host, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return append([]lister.Host(nil), l.hosts...), ctx.Err()
+}
