Run thirteen scenarios under every fault and mend what they show

Found by the matrix, each seen red before its mend: - a sidecar killed while its target left was replaced by one that took work: 'no-work-when-leaving: recovered-entry-1 was started at engine-1 34.5s after it began to leave'. A sidecar now also leaves when the host list says so. - a planned stop cut off what was sent while it was announced: 'stops-cut-nothing: call-2 at entry-1 was cut off: {Code:target-lost ...}'. A leaving sidecar lingers until a silent link would have been noticed. - a paused and replaced sidecar took turns with its successor for ever: 'recovery: generate at entry-2 after the faults: {Code:target-lost ...}'. An entry refuses the older incarnation while the later one is linked. - the answer on a new link waited behind a send stuck on the silent one: the bubbles of weight-switch-old-sidecar never ended (sync.Mutex in follow). The lock is gone; offsets make it harmless that both send. Found by reading on the way: a second caller of one key at the same entry took the first one's attempt away; a link that failed twice was waited for too briefly; a Cancel of an entry that was left stopped work that another follows; a stop waited for answers of dead entries. These have no test of their own yet.

--- a/ladder/dispatcher/dispatch.go
+++ b/ladder/dispatcher/dispatch.go
@@ -169,18 +169,27 @@
 	return NotRun{Code: refusalByReason[m.Reason], RetryAfter: max(m.RetryAfter, least)}
 }
 
+// open returns the attempt's record, which a call that follows it already may
+// have opened.
 func (d *Dispatcher) open(p *peer, k key) *attempt {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	a := &attempt{key: k, peer: p, output: accumulator.New()}
-	p.attempts[k] = a
+	a, ok := p.attempts[k]
+	if !ok {
+		a = &attempt{key: k, peer: p, output: accumulator.New()}
+		p.attempts[k] = a
+	}
+	a.users++
 	return a
 }
 
 func (d *Dispatcher) close(a *attempt) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	delete(a.peer.attempts, a.key)
+	a.users--
+	if a.users == 0 {
+		delete(a.peer.attempts, a.key)
+	}
 }
 
 // start sends the request. It returns false only if it surely never left. An
--- a/ladder/dispatcher/peer.go
+++ b/ladder/dispatcher/peer.go
@@ -19,6 +19,7 @@
 var (
 	errUnexpected = errors.New("message not for an entry")
 	errNoHello    = errors.New("first message is not a hello")
+	errReplaced   = errors.New("a later sidecar of the target is linked")
 )
 
 type key struct {
@@ -33,7 +34,9 @@
 	service     identifier.ServiceName
 	zone        identifier.ZoneName
 	// link is nil while no link is up.
-	link     messenger.Link
+	link messenger.Link
+	// detached counts the links that have failed.
+	detached int
 	leaving  bool
 	revision identifier.Revision
 	load     messenger.Load
@@ -51,6 +54,9 @@
 	key    key
 	peer   *peer
 	output *accumulator.Accumulator
+	// users is how many calls follow the attempt: a caller may send a keyed
+	// call again through the same entry.
+	users int
 	// answer is an End or a Refused that fits the output, set before output
 	// ends; nil if the sidecar is lost.
 	answer messenger.Answer
@@ -94,6 +100,11 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	p := d.peers[identifier.TargetName(hello.Name)]
+	// Incarnations are UUIDv7, so the later one is larger. A sidecar that was
+	// paused and replaced would else take turns with its successor for ever.
+	if p != nil && p.link != nil && hello.Incarnation < p.incarnation {
+		return nil, errReplaced
+	}
 	if p == nil || p.incarnation != hello.Incarnation {
 		if p != nil {
 			d.lose(p)
@@ -145,10 +156,12 @@
 		return
 	}
 	p.link = nil
+	p.detached++
+	detached := p.detached
 	d.clock.AfterFunc(d.options.Reconnect, func() {
 		d.mutex.Lock()
 		defer d.mutex.Unlock()
-		if p.link == nil {
+		if p.link == nil && p.detached == detached {
 			d.lose(p)
 		}
 	})
--- a/ladder/executor/connection.go
+++ b/ladder/executor/connection.go
@@ -105,7 +105,8 @@
 	}
 }
 
-// cancel takes waiting work out of the queue, or stops running work.
+// cancel takes waiting work out of the queue, or stops running work, unless
+// another entry follows it.
 func (c *connection) cancel(m messenger.Cancel) {
 	e := c.executor
 	k := key{m.Request, m.Attempt}
@@ -116,6 +117,11 @@
 		c.send(e.traceOrTombstone(k))
 		return
 	}
+	if _, up := e.links[j.owner]; up && j.owner != c.link {
+		// Another entry has taken the work over.
+		return
+	}
+	j.abandoned = true
 	if e.queue.Remove(m.Request, m.Attempt) {
 		e.finish(j, *e.refused(j.start, messenger.RefusedNeverStarted, 0))
 		return
--- a/ladder/executor/executor.go
+++ b/ladder/executor/executor.go
@@ -39,11 +39,15 @@
 	Retention time.Duration
 	// OrphanTimeout is how long live work goes on after its link failed.
 	OrphanTimeout time.Duration
+	// Linger is how long a leaving sidecar stays at least, to refuse what was
+	// sent before its entries knew. It is longer than a silent link goes
+	// unnoticed.
+	Linger time.Duration
 }
 
 // DefaultOptions returns the usual times.
 func DefaultOptions() Options {
-	return Options{Memory: 20 * time.Minute, Retention: 5 * time.Minute, OrphanTimeout: 10 * time.Second}
+	return Options{Memory: 20 * time.Minute, Retention: 5 * time.Minute, OrphanTimeout: 10 * time.Second, Linger: 4500 * time.Millisecond}
 }
 
 // Goals is where weight goals are kept and spread from.
@@ -74,6 +78,8 @@
 	// configuration is the newest received.
 	configuration messenger.Configuration
 	leaving       bool
+	// leftAt is when leaving was set.
+	leftAt time.Time
 	// version is the weight version last read from the engine.
 	version identifier.WeightVersion
 }
@@ -173,23 +179,27 @@
 	}
 }
 
-// Leave makes every later Start refused and tells all entries.
+// Leave makes every later Start refused and tells all entries. Leaving again
+// changes nothing.
 func (e *Executor) Leave(ctx context.Context) {
 	e.mutex.Lock()
-	e.leaving = true
+	again := e.leaving
+	if !again {
+		e.leaving, e.leftAt = true, e.clock.Now()
+	}
 	e.mutex.Unlock()
-	e.Announce(ctx)
+	if !again {
+		e.Announce(ctx)
+	}
 }
 
-// Drain waits until every answer has been taken, or ctx ends. It returns how
-// many were left.
+// Drain waits until every answer has been taken and Linger is over, or ctx
+// ends. It returns how many answers were left.
 func (e *Executor) Drain(ctx context.Context) int {
 	const poll = 20 * time.Millisecond
 	for {
-		e.mutex.Lock()
-		left := len(e.jobs)
-		e.mutex.Unlock()
-		if left == 0 {
+		left, lingered := e.left()
+		if left == 0 && lingered {
 			return 0
 		}
 		select {
@@ -200,7 +210,23 @@
 	}
 }
 
-// Forget drops traces and untaken answers that have grown too old. Run calls
+// left counts the answers that somebody may still take, and says whether
+// Linger is over. An answer whose entry is gone is waited for as long as a link
+// may take to come back.
+func (e *Executor) left() (left int, lingered bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	now := e.clock.Now()
+	for _, j := range e.jobs {
+		_, linked := e.links[j.owner]
+		if j.answer == nil || linked || now.Sub(j.endedAt) < e.options.Linger {
+			left++
+		}
+	}
+	return left, now.Sub(e.leftAt) >= e.options.Linger
+}
+
+// forget drops traces and untaken answers that have grown too old. Run calls
 // it now and then.
 func (e *Executor) forget() {
 	e.mutex.Lock()
--- a/ladder/executor/job.go
+++ b/ladder/executor/job.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/lycheeladder/lycheeladder/ladder/accumulator"
@@ -23,12 +22,12 @@
 	// set before output ends.
 	answer  messenger.Answer
 	endedAt time.Time
+	// abandoned says that nobody will take the answer.
+	abandoned bool
 	// owner is the link that the answer goes to.
 	owner messenger.Link
 	// stopPump ends the task that sends to owner.
 	stopPump context.CancelFunc
-	// pumping is held while a task sends the answer.
-	pumping sync.Mutex
 }
 
 func newJob(m messenger.Start, now time.Time) *job {
@@ -64,10 +63,10 @@
 	})
 }
 
-// follow sends chunks as they come, then the answer.
+// follow sends chunks as they come, then the answer. It doesn't wait for an
+// earlier task that may be stuck on a silent link: offsets make it harmless
+// that both send for a moment.
 func (c *connection) follow(ctx context.Context, j *job, offset uint64) {
-	j.pumping.Lock()
-	defer j.pumping.Unlock()
 	for {
 		data, ended, err := j.output.Next(ctx, offset)
 		if err != nil {
@@ -96,7 +95,7 @@
 }
 
 // finish sets the answer of a job and lets its pump send it. A refusal leaves
-// a tombstone. The caller holds the mutex.
+// a tombstone; an answer that nobody will take isn't kept. The caller holds the mutex.
 func (e *Executor) finish(j *job, answer messenger.Answer) {
 	if j.answer != nil {
 		return
@@ -105,7 +104,7 @@
 	j.endedAt = e.clock.Now()
 	j.cancel()
 	j.output.End()
-	if _, ok := answer.(messenger.Refused); ok {
+	if _, ok := answer.(messenger.Refused); ok || j.abandoned {
 		e.release(key{j.start.Request, j.start.Attempt})
 	}
 }
--- a/ladder/faker/network.go
+++ b/ladder/faker/network.go
@@ -10,26 +10,39 @@
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 )
 
+// Serve serves a link that was dialled by from.
+type Serve func(from string, l messenger.Link)
+
 // Network joins dialers to listeners within one process.
 type Network struct {
 	mutex     sync.Mutex
-	listeners map[string]func(messenger.Link)
+	listeners map[string]Serve
 	tasks     sync.WaitGroup
 }
 
 // NewNetwork returns a Network without listeners.
-func NewNetwork() *Network { return &Network{listeners: make(map[string]func(messenger.Link))} }
+func NewNetwork() *Network { return &Network{listeners: make(map[string]Serve)} }
 
 // Listen has serve run on every link that is dialled to address from now on;
 // nil ends that.
-func (n *Network) Listen(address string, serve func(messenger.Link)) {
+func (n *Network) Listen(address string, serve Serve) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	n.listeners[address] = serve
 }
 
+// Dialer returns the network as the process from sees it.
+func (n *Network) Dialer(from string) *Dialer { return &Dialer{network: n, from: from} }
+
+// Dialer dials on behalf of one process.
+type Dialer struct {
+	network *Network
+	from    string
+}
+
 // Dial implements supervisor.Dialer.
-func (n *Network) Dial(ctx context.Context, address string) (messenger.Link, error) {
+func (d *Dialer) Dial(ctx context.Context, address string) (messenger.Link, error) {
+	n := d.network
 	n.mutex.Lock()
 	serve := n.listeners[address]
 	n.mutex.Unlock()
@@ -39,7 +52,7 @@
 	near, far := messenger.NewPipe()
 	n.tasks.Go(func() {
 		defer far.Close()
-		serve(far)
+		serve(d.from, far)
 	})
 	return near, ctx.Err()
 }
--- a/ladder/faker/service.go
+++ b/ladder/faker/service.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -18,11 +20,25 @@
 	ledger *Ledger
 	// duration is the time of one call.
 	duration time.Duration
+
+	mutex sync.Mutex
+	boot  int
+	// crashed is closed when the process dies.
+	crashed chan struct{}
 }
 
 // NewService returns a service that accounts for its runs in ledger.
 func NewService(clock clockwork.Clock, name identifier.TargetName, ledger *Ledger, duration time.Duration) *Service {
-	return &Service{clock: clock, name: name, ledger: ledger, duration: duration}
+	return &Service{clock: clock, name: name, ledger: ledger, duration: duration, boot: 1, crashed: make(chan struct{})}
+}
+
+// Crash kills the service's process, which starts anew at once.
+func (s *Service) Crash() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	close(s.crashed)
+	s.boot++
+	s.crashed = make(chan struct{})
 }
 
 // AnswerOf is the whole answer of a Service to a body.
@@ -34,7 +50,12 @@
 		return 0, caller.ErrRefused
 	}
 	s.ledger.begin(s.name, string(work.Body), s.clock.Now())
+	s.mutex.Lock()
+	crashed := s.crashed
+	s.mutex.Unlock()
 	select {
+	case <-crashed:
+		return 0, caller.ErrBroken
 	case <-s.clock.After(s.duration):
 	case <-ctx.Done():
 		return 0, caller.ErrBroken
@@ -50,7 +71,9 @@
 
 // State implements caller.Target.
 func (s *Service) State(ctx context.Context) (caller.State, error) {
-	return caller.State{BootID: string(s.name)}, ctx.Err()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return caller.State{BootID: fmt.Sprintf("%s-%d", s.name, s.boot)}, ctx.Err()
 }
 
 // Load implements caller.Target.
--- /dev/null
+++ b/ladder/injector/ports.go
@@ -0,0 +1,176 @@
+package injector
+
+import (
+	"context"
+	"strings"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/lycheeladder/lycheeladder/ladder/appender"
+	"github.com/lycheeladder/lycheeladder/ladder/caller"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/lister"
+)
+
+// errInjected stands for whatever the transport says.
+var errInjected = errors.New("injected fault")
+
+// Log returns the log as the process sees it.
+func (p *Process) Log(l appender.Log) appender.Log { return &log{process: p, log: l} }
+
+type log struct {
+	process *Process
+	log     appender.Log
+}
+
+// streamName leaves out the number of a claims stream.
+func streamName(name identifier.StreamName) string {
+	if strings.HasPrefix(string(name), string(appender.StreamClaims)) {
+		return string(appender.StreamClaims)
+	}
+	return string(name)
+}
+
+func (l *log) Append(ctx context.Context, name identifier.StreamName, records [][]byte) (offset identifier.LogOffset, err error) {
+	c := Call{
+		Port: "log", Name: "append-" + streamName(name), Kinds: callKinds(),
+		Refused: appender.ErrUnavailable, Lost: appender.ErrAnswerLost, Lasting: true,
+	}
+	var found identifier.LogOffset
+	err = l.process.Do(ctx, c, func(ctx context.Context) (err error) {
+		found, err = l.log.Append(ctx, name, records)
+		return err
+	})
+	if err != nil {
+		return 0, err
+	}
+	return found, nil
+}
+
+func (l *log) Read(ctx context.Context, name identifier.StreamName, from identifier.LogOffset, limit int) (page appender.Page, err error) {
+	c := Call{
+		Port: "log", Name: "read-" + streamName(name), Kinds: callKinds(),
+		Refused: appender.ErrUnavailable, Lost: appender.ErrUnavailable,
+	}
+	err = l.process.Do(ctx, c, func(ctx context.Context) (err error) {
+		page, err = l.log.Read(ctx, name, from, limit)
+		return err
+	})
+	return page, err
+}
+
+// HostList returns the host list as the process sees it.
+func (p *Process) HostList(l lister.HostList) lister.HostList { return &hostList{process: p, list: l} }
+
+type hostList struct {
+	process *Process
+	list    lister.HostList
+}
+
+func (l *hostList) Hosts(ctx context.Context) (hosts []lister.Host, err error) {
+	c := Call{Port: "host-list", Name: "read", Kinds: callKinds(), Refused: errInjected, Lost: errInjected}
+	err = l.process.Do(ctx, c, func(ctx context.Context) (err error) {
+		hosts, err = l.list.Hosts(ctx)
+		return err
+	})
+	return hosts, err
+}
+
+// Target returns the target as the process sees it.
+func (p *Process) Target(t caller.Target) caller.Target { return &target{process: p, target: t} }
+
+type target struct {
+	process *Process
+	target  caller.Target
+}
+
+// crasher is a target whose process can be made to die.
+type crasher interface{ Crash() }
+
+func targetKinds() []Kind { return append(callKinds(), Crashed) }
+
+func (t *target) crash() {
+	if c, ok := t.target.(crasher); ok {
+		c.Crash()
+	}
+}
+
+func (t *target) Do(ctx context.Context, work caller.Work, sink func(caller.Piece) error) (status int, err error) {
+	c := Call{
+		Port: "target", Name: "do", Kinds: targetKinds(),
+		Refused: caller.ErrRefused, Lost: caller.ErrBroken, Lasting: true,
+	}
+	g := &gate{process: t.process, sink: sink}
+	c.Crash = func() { g.crash = t.crash }
+	defer g.close()
+	var found int
+	err = t.process.Do(ctx, c, func(ctx context.Context) (err error) {
+		found, err = t.target.Do(ctx, work, g.take)
+		return err
+	})
+	switch {
+	case err == nil:
+		return found, nil
+	case errors.Is(err, caller.ErrRefused):
+		return 0, err
+	}
+	return 0, caller.ErrBroken
+}
+
+// gate keeps pieces away from a caller that has stopped waiting.
+type gate struct {
+	process *Process
+	// crash, if set, is called at the first piece.
+	crash  func()
+	mutex  sync.Mutex
+	closed bool
+	sink   func(caller.Piece) error
+}
+
+func (g *gate) take(piece caller.Piece) error {
+	if err := g.process.awake(); err != nil {
+		return err
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.closed {
+		return caller.ErrBroken
+	}
+	if g.crash != nil {
+		g.crash()
+		g.crash = nil
+		return caller.ErrBroken
+	}
+	return g.sink(piece)
+}
+
+func (g *gate) close() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.closed = true
+}
+
+func (t *target) Cancel(ctx context.Context, request identifier.RequestID) error {
+	c := Call{Port: "target", Name: "cancel", Kinds: targetKinds(), Refused: errInjected, Lost: errInjected, Crash: t.crash, Lasting: true}
+	return t.process.Do(ctx, c, func(ctx context.Context) error { return t.target.Cancel(ctx, request) })
+}
+
+func (t *target) State(ctx context.Context) (s caller.State, err error) {
+	c := Call{Port: "target", Name: "state", Kinds: targetKinds(), Refused: errInjected, Lost: errInjected, Crash: t.crash}
+	err = t.process.Do(ctx, c, func(ctx context.Context) (err error) {
+		s, err = t.target.State(ctx)
+		return err
+	})
+	return s, err
+}
+
+func (t *target) Load(ctx context.Context, o caller.Order) error {
+	c := Call{Port: "target", Name: "load", Kinds: targetKinds(), Refused: errInjected, Lost: errInjected, Crash: t.crash, Lasting: true}
+	return t.process.Do(ctx, c, func(ctx context.Context) error { return t.target.Load(ctx, o) })
+}
+
+func (t *target) Switch(ctx context.Context, o caller.Order) error {
+	c := Call{Port: "target", Name: "switch", Kinds: targetKinds(), Refused: errInjected, Lost: errInjected, Crash: t.crash, Lasting: true}
+	return t.process.Do(ctx, c, func(ctx context.Context) error { return t.target.Switch(ctx, o) })
+}
--- /dev/null
+++ b/ladder/prover/live.go
@@ -0,0 +1,60 @@
+package prover
+
+import (
+	"time"
+
+	"github.com/lycheeladder/lycheeladder/ladder/faker"
+)
+
+// engineOptions are those of a usual engine.
+func engineOptions() faker.EngineOptions {
+	return faker.EngineOptions{
+		Slots: 4, TokenTime: 20 * time.Millisecond, LoadTime: 300 * time.Millisecond,
+		SwitchTime: 200 * time.Millisecond, Version: 1, Stamps: true, FencingChecked: true,
+	}
+}
+
+// liveStream: three callers stream an answer, through both entries.
+func liveStream() Scenario {
+	return Scenario{
+		Name:    "live-stream",
+		Options: Options{Engines: []faker.EngineOptions{engineOptions(), engineOptions()}, Bound: 1, FencingChecked: true},
+		act: func(w *World) {
+			w.together(
+				func() { w.send("entry-1", advice("advice-a", 30)) },
+				func() { w.send("entry-1", advice("advice-b", 10)) },
+				func() { w.send("entry-2", advice("advice-c", 20)) },
+			)
+			w.send("entry-2", advice("advice-d", 5))
+		},
+	}
+}
+
+// unkeyedCall: calls that may not be repeated, and carry no key.
+func unkeyedCall() Scenario {
+	return Scenario{
+		Name:    "unkeyed-call",
+		Options: Options{Plain: 2, PlainTime: 300 * time.Millisecond, Bound: 1},
+		act: func(w *World) {
+			w.together(
+				func() { w.send("entry-1", reservation("reserve-a")) },
+				func() { w.send("entry-2", reservation("reserve-b")) },
+			)
+			w.send("entry-1", reservation("reserve-c"))
+		},
+	}
+}
+
+// together runs the acts as tasks of their own and waits for all.
+func (w *World) together(acts ...func()) {
+	done := make(chan struct{})
+	for _, act := range acts {
+		w.tasks.Go(func() {
+			act()
+			done <- struct{}{}
+		})
+	}
+	for range acts {
+		<-done
+	}
+}
--- /dev/null
+++ b/ladder/prover/matrix_test.go
@@ -0,0 +1,71 @@
+package prover
+
+import (
+	"flag"
+	"io"
+	"os"
+	"slices"
+	"testing"
+	"testing/synctest"
+
+	"k8s.io/klog/v2"
+)
+
+var (
+	onlyScenario = flag.String("scenario", "", "run this scenario alone")
+	onlyFaults   = flag.String("faults", "", "run this case of -scenario alone, as step=kind+step=kind")
+)
+
+const (
+	// pairSeed and pairsPerScenario fix the pairs of faults.
+	pairSeed         = 20261204
+	pairsPerScenario = 60
+)
+
+func TestMain(m *testing.M) {
+	klog.LogToStderr(false)
+	klog.SetOutput(io.Discard)
+	os.Exit(m.Run())
+}
+
+// run plays a case in a bubble of its own.
+func run(t *testing.T, c Case, hooks Hooks) (r Result) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) { r = c.Scenario.Run(c.Plan, hooks) })
+	return r
+}
+
+func TestMatrix(t *testing.T) {
+	table := NewTable()
+	for _, s := range Scenarios {
+		if *onlyScenario != "" && *onlyScenario != s.Name {
+			continue
+		}
+		for _, c := range casesOf(t, s) {
+			t.Run(s.Name, func(t *testing.T) {
+				t.Parallel()
+				r := run(t, c, Hooks{})
+				table.Add(c, r)
+				for _, v := range r.Violations {
+					t.Errorf("%s\n%s", v, c.Command())
+				}
+			})
+		}
+	}
+	t.Cleanup(func() { t.Log(table.Counts()) })
+}
+
+// casesOf returns the clean run's case, every single fault and the pairs.
+func casesOf(t *testing.T, s Scenario) []Case {
+	t.Helper()
+	if *onlyFaults != "" {
+		plan, err := ParseFaults(*onlyFaults)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return []Case{{Scenario: s, Plan: plan}}
+	}
+	clean := Case{Scenario: s}
+	singles := Singles(s, run(t, clean, Hooks{}))
+	return slices.Concat([]Case{clean}, singles, Pairs(s, singles, pairSeed, pairsPerScenario))
+}
--- /dev/null
+++ b/ladder/prover/scenarios.go
@@ -0,0 +1,52 @@
+package prover
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lycheeladder/lycheeladder/ladder/injector"
+)
+
+// Scenario is one story that is run under every fault.
+type Scenario struct {
+	// Name is kebab-case.
+	Name    string
+	Options Options
+	// Always are faults that are part of the story.
+	Always []injector.Injection
+	// act plays the part of callers, trainer and operators.
+	act func(w *World)
+}
+
+// Result is what came of one run.
+type Result struct {
+	// Fired are the planned faults that happened.
+	Fired []injector.Injection
+	// Violations are the promises that were broken.
+	Violations []Violation
+	// Steps are the port calls of the run, in order.
+	Steps []injector.ReachedStep
+}
+
+// Run plays the scenario under the planned faults. Run it in a testing/synctest
+// bubble: it takes minutes of the clock.
+func (s Scenario) Run(plan []injector.Injection, hooks Hooks) Result {
+	w := newWorld(s.Options, slices.Concat(s.Always, plan), hooks)
+	s.act(w)
+	w.sleep(recoveryTime)
+	w.checkRecovery()
+	w.check()
+	w.close()
+	return Result{Fired: w.injector.Fired(), Violations: w.violations, Steps: w.injector.Steps()}
+}
+
+// recoveryTime is enough for everything to settle after the last fault.
+const recoveryTime = 30 * time.Second
+
+// Scenarios lists every scenario.
+var Scenarios = []Scenario{
+	liveStream(), unkeyedCall(), keyedCall(), keyedCallAgain(),
+	samplesOfAGroup(), samplesEntryDies(),
+	weightSwitch(), weightSwitchUnstamped(), weightSwitchOldSidecar(),
+	operatorsRace(), targetLeaves(), entryStops(), sidecarStops(),
+}
--- a/ladder/supervisor/supervisor.go
+++ b/ladder/supervisor/supervisor.go
@@ -33,6 +33,8 @@
 	Heartbeats heartbeater.Options
 	// Entries are the peer addresses, IP:port, known from the settings.
 	Entries []string
+	// Address is the target's in the host list, IP:port.
+	Address string
 	// ListInterval is the time between two reads of the host list.
 	ListInterval time.Duration
 }
@@ -40,6 +42,8 @@
 const (
 	// firstSlots and firstQueue hold until a configuration comes.
 	firstSlots, firstQueue = 1, 0
+	// listTimeout bounds a read of the host list.
+	listTimeout = 2 * time.Second
 	// dialTimeout bounds a dial.
 	dialTimeout = 3 * time.Second
 	// firstPause and longestPause bound the wait between dials.
@@ -114,7 +118,9 @@
 	if s.hosts == nil {
 		return wanted
 	}
-	hosts, err := s.hosts.Hosts(ctx)
+	bounded, cancel := clockwork.WithTimeout(ctx, s.clock, listTimeout)
+	defer cancel()
+	hosts, err := s.hosts.Hosts(bounded)
 	if err != nil {
 		klog.V(1).InfoS("host list not read", "err", err)
 		s.mutex.Lock()
@@ -125,8 +131,12 @@
 		return wanted
 	}
 	for _, h := range hosts {
-		if h.Role == lister.RoleEntry {
+		switch {
+		case h.Role == lister.RoleEntry:
 			wanted[h.Address] = true
+		case h.Address == s.options.Address && h.State == lister.HostLeaving:
+			// A sidecar that was replaced while it left doesn't know.
+			s.executor.Leave(ctx)
 		}
 	}
 	return wanted
--- a/sidecar/runner/runner.go
+++ b/sidecar/runner/runner.go
@@ -115,7 +115,7 @@
 	engine := s.Kind == "model-engine"
 	options := supervisor.Options{
 		Executor: executor.DefaultOptions(), Heartbeats: heartbeater.DefaultOptions(),
-		ListInterval: 2 * time.Second,
+		ListInterval: 2 * time.Second, Address: string(s.Address),
 	}
 	options.Executor.Target = identifier.TargetName(s.Target)
 	options.Executor.Service = identifier.ServiceName(s.Service)
