--- a/entry/receiver/overhead_test.go
+++ b/entry/receiver/overhead_test.go
@@ -129,7 +129,9 @@
 	go func() { done <- server.Serve(ctx, app, l, time.Second) }()
 	b.Cleanup(func() {
 		cancel()
-		<-done
+		if err := <-done; err != nil {
+			b.Error(err)
+		}
 	})
 	return l.Addr().String()
 }
--- a/ladder/deliverer/session.go
+++ b/ladder/deliverer/session.go
@@ -177,7 +177,7 @@
 	}
 	if len(c.Spans) == 0 || Stale(s.newest(), labeler.Oldest(c.Spans), s.plan.Bound) {
 		s.countStale()
-		return nil, 0
+		return nil, pause
 	}
 	reward, err := s.generator.Score(s.ctx, s.plan, w.sample, string(c.Body))
 	if err != nil {
--- /dev/null
+++ b/sloper/fitter/fitter.go
@@ -0,0 +1,44 @@
+// Package fitter fits a line to measured points by least squares.
+package fitter
+
+import "math"
+
+// Point is a measurement: a size and what it cost.
+type Point struct{ Size, Cost float64 }
+
+// Line is cost = Base + PerUnit*size.
+type Line struct {
+	Base, PerUnit float64
+	// Error is the largest distance of a point from the line, as a share of
+	// the largest cost.
+	Error float64
+}
+
+// Fit returns the line with the least squares of distances.
+func Fit(points []Point) Line {
+	var n, sumX, sumY, sumXX, sumXY float64
+	for _, p := range points {
+		n++
+		sumX += p.Size
+		sumY += p.Cost
+		sumXX += p.Size * p.Size
+		sumXY += p.Size * p.Cost
+	}
+	var l Line
+	if spread := n*sumXX - sumX*sumX; spread != 0 {
+		l.PerUnit = (n*sumXY - sumX*sumY) / spread
+	}
+	l.Base = (sumY - l.PerUnit*sumX) / max(n, 1)
+	var largest float64
+	for _, p := range points {
+		largest = max(largest, math.Abs(p.Cost))
+		l.Error = max(l.Error, math.Abs(p.Cost-l.At(p.Size)))
+	}
+	if largest > 0 {
+		l.Error /= largest
+	}
+	return l
+}
+
+// At returns the line's cost at a size.
+func (l Line) At(size float64) float64 { return l.Base + l.PerUnit*size }
--- /dev/null
+++ b/sloper/fitter/fitter_test.go
@@ -0,0 +1,36 @@
+package fitter_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"pgregory.net/rapid"
+
+	"github.com/lycheeladder/lycheeladder/sloper/fitter"
+)
+
+func TestFit_FindsTheLineThatMadeThePoints(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		want := fitter.Line{
+			Base:    rapid.Float64Range(-1000, 1000).Draw(t, "base"),
+			PerUnit: rapid.Float64Range(-50, 50).Draw(t, "per unit"),
+		}
+		var points []fitter.Point
+		for _, size := range []float64{10, 20, 40, 80} {
+			points = append(points, fitter.Point{Size: size, Cost: want.At(size)})
+		}
+		got := fitter.Fit(points)
+		if diff := cmp.Diff(want, got, cmpopts.EquateApprox(0, 1e-6)); diff != "" {
+			t.Fatalf("Fit (-want +got):\n%s", diff)
+		}
+	})
+}
+
+func TestFit_ErrorIsTheWorstPoint(t *testing.T) {
+	// The line is 16*size - 10; at size 3 it is 38, 8 off the point.
+	got := fitter.Fit([]fitter.Point{{1, 10}, {2, 20}, {3, 30}, {4, 60}})
+	if diff := cmp.Diff(8.0/60, got.Error, cmpopts.EquateApprox(0, 1e-9)); diff != "" {
+		t.Errorf("Error (-want +got):\n%s", diff)
+	}
+}
--- /dev/null
+++ b/sloper/rig/rig.go
@@ -0,0 +1,151 @@
+// Package rig runs an entry and its sidecars in one process, over real
+// WebSocket links on loopback, and tells what they cost.
+package rig
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lycheeladder/lycheeladder/ladder/appender"
+	"github.com/lycheeladder/lycheeladder/ladder/caller"
+	"github.com/lycheeladder/lycheeladder/ladder/coordinator"
+	"github.com/lycheeladder/lycheeladder/ladder/dispatcher"
+	"github.com/lycheeladder/lycheeladder/ladder/encoder"
+	"github.com/lycheeladder/lycheeladder/ladder/executor"
+	"github.com/lycheeladder/lycheeladder/ladder/heartbeater"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/linker"
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/recorder"
+	"github.com/lycheeladder/lycheeladder/ladder/router"
+	"github.com/lycheeladder/lycheeladder/ladder/server"
+	"github.com/lycheeladder/lycheeladder/ladder/supervisor"
+)
+
+// Rig is one entry with sidecars.
+type Rig struct {
+	// Coordinator is the entry.
+	Coordinator *coordinator.Coordinator
+	log         *memoryLog
+	counter     *counter
+	stop        context.CancelFunc
+	tasks       sync.WaitGroup
+}
+
+// New starts an entry under the document and the given number of sidecars of
+// the service, and waits until all have the configuration.
+func New(document Document, service identifier.ServiceName, sidecars int, target func() caller.Target) (r *Rig, err error) {
+	e, err := encoder.New()
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	r = &Rig{log: newMemoryLog(), stop: stop}
+	l := linker.New(e)
+	r.counter = &counter{dialer: l, encoder: e}
+	if err := r.log.put(document); err != nil {
+		stop()
+		return nil, err
+	}
+	r.Coordinator = newCoordinator(r.log)
+	r.tasks.Go(func() { r.Coordinator.Run(ctx) })
+	app := server.NewApp("peers", 1<<10)
+	app.Get(linker.Path, func(x fiber.Ctx) error {
+		return l.Upgrade(x.RequestCtx(), func(link messenger.Link) { _ = r.Coordinator.ServeLink(ctx, link) })
+	})
+	r.tasks.Go(func() { _ = server.Serve(ctx, app, listener, 0) })
+	supervisors := make([]*supervisor.Supervisor, 0, sidecars)
+	for n := range sidecars {
+		s := newSupervisor(r.counter, service, n, listener.Addr().String(), target())
+		supervisors = append(supervisors, s)
+		r.tasks.Go(func() { s.Run(ctx) })
+	}
+	for _, s := range supervisors {
+		for s.Executor().Configuration().Revision == 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return r, nil
+}
+
+// Stop ends everything.
+func (r *Rig) Stop() {
+	r.stop()
+	r.tasks.Wait()
+}
+
+// Publish puts one more accepted document into the log.
+func (r *Rig) Publish(d Document) error { return r.log.put(d) }
+
+func newCoordinator(log appender.Log) *coordinator.Coordinator {
+	options := coordinator.Options{
+		Dispatch: dispatcher.DefaultOptions(), Heartbeats: heartbeater.DefaultOptions(),
+		Policy: router.Expected{}, KeyMaxAge: time.Minute, SampleTimeout: time.Minute,
+	}
+	options.Dispatch.Entry, options.Dispatch.Incarnation = "entry-1", identifier.NewIncarnation()
+	return coordinator.New(clockwork.NewRealClock(), log, router.NewRandom(1), recorder.New(), options)
+}
+
+func newSupervisor(d supervisor.Dialer, service identifier.ServiceName, n int, entry string, target caller.Target) *supervisor.Supervisor {
+	options := supervisor.Options{
+		Executor: executor.DefaultOptions(), Heartbeats: heartbeater.DefaultOptions(),
+		Entries: []string{entry}, ListInterval: time.Minute,
+	}
+	options.Executor.Target = identifier.TargetName(fmt.Sprintf("target-%04d", n))
+	options.Executor.Service = service
+	options.Executor.Engine = service == ServiceEngine
+	options.Executor.Incarnation = identifier.NewIncarnation()
+	return supervisor.New(clockwork.NewRealClock(), target, d, nil, options)
+}
+
+// Cost is what was spent over a time.
+type Cost struct {
+	// Processor is the time of both ends together.
+	Processor time.Duration
+	Bytes     int64
+	Frames    int64
+}
+
+// Spend runs work and returns what was spent meanwhile.
+func (r *Rig) Spend(work func()) Cost {
+	processor, bytes, frames := processorTime(), r.counter.bytes.Load(), r.counter.frames.Load()
+	work()
+	return Cost{
+		Processor: processorTime() - processor,
+		Bytes:     r.counter.bytes.Load() - bytes, Frames: r.counter.frames.Load() - frames,
+	}
+}
+
+// Memory returns the heap and stacks in use, in bytes, after a collection.
+func Memory() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
+
+// ProcessorTime runs work and returns the processor time spent.
+func ProcessorTime(work func()) time.Duration {
+	before := processorTime()
+	work()
+	return processorTime() - before
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- /dev/null
+++ b/sloper/rig/target.go
@@ -0,0 +1,47 @@
+package rig
+
+import (
+	"context"
+
+	"github.com/lycheeladder/lycheeladder/ladder/caller"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+)
+
+// Target answers at once: a plain service with the body it was given, an
+// engine with tokens in pieces.
+type Target struct {
+	// Pieces is how many pieces an answer has, each of PieceTokens tokens and
+	// PieceBytes bytes.
+	Pieces, PieceTokens, PieceBytes int
+}
+
+// Do implements caller.Target.
+func (t Target) Do(_ context.Context, w caller.Work, sink func(caller.Piece) error) (int, error) {
+	if t.Pieces == 0 {
+		return 200, sink(caller.Piece{Data: w.Body})
+	}
+	data := make([]byte, t.PieceBytes)
+	for n := range data {
+		data[n] = 'w'
+	}
+	for range t.Pieces {
+		if err := sink(caller.Piece{Data: data, Tokens: identifier.TokenCount(t.PieceTokens), Version: 1}); err != nil {
+			return 0, err
+		}
+	}
+	return 200, nil
+}
+
+// Cancel implements caller.Target.
+func (Target) Cancel(context.Context, identifier.RequestID) error { return nil }
+
+// State implements caller.Target.
+func (Target) State(context.Context) (caller.State, error) {
+	return caller.State{BootID: "boot", Version: 1, Loaded: []identifier.WeightVersion{1}}, nil
+}
+
+// Load implements caller.Target.
+func (Target) Load(context.Context, caller.Order) error { return nil }
+
+// Switch implements caller.Target.
+func (Target) Switch(context.Context, caller.Order) error { return nil }
--- /dev/null
+++ b/sloper/verb/links.go
@@ -0,0 +1,35 @@
+package verb
+
+import (
+	"time"
+
+	"github.com/lycheeladder/lycheeladder/ladder/caller"
+	"github.com/lycheeladder/lycheeladder/sloper/rig"
+)
+
+// linksSlope: what idle links to sidecars cost an entry.
+var linksSlope = slope{
+	name: "links", grows: "links to sidecars", sizes: []int{20, 40, 80, 160},
+	columns: []string{"bytes/s", "frames/s", "processor ms/s", "memory KB"},
+	measure: measureLinks,
+}
+
+// linkTime is how long idle links are watched.
+const linkTime = 6 * time.Second
+
+func measureLinks(size int) (reading, error) {
+	before := rig.Memory()
+	r, err := rig.New(rig.NewDocument(1, 0), rig.ServicePlain, size, func() caller.Target { return rig.Target{} })
+	if err != nil {
+		return nil, err
+	}
+	defer r.Stop()
+	cost := r.Spend(func() { time.Sleep(linkTime) })
+	seconds := linkTime.Seconds()
+	return reading{
+		"bytes/s":        float64(cost.Bytes) / seconds,
+		"frames/s":       float64(cost.Frames) / seconds,
+		"processor ms/s": cost.Processor.Seconds() * 1000 / seconds,
+		"memory KB":      (float64(rig.Memory()) - float64(before)) / 1024,
+	}, nil
+}
--- /dev/null
+++ b/sloper/verb/requests.go
@@ -0,0 +1,70 @@
+package verb
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lycheeladder/lycheeladder/ladder/caller"
+	"github.com/lycheeladder/lycheeladder/ladder/coordinator"
+	"github.com/lycheeladder/lycheeladder/ladder/dispatcher"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/sloper/rig"
+)
+
+// requestsSlope: what a short call costs from the entry's front to the
+// target's answer, without the caller's and the target's HTTP.
+var requestsSlope = slope{
+	name: "requests", grows: "calls", sizes: []int{500, 1000, 2000, 4000},
+	columns: []string{"processor ms", "bytes", "frames"},
+	measure: measureRequests,
+}
+
+const (
+	requestLinks   = 10
+	requestCallers = 8
+)
+
+func measureRequests(size int) (reading, error) {
+	r, err := rig.New(rig.NewDocument(1, 0), rig.ServicePlain, requestLinks, func() caller.Target { return rig.Target{} })
+	if err != nil {
+		return nil, err
+	}
+	defer r.Stop()
+	failures := make(chan error, size)
+	cost := r.Spend(func() {
+		var tasks sync.WaitGroup
+		for range requestCallers {
+			tasks.Go(func() {
+				for range size / requestCallers {
+					if err := lookup(r); err != nil {
+						failures <- err
+					}
+				}
+			})
+		}
+		tasks.Wait()
+	})
+	select {
+	case err := <-failures:
+		return nil, err
+	default:
+	}
+	return reading{
+		"processor ms": cost.Processor.Seconds() * 1000,
+		"bytes":        float64(cost.Bytes), "frames": float64(cost.Frames),
+	}, nil
+}
+
+func lookup(r *rig.Rig) error {
+	o := r.Coordinator.Handle(context.Background(), coordinator.Call{
+		ID: identifier.NewRequestID(), Key: rig.Key(0), Service: rig.ServicePlain, Call: "lookup",
+		Body: []byte(`{"part":"prism-drop","branch":"chiang-mai"}`), Timeout: time.Minute,
+	})
+	if _, ok := o.(dispatcher.Completed); !ok {
+		return errors.Errorf("call not completed: %+v", o)
+	}
+	return nil
+}
--- /dev/null
+++ b/sloper/verb/samples.go
@@ -0,0 +1,97 @@
+package verb
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lycheeladder/lycheeladder/ladder/authorizer"
+	"github.com/lycheeladder/lycheeladder/ladder/caller"
+	"github.com/lycheeladder/lycheeladder/ladder/deliverer"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/sloper/rig"
+)
+
+// samplesSlope: what a trainer's samples cost, from submission to hand-over.
+// A sample has 350 tokens, the target's mean: 2.2 million tokens a second over
+// 6,300 requests.
+var samplesSlope = slope{
+	name: "samples", grows: "samples of one trainer", sizes: []int{256, 512, 1024, 2048},
+	columns: []string{"processor ms", "bytes", "frames", "memory KB ready"},
+	measure: measureSamples,
+}
+
+const (
+	sampleLinks  = 10
+	sampleGroup  = 8
+	samplePieces = 350
+	pieceBytes   = 4
+	sampleWait   = time.Minute
+)
+
+func measureSamples(size int) (reading, error) {
+	target := rig.Target{Pieces: samplePieces, PieceTokens: 1, PieceBytes: pieceBytes}
+	r, err := rig.New(rig.NewDocument(1, 0), rig.ServiceEngine, sampleLinks, func() caller.Target { return target })
+	if err != nil {
+		return nil, err
+	}
+	defer r.Stop()
+	d := r.Coordinator.Deliverer()
+	plan, refusal := r.Coordinator.Trainer(rig.Key(0), rig.ModelAdvice)
+	if refusal != authorizer.RefusalNone {
+		return nil, errors.Errorf("trainer refused: %s", refusal)
+	}
+	if err := d.Open(deliverer.Opening{Model: rig.ModelAdvice, Session: 1}, plan); err != nil {
+		return nil, err
+	}
+	before := rig.Memory()
+	var memory uint64
+	cost := r.Spend(func() {
+		if err = submit(d, size); err != nil {
+			return
+		}
+		if err = waitReady(d, size); err != nil {
+			return
+		}
+		memory = rig.Memory() - before
+		err = fetchAll(d, size)
+	})
+	return reading{
+		"processor ms": cost.Processor.Seconds() * 1000, "bytes": float64(cost.Bytes),
+		"frames": float64(cost.Frames), "memory KB ready": float64(memory) / 1024,
+	}, err
+}
+
+func submit(d *deliverer.Deliverer, size int) error {
+	var groups []deliverer.Group
+	for n := range size / sampleGroup {
+		groups = append(groups, deliverer.Group{
+			ID: identifier.GroupID(fmt.Sprintf("group-%d", n)), Body: []byte(`{"prompt":"p","max-tokens":350}`),
+			Samples: sampleGroup, Expected: samplePieces,
+		})
+	}
+	return d.Submit(deliverer.Submission{Model: rig.ModelAdvice, Session: 1, Groups: groups})
+}
+
+func waitReady(d *deliverer.Deliverer, size int) error {
+	for until := time.Now().Add(sampleWait); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		if d.Sessions()[0].Ready == size {
+			return nil
+		}
+	}
+	return errors.Errorf("samples not ready after %s: %+v", sampleWait, d.Sessions())
+}
+
+func fetchAll(d *deliverer.Deliverer, size int) error {
+	f := deliverer.Fetch{Model: rig.ModelAdvice, Session: 1, Version: 1, Limit: 64}
+	for int(f.After) < size {
+		b, err := d.Fetch(context.Background(), f)
+		if err != nil {
+			return err
+		}
+		f.After += identifier.SequenceNumber(len(b.Samples))
+	}
+	return nil
+}
--- /dev/null
+++ b/sloper/verb/targets.go
@@ -0,0 +1,36 @@
+package verb
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/router"
+	"github.com/lycheeladder/lycheeladder/sloper/rig"
+)
+
+// targetsSlope: what a choice costs among more targets.
+var targetsSlope = slope{
+	name: "targets", grows: "targets to choose from", sizes: []int{20, 40, 80, 160},
+	columns: []string{"processor µs a choice"},
+	measure: measureTargets,
+}
+
+const choices = 20_000
+
+func measureTargets(size int) (reading, error) {
+	r := router.New(clockwork.NewRealClock(), router.NewRandom(1), router.Expected{})
+	candidates := make([]router.Candidate, 0, size)
+	for n := range size {
+		candidates = append(candidates, router.Candidate{Target: identifier.TargetName(fmt.Sprintf("target-%d", n))})
+	}
+	spent := rig.ProcessorTime(func() {
+		for range choices {
+			target, _ := r.Choose(append([]router.Candidate(nil), candidates...))
+			r.Done(target, time.Millisecond)
+		}
+	})
+	return reading{"processor µs a choice": float64(spent.Microseconds()) / choices}, nil
+}
