Send a sidecar its configuration only when its part changed

Now a heartbeat's revision says that the link's last Configuration holds. The sidecar takes that of the entry that says it: a plain 'revision is now 6' would keep what another entry sent at 5.

An answer whose caller doesn't stream is sent in full chunks: an engine makes a token at a time, and each was a frame. Ruled out: waiting by time, since nobody reads such an answer before its end.

A service no longer in the document gets an empty configuration and takes no work; its sidecars kept the last one for ever.

--- a/ladder/coordinator/coordinator.go
+++ b/ladder/coordinator/coordinator.go
@@ -181,7 +181,8 @@
 	}
 	s, ok := state.Document.ServiceByName(service)
 	if !ok {
-		return messenger.Configuration{}, false
+		// The service is out of play: its sidecars take no work.
+		return messenger.Configuration{Revision: state.Revision}, true
 	}
 	return messenger.Configuration{
 		Revision: state.Revision, Slots: s.Slots, QueueLimit: s.QueueLimit, Model: s.Model,
--- a/ladder/dispatcher/dispatch.go
+++ b/ladder/dispatcher/dispatch.go
@@ -197,7 +197,7 @@
 		Call: r.Call, Body: r.Body, Idempotent: r.Idempotent,
 		Timeout: r.Deadline.Sub(d.clock.Now()), Expected: r.Expected, Sample: r.Sample,
 		Fingerprint: identifier.NewFingerprint(r.Service, r.Call, r.Body),
-		Urgency:     r.Urgency, Oldest: r.Oldest,
+		Urgency:     r.Urgency, Oldest: r.Oldest, Streamed: r.Stream != nil,
 	}
 	if d.beats.SendWithin(ctx, l, m) != nil {
 		_ = l.Close()
@@ -250,14 +250,7 @@
 // Locate asks every sidecar of the service which of the samples it holds, and
 // waits for the answers until ctx ends.
 func (d *Dispatcher) Locate(ctx context.Context, service identifier.ServiceName, samples []identifier.SampleID) map[identifier.SampleID]HeldAt {
-	d.mutex.Lock()
-	var peers []*peer
-	for _, p := range d.peers {
-		if p.service == service && p.link != nil {
-			peers = append(peers, p)
-		}
-	}
-	d.mutex.Unlock()
+	peers := d.linked(service)
 	found := make(chan map[identifier.SampleID]HeldAt, len(peers))
 	var tasks conc.WaitGroup
 	for _, p := range peers {
--- a/ladder/dispatcher/dispatcher.go
+++ b/ladder/dispatcher/dispatcher.go
@@ -134,32 +134,53 @@
 // Announce sends a heartbeat to every sidecar at once: new weight goals can't
 // wait for the next one.
 func (d *Dispatcher) Announce(ctx context.Context) {
-	h := d.heartbeat()
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
-	for _, l := range d.links("") {
-		tasks.Go(func() { _ = d.beats.SendWithin(ctx, l, h) })
+	for _, p := range d.linked("") {
+		tasks.Go(func() { d.send(ctx, p, d.heartbeat(p)) })
 	}
 }
 
-// Configure sends every sidecar its part of the accepted document.
+// Configure sends every sidecar its part of the accepted document. Most changes
+// leave a sidecar's part as it was: then the next heartbeat's revision says so,
+// and nothing else is sent.
 func (d *Dispatcher) Configure(ctx context.Context) {
-	type part struct {
-		link messenger.Link
-		m    messenger.Configuration
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	for _, p := range d.linked("") {
+		tasks.Go(func() { d.configure(ctx, p) })
 	}
-	var parts []part
+}
+
+func (d *Dispatcher) configure(ctx context.Context, p *peer) {
 	d.mutex.Lock()
-	for _, p := range d.peers {
-		if m, ok := d.configurationOf(p); ok && p.link != nil {
-			parts = append(parts, part{p.link, m})
-		}
+	m, ok := d.configurationOf(p)
+	unchanged := m
+	unchanged.Revision = p.configured.Revision
+	if !ok || unchanged == p.configured {
+		p.configured.Revision = max(p.configured.Revision, m.Revision)
+		d.mutex.Unlock()
+		return
 	}
+	l := p.link
 	d.mutex.Unlock()
-	var tasks conc.WaitGroup
-	defer tasks.Wait()
-	for _, p := range parts {
-		tasks.Go(func() { _ = d.beats.SendWithin(ctx, p.link, p.m) })
+	if l == nil || d.beats.SendWithin(ctx, l, m) != nil {
+		return
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if p.link == l && m.Revision > p.configured.Revision {
+		p.configured = m
+	}
+}
+
+// send gives a message to a peer whose link may have gone meanwhile.
+func (d *Dispatcher) send(ctx context.Context, p *peer, m messenger.Message) {
+	d.mutex.Lock()
+	l := p.link
+	d.mutex.Unlock()
+	if l != nil {
+		_ = d.beats.SendWithin(ctx, l, m)
 	}
 }
 
@@ -178,19 +199,21 @@
 	return d.configurations.For(p.service, rank, peers)
 }
 
-// links returns the open links, of one service or of all.
-func (d *Dispatcher) links(service identifier.ServiceName) []messenger.Link {
+// linked returns the peers with a link, of one service or of all.
+func (d *Dispatcher) linked(service identifier.ServiceName) []*peer {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	var links []messenger.Link
+	var peers []*peer
 	for _, p := range d.peers {
 		if p.link != nil && (service == "" || p.service == service) {
-			links = append(links, p.link)
+			peers = append(peers, p)
 		}
 	}
-	return links
+	return peers
 }
 
-func (d *Dispatcher) heartbeat() messenger.Heartbeat {
-	return messenger.Heartbeat{Goals: d.goals.All()}
+func (d *Dispatcher) heartbeat(p *peer) messenger.Heartbeat {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return messenger.Heartbeat{Goals: d.goals.All(), Revision: p.configured.Revision}
 }
--- a/ladder/dispatcher/peer.go
+++ b/ladder/dispatcher/peer.go
@@ -38,6 +38,9 @@
 	revision identifier.Revision
 	load     messenger.Load
 	loadAt   time.Time
+	// configured is what this link's sidecar has: the Configuration sent last,
+	// at the newest revision under which it is the same.
+	configured messenger.Configuration
 	// attempts are those open at this incarnation.
 	attempts map[key]*attempt
 	// gone is closed when the incarnation will not be heard of again.
@@ -72,7 +75,8 @@
 	}
 	klog.InfoS("sidecar linked", "target", p.target, "incarnation", p.incarnation, "zone", p.zone)
 	d.resume(ctx, p, l)
-	err = d.beats.Run(ctx, l, d.heartbeat, func(m messenger.Message) error { return d.handle(ctx, p, l, m) })
+	beat := func() messenger.Heartbeat { return d.heartbeat(p) }
+	err = d.beats.Run(ctx, l, beat, func(m messenger.Message) error { return d.handle(ctx, p, l, m) })
 	klog.InfoS("sidecar link ended", "target", p.target, "incarnation", p.incarnation, "err", err)
 	d.detach(p, l)
 	return err
@@ -110,17 +114,16 @@
 		_ = p.link.Close()
 	}
 	p.link, p.leaving, p.revision = l, hello.Leaving, hello.Revision
+	p.configured = messenger.Configuration{}
 	return p, nil
 }
 
 // resume sends the sidecar its configuration and asks for every open answer
 // from where it broke off.
 func (d *Dispatcher) resume(ctx context.Context, p *peer, l messenger.Link) {
+	d.configure(ctx, p)
 	d.mutex.Lock()
 	var messages []messenger.Message
-	if m, ok := d.configurationOf(p); ok {
-		messages = append(messages, m)
-	}
 	for _, a := range p.attempts {
 		messages = append(messages, a.resumption())
 	}
--- /dev/null
+++ b/ladder/executor/configuration_test.go
@@ -0,0 +1,69 @@
+package executor_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lycheeladder/lycheeladder/ladder/converger"
+	"github.com/lycheeladder/lycheeladder/ladder/executor"
+	"github.com/lycheeladder/lycheeladder/ladder/heartbeater"
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/queuer"
+)
+
+// TestHeartbeat_ConfirmsWhatItsOwnEntrySent: entry one sees revisions 4 and 6,
+// which are alike for the sidecar, and entry two revision 5, which is not.
+func TestHeartbeat_ConfirmsWhatItsOwnEntrySent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := clockwork.NewRealClock()
+		beats := heartbeater.New(clock, heartbeater.Options{Interval: time.Hour, Deadline: 2 * time.Hour})
+		e := executor.New(clock, nil, queuer.New(1, 0), beats, converger.NewGoals(), executor.DefaultOptions())
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		one, two := link(ctx, e), link(ctx, e)
+		alike := messenger.Configuration{Revision: 4, Slots: 8, QueueLimit: 16}
+		other := messenger.Configuration{Revision: 5, Slots: 2, QueueLimit: 16}
+		steps := []struct {
+			link    messenger.Link
+			message messenger.Message
+			want    messenger.Configuration
+		}{
+			{one, alike, alike},
+			{two, other, other},
+			{one, messenger.Heartbeat{Revision: 4}, other},
+			{one, messenger.Heartbeat{Revision: 6}, messenger.Configuration{Revision: 6, Slots: 8, QueueLimit: 16}},
+			{two, messenger.Heartbeat{Revision: 5}, messenger.Configuration{Revision: 6, Slots: 8, QueueLimit: 16}},
+		}
+		for n, s := range steps {
+			if err := s.link.Send(ctx, s.message); err != nil {
+				t.Fatal(err)
+			}
+			synctest.Wait()
+			if diff := cmp.Diff(s.want, e.Configuration()); diff != "" {
+				t.Errorf("after step %d (-want +got):\n%s", n, diff)
+			}
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// link gives the executor a link and returns the entry's end. What comes there
+// is read and dropped.
+func link(ctx context.Context, e *executor.Executor) messenger.Link {
+	near, far := messenger.NewPipe()
+	go func() { _ = e.Serve(ctx, near) }()
+	go func() {
+		for {
+			if _, err := far.Receive(ctx); err != nil {
+				return
+			}
+		}
+	}()
+	return far
+}
--- a/ladder/executor/connection.go
+++ b/ladder/executor/connection.go
@@ -7,6 +7,7 @@
 	"github.com/google/uuid"
 	"github.com/sourcegraph/conc"
 
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 )
 
@@ -26,6 +27,9 @@
 	pumps    *conc.WaitGroup
 	// ctx ends with the link.
 	ctx context.Context
+	// last is the newest Configuration that came on this link; a heartbeat's
+	// revision speaks of it, and not of what another entry has sent since.
+	last messenger.Configuration
 }
 
 func (c *connection) handle(m messenger.Message) error {
@@ -35,6 +39,7 @@
 		e.goals.Learn(m.Goals)
 	case messenger.Heartbeat:
 		e.goals.Learn(m.Goals)
+		c.confirm(m.Revision)
 	case messenger.Start:
 		c.start(m)
 	case messenger.Cancel:
@@ -46,6 +51,7 @@
 		e.release(key{m.Request, m.Attempt})
 		e.mutex.Unlock()
 	case messenger.Configuration:
+		c.last = m
 		e.configure(m)
 	case messenger.Locate:
 		c.send(e.locate(m))
@@ -175,6 +181,15 @@
 	e.queue.Resize(m.Slots, m.QueueLimit)
 }
 
+// confirm takes a later revision under which the entry's last Configuration is
+// in force again or still.
+func (c *connection) confirm(r identifier.Revision) {
+	if r > c.last.Revision && c.last.Revision > 0 {
+		c.last.Revision = r
+		c.executor.configure(c.last)
+	}
+}
+
 func (e *Executor) locate(m messenger.Locate) messenger.Located {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
--- a/ladder/executor/job.go
+++ b/ladder/executor/job.go
@@ -64,12 +64,22 @@
 	})
 }
 
+// leastOf is how many bytes are worth a frame: for a caller who doesn't read as
+// it comes, a full chunk. An engine makes a token at a time, and a frame for each
+// would cost more than the token.
+func (j *job) leastOf() uint64 {
+	if j.start.Streamed {
+		return 1
+	}
+	return chunkBytes
+}
+
 // follow sends chunks as they come, then the answer.
 func (c *connection) follow(ctx context.Context, j *job, offset uint64) {
 	j.pumping.Lock()
 	defer j.pumping.Unlock()
 	for {
-		data, ended, err := j.output.Next(ctx, offset)
+		data, ended, err := j.output.NextAtLeast(ctx, offset, j.leastOf())
 		if err != nil {
 			return
 		}
--- a/ladder/messenger/messenger.go
+++ b/ladder/messenger/messenger.go
@@ -87,7 +87,9 @@
 	Attempt identifier.Attempt   `cbor:"3,keyasint"`
 }
 
-// Heartbeat keeps a link alive and carries what changes slowly.
+// Heartbeat keeps a link alive and carries what changes slowly. An entry's
+// Revision says that the Configuration last sent on this link is in force
+// unchanged at that revision.
 type Heartbeat struct {
 	Revision identifier.Revision `cbor:"1,keyasint,omitempty"`
 	Leaving  bool                `cbor:"2,keyasint,omitempty"`
@@ -121,6 +123,9 @@
 	Alone bool `cbor:"13,keyasint,omitempty"`
 	// Urgency orders rollout work; larger is sooner.
 	Urgency int `cbor:"14,keyasint,omitempty"`
+	// Streamed says that the caller reads the answer as it comes; of any other,
+	// full chunks are sent.
+	Streamed bool `cbor:"16,keyasint,omitempty"`
 	// Oldest is the oldest weight version that can still be of use.
 	Oldest identifier.WeightVersion `cbor:"15,keyasint,omitempty"`
 }
