Report every fault of a document at once, with its path

The standard decoder stopped at the first unknown field or wrong type, took field names in any case, null for anything, a repeated field silently and a missing one as zero (a missing staleness bound was a bound of 0). The form is now checked on the JSON tree against the Go types, and the checks of content run on what is left.

--- a/ladder/validator/document.go
+++ b/ladder/validator/document.go
@@ -100,9 +100,10 @@
 
 // Grant lets a team call a service, once the service's owner has approved it.
 type Grant struct {
-	Team     identifier.TeamName    `json:"team"`
-	Service  identifier.ServiceName `json:"service"`
-	Approval Approval               `json:"approval"`
+	Team    identifier.TeamName    `json:"team"`
+	Service identifier.ServiceName `json:"service"`
+	// Approval is empty while the owner has not approved yet.
+	Approval Approval `json:"approval,omitzero"`
 }
 
 // Approval is an owner's signature over one grant.
--- a/ladder/validator/validator.go
+++ b/ladder/validator/validator.go
@@ -3,9 +3,9 @@
 package validator
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -38,18 +38,48 @@
 	return strings.Join(lines, "\n")
 }
 
+// covers says whether a fault stands at path or at a field around it.
+func (f Faults) covers(path string) bool {
+	for _, fault := range f {
+		rest, ok := strings.CutPrefix(path, fault.Path)
+		if ok && (rest == "" || rest[0] == '.' || rest[0] == '[') {
+			return true
+		}
+	}
+	return false
+}
+
+// hides says whether names of the section are unreadable.
+func (f Faults) hides(section string) bool {
+	return section != "" && slices.ContainsFunc(f, func(fault Fault) bool {
+		path := indices.ReplaceAllString(fault.Path, "")
+		return path == section || path == section+".name"
+	})
+}
+
 // Parse reads one JSON document strictly and validates it. Its error is a
-// Faults where the document was readable at all.
+// Faults with every fault, those of form first; d then holds what was
+// readable.
 func Parse(data []byte) (d Document, err error) {
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&d); err != nil {
-		return d, Faults{{Path: "document", Value: err.Error(), Allowed: "one JSON document of schema " + SchemaName}}
+	tree, faults := readTree(data)
+	if tree == nil {
+		return d, faults
+	}
+	faults = append(faults, checkForm(tree)...)
+	clean, err := json.Marshal(tree)
+	if err != nil {
+		return d, errors.Wrap(err, "parse document")
+	}
+	if err := json.Unmarshal(clean, &d); err != nil {
+		return d, append(faults, Fault{Path: "document", Value: err.Error(), Allowed: "one JSON document of schema " + SchemaName})
 	}
-	if decoder.More() {
-		return d, Faults{{Path: "document", Value: "data after the end", Allowed: "one JSON document"}}
+	form := faults
+	for _, fault := range Validate(d) {
+		if !form.covers(fault.Path) && !form.hides(sectionByReference[fault.Allowed]) {
+			faults = append(faults, fault)
+		}
 	}
-	if faults := Validate(d); len(faults) > 0 {
+	if len(faults) > 0 {
 		return d, faults
 	}
 	return d, nil
