Let nobody but its owner hand a service to a team

Approvals were checked, but an operator could exchange the owner's public key or the service's owner in the same document and approve anything. A key now changes only with the old key's signature over the new one, and a service doesn't change hands in place. An expiry altered by less than a second passed as well, since the signed bytes had whole seconds only; found by the new test: --- FAIL: TestApply_OnlyTheOwnersApprovalOfExactlyThisGrantCounts/altered_by_less_than_a_second An owner's signed withdrawal names the approval that it strikes, so that a copy can't strike a later one. Seen red with CheckOwners off: --- FAIL: TestApply_NobodyTakesAServiceFromItsOwner/a_key_without_a_handover and with the signature check off: --- FAIL: TestApply_OnlyTheOwnersApprovalOfExactlyThisGrantCounts/copied_to_another_team Left: an operator may remove a service in one revision and add it under another owner in a later one; all its callers are cut off in between.

--- a/ladder/accepter/accepter.go
+++ b/ladder/accepter/accepter.go
@@ -113,7 +113,7 @@
 	if d.Base != s.Revision {
 		return Conflict{Base: d.Base, Current: s.Revision}
 	}
-	faults := validator.Validate(d)
+	faults := append(validator.Validate(d), approver.CheckOwners(s.Document, &d)...)
 	for i, g := range d.Grants {
 		if err := approver.Check(&d, g, record.Time); err != nil && !s.holds(g) {
 			faults = append(faults, validator.Fault{
--- a/ladder/approver/approver.go
+++ b/ladder/approver/approver.go
@@ -18,7 +18,7 @@
 // expiry, so that a copied or altered approval fails. Names are kebab-case,
 // so line ends separate them without doubt.
 func canonical(team identifier.TeamName, service identifier.ServiceName, owner identifier.OwnerName, expires time.Time) []byte {
-	return fmt.Appendf(nil, "lycheeladder-grant-1\n%s\n%s\n%s\n%s\n", team, service, owner, expires.UTC().Format(time.RFC3339))
+	return fmt.Appendf(nil, "lycheeladder-grant-1\n%s\n%s\n%s\n%s\n", team, service, owner, expires.UTC().Format(time.RFC3339Nano))
 }
 
 // Approve returns owner's approval of team for service until expires, which
@@ -41,6 +41,9 @@
 	if !ok {
 		return errors.New("unknown service")
 	}
+	if g.Approval == (validator.Approval{}) {
+		return errors.New("not approved yet")
+	}
 	if g.Approval.Owner != s.Owner {
 		return errors.Errorf("approved by %q, owner is %q", g.Approval.Owner, s.Owner)
 	}
@@ -51,13 +54,18 @@
 	if !ok {
 		return errors.Errorf("unknown owner %q", s.Owner)
 	}
-	key, err := base64.StdEncoding.DecodeString(o.PublicKey)
-	if err != nil || len(key) != ed25519.PublicKeySize {
-		return errors.Errorf("owner %q has no usable key", o.Name)
-	}
-	signature, err := base64.StdEncoding.DecodeString(g.Approval.Signature)
-	if err != nil || !ed25519.Verify(key, canonical(g.Team, g.Service, g.Approval.Owner, g.Approval.Expires), signature) {
+	if !verify(o, canonical(g.Team, g.Service, g.Approval.Owner, g.Approval.Expires), g.Approval.Signature) {
 		return errors.New("signature doesn't match")
 	}
 	return nil
 }
+
+// Waiting returns the places in d.Grants that have no valid approval at now.
+func Waiting(d *validator.Document, now time.Time) (places []int) {
+	for i, g := range d.Grants {
+		if Check(d, g, now) != nil {
+			places = append(places, i)
+		}
+	}
+	return places
+}
--- /dev/null
+++ b/ladder/approver/withdrawal.go
@@ -0,0 +1,45 @@
+package approver
+
+import (
+	"crypto/ed25519"
+	"encoding/base64"
+	"fmt"
+
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/validator"
+)
+
+// Withdrawal is an owner's signed word that one approval no longer holds. An
+// owner has no operator's key; with this it needs none.
+type Withdrawal struct {
+	Team    identifier.TeamName    `json:"team"`
+	Service identifier.ServiceName `json:"service"`
+	// Approval is the signature of the approval withdrawn, so that a copy of
+	// the withdrawal can't strike a later one.
+	Approval string `json:"approval"`
+	// Signature is the owner's, in base64.
+	Signature string `json:"signature"`
+}
+
+func (w Withdrawal) canonical() []byte {
+	return fmt.Appendf(nil, "lycheeladder-withdrawal-1\n%s\n%s\n%s\n", w.Team, w.Service, w.Approval)
+}
+
+// Withdraw returns the owner's withdrawal of the grant's approval.
+func Withdraw(key ed25519.PrivateKey, g validator.Grant) Withdrawal {
+	w := Withdrawal{Team: g.Team, Service: g.Service, Approval: g.Approval.Signature}
+	w.Signature = base64.StdEncoding.EncodeToString(ed25519.Sign(key, w.canonical()))
+	return w
+}
+
+// CheckWithdrawal returns the owner whose withdrawal it is. It returns false
+// if it is not the owner's own, or strikes no grant that d has.
+func CheckWithdrawal(d *validator.Document, w Withdrawal) (owner identifier.OwnerName, ok bool) {
+	g, ok := d.GrantOf(w.Team, w.Service)
+	if !ok || g.Approval.Signature != w.Approval {
+		return "", false
+	}
+	s, _ := d.ServiceByName(w.Service)
+	o, _ := d.OwnerByName(s.Owner)
+	return o.Name, verify(o, w.canonical(), w.Signature)
+}
--- a/ladder/validator/document.go
+++ b/ladder/validator/document.go
@@ -48,6 +48,9 @@
 	Name identifier.OwnerName `json:"name"`
 	// PublicKey is the owner's Ed25519 key in standard base64.
 	PublicKey string `json:"public-key"`
+	// KeyHandover is needed in the document that changes the key: the old
+	// key's signature over the new one, in base64.
+	KeyHandover string `json:"key-handover,omitempty"`
 }
 
 // Model is a model under training.
