--- a/ladder/accepter/approval_test.go
+++ b/ladder/accepter/approval_test.go
@@ -229,7 +229,8 @@
 		"the approval's own signature":     {d, approver.Withdrawal{Team: w.Team, Service: w.Service, Approval: w.Approval, Signature: w.Approval}, false},
 		"altered to strike another's team": {d, approver.Withdrawal{Team: "riders", Service: w.Service, Approval: w.Approval, Signature: w.Signature}, false},
 	} {
-		if _, got := approver.CheckWithdrawal(&c.document, c.withdrawal); got != c.want {
+		_, owners := approver.CheckWithdrawal(&c.document, c.withdrawal)
+		if got := owners && c.withdrawal.Strikes(&c.document); got != c.want {
 			t.Errorf("%s: %t, want %t", name, got, c.want)
 		}
 	}
--- a/ladder/accepter/follower.go
+++ b/ladder/accepter/follower.go
@@ -140,6 +140,9 @@
 	if _, ignored := v.(Ignored); ignored {
 		return
 	}
+	if _, accepted := f.verdicts[r.Document.ID].(Accepted); accepted {
+		return // A late copy of it changes nothing.
+	}
 	f.verdicts[r.Document.ID] = v
 	klog.InfoS("document judged", "document", r.Document.ID, "verdict", v, "revision", f.state.Revision, "offset", record.Offset)
 }
--- a/ladder/approver/withdrawal.go
+++ b/ladder/approver/withdrawal.go
@@ -32,14 +32,16 @@
 	return w
 }
 
-// CheckWithdrawal returns the owner whose withdrawal it is. It returns false
-// if it is not the owner's own, or strikes no grant that d has.
+// CheckWithdrawal returns the owner whose withdrawal it is, or false if it is
+// not the owner's own.
 func CheckWithdrawal(d *validator.Document, w Withdrawal) (owner identifier.OwnerName, ok bool) {
-	g, ok := d.GrantOf(w.Team, w.Service)
-	if !ok || g.Approval.Signature != w.Approval {
-		return "", false
-	}
 	s, _ := d.ServiceByName(w.Service)
 	o, _ := d.OwnerByName(s.Owner)
 	return o.Name, verify(o, w.canonical(), w.Signature)
 }
+
+// Strikes says whether the approval withdrawn is still in d.
+func (w Withdrawal) Strikes(d *validator.Document) bool {
+	g, ok := d.GrantOf(w.Team, w.Service)
+	return ok && g.Approval.Signature == w.Approval
+}
