--- a/ladder/historian/historian.go
+++ b/ladder/historian/historian.go
@@ -54,8 +54,6 @@
 
 	mutex sync.Mutex
 	state accepter.State
-	// started is set once the first readable record was found.
-	started bool
 	// entries are the newest proposals, oldest first.
 	entries []Entry
 	// documents has the newest accepted documents.
--- a/ladder/proposer/proposer_test.go
+++ b/ladder/proposer/proposer_test.go
@@ -12,6 +12,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 
 	"github.com/lycheeladder/lycheeladder/ladder/accepter"
 	"github.com/lycheeladder/lycheeladder/ladder/appender"
@@ -188,7 +189,7 @@
 		d.Grants = []validator.Grant{grant}
 		a.Propose(t.Context(), "", d)
 		forged := approver.Withdraw(ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize)), grant)
-		if r, err := a.Withdraw(t.Context(), forged); err != proposer.ErrNotOwners {
+		if r, err := a.Withdraw(t.Context(), forged); !errors.Is(err, proposer.ErrNotOwners) {
 			t.Errorf("forged: %+v, %v", r, err)
 		}
 		for range 2 { // The second time as after a lost answer.
