--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -15,6 +15,7 @@
 
 	"github.com/lycheeladder/lycheeladder/entry/publisher"
 	"github.com/lycheeladder/lycheeladder/entry/receiver"
+	"github.com/lycheeladder/lycheeladder/ladder/accepter"
 	"github.com/lycheeladder/lycheeladder/ladder/appender"
 	"github.com/lycheeladder/lycheeladder/ladder/coordinator"
 	"github.com/lycheeladder/lycheeladder/ladder/dispatcher"
@@ -40,15 +41,18 @@
 // Settings are an entry's flags and environment variables.
 type Settings struct {
 	starter.Common
-	Name           string          `help:"This entry's name." required:""`
-	Zone           string          `help:"The availability zone of this host." required:""`
-	Listen         starter.Address `help:"Where callers and trainers come in, IP:port." required:""`
-	PeerListen     starter.Address `help:"Where sidecars come in, IP:port." required:""`
-	OperatorListen starter.Address `help:"Where operators come in, IP:port." required:""`
-	Log            starter.Address `help:"The platform's log service, IP:port." required:""`
-	DrainTimeout   time.Duration   `help:"How long a stop waits for requests in progress." default:"30s"`
-	KeyMaxAge      time.Duration   `help:"The oldest idempotency key taken; shorter than the log keeps records." default:"15m"`
-	SampleTimeout  time.Duration   `help:"The longest attempt at one sample." default:"10m"`
+	Name           string            `help:"This entry's name." required:""`
+	Zone           string            `help:"The availability zone of this host." required:""`
+	Listen         starter.Address   `help:"Where callers and trainers come in, IP:port." required:""`
+	PeerListen     starter.Address   `help:"Where sidecars come in, IP:port." required:""`
+	OperatorListen starter.Address   `help:"Where operators come in, IP:port." required:""`
+	Log            starter.Address   `help:"The platform's log service, IP:port." required:""`
+	LogRetention   time.Duration     `help:"How long the log keeps records; what is in force is written again well before." default:"24h"`
+	Peer           []starter.Address `help:"Another entry's peer listener, IP:port, asked for what is in force where the log can't tell; may be repeated." placeholder:"IP:PORT"`
+	Hosts          starter.Address   `help:"The platform's host list, IP:port, for entries not named by --peer."`
+	DrainTimeout   time.Duration     `help:"How long a stop waits for requests in progress." default:"30s"`
+	KeyMaxAge      time.Duration     `help:"The oldest idempotency key taken; shorter than the log keeps records." default:"15m"`
+	SampleTimeout  time.Duration     `help:"The longest attempt at one sample." default:"10m"`
 }
 
 // Validate checks what the flags' types don't.
@@ -58,6 +62,8 @@
 		return fmt.Errorf("--drain-timeout: %s is below 0", s.DrainTimeout)
 	case s.KeyMaxAge <= 0:
 		return fmt.Errorf("--key-max-age: %s is not above 0", s.KeyMaxAge)
+	case s.LogRetention <= s.KeyMaxAge:
+		return fmt.Errorf("--log-retention: %s is not above --key-max-age", s.LogRetention)
 	case s.SampleTimeout <= 0:
 		return fmt.Errorf("--sample-timeout: %s is not above 0", s.SampleTimeout)
 	}
@@ -143,16 +149,25 @@
 	options := coordinator.Options{
 		Dispatch: dispatcher.DefaultOptions(), Heartbeats: heartbeater.DefaultOptions(),
 		Policy: router.Expected{}, KeyMaxAge: s.KeyMaxAge, SampleTimeout: s.SampleTimeout,
+		LogRetention: s.LogRetention,
 	}
 	options.Dispatch.Entry = identifier.EntryName(s.Name)
 	options.Dispatch.Zone = identifier.ZoneName(s.Zone)
 	options.Dispatch.Incarnation = identifier.NewIncarnation()
 	seed := uint64(time.Now().UnixNano())
+	options.Peers = accepter.NewHTTPPeers(newAddresses(s), router.NewRandom(seed))
 	return coordinator.New(clockwork.NewRealClock(), appender.NewHTTP(string(s.Log)), router.NewRandom(seed), r, options)
 }
 
 func peerApp(ctx context.Context, c *coordinator.Coordinator, l *linker.Linker) *fiber.App {
 	app := server.NewApp("peers", peerBodyLimit)
+	app.Get(accepter.StatePath, func(x fiber.Ctx) error {
+		data, ok := c.Follower().Snapshot()
+		if !ok {
+			return fiber.ErrServiceUnavailable
+		}
+		return x.Send(data)
+	})
 	app.Get(linker.Path, func(x fiber.Ctx) error {
 		return l.Upgrade(x.RequestCtx(), func(link messenger.Link) {
 			if err := c.ServeLink(ctx, link); err != nil {
--- a/ladder/accepter/accepter.go
+++ b/ladder/accepter/accepter.go
@@ -4,53 +4,16 @@
 package accepter
 
 import (
-	"bytes"
-	"encoding/json"
+	"slices"
 	"strconv"
 
-	"github.com/pkg/errors"
-
-	"github.com/lycheeladder/lycheeladder/ladder/annotator"
 	"github.com/lycheeladder/lycheeladder/ladder/appender"
 	"github.com/lycheeladder/lycheeladder/ladder/approver"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/validator"
 )
 
-// RecordKind tells the records of the configuration stream apart.
-type RecordKind string
-
-// The kinds of record.
-const (
-	KindProposal     RecordKind = "proposal"
-	KindCarryForward RecordKind = "carry-forward"
-)
-
-// Record is one record of the configuration stream.
-type Record struct {
-	Kind     RecordKind         `json:"kind"`
-	Document validator.Document `json:"document"`
-	// Revision and ReadUpTo are set in a carry-forward record: the document
-	// is the accepted one of that revision for the log before ReadUpTo.
-	Revision identifier.Revision  `json:"revision,omitempty"`
-	ReadUpTo identifier.LogOffset `json:"read-up-to,omitempty"`
-}
-
-// Encode returns the record's bytes in the log.
-func (r Record) Encode() ([]byte, error) {
-	data, err := json.Marshal(r)
-	return data, errors.WithMessage(err, "encode record")
-}
-
-// DecodeRecord reads a record strictly.
-func DecodeRecord(data []byte) (r Record, err error) {
-	defer annotator.Annotate(&err, "decode record")
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	return r, decoder.Decode(&r)
-}
-
-// Verdict is what a reader of the log makes of one proposal.
+// Verdict is what a reader of the log makes of one record.
 //
 //sumtype:decl
 type Verdict interface{ verdict() }
@@ -72,6 +35,10 @@
 func (Invalid) verdict()  {}
 func (Ignored) verdict()  {}
 
+// maxRecent is how many accepted documents a State remembers by id. It is
+// part of the format: every reader must forget the same ones.
+const maxRecent = 128
+
 // State is the accepted configuration after a prefix of the log. The zero
 // State is that of an empty log. It is a value: Apply returns a new one.
 type State struct {
@@ -81,6 +48,10 @@
 	Document *validator.Document
 	// Next is the offset after the last record applied.
 	Next identifier.LogOffset
+	// Recent names the last accepted documents, oldest first, maxRecent at
+	// most: one that comes again is known by its id. It is never changed in
+	// place.
+	Recent []AcceptedDocument
 }
 
 // Apply returns the state after one more record and the verdict on it.
@@ -94,49 +65,131 @@
 	if err != nil {
 		return s, Ignored{Reason: err.Error()}
 	}
-	if r.Kind != KindProposal {
-		return s, Ignored{Reason: "not a proposal"}
+	switch r := r.(type) {
+	case Proposal:
+		return s.applyProposal(r, record)
+	case CarryForward:
+		return s, Ignored{Reason: s.compare(r)}
 	}
-	if v := s.judge(r.Document, record); v != nil {
-		return s, v
+	return s, Ignored{Reason: "unknown record"}
+}
+
+func (s State) applyProposal(p Proposal, record appender.Record) (State, Verdict) {
+	if old, ok := s.accepted(p.Document); ok {
+		return s, s.again(p, old)
+	}
+	if p.Base != s.Revision {
+		return s, Conflict{Base: p.Base, Current: s.Revision}
+	}
+	d, err := p.rebuild(s.Document)
+	if err != nil {
+		return s, Invalid{Faults: validator.Faults{{Path: "document", Value: err.Error(), Allowed: "a change of its base"}}}
+	}
+	if faults := s.judge(&d, record); len(faults) > 0 {
+		return s, Invalid{Faults: faults}
 	}
 	s.Revision++
-	d := r.Document
 	s.Document = &d
+	s.Recent = append(slices.Clone(s.Recent[max(0, len(s.Recent)+1-maxRecent):]), AcceptedDocument{ID: d.ID, Revision: s.Revision, Hash: p.Hash})
 	return s, Accepted{Revision: s.Revision}
 }
 
-func (s State) judge(d validator.Document, record appender.Record) Verdict {
-	if s.Document != nil && s.Document.ID == d.ID {
-		return Ignored{Reason: "already accepted"}
+// again is the verdict on a document whose id was accepted before.
+func (s State) again(p Proposal, old AcceptedDocument) Verdict {
+	if old.Hash == p.Hash {
+		return Ignored{Reason: "accepted before as revision " + strconv.FormatUint(uint64(old.Revision), 10)}
+	}
+	return Invalid{Faults: validator.Faults{{Path: "document-id", Value: string(p.Document), Allowed: "an id that no other document had"}}}
+}
+
+func (s State) accepted(id identifier.DocumentID) (AcceptedDocument, bool) {
+	for _, r := range s.Recent {
+		if r.ID == id {
+			return r, true
+		}
+	}
+	return AcceptedDocument{}, false
+}
+
+// hashOf returns the hash of an accepted revision that is remembered.
+func (s State) hashOf(revision identifier.Revision) (Hash, bool) {
+	for _, r := range s.Recent {
+		if r.Revision == revision {
+			return r.Hash, true
+		}
+	}
+	return Hash{}, false
+}
+
+// The reasons for which a carry-forward record changes nothing.
+const (
+	reasonCarried   = "carries forward what was read"
+	reasonDisagrees = "disagrees with what was read"
+)
+
+// compare tells how a carry-forward record fits a state that has read all
+// before it.
+func (s State) compare(c CarryForward) string {
+	if c.Revision > s.Revision || c.ReadUpTo >= s.Next || len(c.Recent) == 0 {
+		return reasonDisagrees
 	}
-	if d.Base != s.Revision {
-		return Conflict{Base: d.Base, Current: s.Revision}
+	known, ok := s.hashOf(c.Revision)
+	if ok && known != c.Recent[len(c.Recent)-1].Hash {
+		return reasonDisagrees
 	}
-	faults := validator.Validate(d)
+	return reasonCarried
+}
+
+// follows says whether next may take the place of s: it goes on, and has the
+// same document at each revision that both know.
+func (s State) follows(next State) bool {
+	if next.Revision < s.Revision || next.Next < s.Next {
+		return false
+	}
+	for _, r := range s.Recent {
+		if hash, ok := next.hashOf(r.Revision); ok && hash != r.Hash {
+			return false
+		}
+	}
+	return true
+}
+
+// judge returns the faults of a document whose base is s. The time that counts
+// for approvals is the log's own.
+func (s State) judge(d *validator.Document, record appender.Record) validator.Faults {
+	faults := validator.Validate(*d)
+	held := s.heldApprovals()
 	for i, g := range d.Grants {
-		if err := approver.Check(&d, g, record.Time); err != nil && !s.holds(g) {
+		// A grant that stands unchanged is not checked again: its approval may
+		// have expired since, and is refused at each call then.
+		if a, ok := held[grantKey{g.Team, g.Service}]; ok && sameApproval(a, g.Approval) {
+			continue
+		}
+		if err := approver.Check(d, g, record.Time); err != nil {
 			faults = append(faults, validator.Fault{
-				Path: grantPath(i), Value: err.Error(), Allowed: "a current approval of the service's owner",
+				Path: "grants[" + strconv.Itoa(i) + "].approval", Value: err.Error(), Allowed: "a current approval of the service's owner",
 			})
 		}
 	}
-	if len(faults) > 0 {
-		return Invalid{Faults: faults}
-	}
-	return nil
+	return faults
+}
+
+type grantKey struct {
+	team    identifier.TeamName
+	service identifier.ServiceName
 }
 
-// holds says whether the grant stands unchanged in the document in force: one
-// that has since expired stays in the document, and is refused at each call.
-func (s State) holds(g validator.Grant) bool {
+func (s State) heldApprovals() map[grantKey]validator.Approval {
 	if s.Document == nil {
-		return false
+		return nil
+	}
+	held := make(map[grantKey]validator.Approval, len(s.Document.Grants))
+	for _, g := range s.Document.Grants {
+		held[grantKey{g.Team, g.Service}] = g.Approval
 	}
-	old, ok := s.Document.GrantOf(g.Team, g.Service)
-	return ok && old.Approval.Signature == g.Approval.Signature && old.Approval.Expires.Equal(g.Approval.Expires) && old.Approval.Owner == g.Approval.Owner
+	return held
 }
 
-func grantPath(i int) string {
-	return "grants[" + strconv.Itoa(i) + "].approval"
+func sameApproval(a, b validator.Approval) bool {
+	return a.Signature == b.Signature && a.Expires.Equal(b.Expires) && a.Owner == b.Owner
 }
--- a/ladder/accepter/follower.go
+++ b/ladder/accepter/follower.go
@@ -5,14 +5,13 @@
 	"sync"
 	"time"
 
+	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/jonboulle/clockwork"
-	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/lycheeladder/lycheeladder/ladder/annotator"
 	"github.com/lycheeladder/lycheeladder/ladder/appender"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
-	"github.com/lycheeladder/lycheeladder/ladder/validator"
 )
 
 const (
@@ -20,39 +19,80 @@
 	pageRecords = 256
 	// pollPause is the wait after a failed read.
 	pollPause = 500 * time.Millisecond
+	// maxVerdicts bounds the verdicts kept for publishers that wait or ask
+	// again.
+	maxVerdicts = 1024
 )
 
+// Random gives the random numbers that spread the entries' writes; *rand.Rand
+// is one.
+type Random interface{ Int64N(n int64) int64 }
+
+// Options are a Follower's settings.
+type Options struct {
+	// Retention is how long the log keeps a record. 0 says that it keeps all:
+	// then nothing is carried forward.
+	Retention time.Duration
+}
+
 // Follower keeps the accepted configuration up to date from the log.
 type Follower struct {
-	clock clockwork.Clock
-	log   appender.Log
+	clock   clockwork.Clock
+	log     appender.Log
+	peers   Peers
+	random  Random
+	options Options
 
 	mutex sync.Mutex
 	// state only moves forward.
 	state State
-	// caughtUp is set once the log's end has been reached.
+	// started is set once state rests on a prefix of the log, be it empty.
+	started bool
+	// caughtUp is set once the log's end has been reached, or a peer has told
+	// what is in force. Until then state is not in force here.
 	caughtUp bool
-	// verdicts keeps the verdict on each document read, newest last.
-	verdicts map[identifier.DocumentID]Verdict
+	// behindGap is set while records after state have left the log unread.
+	behindGap bool
+	// scanFrom is where the search for a carry-forward record goes on.
+	scanFrom identifier.LogOffset
+	// carried is the newest carry-forward known.
+	carried carried
+	// times has the log's times of the last records, at offset modulo length.
+	times [maxCarryLag]time.Time
+	// verdicts keeps the verdicts on the last documents read.
+	verdicts *lru.Cache[publication, Verdict]
 	// changed is closed and replaced at each change of state.
 	changed chan struct{}
 }
 
-// NewFollower returns a Follower of log.
-func NewFollower(clock clockwork.Clock, log appender.Log) *Follower {
+// publication names a document beyond doubt: ids are the operators' choice.
+type publication struct {
+	id   identifier.DocumentID
+	hash Hash
+}
+
+// NewFollower returns a Follower of log. peers is asked where the log doesn't
+// tell; nil if there are none.
+func NewFollower(clock clockwork.Clock, log appender.Log, peers Peers, random Random, options Options) *Follower {
+	verdicts, err := lru.New[publication, Verdict](maxVerdicts)
+	if err != nil {
+		panic(err)
+	}
 	return &Follower{
-		clock: clock, log: log,
-		verdicts: make(map[identifier.DocumentID]Verdict),
-		changed:  make(chan struct{}),
+		clock: clock, log: log, peers: peers, random: random, options: options,
+		verdicts: verdicts, changed: make(chan struct{}),
 	}
 }
 
-// State returns the configuration in force and whether the end of the log was
-// reached at least once.
+// State returns the configuration in force and true, or the zero State and
+// false while this reader doesn't know it yet.
 func (f *Follower) State() (State, bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.state, f.caughtUp
+	if !f.caughtUp {
+		return State{}, false
+	}
+	return f.state, true
 }
 
 // Changed returns a channel that is closed at the next change.
@@ -62,135 +102,96 @@
 	return f.changed
 }
 
-// Run reads the log until ctx ends. A log that is down is waited for.
+// Run reads the log until ctx ends, and carries the accepted state forward. A
+// log that is down is waited for.
 func (f *Follower) Run(ctx context.Context) {
+	carrying := make(chan struct{})
+	go func() {
+		defer close(carrying)
+		f.carry(ctx)
+	}()
+	defer func() { <-carrying }()
 	for ctx.Err() == nil {
 		if err := f.step(ctx); err != nil && ctx.Err() == nil {
-			klog.V(1).InfoS("reading the log failed", "err", err)
-			select {
-			case <-ctx.Done():
-			case <-f.clock.After(pollPause):
-			}
+			klog.V(1).InfoS("following the configuration failed", "err", err)
+			f.sleep(ctx, pollPause)
 		}
 	}
 }
 
+func (f *Follower) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-f.clock.After(d):
+	}
+}
+
+// step reads one page.
 func (f *Follower) step(ctx context.Context) (err error) {
 	defer annotator.Annotate(&err, "follow the configuration")
-	s, _ := f.State()
-	page, err := f.log.Read(ctx, appender.StreamConfiguration, s.Next, pageRecords)
+	f.mutex.Lock()
+	next, started, caughtUp := f.state.Next, f.started, f.caughtUp
+	f.mutex.Unlock()
+	page, err := f.log.Read(ctx, appender.StreamConfiguration, next, pageRecords)
 	if err != nil {
+		if !caughtUp {
+			f.askPeers(ctx)
+		}
 		return err
 	}
-	if page.FirstKept > s.Next {
-		if page, err = f.startFromCarryForward(ctx, page); err != nil {
-			return err
-		}
+	if !started || page.FirstKept > next {
+		return f.start(ctx, page)
 	}
 	f.apply(page)
 	return nil
 }
 
-// startFromCarryForward looks for a carry-forward record whose prefix still
-// joins the readable log without a gap, and reads on from there.
-func (f *Follower) startFromCarryForward(ctx context.Context, page appender.Page) (appender.Page, error) {
-	first := page.FirstKept
-	for {
-		for _, record := range page.Records {
-			r, err := DecodeRecord(record.Data)
-			if err != nil || r.Kind != KindCarryForward || r.ReadUpTo < first {
-				continue
-			}
-			d := r.Document
-			f.set(State{Revision: r.Revision, Document: &d, Next: r.ReadUpTo})
-			return f.log.Read(ctx, appender.StreamConfiguration, r.ReadUpTo, pageRecords)
-		}
-		if len(page.Records) == 0 {
-			return page, errors.Errorf("records before offset %d are gone and nothing carries them forward", first)
-		}
-		var err error
-		from := page.Records[len(page.Records)-1].Offset + 1
-		if page, err = f.log.Read(ctx, appender.StreamConfiguration, from, pageRecords); err != nil {
-			return page, err
-		}
-	}
-}
-
 func (f *Follower) apply(page appender.Page) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	before := f.state.Revision
+	f.behindGap = false
 	for _, record := range page.Records {
-		s, v := f.state.Apply(record)
-		f.state = s
-		f.note(record, v)
+		f.applyOne(record)
 	}
 	reached := f.state.Next >= page.Next
-	if f.state.Revision != before || (reached && !f.caughtUp) || len(page.Records) > 0 {
+	if len(page.Records) > 0 || (reached && !f.caughtUp) {
 		f.caughtUp = f.caughtUp || reached
 		f.notify()
 	}
 }
 
-func (f *Follower) note(record appender.Record, v Verdict) {
+// applyOne takes one record into the state. The caller holds the mutex.
+func (f *Follower) applyOne(record appender.Record) {
+	s, v := f.state.Apply(record)
+	f.state = s
+	f.times[record.Offset%maxCarryLag] = record.Time
 	r, err := DecodeRecord(record.Data)
-	if err != nil || r.Kind != KindProposal {
+	if err != nil {
+		klog.ErrorS(err, "configuration record ignored", "offset", record.Offset)
 		return
 	}
-	if _, ignored := v.(Ignored); ignored {
-		return
+	switch r := r.(type) {
+	case Proposal:
+		f.note(r, record, v)
+	case CarryForward:
+		f.noteCarried(r, record, v)
 	}
-	f.verdicts[r.Document.ID] = v
-	klog.InfoS("document judged", "document", r.Document.ID, "verdict", v, "revision", f.state.Revision, "offset", record.Offset)
 }
 
-func (f *Follower) set(s State) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	if s.Revision >= f.state.Revision {
-		f.state = s
-		f.notify()
+// note keeps a verdict for whoever has published the document. The caller
+// holds the mutex.
+func (f *Follower) note(p Proposal, record appender.Record, v Verdict) {
+	if _, ignored := v.(Ignored); ignored {
+		return
 	}
+	if _, accepted := v.(Accepted); accepted && f.carried.at.IsZero() {
+		f.carried.at = record.Time
+	}
+	f.verdicts.Add(publication{p.Document, p.Hash}, v)
+	klog.InfoS("document judged", "document", p.Document, "verdict", v, "revision", f.state.Revision, "offset", record.Offset)
 }
 
 func (f *Follower) notify() {
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
-
-// Publish appends the document as a proposal and waits for the verdict. An
-// error leaves open whether it will be accepted; to ask again, publish the
-// same document with the same id: it is never accepted twice.
-func (f *Follower) Publish(ctx context.Context, d validator.Document) (v Verdict, err error) {
-	defer annotator.Annotate(&err, "publish document %s", d.ID)
-	if v := f.verdictOn(d.ID); v != nil {
-		return v, nil
-	}
-	data, err := Record{Kind: KindProposal, Document: d}.Encode()
-	if err != nil {
-		return nil, err
-	}
-	if _, err := f.log.Append(ctx, appender.StreamConfiguration, [][]byte{data}); err != nil && !errors.Is(err, appender.ErrAnswerLost) {
-		return nil, err
-	}
-	for {
-		changed := f.Changed()
-		if v := f.verdictOn(d.ID); v != nil {
-			return v, nil
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		}
-	}
-}
-
-func (f *Follower) verdictOn(id identifier.DocumentID) Verdict {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	if v, ok := f.verdicts[id]; ok {
-		return v
-	}
-	return nil
-}
--- a/ladder/coordinator/coordinator.go
+++ b/ladder/coordinator/coordinator.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -35,6 +36,10 @@
 	KeyMaxAge time.Duration
 	// SampleTimeout bounds one attempt at a sample.
 	SampleTimeout time.Duration
+	// LogRetention is how long the log keeps records, 0 for ever.
+	LogRetention time.Duration
+	// Peers tell what is in force where the log can't; nil if there are none.
+	Peers accepter.Peers
 }
 
 // The retry budget: a tenth of recent successes, and a few to begin with.
@@ -61,10 +66,11 @@
 func New(clock clockwork.Clock, log appender.Log, random router.Random, r *recorder.Recorder, options Options) *Coordinator {
 	c := &Coordinator{
 		clock: clock, options: options, recorder: r,
-		follower: accepter.NewFollower(clock, log),
-		goals:    converger.NewGoals(),
-		claimer:  claimer.New(clock, log, options.KeyMaxAge),
-		limiter:  limiter.New(clock),
+		follower: accepter.NewFollower(clock, log, options.Peers, router.NewRandom(uint64(random.IntN(math.MaxInt32))),
+			accepter.Options{Retention: options.LogRetention}),
+		goals:   converger.NewGoals(),
+		claimer: claimer.New(clock, log, options.KeyMaxAge),
+		limiter: limiter.New(clock),
 	}
 	c.dispatcher = dispatcher.New(
 		clock, router.New(clock, random, options.Policy), heartbeater.New(clock, options.Heartbeats),
