--- a/sloper/rig/document.go
+++ b/sloper/rig/document.go
@@ -67,20 +67,32 @@
 // Key is the nth team's key.
 func Key(n int) string { return fmt.Sprintf("key-%d", n) }
 
+// RecordOf returns the proposal of d, made from base, as it is in the log.
+func RecordOf(base *Document, d Document) ([]byte, error) {
+	p, err := accepter.NewProposal(base, d)
+	if err != nil {
+		return nil, err
+	}
+	return accepter.EncodeRecord(p)
+}
+
 // memoryLog is a log whose only stream in use is the configuration's.
 type memoryLog struct {
 	mutex   sync.Mutex
 	records []appender.Record
 	changed chan struct{}
+	// last is the base of the next proposal.
+	last *Document
 }
 
 func newMemoryLog() *memoryLog { return &memoryLog{changed: make(chan struct{})} }
 
 func (l *memoryLog) put(d Document) error {
-	data, err := accepter.Record{Kind: accepter.KindProposal, Document: d}.Encode()
+	data, err := RecordOf(l.last, d)
 	if err != nil {
 		return err
 	}
+	l.last = &d
 	_, err = l.Append(context.Background(), appender.StreamConfiguration, [][]byte{data})
 	return err
 }
--- a/sloper/verb/teams.go
+++ b/sloper/verb/teams.go
@@ -22,7 +22,8 @@
 const changesTimed = 5
 
 func measureTeams(size int) (reading, error) {
-	first, err := recordOf(rig.NewDocument(size, 0), 0)
+	last := rig.NewDocument(size, 0)
+	first, err := recordOf(nil, last, 0)
 	if err != nil {
 		return nil, err
 	}
@@ -30,10 +31,11 @@
 	for n := range changesTimed {
 		d := rig.NewDocument(size, identifier.Revision(n+1))
 		d.Teams[0].Burst = n + 1
-		record, err := recordOf(d, n+1)
+		record, err := recordOf(&last, d, n+1)
 		if err != nil {
 			return nil, err
 		}
+		last = d
 		changes = append(changes, record)
 	}
 	before := rig.Memory()
@@ -59,7 +61,7 @@
 	}, nil
 }
 
-func recordOf(d rig.Document, offset int) (appender.Record, error) {
-	data, err := accepter.Record{Kind: accepter.KindProposal, Document: d}.Encode()
+func recordOf(base *rig.Document, d rig.Document, offset int) (appender.Record, error) {
+	data, err := rig.RecordOf(base, d)
 	return appender.Record{Offset: identifier.LogOffset(offset), Time: time.Now(), Data: data}, err
 }
