Measure tail latency and blocking against baselines, in virtual time

A new module, measurer, drives the real router, queuer and retry budget over fake engines with one event heap: the same seed gives the same figures. The queuer's order is now a sealed interface like the router's policy, so that first in, first out and plain priority stay as baselines; nothing else changes.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
 # Targets a newcomer needs: `make demo`, then `make test`.
 PROGRAMS := entry sidecar ladderctl standin
-MODULES := ladder $(PROGRAMS)
+MODULES := ladder measurer $(PROGRAMS)
 VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo dev)
 
-.PHONY: build test vet lint format demo
+.PHONY: build test vet lint format demo measure
 build:
 	@mkdir -p bin
 	@for p in $(PROGRAMS); do go build -ldflags "-X github.com/lycheeladder/lycheeladder/ladder/starter.Version=$(VERSION)" -o bin/$$p ./$$p || exit 1; done
@@ -22,3 +22,7 @@
 
 demo: build
 	@scripts/run-the-demo.sh
+
+# Baseline, ours and the bound side by side, in virtual time.
+measure:
+	@go run ./measurer all --write docs
--- a/ladder/queuer/queuer.go
+++ b/ladder/queuer/queuer.go
@@ -5,14 +5,12 @@
 	"context"
 	"sync"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 )
 
-// Live goes before rollout. Within a class the more urgent goes first, then
-// the one that has waited longest.
-
 // ErrFull says that the queue is at its limit.
 var ErrFull = errors.New("queue full")
 
@@ -21,11 +19,17 @@
 	Request identifier.RequestID
 	Attempt identifier.Attempt
 	Class   identifier.Class
+	// Urgency orders rollout work; larger is sooner.
 	Urgency int
+	// Expected is the expected number of tokens, 0 if unknown.
+	Expected identifier.TokenCount
 }
 
 // Queuer is a bounded queue with a bounded number of running items.
 type Queuer struct {
+	clock clockwork.Clock
+	order Order
+
 	mutex sync.Mutex
 	// waiting is in order of arrival.
 	waiting []Item
@@ -37,8 +41,8 @@
 }
 
 // New returns a Queuer with slots running and limit waiting items at most.
-func New(slots, limit int) *Queuer {
-	return &Queuer{slots: slots, limit: limit, changed: make(chan struct{})}
+func New(clock clockwork.Clock, order Order, slots, limit int) *Queuer {
+	return &Queuer{clock: clock, order: order, slots: slots, limit: limit, changed: make(chan struct{})}
 }
 
 // Resize changes the bounds; what waits or runs is left.
@@ -65,16 +69,10 @@
 // Take waits for the next item and takes a slot for it; Done gives it back.
 func (q *Queuer) Take(ctx context.Context) (Item, error) {
 	for {
-		q.mutex.Lock()
-		if best := q.best(); best >= 0 && q.running < q.slots {
-			i := q.waiting[best]
-			q.waiting = append(q.waiting[:best], q.waiting[best+1:]...)
-			q.running++
-			q.mutex.Unlock()
+		changed, i, ok := q.next()
+		if ok {
 			return i, nil
 		}
-		changed := q.changed
-		q.mutex.Unlock()
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -83,6 +81,25 @@
 	}
 }
 
+// Next is Take without the wait: it returns false if there is nothing to take.
+func (q *Queuer) Next() (Item, bool) {
+	_, i, ok := q.next()
+	return i, ok
+}
+
+func (q *Queuer) next() (changed <-chan struct{}, i Item, ok bool) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	best := q.best()
+	if best < 0 || q.running >= q.slots {
+		return q.changed, Item{}, false
+	}
+	i = q.waiting[best]
+	q.waiting = append(q.waiting[:best], q.waiting[best+1:]...)
+	q.running++
+	return nil, i, true
+}
+
 // Done gives a slot back.
 func (q *Queuer) Done() {
 	q.mutex.Lock()
@@ -114,20 +131,13 @@
 func (q *Queuer) best() int {
 	best := -1
 	for n, i := range q.waiting {
-		if best < 0 || before(i, q.waiting[best]) {
+		if best < 0 || q.before(i, q.waiting[best]) {
 			best = n
 		}
 	}
 	return best
 }
 
-func before(a, b Item) bool {
-	if a.Class != b.Class {
-		return a.Class == identifier.ClassLive
-	}
-	return a.Urgency > b.Urgency
-}
-
 func (q *Queuer) notify() {
 	close(q.changed)
 	q.changed = make(chan struct{})
--- /dev/null
+++ b/measurer/driver/deployment.go
@@ -0,0 +1,52 @@
+package driver
+
+import (
+	"time"
+
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/measurer/engine"
+)
+
+// Deployment is the size of one user's system.
+type Deployment struct {
+	Name    string
+	Zones   []identifier.ZoneName
+	Workers int
+	// BetweenZones and ToClients are one-way latencies.
+	BetweenZones time.Duration
+	ToClients    time.Duration
+	Engine       engine.Options
+}
+
+// reportInterval is the time between two load reports, and reportLag how old
+// each is when it comes.
+const (
+	reportInterval = time.Second
+	reportLag      = 500 * time.Millisecond
+)
+
+func engineOptions() engine.Options {
+	return engine.Options{TickTime: 5 * time.Millisecond, FullBatchCost: 0.5, Slots: 8, PrefillTicks: 4, CachedPrompts: 32}
+}
+
+// Deployments lists both users' sizes of today: Prakai's advice-models and
+// Pindan's clause-model.
+func Deployments() []Deployment {
+	return []Deployment{
+		{
+			Name: "bkk", Zones: []identifier.ZoneName{"bkk-a", "bkk-b", "bkk-c"}, Workers: 10,
+			BetweenZones: 1500 * time.Microsecond, ToClients: time.Millisecond, Engine: engineOptions(),
+		},
+		{
+			Name: "pilbara", Zones: []identifier.ZoneName{"pilbara-a", "pilbara-b", "pilbara-c"}, Workers: 8,
+			BetweenZones: 500 * time.Microsecond, ToClients: 3 * time.Millisecond, Engine: engineOptions(),
+		},
+	}
+}
+
+// Capacity returns the calls a second that full batches finish, if no prompt
+// is cached.
+func (d Deployment) Capacity(meanTokens float64) float64 {
+	tick := d.Engine.TickTime.Seconds() * (1 + d.Engine.FullBatchCost)
+	return float64(d.Workers*d.Engine.Slots) / (tick * (meanTokens + float64(d.Engine.PrefillTicks)))
+}
--- /dev/null
+++ b/measurer/driver/entry.go
@@ -0,0 +1,217 @@
+package driver
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/limiter"
+	"github.com/lycheeladder/lycheeladder/ladder/queuer"
+	"github.com/lycheeladder/lycheeladder/ladder/router"
+	"github.com/lycheeladder/lycheeladder/measurer/engine"
+)
+
+// The same as the dispatcher's and the coordinator's.
+const (
+	maxAttempts = 4
+	retryShare  = 0.1
+	retryMost   = 20
+)
+
+// Call is one caller's call.
+type Call struct {
+	Class  identifier.Class
+	Tokens int
+	// Expected is what the caller says of Tokens, 0 if nothing.
+	Expected identifier.TokenCount
+	Prompt   int
+	// Timeout is how long the caller waits; 0 is for ever.
+	Timeout time.Duration
+	Done    func(Result)
+}
+
+// Result is what became of a call.
+type Result struct {
+	Completed bool
+	// Refused says that it was not run, and RetryAfter when to come back.
+	Refused    bool
+	RetryAfter time.Duration
+	// Total is from the caller's sending to the whole answer, Wait from the
+	// arrival at the entry until an engine took it.
+	Total time.Duration
+	Wait  time.Duration
+}
+
+// Entry is one entry's choice of targets.
+type Entry struct {
+	system *System
+	zone   identifier.ZoneName
+	router *router.Router
+	budget *limiter.Budget
+	calls  int
+}
+
+func (s *System) newEntry(zone identifier.ZoneName, seed uint64) *Entry {
+	return &Entry{
+		system: s, zone: zone, router: router.New(s.Timer.Clock(), router.NewRandom(seed), s.options.Policy),
+		budget: limiter.NewBudget(retryShare, retryMost),
+	}
+}
+
+// open is a call that has no answer yet.
+type open struct {
+	entry    *Entry
+	call     Call
+	request  identifier.RequestID
+	sentAt   time.Time
+	cameAt   time.Time
+	started  time.Time
+	tried    map[identifier.TargetName]bool
+	attempts map[identifier.Attempt]*attempt
+	last     identifier.Attempt
+	ended    bool
+	refusal  Result
+}
+
+// attempt is one dispatch of a call.
+type attempt struct {
+	worker *Worker
+	began  time.Time
+	// heard is when a piece of its answer came last.
+	heard time.Time
+}
+
+// Send sends a call from a client of the entry.
+func (e *Entry) Send(c Call) {
+	t := e.system.Timer
+	e.calls++
+	o := &open{
+		entry: e, call: c, sentAt: t.Now(),
+		request:  identifier.RequestID(string(e.zone) + "/" + strconv.Itoa(e.calls)),
+		tried:    make(map[identifier.TargetName]bool),
+		attempts: make(map[identifier.Attempt]*attempt),
+	}
+	t.After(e.system.options.Deployment.ToClients, func() {
+		o.cameAt = t.Now()
+		o.try()
+		if c.Timeout > 0 {
+			t.After(c.Timeout, func() { o.end(Result{}) })
+		}
+	})
+}
+
+// try gives the call to a target that wasn't tried yet; it returns false if
+// there is none.
+func (o *open) try() bool {
+	e := o.entry
+	target, ok := e.router.Choose(e.candidates(o.tried))
+	if !ok {
+		return false
+	}
+	o.tried[target] = true
+	o.last++
+	n := o.last
+	now := e.system.Timer.Now()
+	a := &attempt{worker: e.system.worker(target), began: now, heard: now}
+	o.attempts[n] = a
+	e.system.Timer.After(e.system.latency(e.zone, a.worker.Zone), func() { o.arrive(n, a) })
+	return true
+}
+
+// arrive is at the worker.
+func (o *open) arrive(n identifier.Attempt, a *attempt) {
+	t := o.entry.system.Timer
+	back := o.entry.system.latency(o.entry.zone, a.worker.Zone)
+	if o.attempts[n] != a {
+		return
+	}
+	work := &engine.Job{Tokens: o.call.Tokens, Prompt: o.call.Prompt}
+	work.Started = func() {
+		if o.started.IsZero() {
+			o.started = t.Now()
+		}
+	}
+	work.Token = func() { t.After(back, func() { o.heard(n, a) }) }
+	work.Ended = func() { t.After(back, func() { o.answered(n, a) }) }
+	i := queuer.Item{Request: o.request, Attempt: n, Class: o.call.Class, Expected: o.call.Expected}
+	if err := a.worker.start(i, work); err != nil {
+		t.After(back, func() { o.refused(n, a, time.Second) })
+	}
+}
+
+// heard is at the entry: a piece of an answer has come.
+func (o *open) heard(n identifier.Attempt, a *attempt) {
+	if o.attempts[n] != a {
+		return
+	}
+	a.heard = o.entry.system.Timer.Now()
+}
+
+func (o *open) answered(n identifier.Attempt, a *attempt) {
+	if o.attempts[n] != a {
+		return
+	}
+	e := o.entry
+	now := e.system.Timer.Now()
+	delete(o.attempts, n)
+	e.router.Done(a.worker.Name, now.Sub(a.began))
+	e.budget.Earn()
+	o.end(Result{
+		Completed: true, Wait: o.started.Sub(o.cameAt),
+		Total: now.Sub(o.sentAt) + e.system.options.Deployment.ToClients,
+	})
+}
+
+func (o *open) refused(n identifier.Attempt, a *attempt, retryAfter time.Duration) {
+	if o.attempts[n] != a {
+		return
+	}
+	e := o.entry
+	delete(o.attempts, n)
+	e.router.Done(a.worker.Name, 0)
+	if len(o.attempts) > 0 {
+		return
+	}
+	if o.last < maxAttempts && e.budget.Spend() && o.try() {
+		e.system.Retries++
+		return
+	}
+	o.end(Result{Refused: true, RetryAfter: retryAfter, Total: e.system.Timer.Now().Sub(o.sentAt)})
+}
+
+// end gives the caller its answer and gives up what is still open.
+func (o *open) end(r Result) {
+	if o.ended {
+		return
+	}
+	o.ended = true
+	for n, a := range o.attempts {
+		delete(o.attempts, n)
+		o.entry.router.Done(a.worker.Name, 0)
+		o.entry.system.Timer.After(o.entry.system.latency(o.entry.zone, a.worker.Zone), func() { a.worker.cancel(o.request, n) })
+	}
+	if o.call.Done != nil {
+		o.call.Done(r)
+	}
+}
+
+func (e *Entry) candidates(tried map[identifier.TargetName]bool) []router.Candidate {
+	var candidates []router.Candidate
+	for _, w := range e.system.Workers {
+		if !tried[w.Name] {
+			candidates = append(candidates, router.Candidate{
+				Target: w.Name, Zone: w.Zone, Reported: w.reported, ReportedAt: w.reportedAt,
+			})
+		}
+	}
+	return candidates
+}
+
+func (s *System) worker(name identifier.TargetName) *Worker {
+	for _, w := range s.Workers {
+		if w.Name == name {
+			return w
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/measurer/driver/worker.go
@@ -0,0 +1,90 @@
+package driver
+
+import (
+	"time"
+
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/queuer"
+	"github.com/lycheeladder/lycheeladder/measurer/engine"
+)
+
+// Worker is a sidecar's queue before its engine.
+type Worker struct {
+	Name   identifier.TargetName
+	Zone   identifier.ZoneName
+	Engine *engine.Engine
+
+	system     *System
+	queue      *queuer.Queuer
+	jobs       map[jobKey]*job
+	reported   int
+	reportedAt time.Time
+}
+
+type jobKey struct {
+	request identifier.RequestID
+	attempt identifier.Attempt
+}
+
+// job is one attempt at a worker.
+type job struct {
+	work *engine.Job
+	// running is set once the work has its slot.
+	running bool
+}
+
+func (w *Worker) load() int {
+	running, waiting, _ := w.queue.Lengths()
+	return running + waiting
+}
+
+// start queues an attempt, or says that the queue is full and for how long.
+func (w *Worker) start(i queuer.Item, work *engine.Job) error {
+	k := jobKey{i.Request, i.Attempt}
+	if err := w.queue.Put(i); err != nil {
+		return err
+	}
+	w.jobs[k] = &job{work: work}
+	ended := work.Ended
+	work.Ended = func() {
+		w.end(k)
+		ended()
+	}
+	w.pump()
+	return nil
+}
+
+// cancel gives an attempt up.
+func (w *Worker) cancel(request identifier.RequestID, attempt identifier.Attempt) {
+	k := jobKey{request, attempt}
+	j, ok := w.jobs[k]
+	if !ok {
+		return
+	}
+	if j.running {
+		w.Engine.Remove(j.work)
+		w.end(k)
+		return
+	}
+	w.queue.Remove(request, attempt)
+	delete(w.jobs, k)
+}
+
+func (w *Worker) end(k jobKey) {
+	delete(w.jobs, k)
+	w.queue.Done()
+	w.pump()
+}
+
+// pump hands waiting work to the engine while there are slots.
+func (w *Worker) pump() {
+	for {
+		i, ok := w.queue.Next()
+		if !ok {
+			return
+		}
+		j := w.jobs[jobKey{i.Request, i.Attempt}]
+		j.running = true
+		w.Engine.Add(j.work)
+	}
+}
--- /dev/null
+++ b/measurer/engine/engine.go
@@ -0,0 +1,181 @@
+// Package engine is a model engine in virtual time, as far as the decisions
+// under measure can tell one from a real engine.
+package engine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/measurer/timer"
+)
+
+// Batching is continuous: work joins and leaves between two ticks, and in each
+// tick every running piece of work makes one token. A fuller batch ticks more
+// slowly. A prompt that isn't in the prefix cache costs some ticks first.
+
+// Options are an engine's speeds.
+type Options struct {
+	// TickTime is the time of a token in an all but empty batch.
+	TickTime time.Duration
+	// FullBatchCost is the share by which a full batch slows a tick.
+	FullBatchCost float64
+	Slots         int
+	// PrefillTicks is the cost of a prompt that isn't cached.
+	PrefillTicks int
+	// CachedPrompts is how many prompts the prefix cache holds.
+	CachedPrompts int
+}
+
+// Job is one piece of work.
+type Job struct {
+	Tokens int
+	Prompt int
+	// Started, Token and Ended are called as it happens; each may be nil.
+	Started func()
+	Token   func()
+	Ended   func()
+
+	prefill int
+	made    int
+	// versions has the version of each run of tokens.
+	versions []identifier.WeightVersion
+}
+
+// Made returns how many tokens were made.
+func (j *Job) Made() int { return j.made }
+
+// Oldest returns the oldest version that made a token, 0 if there is none.
+func (j *Job) Oldest() identifier.WeightVersion {
+	if len(j.versions) == 0 {
+		return 0
+	}
+	return j.versions[0]
+}
+
+// Engine is one engine.
+type Engine struct {
+	timer   *timer.Timer
+	options Options
+	running []*Job
+	joining []*Job
+	// cached prompts, the one used last at the end.
+	cached  []int
+	slow    float64
+	ticking bool
+	paused  bool
+	version identifier.WeightVersion
+	// made counts every token.
+	made int
+}
+
+// New returns an idle engine.
+func New(t *timer.Timer, options Options) *Engine {
+	return &Engine{timer: t, options: options, slow: 1, version: 1}
+}
+
+// SetSlow makes later ticks last factor times as long.
+func (e *Engine) SetSlow(factor float64) { e.slow = factor }
+
+// Made returns how many tokens were made.
+func (e *Engine) Made() int { return e.made }
+
+// Running returns how much work is in the batch.
+func (e *Engine) Running() int { return len(e.running) + len(e.joining) }
+
+// Version returns the weights in use.
+func (e *Engine) Version() identifier.WeightVersion { return e.version }
+
+// Switch makes no tokens for d, then uses version.
+func (e *Engine) Switch(version identifier.WeightVersion, d time.Duration, done func()) {
+	e.paused = true
+	e.timer.After(d, func() {
+		e.paused = false
+		e.version = version
+		e.next()
+		done()
+	})
+}
+
+// Add lets the job join the batch at the next tick.
+func (e *Engine) Add(j *Job) {
+	e.joining = append(e.joining, j)
+	e.next()
+}
+
+// Remove takes a job out, whether it has begun or not.
+func (e *Engine) Remove(j *Job) {
+	is := func(other *Job) bool { return other == j }
+	e.running = slices.DeleteFunc(e.running, is)
+	e.joining = slices.DeleteFunc(e.joining, is)
+}
+
+func (e *Engine) next() {
+	if e.ticking || e.paused {
+		return
+	}
+	e.join()
+	if len(e.running) == 0 {
+		return
+	}
+	e.ticking = true
+	full := float64(len(e.running)) / float64(e.options.Slots)
+	d := float64(e.options.TickTime) * (1 + e.options.FullBatchCost*full) * e.slow
+	e.timer.After(time.Duration(d), e.tick)
+}
+
+func (e *Engine) join() {
+	joining := e.joining
+	e.joining = nil
+	for _, j := range joining {
+		j.prefill = e.prefill(j.Prompt)
+		e.running = append(e.running, j)
+		if j.Started != nil {
+			j.Started()
+		}
+	}
+}
+
+func (e *Engine) prefill(prompt int) int {
+	at := slices.Index(e.cached, prompt)
+	if at >= 0 {
+		e.cached = slices.Delete(e.cached, at, at+1)
+	}
+	e.cached = append(e.cached, prompt)
+	if len(e.cached) > e.options.CachedPrompts {
+		e.cached = e.cached[1:]
+	}
+	if at >= 0 {
+		return 0
+	}
+	return e.options.PrefillTicks
+}
+
+func (e *Engine) tick() {
+	e.ticking = false
+	var ended []*Job
+	for _, j := range slices.Clone(e.running) {
+		if j.prefill > 0 {
+			j.prefill--
+			continue
+		}
+		j.made++
+		e.made++
+		if len(j.versions) == 0 || j.versions[len(j.versions)-1] != e.version {
+			j.versions = append(j.versions, e.version)
+		}
+		if j.Token != nil {
+			j.Token()
+		}
+		if j.made >= j.Tokens {
+			ended = append(ended, j)
+		}
+	}
+	for _, j := range ended {
+		e.Remove(j)
+		if j.Ended != nil {
+			j.Ended()
+		}
+	}
+	e.next()
+}
--- /dev/null
+++ b/measurer/plotter/plotter.go
@@ -0,0 +1,82 @@
+// Package plotter draws a report as horizontal bars in SVG.
+package plotter
+
+import (
+	"fmt"
+	"html"
+	"math"
+	"slices"
+	"strings"
+
+	"github.com/lycheeladder/lycheeladder/measurer/summarizer"
+)
+
+// Sizes are in SVG user units.
+const (
+	labelWidth = 360
+	barsWidth  = 420
+	valueWidth = 110
+	rowHeight  = 18
+	topMargin  = 28
+)
+
+// Bars draws one bar per line, its length the median, with a whisker from the
+// least to the most over the seeds. Lines of one figure share a scale that is
+// logarithmic, since the baselines are often many times worse.
+func Bars(r *summarizer.Report) string {
+	lines := slices.Clone(r.Lines)
+	slices.SortStableFunc(lines, func(a, b summarizer.Line) int {
+		return strings.Compare(a.Deployment+a.Figure, b.Deployment+b.Figure)
+	})
+	height := topMargin + rowHeight*len(lines) + rowHeight
+	var b strings.Builder
+	fmt.Fprintf(&b, `<svg xmlns="http://www.w3.org/2000/svg" width="%d" height="%d" font-family="sans-serif" font-size="11">`+"\n",
+		labelWidth+barsWidth+valueWidth, height)
+	fmt.Fprintf(&b, `<rect width="100%%" height="100%%" fill="white"/><text x="8" y="17" font-size="13">%s (logarithmic)</text>`+"\n", html.EscapeString(r.Title))
+	for n, l := range lines {
+		bar(&b, l, scaleOf(lines, l.Figure), topMargin+n*rowHeight)
+	}
+	b.WriteString("</svg>\n")
+	return b.String()
+}
+
+// scale is the range of a figure over all lines.
+type scale struct{ least, most float64 }
+
+func scaleOf(lines []summarizer.Line, figure string) scale {
+	s := scale{least: math.Inf(1)}
+	for _, l := range lines {
+		for _, v := range l.Values {
+			if l.Figure == figure && v > 0 {
+				s.least, s.most = min(s.least, v), max(s.most, v)
+			}
+		}
+	}
+	return s
+}
+
+// at returns where a value lies on the bars' width.
+func (s scale) at(v float64) float64 {
+	const shortest = 20.0
+	if v <= 0 || s.most <= 0 {
+		return 0
+	}
+	if s.most == s.least {
+		return barsWidth
+	}
+	return shortest + (barsWidth-shortest)*math.Log(v/s.least)/math.Log(s.most/s.least)
+}
+
+func bar(b *strings.Builder, l summarizer.Line, s scale, y int) {
+	fill := "#9aa7b5"
+	if strings.HasPrefix(l.Variant, "ours") {
+		fill = "#b5485d"
+	}
+	median := summarizer.Quantile(l.Values, 0.5)
+	label := fmt.Sprintf("%s, %s, %s", l.Deployment, l.Figure, l.Variant)
+	fmt.Fprintf(b, `<text x="8" y="%d">%s</text>`, y+12, html.EscapeString(label))
+	fmt.Fprintf(b, `<rect x="%d" y="%d" width="%.1f" height="12" fill="%s"/>`, labelWidth, y+2, s.at(median), fill)
+	fmt.Fprintf(b, `<line x1="%.1f" x2="%.1f" y1="%d" y2="%d" stroke="black"/>`,
+		labelWidth+s.at(slices.Min(l.Values)), labelWidth+s.at(slices.Max(l.Values)), y+8, y+8)
+	fmt.Fprintf(b, `<text x="%d" y="%d">%.4g %s</text>`+"\n", labelWidth+barsWidth+6, y+12, median, html.EscapeString(l.Unit))
+}
--- /dev/null
+++ b/measurer/verb/blocking.go
@@ -0,0 +1,82 @@
+package verb
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/queuer"
+	"github.com/lycheeladder/lycheeladder/ladder/router"
+	"github.com/lycheeladder/lycheeladder/measurer/driver"
+	"github.com/lycheeladder/lycheeladder/measurer/summarizer"
+)
+
+// blocking measures how long short calls wait behind long ones. Both are live
+// and of the same call, so that only their length tells them apart.
+type blocking struct{}
+
+const (
+	blockingLoad   = 0.8
+	longShare      = 1.0 / 20
+	longFactor     = 30
+	blockingBound  = 1.5
+	longThroughput = 0.95
+	blockingWarmUp = 20 * time.Second
+	blockingTime   = 180 * time.Second
+	noLongWork     = "ours, no long work"
+)
+
+func (blocking) variants() []variant {
+	return []variant{
+		{name: "first in, first out", policy: router.TwoChoices{}, order: queuer.FirstInFirstOut{}},
+		{name: "plain priority", policy: router.TwoChoices{}, order: queuer.PlainPriority{}},
+		{name: ours, policy: router.Expected{}, order: queuer.PlainPriority{}},
+		{name: noLongWork, policy: router.Expected{}, order: queuer.PlainPriority{}, calm: true},
+	}
+}
+
+func (m blocking) report(seeds []uint64) summarizer.Report {
+	r := summarizer.Report{
+		Name: "blocking", Title: "Wait of short work behind long work",
+		Setting: fmt.Sprintf("1 call in 20 is %d times as long as the others (%d to %d tokens), at %.0f%% of the capacity, for %s after a warm-up of %s. The wait is from the arrival at an entry until an engine's batch takes the call. \"No long work\" is the same short calls alone.",
+			longFactor, shortLeast, shortMost, 100*blockingLoad, blockingTime, blockingWarmUp),
+	}
+	for _, d := range driver.Deployments() {
+		for _, v := range m.variants() {
+			p50 := summarizer.Line{Deployment: d.Name, Variant: v.name, Figure: "short p50 wait", Unit: "ms"}
+			p99 := summarizer.Line{Deployment: d.Name, Variant: v.name, Figure: "short p99 wait", Unit: "ms"}
+			long := summarizer.Line{Deployment: d.Name, Variant: v.name, Figure: "long tokens", Unit: "tokens/s"}
+			for _, seed := range seeds {
+				shorts, longs := m.run(d, v, seed)
+				p50.Values = append(p50.Values, summarizer.Quantile(shorts.waits, 0.5))
+				p99.Values = append(p99.Values, summarizer.Quantile(shorts.waits, 0.99))
+				long.Values = append(long.Values, float64(longs.tokens)/blockingTime.Seconds())
+			}
+			r.Lines = append(r.Lines, p50, p99, long)
+		}
+		r.Aims = append(r.Aims, summarizer.Aim{
+			Deployment: d.Name, Text: "short p99 wait over that with no long work", Bound: blockingBound,
+			Value: summarizer.Ratio(r.Find(d.Name, ours, "short p99 wait"), r.Find(d.Name, noLongWork, "short p99 wait")),
+		}, summarizer.Aim{
+			Deployment: d.Name, Text: "long tokens over first in, first out", Bound: longThroughput, AtLeast: true,
+			Value: summarizer.Ratio(r.Find(d.Name, ours, "long tokens"), r.Find(d.Name, "first in, first out", "long tokens")),
+		})
+	}
+	return r
+}
+
+func (blocking) run(d driver.Deployment, v variant, seed uint64) (shorts, longs *observed) {
+	s := driver.New(driver.Options{Deployment: d, Policy: v.policy, Order: v.order, QueueLimit: 1024, Hedge: v.hedge, Seed: seed})
+	const meanShort = float64(shortLeast+shortMost) / 2
+	rate := blockingLoad * d.Capacity(meanShort*(1-longShare+longShare*longFactor))
+	start := s.Timer.Now()
+	from, until := start.Add(blockingWarmUp), start.Add(blockingWarmUp+blockingTime)
+	shorts, longs = &observed{}, &observed{}
+	arrive(s, kind{class: identifier.ClassLive, perSecond: rate * (1 - longShare), least: shortLeast, most: shortMost}, from, until, shorts)
+	if !v.calm {
+		long := kind{class: identifier.ClassLive, perSecond: rate * longShare, least: shortLeast * longFactor, most: shortMost * longFactor}
+		arrive(s, long, from, until, longs)
+	}
+	s.Timer.Run(blockingWarmUp + blockingTime)
+	return shorts, longs
+}
--- /dev/null
+++ b/measurer/verb/load.go
@@ -0,0 +1,76 @@
+package verb
+
+import (
+	"time"
+
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/measurer/driver"
+)
+
+// kind is a kind of call and how often it comes.
+type kind struct {
+	class identifier.Class
+	// perSecond is the mean rate; arrivals are independent of each other.
+	perSecond float64
+	// least and most bound the tokens of a call.
+	least, most int
+	timeout     time.Duration
+}
+
+// prompts is how many different prompts are asked about.
+const prompts = 200
+
+// observed collects what became of the calls of one kind.
+type observed struct {
+	sent      int
+	completed int
+	refused   int
+	tokens    int
+	// totals and waits are in milliseconds, of completed calls.
+	totals []float64
+	waits  []float64
+}
+
+// arrive sends calls of a kind until the moment given, and gives each result
+// to o if the call was sent after the warm-up.
+func arrive(s *driver.System, k kind, from, until time.Time, o *observed) {
+	gap := time.Duration(s.Random.ExpFloat64() / k.perSecond * float64(time.Second))
+	s.Timer.After(gap, func() {
+		now := s.Timer.Now()
+		if now.After(until) {
+			return
+		}
+		send(s, k, now.After(from), o)
+		arrive(s, k, from, until, o)
+	})
+}
+
+func send(s *driver.System, k kind, counts bool, o *observed) {
+	tokens := k.least + s.Random.IntN(k.most-k.least+1)
+	s.AnyEntry().Send(driver.Call{
+		Class: k.class, Tokens: tokens, Expected: identifier.TokenCount(tokens), Prompt: s.Random.IntN(prompts),
+		Timeout: k.timeout,
+		Done: func(r driver.Result) {
+			if counts {
+				o.add(r, tokens)
+			}
+		},
+	})
+	if counts {
+		o.sent++
+	}
+}
+
+func (o *observed) add(r driver.Result, tokens int) {
+	switch {
+	case r.Completed:
+		o.completed++
+		o.tokens += tokens
+		o.totals = append(o.totals, milliseconds(r.Total))
+		o.waits = append(o.waits, milliseconds(r.Wait))
+	case r.Refused:
+		o.refused++
+	}
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/measurer/verb/tail.go
@@ -0,0 +1,107 @@
+package verb
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/queuer"
+	"github.com/lycheeladder/lycheeladder/ladder/router"
+	"github.com/lycheeladder/lycheeladder/measurer/driver"
+	"github.com/lycheeladder/lycheeladder/measurer/summarizer"
+)
+
+// tail measures the p99 of short live calls while some targets are slow. The
+// hardest case is taken: at every moment two targets are slow, and which two
+// changes every few seconds, so that what was learnt is soon wrong.
+type tail struct{}
+
+const (
+	slowTargets  = 2
+	slowFactor   = 10
+	slowMoment   = 5 * time.Second
+	tailWarmUp   = 10 * time.Second
+	tailTime     = 120 * time.Second
+	tailLoad     = 0.5
+	tailBound    = 1.2
+	shortLeast   = 10
+	shortMost    = 50
+	queueLimit   = 64
+	noSlowTarget = "ours, no target slow"
+	ours         = "ours"
+)
+
+// variant is one way to decide.
+type variant struct {
+	name   string
+	policy router.Policy
+	order  queuer.Order
+	hedge  bool
+	calm   bool
+}
+
+func (tail) variants() []variant {
+	order := queuer.PlainPriority{}
+	return []variant{
+		{name: "round robin", policy: router.RoundRobin{}, order: order},
+		{name: "least in flight", policy: router.LeastInFlight{}, order: order},
+		{name: "two random choices", policy: router.TwoChoices{}, order: order},
+		{name: ours, policy: router.Expected{}, order: order},
+		{name: noSlowTarget, policy: router.Expected{}, order: order, calm: true},
+	}
+}
+
+func (m tail) report(seeds []uint64) summarizer.Report {
+	r := summarizer.Report{
+		Name: "tail", Title: "Tail latency while some targets are slow",
+		Setting: fmt.Sprintf("Short live calls (%d to %d tokens) at %.0f%% of the capacity, for %s after a warm-up of %s. At every moment %d targets take %d times as long for a token; which ones changes every %s. Load reports lag.",
+			shortLeast, shortMost, 100*tailLoad, tailTime, tailWarmUp, slowTargets, slowFactor, slowMoment),
+	}
+	for _, d := range driver.Deployments() {
+		for _, v := range m.variants() {
+			p50 := summarizer.Line{Deployment: d.Name, Variant: v.name, Figure: "p50", Unit: "ms"}
+			p99 := summarizer.Line{Deployment: d.Name, Variant: v.name, Figure: "p99", Unit: "ms"}
+			extra := summarizer.Line{Deployment: d.Name, Variant: v.name, Figure: "hedges", Unit: "of calls"}
+			for _, seed := range seeds {
+				s, o := m.run(d, v, seed)
+				p50.Values = append(p50.Values, summarizer.Quantile(o.totals, 0.5))
+				p99.Values = append(p99.Values, summarizer.Quantile(o.totals, 0.99))
+				extra.Values = append(extra.Values, float64(s.Hedges)/float64(o.sent))
+			}
+			r.Lines = append(r.Lines, p50, p99)
+			if v.hedge {
+				r.Lines = append(r.Lines, extra)
+			}
+		}
+		r.Aims = append(r.Aims, summarizer.Aim{
+			Deployment: d.Name, Text: "p99 over the p99 with no target slow", Bound: tailBound,
+			Value: summarizer.Ratio(r.Find(d.Name, ours, "p99"), r.Find(d.Name, noSlowTarget, "p99")),
+		})
+	}
+	return r
+}
+
+func (tail) run(d driver.Deployment, v variant, seed uint64) (*driver.System, *observed) {
+	s := driver.New(driver.Options{Deployment: d, Policy: v.policy, Order: v.order, QueueLimit: queueLimit, Hedge: v.hedge, Seed: seed})
+	if !v.calm {
+		slowDown(s)
+	}
+	o := &observed{}
+	k := kind{class: identifier.ClassLive, perSecond: tailLoad * d.Capacity((shortLeast+shortMost)/2), least: shortLeast, most: shortMost}
+	start := s.Timer.Now()
+	arrive(s, k, start.Add(tailWarmUp), start.Add(tailWarmUp+tailTime), o)
+	s.Timer.Run(tailWarmUp + tailTime + 30*time.Second)
+	return s, o
+}
+
+// slowDown makes some targets slow for a moment, then others.
+func slowDown(s *driver.System) {
+	for n, at := range s.Random.Perm(len(s.Workers)) {
+		factor := 1.0
+		if n < slowTargets {
+			factor = slowFactor
+		}
+		s.Workers[at].Engine.SetSlow(factor)
+	}
+	s.Timer.After(slowMoment, func() { slowDown(s) })
+}
--- /dev/null
+++ b/measurer/verb/verb.go
@@ -0,0 +1,92 @@
+// Package verb has one file per measure and a table of them all.
+package verb
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kong"
+	"k8s.io/klog/v2"
+
+	"github.com/lycheeladder/lycheeladder/ladder/starter"
+	"github.com/lycheeladder/lycheeladder/measurer/summarizer"
+)
+
+const manual = `Measures the decisions under load against baselines, in virtual time.
+
+Without a verb's name it takes all. Exit codes: 0 done, whether aims were met
+or not; 1 failed; 2 wrong usage.`
+
+// measure is one verb.
+type measure interface {
+	// report runs every variant with every seed.
+	report(seeds []uint64) summarizer.Report
+}
+
+// line is a line of the table.
+type line struct {
+	name    string
+	help    string
+	measure measure
+}
+
+// table lists every measure once, in the order of the page.
+var table = []line{
+	{"tail", "Tail latency while some targets are slow for moments.", tail{}},
+	{"blocking", "Wait of short work behind long work.", blocking{}},
+}
+
+// common are the settings of every verb.
+type common struct {
+	Seeds uint64 `help:"How many seeds, from 1." default:"5"`
+	Write string `help:"Directory for MEASUREMENTS.md and plots; nothing is written if empty." default:""`
+}
+
+// chosen is a verb of the command line.
+type chosen struct{ common }
+
+// Main parses the arguments, runs the chosen measures and returns the exit
+// code.
+func Main(arguments []string, stdout, stderr io.Writer) int {
+	settings := &struct{ starter.Common }{}
+	all := &chosen{}
+	verbs := map[string]*chosen{"all": all}
+	commands := []kong.Option{kong.DynamicCommand("all", "Every measure.", "", all)}
+	for _, l := range table {
+		verbs[l.name] = &chosen{}
+		commands = append(commands, kong.DynamicCommand(l.name, l.help, "", verbs[l.name]))
+	}
+	d := starter.Description{Name: "measurer", Text: manual, Options: commands}
+	parsed, code, ok := starter.Parse(d, settings, arguments, stdout, stderr)
+	if !ok {
+		return code
+	}
+	starter.SetUpLogs(settings.LogVerbosity)
+	defer klog.Flush()
+	name := parsed.Selected().Name
+	if err := run(name, verbs[name].common, stdout); err != nil {
+		fmt.Fprintf(stderr, "measurer: %s: %s\n", name, err)
+		return starter.ExitFailed
+	}
+	return starter.ExitOK
+}
+
+func run(name string, c common, stdout io.Writer) error {
+	seeds := make([]uint64, c.Seeds)
+	for n := range seeds {
+		seeds[n] = uint64(n) + 1
+	}
+	var reports []summarizer.Report
+	for _, l := range table {
+		if name != "all" && name != l.name {
+			continue
+		}
+		r := l.measure.report(seeds)
+		fmt.Fprintln(stdout, r.Markdown())
+		reports = append(reports, r)
+	}
+	if c.Write == "" {
+		return nil
+	}
+	return write(c.Write, reports)
+}
