--- a/measurer/driver/entry.go
+++ b/measurer/driver/entry.go
@@ -70,7 +70,6 @@
 	attempts map[identifier.Attempt]*attempt
 	last     identifier.Attempt
 	ended    bool
-	refusal  Result
 }
 
 // attempt is one dispatch of a call.
