--- a/measurer/driver/deployment.go
+++ b/measurer/driver/deployment.go
@@ -26,7 +26,7 @@
 )
 
 func engineOptions() engine.Options {
-	return engine.Options{TickTime: 5 * time.Millisecond, FullBatchCost: 0.5, Slots: 8, PrefillTicks: 4, CachedPrompts: 32}
+	return engine.Options{TickTime: 5 * time.Millisecond, FullBatchCost: 0.5, Slots: 8, PrefillTicks: 4, CachedPrompts: 32, Jitter: 0.3}
 }
 
 // Deployments lists both users' sizes of today: Prakai's advice-models and
--- a/measurer/driver/driver.go
+++ b/measurer/driver/driver.go
@@ -63,12 +63,17 @@
 	}
 }
 
-// latency is the one-way time between two zones.
+// networkJitter is the mean share that queues in the network add.
+const networkJitter = 0.2
+
+// latency is the one-way time between two zones, for one message. A message
+// may overtake another.
 func (s *System) latency(a, b identifier.ZoneName) time.Duration {
+	d := float64(s.options.Deployment.BetweenZones)
 	if a == b {
-		return s.options.Deployment.BetweenZones / 3
+		d /= 3
 	}
-	return s.options.Deployment.BetweenZones
+	return time.Duration(d * (1 + networkJitter*s.Random.ExpFloat64()))
 }
 
 // AnyEntry is what the platform's balancer does: it spreads calls evenly.
@@ -77,7 +82,7 @@
 func (s *System) newWorker(n int, zone identifier.ZoneName) *Worker {
 	return &Worker{
 		system: s, Name: identifier.TargetName(fmt.Sprintf("worker-%02d", n)), Zone: zone,
-		Engine: engine.New(s.Timer, s.options.Deployment.Engine),
+		Engine: engine.New(s.Timer, s.Random, s.options.Deployment.Engine),
 		queue:  queuer.New(s.Timer.Clock(), s.options.Order, s.options.Deployment.Engine.Slots, s.options.QueueLimit),
 		jobs:   make(map[jobKey]*job),
 	}
--- a/measurer/engine/engine.go
+++ b/measurer/engine/engine.go
@@ -3,6 +3,7 @@
 package engine
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -23,6 +24,8 @@
 	Slots         int
 	// PrefillTicks is the cost of a prompt that isn't cached.
 	PrefillTicks int
+	// Jitter is the share by which a tick is shorter or longer at most.
+	Jitter float64
 	// CachedPrompts is how many prompts the prefix cache holds.
 	CachedPrompts int
 }
@@ -56,6 +59,7 @@
 // Engine is one engine.
 type Engine struct {
 	timer   *timer.Timer
+	random  *rand.Rand
 	options Options
 	running []*Job
 	joining []*Job
@@ -70,8 +74,8 @@
 }
 
 // New returns an idle engine.
-func New(t *timer.Timer, options Options) *Engine {
-	return &Engine{timer: t, options: options, slow: 1, version: 1}
+func New(t *timer.Timer, random *rand.Rand, options Options) *Engine {
+	return &Engine{timer: t, random: random, options: options, slow: 1, version: 1}
 }
 
 // SetSlow makes later ticks last factor times as long.
@@ -121,6 +125,7 @@
 	e.ticking = true
 	full := float64(len(e.running)) / float64(e.options.Slots)
 	d := float64(e.options.TickTime) * (1 + e.options.FullBatchCost*full) * e.slow
+	d *= 1 + e.options.Jitter*(2*e.random.Float64()-1)
 	e.timer.After(time.Duration(d), e.tick)
 }
 
