Choose targets by when pieces of answers come, not by whole latencies

Cause: a trace of slow calls shows most were sent to a target already slow, since its latency average moves only once a slow call has ended, about two seconds late; the average then kept a recovered target out. Two draws of ten also met two loaded targets too often. Change: the dispatcher tells the router of each piece and its gap; a target's cost is its open requests times how much slower than usual its pieces come or fail to come, halving each second; all candidates are compared, ties at random. Ruled out: lagging load reports as the cause; they aren't used at all yet.

--- a/ladder/dispatcher/dispatch.go
+++ b/ladder/dispatcher/dispatch.go
@@ -70,7 +70,7 @@
 			continue
 		}
 		candidates = append(candidates, router.Candidate{
-			Target: p.target, Zone: p.zone, Reported: p.load.InFlight + p.load.Queued, ReportedAt: p.loadAt,
+			Target: p.target, Service: service, Zone: p.zone, Reported: p.load.InFlight + p.load.Queued, ReportedAt: p.loadAt,
 		})
 	}
 	target, ok := d.router.Choose(candidates)
@@ -82,27 +82,24 @@
 
 // try runs one attempt. It returns nil if another target may be tried.
 func (d *Dispatcher) try(ctx context.Context, r Request, p *peer, n identifier.Attempt, s *progress) Outcome {
-	began := d.clock.Now()
 	a := d.open(p, key{r.ID, n})
 	sent := d.start(ctx, r, p, n)
 	defer d.close(a)
 	if !sent {
-		d.router.Done(p.target, 0)
+		d.router.Done(p.target)
 		return nil
 	}
 	err := d.follow(ctx, r, a, s)
 	answer := d.answerOf(a)
 	if answer == nil && err != nil {
-		d.router.Done(p.target, 0)
+		d.router.Done(p.target)
 		d.abandon(a)
 		return gaveUp(ctx, d.options.RetryAfter)
 	}
+	d.router.Done(p.target)
 	o := d.judge(r, a, answer, s)
 	if _, ok := o.(Completed); ok {
-		d.router.Done(p.target, d.clock.Since(began))
 		d.budget.Earn()
-	} else {
-		d.router.Done(p.target, 0)
 	}
 	return o
 }
@@ -172,7 +169,7 @@
 func (d *Dispatcher) open(p *peer, k key) *attempt {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	a := &attempt{key: k, peer: p, output: accumulator.New()}
+	a := &attempt{key: k, peer: p, output: accumulator.New(), heard: d.clock.Now()}
 	p.attempts[k] = a
 	return a
 }
--- a/ladder/dispatcher/peer.go
+++ b/ladder/dispatcher/peer.go
@@ -51,6 +51,8 @@
 	key    key
 	peer   *peer
 	output *accumulator.Accumulator
+	// heard is when a piece of the answer came last, or the dispatch.
+	heard time.Time
 	// answer is an End or a Refused that fits the output, set before output
 	// ends; nil if the sidecar is lost.
 	answer messenger.Answer
@@ -222,12 +224,26 @@
 
 func (d *Dispatcher) chunk(ctx context.Context, p *peer, l messenger.Link, m messenger.Chunk) error {
 	a := d.attemptOf(p, key{m.Request, m.Attempt}, m.Incarnation)
-	if a == nil || a.output.WriteAt(m.Offset, m.Data) {
+	if a == nil {
+		return nil
+	}
+	d.heard(a, m.Offset == 0)
+	if a.output.WriteAt(m.Offset, m.Data) {
 		return nil
 	}
 	return d.beats.SendWithin(ctx, l, a.resumption())
 }
 
+// heard lets the router learn from the time a piece took.
+func (d *Dispatcher) heard(a *attempt, first bool) {
+	d.mutex.Lock()
+	now := d.clock.Now()
+	gap := now.Sub(a.heard)
+	a.heard = now
+	d.mutex.Unlock()
+	d.router.Heard(a.peer.target, gap, first)
+}
+
 func (d *Dispatcher) end(ctx context.Context, p *peer, l messenger.Link, m messenger.End) error {
 	k := key{m.Request, m.Attempt}
 	a := d.attemptOf(p, k, m.Incarnation)
--- a/ladder/router/policy.go
+++ b/ladder/router/policy.go
@@ -1,5 +1,10 @@
 package router
 
+import (
+	"math"
+	"time"
+)
+
 // Policy is a way to choose a target.
 //
 //sumtype:decl
@@ -15,8 +20,8 @@
 // baseline.
 type TwoChoices struct{}
 
-// Expected draws two and takes the one with the smaller expected wait: open
-// requests times its recent latency.
+// Expected takes the one with the smallest expected wait: open requests times
+// how much slower than usual its pieces come, or have failed to come.
 type Expected struct{}
 
 func (RoundRobin) policy()    {}
@@ -31,28 +36,28 @@
 		r.turn++
 		return r.turn % len(candidates)
 	case LeastInFlight:
-		return r.least(candidates)
+		return r.least(candidates, r.inFlight)
 	case TwoChoices:
 		a, b := r.draw(len(candidates))
-		if r.observationOf(candidates[b].Target).inFlight < r.observationOf(candidates[a].Target).inFlight {
+		if r.inFlight(candidates[b]) < r.inFlight(candidates[a]) {
 			return b
 		}
 		return a
 	case Expected:
-		a, b := r.draw(len(candidates))
-		if r.expectedWait(candidates[b]) < r.expectedWait(candidates[a]) {
-			return b
-		}
-		return a
+		return r.least(candidates, r.expectedWait)
 	}
 	return 0
 }
 
-func (r *Router) least(candidates []Candidate) int {
-	best := 0
-	for n, c := range candidates {
-		if r.observationOf(c.Target).inFlight < r.observationOf(candidates[best].Target).inFlight {
-			best = n
+// least returns the candidate with the smallest cost; of equal ones it takes
+// one at random, or every entry would send to the same.
+func (r *Router) least(candidates []Candidate, cost func(Candidate) float64) int {
+	first := r.random.IntN(len(candidates))
+	best, smallest := first, cost(candidates[first])
+	for n := 1; n < len(candidates); n++ {
+		at := (first + n) % len(candidates)
+		if c := cost(candidates[at]); c < smallest {
+			best, smallest = at, c
 		}
 	}
 	return best
@@ -71,9 +76,36 @@
 	return a, b
 }
 
-// expectedWait is in seconds, up to a constant factor.
+func (r *Router) inFlight(c Candidate) float64 {
+	return float64(r.observationOf(c).inFlight)
+}
+
+// avoidanceHalfLife is the time in which what was learnt of a slow target
+// counts for half. A target that is avoided isn't heard of, so that nothing
+// else would ever clear it.
+const avoidanceHalfLife = time.Second
+
+// expectedWait is in requests of a target at the usual pace.
 func (r *Router) expectedWait(c Candidate) float64 {
-	const unknownLatency = 0.001
-	o := r.observationOf(c.Target)
-	return float64(1+o.inFlight) * max(o.latency, unknownLatency)
+	o := r.observationOf(c)
+	now := r.clock.Now()
+	age := now.Sub(o.heard)
+	slowness := math.Max(1, 1+(o.slowness-1)*math.Exp2(-float64(age)/float64(avoidanceHalfLife)))
+	if o.inFlight > 0 {
+		slowness = math.Max(slowness, o.silence(age))
+	}
+	return float64(1+o.inFlight) * slowness
+}
+
+// silence returns how many times longer than usual nothing has come, 0 if it
+// isn't unusual.
+func (o *observation) silence(quiet time.Duration) float64 {
+	p := &o.service.first
+	if o.flowing {
+		p = &o.service.next
+	}
+	if p.count == 0 || quiet.Seconds() <= p.limit() {
+		return 0
+	}
+	return quiet.Seconds() / p.mean
 }
--- a/ladder/router/router.go
+++ b/ladder/router/router.go
@@ -2,6 +2,7 @@
 package router
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -11,13 +12,17 @@
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 )
 
-// The sender's own counts and latencies are fresh; a target's load report
-// lags, so it is only a hint with an age.
+// What the sender itself sees is fresh: its open requests, and when the pieces
+// of their answers come. A target's load report lags, so it is only a hint
+// with an age. The latency of whole requests was tried first and rejected: it
+// is known only when a slow request has ended, many requests too late.
 
 // Candidate is a target that may take a request.
 type Candidate struct {
 	Target identifier.TargetName
-	Zone   identifier.ZoneName
+	// Service names the group of equal targets that it is compared with.
+	Service identifier.ServiceName
+	Zone    identifier.ZoneName
 	// Reported is the target's own last word on its running and waiting work.
 	Reported int
 	// ReportedAt is when that word came.
@@ -33,28 +38,44 @@
 	random Random
 	policy Policy
 
-	mutex sync.Mutex
-	seen  map[identifier.TargetName]*observation
+	mutex    sync.Mutex
+	seen     map[identifier.TargetName]*observation
+	services map[identifier.ServiceName]*usual
 	// turn counts choices, for RoundRobin.
 	turn int
 }
 
+// usual is what is usual among the targets of a service.
+type usual struct {
+	// first is the time to an attempt's first piece, next between two pieces.
+	first, next pace
+}
+
 // observation is what the router has seen of one target.
 type observation struct {
+	service *usual
 	// inFlight is the router's own open requests there; never negative.
 	inFlight int
-	// latency is a moving average of whole requests, in seconds.
-	latency float64
-	// updated is when latency was last changed.
-	updated time.Time
+	// heard is when a piece came last, or when the first open request was
+	// sent there if that is later.
+	heard time.Time
+	// flowing says that a piece has come since heard was last set by sending.
+	flowing bool
+	// slowness is a moving average of how many times the usual time its
+	// pieces took.
+	slowness float64
 }
 
-// latencyWeight is the weight of one new latency in the moving average.
-const latencyWeight = 0.2
+// slownessWeight is the weight of one new piece in a target's slowness.
+const slownessWeight = 0.3
 
 // New returns a Router with the given policy.
 func New(clock clockwork.Clock, random Random, policy Policy) *Router {
-	return &Router{clock: clock, random: random, policy: policy, seen: make(map[identifier.TargetName]*observation)}
+	return &Router{
+		clock: clock, random: random, policy: policy,
+		seen:     make(map[identifier.TargetName]*observation),
+		services: make(map[identifier.ServiceName]*usual),
+	}
 }
 
 // NewRandom returns a seeded source for New.
@@ -69,19 +90,56 @@
 		return "", false
 	}
 	c := candidates[r.pick(candidates)]
-	r.observationOf(c.Target).inFlight++
+	o := r.observationOf(c)
+	if o.inFlight == 0 {
+		o.heard, o.flowing = r.clock.Now(), false
+	}
+	o.inFlight++
 	return c.Target, true
 }
 
-// Done closes a request. A latency of 0 is not counted.
-func (r *Router) Done(target identifier.TargetName, latency time.Duration) {
+// Heard notes that a piece of an answer has come, gap after the one before it
+// or, if it is the first, after the request was sent.
+func (r *Router) Heard(target identifier.TargetName, gap time.Duration, first bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	o := r.observationOf(target)
-	o.inFlight--
-	if latency > 0 {
-		o.latency += latencyWeight * (latency.Seconds() - o.latency)
-		o.updated = r.clock.Now()
+	o, ok := r.seen[target]
+	if !ok || o.inFlight == 0 {
+		return
+	}
+	p := &o.service.next
+	if first {
+		p = &o.service.first
+	}
+	if p.count > 0 && p.mean > 0 {
+		o.slowness += slownessWeight * (gap.Seconds()/p.mean - o.slowness)
+	}
+	p.learn(gap.Seconds())
+	o.heard, o.flowing = r.clock.Now(), true
+}
+
+// Patience is how long an attempt at the service may be silent, before or
+// after its first piece, until another target would likely be sooner. It is 0
+// while nothing is known.
+func (r *Router) Patience(service identifier.ServiceName, begun bool) time.Duration {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	u, ok := r.services[service]
+	if !ok {
+		return 0
+	}
+	if !begun {
+		return seconds(u.first.limit())
+	}
+	return seconds(math.Max(u.next.limit(), u.first.mean))
+}
+
+// Done closes a request.
+func (r *Router) Done(target identifier.TargetName) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if o, ok := r.seen[target]; ok && o.inFlight > 0 {
+		o.inFlight--
 	}
 }
 
@@ -98,14 +156,22 @@
 func (r *Router) InFlight(target identifier.TargetName) int {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.observationOf(target).inFlight
+	if o, ok := r.seen[target]; ok {
+		return o.inFlight
+	}
+	return 0
 }
 
-func (r *Router) observationOf(target identifier.TargetName) *observation {
-	o, ok := r.seen[target]
+func (r *Router) observationOf(c Candidate) *observation {
+	o, ok := r.seen[c.Target]
 	if !ok {
-		o = &observation{}
-		r.seen[target] = o
+		u, known := r.services[c.Service]
+		if !known {
+			u = &usual{}
+			r.services[c.Service] = u
+		}
+		o = &observation{service: u, slowness: 1}
+		r.seen[c.Target] = o
 	}
 	return o
 }
--- a/measurer/driver/entry.go
+++ b/measurer/driver/entry.go
@@ -18,6 +18,9 @@
 	retryMost   = 20
 )
 
+// service is what all workers belong to.
+const service identifier.ServiceName = "measured"
+
 // Call is one caller's call.
 type Call struct {
 	Class  identifier.Class
@@ -75,9 +78,9 @@
 // attempt is one dispatch of a call.
 type attempt struct {
 	worker *Worker
-	began  time.Time
-	// heard is when a piece of its answer came last.
+	// heard is when a piece of its answer came last, or the dispatch.
 	heard time.Time
+	begun bool
 }
 
 // Send sends a call from a client of the entry.
@@ -111,7 +114,7 @@
 	o.last++
 	n := o.last
 	now := e.system.Timer.Now()
-	a := &attempt{worker: e.system.worker(target), began: now, heard: now}
+	a := &attempt{worker: e.system.worker(target), heard: now}
 	o.attempts[n] = a
 	e.system.Timer.After(e.system.latency(e.zone, a.worker.Zone), func() { o.arrive(n, a) })
 	return true
@@ -143,7 +146,9 @@
 	if o.attempts[n] != a {
 		return
 	}
-	a.heard = o.entry.system.Timer.Now()
+	now := o.entry.system.Timer.Now()
+	o.entry.router.Heard(a.worker.Name, now.Sub(a.heard), !a.begun)
+	a.heard, a.begun = now, true
 }
 
 func (o *open) answered(n identifier.Attempt, a *attempt) {
@@ -153,7 +158,7 @@
 	e := o.entry
 	now := e.system.Timer.Now()
 	delete(o.attempts, n)
-	e.router.Done(a.worker.Name, now.Sub(a.began))
+	e.router.Done(a.worker.Name)
 	e.budget.Earn()
 	o.end(Result{
 		Completed: true, Wait: o.started.Sub(o.cameAt),
@@ -167,7 +172,7 @@
 	}
 	e := o.entry
 	delete(o.attempts, n)
-	e.router.Done(a.worker.Name, 0)
+	e.router.Done(a.worker.Name)
 	if len(o.attempts) > 0 {
 		return
 	}
@@ -186,7 +191,7 @@
 	o.ended = true
 	for n, a := range o.attempts {
 		delete(o.attempts, n)
-		o.entry.router.Done(a.worker.Name, 0)
+		o.entry.router.Done(a.worker.Name)
 		o.entry.system.Timer.After(o.entry.system.latency(o.entry.zone, a.worker.Zone), func() { a.worker.cancel(o.request, n) })
 	}
 	if o.call.Done != nil {
@@ -199,7 +204,7 @@
 	for _, w := range e.system.Workers {
 		if !tried[w.Name] {
 			candidates = append(candidates, router.Candidate{
-				Target: w.Name, Zone: w.Zone, Reported: w.reported, ReportedAt: w.reportedAt,
+				Target: w.Name, Service: service, Zone: w.Zone, Reported: w.reported, ReportedAt: w.reportedAt,
 			})
 		}
 	}
