Try hedging of silent calls, from the retry budget

A call whose attempt is silent for longer than usual goes to a second target; whichever answers first counts. So far only in the measurer's entry.

--- a/measurer/driver/entry.go
+++ b/measurer/driver/entry.go
@@ -116,10 +116,36 @@
 	now := e.system.Timer.Now()
 	a := &attempt{worker: e.system.worker(target), heard: now}
 	o.attempts[n] = a
+	o.watch(n, a)
 	e.system.Timer.After(e.system.latency(e.zone, a.worker.Zone), func() { o.arrive(n, a) })
 	return true
 }
 
+// watch sends the call a second time once its attempt has been silent for too
+// long.
+func (o *open) watch(n identifier.Attempt, a *attempt) {
+	e := o.entry
+	if !e.system.options.Hedge || n > 1 {
+		return
+	}
+	patience := e.router.Patience(service, a.begun)
+	if patience == 0 {
+		patience = time.Second
+	}
+	quiet := e.system.Timer.Now().Sub(a.heard)
+	if quiet < patience {
+		e.system.Timer.After(patience-quiet, func() {
+			if o.attempts[n] == a {
+				o.watch(n, a)
+			}
+		})
+		return
+	}
+	if e.budget.Spend() && o.try() {
+		e.system.Hedges++
+	}
+}
+
 // arrive is at the worker.
 func (o *open) arrive(n identifier.Attempt, a *attempt) {
 	t := o.entry.system.Timer
--- a/measurer/verb/tail.go
+++ b/measurer/verb/tail.go
@@ -46,8 +46,9 @@
 		{name: "round robin", policy: router.RoundRobin{}, order: order},
 		{name: "least in flight", policy: router.LeastInFlight{}, order: order},
 		{name: "two random choices", policy: router.TwoChoices{}, order: order},
-		{name: ours, policy: router.Expected{}, order: order},
-		{name: noSlowTarget, policy: router.Expected{}, order: order, calm: true},
+		{name: "ours, no hedging", policy: router.Expected{}, order: order},
+		{name: ours, policy: router.Expected{}, order: order, hedge: true},
+		{name: noSlowTarget, policy: router.Expected{}, order: order, hedge: true, calm: true},
 	}
 }
 
