--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
 # Targets a newcomer needs: `make demo`, then `make test`.
 PROGRAMS := entry sidecar ladderctl standin
-MODULES := ladder $(PROGRAMS) sloper
+MODULES := ladder $(PROGRAMS) sloper measurer
 VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo dev)
 
-.PHONY: build test vet lint format demo slopes
+.PHONY: build test vet lint format demo slopes measure
 build:
 	@mkdir -p bin
 	@for p in $(PROGRAMS); do go build -ldflags "-X github.com/lycheeladder/lycheeladder/ladder/starter.Version=$(VERSION)" -o bin/$$p ./$$p || exit 1; done
@@ -23,5 +23,10 @@
 demo: build
 	@scripts/run-the-demo.sh
 
+# How the cost of control grows, in real time: run it on a quiet machine.
 slopes:
 	go run ./sloper all --write docs/SLOPES.md
+
+# Baseline, ours and the bound side by side, in virtual time.
+measure:
+	@go run ./measurer all --write docs
--- a/ladder/accepter/compress.go
+++ b/ladder/accepter/compress.go
@@ -102,8 +102,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer w.Close()
-	return w.EncodeAll(data, nil), nil
+	return w.EncodeAll(data, nil), w.Close()
 }
 
 func decompress(base *validator.Document, data []byte) (d validator.Document, h Hash, err error) {
--- a/ladder/dispatcher/peer.go
+++ b/ladder/dispatcher/peer.go
@@ -54,6 +54,11 @@
 	key    key
 	peer   *peer
 	output *accumulator.Accumulator
+	// streamed says that pieces come as they are made; else, after the first,
+	// their times tell how much they hold and not how fast the target is.
+	streamed bool
+	// heard is when a piece of the answer came last, or the dispatch.
+	heard time.Time
 	// answer is an End or a Refused that fits the output, set before output
 	// ends; nil if the sidecar is lost.
 	answer messenger.Answer
@@ -225,12 +230,28 @@
 
 func (d *Dispatcher) chunk(ctx context.Context, p *peer, l messenger.Link, m messenger.Chunk) error {
 	a := d.attemptOf(p, key{m.Request, m.Attempt}, m.Incarnation)
-	if a == nil || a.output.WriteAt(m.Offset, m.Data) {
+	if a == nil {
+		return nil
+	}
+	if first := m.Offset == 0; first || a.streamed {
+		d.heard(a, first)
+	}
+	if a.output.WriteAt(m.Offset, m.Data) {
 		return nil
 	}
 	return d.beats.SendWithin(ctx, l, a.resumption())
 }
 
+// heard lets the router learn from the time a piece took.
+func (d *Dispatcher) heard(a *attempt, first bool) {
+	d.mutex.Lock()
+	now := d.clock.Now()
+	gap := now.Sub(a.heard)
+	a.heard = now
+	d.mutex.Unlock()
+	d.router.Heard(a.peer.target, gap, first)
+}
+
 func (d *Dispatcher) end(ctx context.Context, p *peer, l messenger.Link, m messenger.End) error {
 	k := key{m.Request, m.Attempt}
 	a := d.attemptOf(p, k, m.Incarnation)
--- a/sloper/verb/targets.go
+++ b/sloper/verb/targets.go
@@ -29,7 +29,8 @@
 	spent := rig.ProcessorTime(func() {
 		for range choices {
 			target, _ := r.Choose(append([]router.Candidate(nil), candidates...))
-			r.Done(target, time.Millisecond)
+			r.Heard(target, time.Millisecond, true)
+			r.Done(target)
 		}
 	})
 	return reading{"processor µs a choice": float64(spent.Microseconds()) / choices}, nil
