Run the whole system as processes and kill, freeze and cut it off

End-to-end tests for a killed entry, a frozen sidecar, a killed engine, a silent link and a log that is away. The engine stand-in counts generations by prompt, so that a sample made twice shows.

--- /dev/null
+++ b/standin/endtoend/failure_test.go
@@ -0,0 +1,193 @@
+package endtoend
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/lycheeladder/lycheeladder/ladder/requester"
+)
+
+func generate(address, text string, tokens int) call {
+	return call{address: address, service: "advice-models", name: "generate", body: prompt(text, tokens)}
+}
+
+func streamed(c call) call {
+	c.pieces = make(chan int, 1)
+	return c
+}
+
+func reserve(address, part string) call {
+	return call{address: address, service: "spares-app", name: "reserve", body: []byte(fmt.Sprintf(`{"part":%q}`, part))}
+}
+
+func lookup(address, part string) call {
+	c := reserve(address, part)
+	c.name = "lookup"
+	return c
+}
+
+// echo returns the body that a plain service answered to.
+func echo(a answer) string {
+	var e struct {
+		Echo json.RawMessage `json:"echo"`
+	}
+	_ = json.Unmarshal([]byte(a.body), &e)
+	return string(e.Echo)
+}
+
+func TestFrozenSidecar_AnswersWhileFrozenAndNothingTwice(t *testing.T) {
+	const calls = 12
+	s := newSystem(t)
+	s.addStock("--call-for", "1s")
+	s.addStock("--call-for", "1s")
+	begun := make(map[string]<-chan answer)
+	for n := range calls {
+		once, again := reserve(s.listen[n%2], fmt.Sprintf("pendant-%d", n)), lookup(s.listen[n%2], fmt.Sprintf("drop-%d", n))
+		begun[string(once.body)], begun[string(again.body)] = once.begin(), again.begin()
+	}
+	eventually(t, "work at the first stock", func() bool { return len(s.ran(s.stocks[0])) > 3 })
+	s.stocks[0].sidecar.signal(syscall.SIGSTOP)
+	answers := make(map[string]answer)
+	for body, done := range begun {
+		answers[body] = <-done
+	}
+	s.stocks[0].sidecar.signal(syscall.SIGCONT)
+	s.awaitLinked("stock-1")
+	one, two := s.ran(s.stocks[0]), s.ran(s.stocks[1])
+	unknown := 0
+	for body, a := range answers {
+		times := one[body] + two[body]
+		switch {
+		case a.whole && echo(a) != body:
+			t.Errorf("answer to %s is another's: %s", body, a)
+		case a.whole && times < 1, a.Outcome == "not-run" && times != 0, a.err != nil, !a.whole && a.Outcome == "":
+			t.Errorf("%s ran %d times: %s", body, times, a)
+		case body[:10] == `{"part":"p` && times > 1:
+			t.Errorf("%s ran %d times, may run once", body, times)
+		case body[:10] == `{"part":"d` && !a.whole:
+			t.Errorf("idempotent %s not tried elsewhere: %s", body, a)
+		case a.Outcome == "unknown":
+			unknown++
+		}
+	}
+	if unknown == 0 {
+		t.Error("no call was at the frozen sidecar: nothing was proved")
+	}
+}
+
+func TestKilledEngine_StreamEndsInErrorAndOthersMove(t *testing.T) {
+	const tokens = 400
+	s := newSystem(t)
+	s.addEngine("--token-time", "10ms")
+	stream, plain := streamed(generate(s.listen[0], "hang", tokens)), generate(s.listen[1], "chain", tokens)
+	streamDone, plainDone := stream.begin(), plain.begin()
+	<-stream.pieces
+	eventually(t, "both calls at the engine", func() bool { return len(s.ran(s.engines[0])) == 2 })
+	s.addEngine()
+	s.engines[0].backend.kill()
+	a := <-streamDone
+	if a.whole || a.Outcome != "unknown" || a.err != nil {
+		t.Errorf("stream: want an error event with outcome unknown: %s", a)
+	}
+	if a := <-plainDone; !a.whole || !generated(textOf(a), "chain", tokens) {
+		t.Errorf("unstreamed call: want the whole answer of the other engine: %s", a)
+	}
+}
+
+func textOf(a answer) string {
+	var g struct {
+		Text string `json:"text"`
+	}
+	_ = json.Unmarshal([]byte(a.body), &g)
+	return g.Text
+}
+
+func TestSilentLink_StreamsGoOnWholeOverNewOne(t *testing.T) {
+	const tokens, streams = 1000, 4
+	s := newSystem(t)
+	r := newRelay(t, s.peers[0])
+	s.peers = []string{r.address(), s.peers[1]}
+	s.addEngine("--token-time", "10ms")
+	var calls []call
+	var begun []<-chan answer
+	for n := range streams {
+		c := streamed(generate(s.listen[0], fmt.Sprintf("part%d", n), tokens))
+		calls, begun = append(calls, c), append(begun, c.begin())
+	}
+	for _, c := range calls {
+		<-c.pieces
+	}
+	r.cut()
+	for n, done := range begun {
+		if a := <-done; !a.whole || !generated(a.body, fmt.Sprintf("part%d", n), tokens) {
+			t.Errorf("stream %d: %s", n, a)
+		}
+	}
+	if r.count() < 2 {
+		t.Error("no new link was made: nothing was proved")
+	}
+	if diff := cmp.Diff(map[string]int{"part0": 1, "part1": 1, "part2": 1, "part3": 1}, s.ran(s.engines[0])); diff != "" {
+		t.Errorf("generations (-want +got):\n%s", diff)
+	}
+}
+
+func TestLogAway_LiveCallsGoOnAndNothingIsLost(t *testing.T) {
+	for _, kind := range []string{"refuse", "silent"} {
+		t.Run(kind, func(t *testing.T) { logAway(t, kind) })
+	}
+}
+
+func logAway(t *testing.T, kind string) {
+	s := newSystem(t)
+	s.addEngine()
+	s.addStock()
+	s.fault(s.log, kind, "/streams")
+	proposals := []requester.Answer{s.publish(0, s.document(1)), s.publish(1, s.document(1))}
+	for n, a := range proposals {
+		// A read that was under way when the log fell silent may still tell
+		// the verdict.
+		if kind == "silent" && a.Status == http.StatusOK {
+			continue
+		}
+		if a.Status != http.StatusServiceUnavailable || a.RetryAfter == 0 {
+			t.Errorf("publish at entry %d: want 503 with Retry-After, got %d, %s: %s", n, a.Status, a.RetryAfter, a.Body)
+		}
+	}
+	if a := generate(s.listen[0], "live", 20).do(); !a.whole {
+		t.Errorf("live call: %s", a)
+	}
+	if a := reserve(s.listen[0], "unkeyed").do(); !a.whole {
+		t.Errorf("call without a key: %s", a)
+	}
+	keyed := reserve(s.listen[1], "keyed")
+	keyed.key = newKey()
+	if a := keyed.do(); a.Outcome != "not-run" || a.retryAfter == "" {
+		t.Errorf("keyed call: want not-run with Retry-After: %s", a)
+	}
+	s.fault(s.log, "", "")
+	d := s.document(1)
+	eventually(t, "a publication to be accepted", func() bool {
+		a := s.publish(0, d)
+		var conflict struct {
+			Revision uint64 `json:"revision"`
+		}
+		_ = json.Unmarshal(a.Body, &conflict)
+		return a.Status == http.StatusOK || a.Status == http.StatusConflict && conflict.Revision > 1
+	})
+	s.awaitLinked("stock-1")
+	for n := range s.listen {
+		status, err := s.status(n)
+		if err != nil || status.Revision != 2 {
+			t.Errorf("entry %d: revision %d, want 2, err %v", n, status.Revision, err)
+		}
+	}
+	keyed.key = newKey()
+	if a := keyed.do(); !a.whole || s.ran(s.stocks[0])[string(keyed.body)] != 1 {
+		t.Errorf("keyed call afterwards: %s", a)
+	}
+}
--- /dev/null
+++ b/standin/endtoend/processes_test.go
@@ -0,0 +1,171 @@
+// Package endtoend runs the programs as separate processes on loopback and
+// kills, freezes, cuts off and restarts them.
+package endtoend
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	// limit bounds each wait for a condition; it decides no verdict.
+	limit = 60 * time.Second
+	// poll is the time between two looks.
+	poll = 20 * time.Millisecond
+)
+
+// programs is the directory of the programs under test.
+var programs string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	directory, err := os.MkdirTemp("", "lycheeladder")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(directory)
+	programs = directory
+	build := exec.Command("go", "build", "-o", directory+"/", "./entry", "./sidecar", "./standin")
+	build.Dir = filepath.Join("..", "..")
+	if output, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %s\n%s", err, output)
+		return 1
+	}
+	return m.Run()
+}
+
+// process is one program; it can be started again with the same arguments.
+type process struct {
+	t         *testing.T
+	program   string
+	arguments []string
+	log       string
+	command   *exec.Cmd
+	// ended is closed when the process has ended.
+	ended chan struct{}
+}
+
+func start(t *testing.T, program string, arguments ...string) *process {
+	t.Helper()
+	p := &process{t: t, program: program, arguments: arguments, log: filepath.Join(t.TempDir(), program+".log")}
+	t.Cleanup(func() {
+		p.kill()
+		if t.Failed() {
+			t.Logf("%s %s:\n%s", program, strings.Join(arguments, " "), tail(p.read()))
+		}
+	})
+	p.again()
+	return p
+}
+
+// again starts the program, and waits until it says that it runs.
+func (p *process) again() {
+	p.t.Helper()
+	log, err := os.Create(p.log)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer log.Close()
+	p.command = exec.Command(filepath.Join(programs, p.program), p.arguments...)
+	p.command.Stderr = log
+	if err := p.command.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	p.ended = ended
+	go func() {
+		_ = p.command.Wait()
+		close(ended)
+	}()
+	eventually(p.t, p.program+" to start", func() bool {
+		log := p.read()
+		return strings.Contains(log, " started") || strings.Contains(log, "listening")
+	})
+}
+
+func (p *process) read() string {
+	log, err := os.ReadFile(p.log)
+	if err != nil {
+		return err.Error()
+	}
+	return string(log)
+}
+
+func tail(log string) string {
+	const most = 3000
+	return log[max(0, len(log)-most):]
+}
+
+func (p *process) signal(s syscall.Signal) {
+	p.t.Helper()
+	if err := p.command.Process.Signal(s); err != nil {
+		p.t.Fatalf("signal %s to %s: %s", s, p.program, err)
+	}
+}
+
+// kill ends the process as a crash does, and waits for its end.
+func (p *process) kill() {
+	_ = p.command.Process.Kill()
+	<-p.ended
+}
+
+// stop stops the process gracefully and checks that it says so.
+func (p *process) stop() {
+	p.t.Helper()
+	p.signal(syscall.SIGTERM)
+	eventually(p.t, p.program+" to stop", func() bool {
+		select {
+		case <-p.ended:
+			return true
+		default:
+			return false
+		}
+	})
+	if code := p.command.ProcessState.ExitCode(); code != 0 {
+		p.t.Errorf("%s stopped with exit code %d:\n%s", p.program, code, tail(p.read()))
+	}
+}
+
+func pause() { time.Sleep(poll) }
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for until := time.Now().Add(limit); time.Now().Before(until); pause() {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("waited in vain for %s", what)
+}
+
+// freeAddresses asks the system for free ports. They are below the range of
+// outgoing connections, so that none is taken while a process restarts.
+func freeAddresses(t *testing.T, count int) []string {
+	t.Helper()
+	const lowest, highest = 15000, 32000
+	var addresses []string
+	for port := lowest + os.Getpid()*37%(highest-lowest); len(addresses) < count; port++ {
+		if port >= highest {
+			port = lowest
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		defer l.Close()
+		addresses = append(addresses, address)
+	}
+	return addresses
+}
--- /dev/null
+++ b/standin/endtoend/system_test.go
@@ -0,0 +1,198 @@
+package endtoend
+
+import (
+	"crypto/ed25519"
+	"encoding/base64"
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/lycheeladder/lycheeladder/ladder/approver"
+	"github.com/lycheeladder/lycheeladder/ladder/authorizer"
+	"github.com/lycheeladder/lycheeladder/ladder/coordinator"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/requester"
+	"github.com/lycheeladder/lycheeladder/ladder/validator"
+)
+
+const (
+	operatorKey = "operator-key"
+	teamKey     = "team-key"
+	trainerKey  = "trainer-key"
+)
+
+// target is a back end and the sidecar beside it.
+type target struct {
+	address string
+	backend *process
+	sidecar *process
+}
+
+// system is the platform's stand-ins, two entries and their targets.
+type system struct {
+	t *testing.T
+	// log, listen, operators and peers are addresses; the latter three have
+	// one per entry.
+	log, weights             string
+	listen, operators, peers []string
+	entries                  []*process
+	engines, stocks, scorers []*target
+	// owner signs approvals.
+	owner ed25519.PrivateKey
+}
+
+// newSystem starts the platform and two entries, and publishes a document.
+func newSystem(t *testing.T) *system {
+	t.Helper()
+	a := freeAddresses(t, 8)
+	s := &system{
+		t: t, log: a[0], weights: a[1], listen: a[2:4], operators: a[4:6], peers: a[6:8],
+		owner: ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize)),
+	}
+	start(t, "standin", "log", "--listen", s.log)
+	start(t, "standin", "weights", "--listen", s.weights)
+	for n := range s.listen {
+		s.entries = append(s.entries, start(t, "entry", "--name", name("entry", n), "--zone", "bkk-a", "--log", s.log,
+			"--listen", s.listen[n], "--peer-listen", s.peers[n], "--operator-listen", s.operators[n]))
+	}
+	if a := s.publish(0, s.document(0)); a.Status != http.StatusOK {
+		t.Fatalf("publish: status %d: %s", a.Status, a.Body)
+	}
+	return s
+}
+
+func name(kind string, n int) string { return kind + "-" + string(rune('1'+n)) }
+
+// addEngine starts a model engine and its sidecar.
+func (s *system) addEngine(arguments ...string) {
+	n := len(s.engines)
+	arguments = append([]string{"engine", "--weights", s.weights}, arguments...)
+	s.engines = append(s.engines, s.add(name("engine", n), "advice-models", "model-engine", s.peers, arguments))
+}
+
+// addStock starts a plain service and its sidecar.
+func (s *system) addStock(arguments ...string) {
+	n := len(s.stocks)
+	s.stocks = append(s.stocks, s.add(name("stock", n), "spares-app", "plain", s.peers, append([]string{"service"}, arguments...)))
+}
+
+func (s *system) addScorer() {
+	n := len(s.scorers)
+	s.scorers = append(s.scorers, s.add(name("scorer", n), "scorer", "plain", s.peers, []string{"scorer"}))
+}
+
+func (s *system) add(name, service, kind string, peers, arguments []string) *target {
+	s.t.Helper()
+	address := freeAddresses(s.t, 1)[0]
+	sidecar := []string{"--target", name, "--service", service, "--kind", kind, "--zone", "bkk-a", "--address", address}
+	for _, p := range peers {
+		sidecar = append(sidecar, "--entry", p)
+	}
+	target := &target{address: address, backend: start(s.t, "standin", append(arguments, "--listen", address)...)}
+	target.sidecar = start(s.t, "sidecar", sidecar...)
+	s.awaitLinked(name)
+	return target
+}
+
+// awaitLinked waits until every entry can use the target.
+func (s *system) awaitLinked(name string) {
+	s.t.Helper()
+	eventually(s.t, name+" at every entry", func() bool {
+		for n := range s.operators {
+			if !s.linked(n, name) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (s *system) linked(entry int, name string) bool {
+	status, err := s.status(entry)
+	if err != nil {
+		return false
+	}
+	for _, t := range status.Targets {
+		if string(t.Target) == name {
+			return t.Linked && !t.Leaving && t.Revision == status.Revision
+		}
+	}
+	return false
+}
+
+func (s *system) status(entry int) (status coordinator.Status, err error) {
+	r := requester.New(s.operators[entry], operatorKey)
+	return status, r.Into(s.t.Context(), http.MethodGet, "/v1/status", nil, &status)
+}
+
+// ran reads how often a stand-in ran each body or prompt.
+func (s *system) ran(t *target) map[string]int {
+	s.t.Helper()
+	ran := make(map[string]int)
+	if err := requester.New(t.address, "").Into(s.t.Context(), http.MethodGet, "/ran", nil, &ran); err != nil {
+		s.t.Fatal(err)
+	}
+	return ran
+}
+
+// fault orders a stand-in to misbehave; an empty kind ends that.
+func (s *system) fault(address, kind, path string) {
+	s.t.Helper()
+	method, body := http.MethodPost, map[string]string{"kind": kind, "path": path}
+	if kind == "" {
+		method = http.MethodDelete
+	}
+	if err := requester.New(address, "").Into(s.t.Context(), method, "/fault", body, nil); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *system) publish(entry int, d validator.Document) requester.Answer {
+	s.t.Helper()
+	a, err := requester.New(s.operators[entry], operatorKey).Do(s.t.Context(), http.MethodPost, "/v1/documents", d)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return a
+}
+
+// document returns a whole configuration made from base.
+func (s *system) document(base identifier.Revision) validator.Document {
+	team := func(name identifier.TeamName, class identifier.Class, key string) validator.Team {
+		return validator.Team{
+			Name: name, Class: class, KeyHashes: []string{authorizer.HashKey(key)},
+			RequestsPerSecond: 1000, Burst: 1000, InFlightLimit: 100,
+		}
+	}
+	grant := func(team identifier.TeamName, service identifier.ServiceName) validator.Grant {
+		approval := approver.Approve(s.owner, team, service, "prakai", time.Now().Add(time.Hour))
+		return validator.Grant{Team: team, Service: service, Approval: approval}
+	}
+	return validator.Document{
+		Schema: validator.SchemaName, ID: identifier.NewDocumentID(), Base: base, Author: "night-shift",
+		Operators: []validator.Operator{{Name: "night-shift", KeyHash: authorizer.HashKey(operatorKey)}},
+		Owners:    []validator.Owner{{Name: "prakai", PublicKey: base64.StdEncoding.EncodeToString(s.owner.Public().(ed25519.PublicKey))}},
+		Models:    []validator.Model{{Name: "advice", Trainer: "trainer", Scorer: "scorer", StalenessBound: 2, VersionsInPlay: 2}},
+		Services: []validator.Service{
+			{Name: "advice-models", Kind: validator.KindModelEngine, Owner: "prakai", Model: "advice", FencingChecked: true, Slots: 16, QueueLimit: 64, AwayPercent: 50},
+			{Name: "spares-app", Kind: validator.KindPlain, Owner: "prakai", IdempotentCalls: []identifier.CallName{"lookup"}, Slots: 16, QueueLimit: 64},
+			{Name: "scorer", Kind: validator.KindPlain, Owner: "prakai", IdempotentCalls: []identifier.CallName{"score"}, Slots: 16, QueueLimit: 256},
+		},
+		Teams: []validator.Team{team("franchisees", identifier.ClassLive, teamKey), team("trainer", identifier.ClassRollout, trainerKey)},
+		Grants: []validator.Grant{
+			grant("franchisees", "advice-models"), grant("franchisees", "spares-app"),
+			grant("trainer", "advice-models"), grant("trainer", "scorer"),
+		},
+		Limits: validator.Limits{MaxBodyBytes: 65536, MaxTimeoutSeconds: 120, CrashQuarantineSeconds: 300},
+	}
+}
+
+// prompt is an engine's request.
+func prompt(text string, tokens int) []byte {
+	data, _ := json.Marshal(struct {
+		Prompt string `json:"prompt"`
+		Tokens int    `json:"max-tokens"`
+	}{text, tokens})
+	return data
+}
--- /dev/null
+++ b/standin/endtoend/trainer_test.go
@@ -0,0 +1,75 @@
+package endtoend
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lycheeladder/lycheeladder/ladder/deliverer"
+	"github.com/lycheeladder/lycheeladder/ladder/fetcher"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+)
+
+func (s *system) newFetcher() *fetcher.Fetcher {
+	var entries []fetcher.Entry
+	for _, address := range s.listen {
+		entries = append(entries, fetcher.NewHTTP(address, trainerKey))
+	}
+	return fetcher.New(clockwork.NewRealClock(), entries, fetcher.Options{Model: "advice", Limit: 4, Pause: 100 * time.Millisecond})
+}
+
+func group(id string, samples, tokens int) deliverer.Group {
+	return deliverer.Group{ID: identifier.GroupID(id), Body: prompt(id, tokens), Samples: samples, Expected: identifier.TokenCount(tokens)}
+}
+
+// take takes count samples and notes them; it checks each.
+func take(ctx context.Context, f *fetcher.Fetcher, taken map[identifier.SampleID]int, count int, tokens map[identifier.GroupID]int) error {
+	for range count {
+		sample, err := f.Next(ctx, 1)
+		if err != nil {
+			return err
+		}
+		taken[sample.ID]++
+		if !generated(sample.Text, string(sample.Group), tokens[sample.Group]) || len(sample.Spans) == 0 {
+			return fmt.Errorf("sample %s isn't whole or has no label: %d bytes, spans %v", sample.ID, len(sample.Text), sample.Spans)
+		}
+	}
+	return nil
+}
+
+func TestKilledEntry_EachSampleOnceAndNoneRegenerated(t *testing.T) {
+	s := newSystem(t)
+	s.addEngine("--token-time", "10ms", "--slots", "16")
+	s.addEngine("--token-time", "10ms", "--slots", "16")
+	s.addScorer()
+	ctx, cancel := context.WithTimeout(t.Context(), callLimit)
+	defer cancel()
+	f := s.newFetcher()
+	if err := f.Submit(ctx, []deliverer.Group{group("short", 8, 20), group("long", 8, 1000)}); err != nil {
+		t.Fatal(err)
+	}
+	tokens := map[identifier.GroupID]int{"short": 20, "long": 1000}
+	taken := make(map[identifier.SampleID]int)
+	if err := take(ctx, f, taken, 5, tokens); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the long samples at the engines", func() bool { return s.ran(s.engines[0])["long"]+s.ran(s.engines[1])["long"] == 8 })
+	s.entries[0].kill()
+	if err := take(ctx, f, taken, 11, tokens); err != nil {
+		t.Fatal(err)
+	}
+	want := make(map[identifier.SampleID]int)
+	for n := range 8 {
+		want[deliverer.SampleIDOf("short", n)], want[deliverer.SampleIDOf("long", n)] = 1, 1
+	}
+	if diff := cmp.Diff(want, taken); diff != "" {
+		t.Errorf("samples taken (-want +got):\n%s", diff)
+	}
+	if ran := s.ran(s.engines[0])["long"] + s.ran(s.engines[1])["long"]; ran != 8 {
+		t.Errorf("8 samples held by the sidecars took %d generations", ran)
+	}
+}
--- a/standin/runner/engine.go
+++ b/standin/runner/engine.go
@@ -40,8 +40,10 @@
 
 	mutex sync.Mutex
 	// running has a cancel channel per request.
-	running  map[identifier.RequestID]chan struct{}
-	waiting  int
+	running map[identifier.RequestID]chan struct{}
+	waiting int
+	// ran counts generations by prompt.
+	ran      map[string]int
 	version  identifier.WeightVersion
 	loaded   []identifier.WeightVersion
 	switches uint64
@@ -66,6 +68,7 @@
 	e.store = requester.New(string(e.Weights), "")
 	e.bootID = uuid.NewString()
 	e.running = make(map[identifier.RequestID]chan struct{})
+	e.ran = make(map[string]int)
 	e.version, e.loaded = e.FirstVersion, []identifier.WeightVersion{e.FirstVersion}
 	e.paused = make(chan struct{})
 	close(e.paused)
@@ -75,6 +78,11 @@
 	app.Post("/generate", e.generate)
 	app.Post("/cancel", e.cancel)
 	app.Get("/state", e.state)
+	app.Get("/ran", func(c fiber.Ctx) error {
+		e.mutex.Lock()
+		defer e.mutex.Unlock()
+		return c.JSON(e.ran)
+	})
 	app.Post("/load", e.load)
 	app.Post("/switch", e.switchTo)
 	return serve(ctx, "engine", e.Listen, app)
@@ -95,6 +103,7 @@
 	e.mutex.Lock()
 	e.running[request.Request] = cancelled
 	e.waiting++
+	e.ran[request.Body.Prompt]++
 	e.mutex.Unlock()
 	c.Set("Content-Type", "text/event-stream")
 	return c.SendStreamWriter(func(w *bufio.Writer) {
