Let a planned stop cut off no call

What is left at the drain timeout, or at a second SIGTERM, gets a final answer (unknown, entry-stopping) instead of a cut. A third signal ends at once.

Ruled out: connections with a call in progress being closed as idle; fasthttp claims only idle ones.

--- a/entry/receiver/call.go
+++ b/entry/receiver/call.go
@@ -42,7 +42,7 @@
 	if c.Get(fiber.HeaderAccept) == "text/event-stream" {
 		return r.stream(c, call)
 	}
-	o := r.coordinator.Handle(context.Background(), call)
+	o := r.coordinator.Handle(r.ctx, call)
 	completed, ok := o.(dispatcher.Completed)
 	if !ok {
 		return fail(c, call.ID, o)
@@ -81,7 +81,7 @@
 func (r *Receiver) stream(c fiber.Ctx, call coordinator.Call) error {
 	pieces := make(chan []byte)
 	outcome := make(chan dispatcher.Outcome, 1)
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(r.ctx)
 	call.Stream = func(data []byte) error {
 		select {
 		case pieces <- data:
@@ -104,6 +104,9 @@
 		outcome <- o
 	}
 	c.Set(fiber.HeaderContentType, "text/event-stream")
+	// A stream may outlast the moment at which this entry begins to leave,
+	// when it is too late to announce the end of the connection.
+	c.RequestCtx().SetConnectionClose()
 	return c.SendStreamWriter(func(w *bufio.Writer) {
 		defer cancel()
 		if first != nil && writeEvent(w, "", textEvent{string(first)}) != nil {
--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -2,12 +2,14 @@
 package receiver
 
 import (
+	"context"
 	"strings"
 	"sync/atomic"
 
 	"github.com/gofiber/fiber/v3"
 
 	"github.com/lycheeladder/lycheeladder/ladder/coordinator"
+	"github.com/lycheeladder/lycheeladder/ladder/dispatcher"
 	"github.com/lycheeladder/lycheeladder/ladder/fetcher"
 )
 
@@ -16,12 +18,17 @@
 	coordinator *coordinator.Coordinator
 	app         *fiber.App
 	leaving     atomic.Bool
+	// ctx ends when the calls in progress are given up.
+	ctx    context.Context
+	giveUp context.CancelCauseFunc
 }
 
 // New returns a Receiver whose bodies are at most bodyLimit bytes long.
 func New(c *coordinator.Coordinator, bodyLimit int) *Receiver {
 	r := &Receiver{coordinator: c}
+	r.ctx, r.giveUp = context.WithCancelCause(context.Background())
 	r.app = newApp(bodyLimit)
+	r.app.Use(r.closeWhenLeaving)
 	r.app.Get("/v1/ready", r.ready)
 	r.app.Post("/v1/services/:service/calls/:call", r.call)
 	r.app.Post(fetcher.PathOpen, r.open)
@@ -34,9 +41,24 @@
 // App returns the application to serve.
 func (r *Receiver) App() *fiber.App { return r.app }
 
-// Leave makes the balancer's readiness check fail.
+// Leave makes the balancer's readiness check fail, and has callers give up
+// their connections after the answer. Calls are still taken: the balancer, and
+// callers with open connections, find out only with time.
 func (r *Receiver) Leave() { r.leaving.Store(true) }
 
+// GiveUp gives every call in progress its final answer now.
+func (r *Receiver) GiveUp() { r.giveUp(dispatcher.ErrStopping) }
+
+// closeWhenLeaving announces the end of the connection in the answer: a server
+// that closes one unannounced fails the call that the client sends just then.
+func (r *Receiver) closeWhenLeaving(c fiber.Ctx) error {
+	err := c.Next()
+	if r.leaving.Load() {
+		c.RequestCtx().SetConnectionClose()
+	}
+	return err
+}
+
 func (r *Receiver) ready(c fiber.Ctx) error {
 	switch {
 	case r.leaving.Load():
--- a/entry/receiver/trainer.go
+++ b/entry/receiver/trainer.go
@@ -31,7 +31,7 @@
 func (r *Receiver) fetch(c fiber.Ctx) error {
 	var f deliverer.Fetch
 	return r.withPlan(c, &f, func() identifier.ModelName { return f.Model }, func(deliverer.Plan) (any, error) {
-		ctx, cancel := context.WithTimeout(context.Background(), fetcher.FetchWait)
+		ctx, cancel := context.WithTimeout(r.ctx, fetcher.FetchWait)
 		defer cancel()
 		return r.coordinator.Deliverer().Fetch(ctx, f)
 	})
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -14,7 +14,6 @@
 	"k8s.io/klog/v2"
 
 	"github.com/lycheeladder/lycheeladder/entry/publisher"
-	"github.com/lycheeladder/lycheeladder/entry/receiver"
 	"github.com/lycheeladder/lycheeladder/ladder/appender"
 	"github.com/lycheeladder/lycheeladder/ladder/coordinator"
 	"github.com/lycheeladder/lycheeladder/ladder/dispatcher"
@@ -33,8 +32,9 @@
 
 Callers and trainers use --listen, sidecars --peer-listen, operators
 --operator-listen. What is in force comes from the platform's log; a log that is
-down is waited for. On SIGTERM the entry stops accepting and finishes what it
-has, at most for --drain-timeout. Each flag can be set by the environment
+down is waited for. On SIGTERM the entry says that it leaves, takes calls for
+--leave-delay more, and finishes what it has, at most for --drain-timeout; what
+is left then, or at a second SIGTERM, gets a final answer. Each flag can be set by the environment
 variable shown.`
 
 // Settings are an entry's flags and environment variables.
@@ -46,6 +46,7 @@
 	PeerListen     starter.Address `help:"Where sidecars come in, IP:port." required:""`
 	OperatorListen starter.Address `help:"Where operators come in, IP:port." required:""`
 	Log            starter.Address `help:"The platform's log service, IP:port." required:""`
+	LeaveDelay     time.Duration   `help:"How long a stop still takes calls, for the balancer to notice." default:"2s"`
 	DrainTimeout   time.Duration   `help:"How long a stop waits for requests in progress." default:"30s"`
 	KeyMaxAge      time.Duration   `help:"The oldest idempotency key taken; shorter than the log keeps records." default:"15m"`
 	SampleTimeout  time.Duration   `help:"The longest attempt at one sample." default:"10m"`
@@ -54,6 +55,8 @@
 // Validate checks what the flags' types don't.
 func (s Settings) Validate() error {
 	switch {
+	case s.LeaveDelay < 0:
+		return fmt.Errorf("--leave-delay: %s is below 0", s.LeaveDelay)
 	case s.DrainTimeout < 0:
 		return fmt.Errorf("--drain-timeout: %s is below 0", s.DrainTimeout)
 	case s.KeyMaxAge <= 0:
@@ -99,7 +102,7 @@
 	r := recorder.New()
 	r.Publish("lycheeladder")
 	c := newCoordinator(s, r)
-	stopping, release := starter.UntilSignal()
+	stop, release := starter.UntilSignal()
 	defer release()
 	working, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -109,12 +112,7 @@
 	tasks.Go(func() { serve(working, "peers", peers, listeners[1], 0) })
 	tasks.Go(func() { serve(working, "operators", publisher.New(c), listeners[2], time.Second) })
 	klog.InfoS("entry started", "entry", s.Name, "zone", s.Zone, "listen", listeners[0].Addr().String())
-	callers := receiver.New(c, bodyLimit)
-	go func() {
-		<-stopping.Done()
-		callers.Leave()
-	}()
-	serve(stopping, "callers", callers.App(), listeners[0], s.DrainTimeout)
+	serveCallers(stop, s, c, listeners[0])
 	cancel()
 	tasks.Wait()
 	klog.InfoS("entry stopped", "entry", s.Name)
--- a/ladder/coordinator/coordinator.go
+++ b/ladder/coordinator/coordinator.go
@@ -54,13 +54,14 @@
 	claimer    *claimer.Claimer
 	limiter    *limiter.Limiter
 	recorder   *recorder.Recorder
+	began      time.Time
 }
 
 // New returns a Coordinator that follows log. It serves nobody until the end
 // of the log was reached once.
 func New(clock clockwork.Clock, log appender.Log, random router.Random, r *recorder.Recorder, options Options) *Coordinator {
 	c := &Coordinator{
-		clock: clock, options: options, recorder: r,
+		clock: clock, options: options, recorder: r, began: clock.Now(),
 		follower: accepter.NewFollower(clock, log),
 		goals:    converger.NewGoals(),
 		claimer:  claimer.New(clock, log, options.KeyMaxAge),
@@ -84,6 +85,9 @@
 	tasks.Go(func() { c.spreadGoals(ctx) })
 }
 
+// Leave sends trainers to other entries. Calls are still taken.
+func (c *Coordinator) Leave() { c.deliverer.Leave() }
+
 // ServeLink talks to one sidecar until the link fails or ctx ends.
 func (c *Coordinator) ServeLink(ctx context.Context, l messenger.Link) error {
 	return c.dispatcher.Serve(ctx, l)
@@ -118,10 +122,32 @@
 	}
 }
 
-// Ready says whether the entry knows what is in force.
+// settleTime is how long a new entry waits for targets of every service before
+// it calls itself ready. Sidecars dial a restarted entry within it.
+const settleTime = 10 * time.Second
+
+// Ready says whether the entry knows what is in force and has had time to hear
+// of targets. A service without any target does not hold it up for ever.
 func (c *Coordinator) Ready() bool {
 	s, caughtUp := c.follower.State()
-	return caughtUp && s.Document != nil
+	if !caughtUp || s.Document == nil {
+		return false
+	}
+	if c.clock.Since(c.began) > settleTime {
+		return true
+	}
+	usable := make(map[identifier.ServiceName]bool)
+	for _, t := range c.dispatcher.Targets() {
+		if t.Usable {
+			usable[t.Service] = true
+		}
+	}
+	for _, service := range s.Document.Services {
+		if !usable[service.Name] {
+			return false
+		}
+	}
+	return true
 }
 
 // Status is what an entry knows of itself and its neighbours.
--- a/ladder/deliverer/deliverer.go
+++ b/ladder/deliverer/deliverer.go
@@ -61,6 +61,8 @@
 	mutex sync.Mutex
 	// sessions has one per model, the one with the highest number opened here.
 	sessions map[identifier.ModelName]*session
+	// leaving is set for good once this entry stops.
+	leaving bool
 }
 
 // idleLimit is how long a session lives without a fetch.
@@ -76,6 +78,9 @@
 func (d *Deliverer) Open(o Opening, plan Plan) error {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	if d.leaving {
+		return ErrSuperseded
+	}
 	if old, ok := d.sessions[o.Model]; ok {
 		if old.number > o.Session {
 			return ErrSuperseded
@@ -162,6 +167,17 @@
 	}
 }
 
+// Leave ends every session: fetches hand over what is ready, and then send
+// the trainer to another entry, which takes over what sidecars hold.
+func (d *Deliverer) Leave() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.leaving = true
+	for _, s := range d.sessions {
+		s.close()
+	}
+}
+
 func (d *Deliverer) closeIdle(limit time.Duration) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
--- a/ladder/dispatcher/dispatch.go
+++ b/ladder/dispatcher/dispatch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
 	"github.com/lycheeladder/lycheeladder/ladder/accumulator"
@@ -66,7 +67,7 @@
 	defer d.mutex.Unlock()
 	var candidates []router.Candidate
 	for _, p := range d.peers {
-		if p.service != service || p.link == nil || p.leaving || tried[p.target] {
+		if p.service != service || !p.usable() || tried[p.target] {
 			continue
 		}
 		candidates = append(candidates, router.Candidate{
@@ -94,7 +95,9 @@
 	answer := d.answerOf(a)
 	if answer == nil && err != nil {
 		d.router.Done(p.target, 0)
-		d.abandon(a)
+		if r.Sample == "" || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			d.abandon(a)
+		}
 		return gaveUp(ctx, d.options.RetryAfter)
 	}
 	o := d.judge(r, a, answer, s)
@@ -109,6 +112,9 @@
 
 // gaveUp is the outcome when the caller's time is over before an answer came.
 func gaveUp(ctx context.Context, retryAfter time.Duration) Outcome {
+	if errors.Is(context.Cause(ctx), ErrStopping) {
+		return Unknown{Code: CodeStopping, RetryAfter: retryAfter}
+	}
 	if ctx.Err() == context.Canceled {
 		return Unknown{Code: CodeCallerGone, RetryAfter: retryAfter}
 	}
@@ -187,9 +193,9 @@
 // error of the link leaves that open; the answer to a Resume will tell.
 func (d *Dispatcher) start(ctx context.Context, r Request, p *peer, n identifier.Attempt) bool {
 	d.mutex.Lock()
-	l := p.link
+	l, usable := p.link, p.usable()
 	d.mutex.Unlock()
-	if l == nil || ctx.Err() != nil {
+	if !usable || ctx.Err() != nil {
 		return false
 	}
 	m := messenger.Start{
@@ -230,8 +236,10 @@
 	return a.answer
 }
 
-// abandon tells the sidecar that nobody waits any longer. The caller of
-// Dispatch doesn't wait for it.
+// abandon is for work that nobody takes over: a sample whose session ends here
+// goes on at its sidecar, where the trainer's next entry finds it. abandon tells
+// the sidecar that nobody waits any longer. The caller of Dispatch doesn't wait
+// for it.
 func (d *Dispatcher) abandon(a *attempt) {
 	d.mutex.Lock()
 	l := a.peer.link
--- a/ladder/dispatcher/dispatcher.go
+++ b/ladder/dispatcher/dispatcher.go
@@ -111,9 +111,11 @@
 	Incarnation identifier.Incarnation `json:"incarnation"`
 	Linked      bool                   `json:"linked"`
 	Leaving     bool                   `json:"leaving"`
-	Revision    identifier.Revision    `json:"revision"`
-	Load        messenger.Load         `json:"load"`
-	InFlight    int                    `json:"in-flight"`
+	// Usable says that the target may be given work.
+	Usable   bool                `json:"usable"`
+	Revision identifier.Revision `json:"revision"`
+	Load     messenger.Load      `json:"load"`
+	InFlight int                 `json:"in-flight"`
 }
 
 // Targets returns the status of every target known.
@@ -124,7 +126,7 @@
 	for _, p := range d.peers {
 		list = append(list, TargetStatus{
 			Target: p.target, Service: p.service, Zone: p.zone, Incarnation: p.incarnation,
-			Linked: p.link != nil, Leaving: p.leaving, Revision: p.revision, Load: p.load,
+			Linked: p.link != nil, Leaving: p.leaving, Usable: p.usable(), Revision: p.revision, Load: p.load,
 			InFlight: len(p.attempts),
 		})
 	}
--- a/ladder/dispatcher/outcome.go
+++ b/ladder/dispatcher/outcome.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 )
@@ -22,11 +24,15 @@
 	CodeCallerGone    Code = "caller-gone"
 	CodeLabelUnknown  Code = "label-unknown"
 	CodeAlreadyRan    Code = "already-ran"
+	CodeStopping      Code = "entry-stopping"
 	CodeLogDown       Code = "log-unavailable"
 	CodeKeyTooOld     Code = "idempotency-key-too-old"
 	CodeKeyInvalid    Code = "idempotency-key-invalid"
 )
 
+// ErrStopping is the cause of a context that ends because this process stops.
+var ErrStopping = errors.New("process stopping")
+
 // Outcome is what became of a request: Completed, NotRun or Unknown.
 //
 //sumtype:decl
--- a/ladder/dispatcher/peer.go
+++ b/ladder/dispatcher/peer.go
@@ -33,11 +33,14 @@
 	service     identifier.ServiceName
 	zone        identifier.ZoneName
 	// link is nil while no link is up.
-	link     messenger.Link
-	leaving  bool
-	revision identifier.Revision
-	load     messenger.Load
-	loadAt   time.Time
+	link messenger.Link
+	// configured is set once the configuration has been sent on link: before
+	// it a sidecar has no queue.
+	configured bool
+	leaving    bool
+	revision   identifier.Revision
+	load       messenger.Load
+	loadAt     time.Time
 	// attempts are those open at this incarnation.
 	attempts map[key]*attempt
 	// gone is closed when the incarnation will not be heard of again.
@@ -46,6 +49,10 @@
 	located chan messenger.Located
 }
 
+// usable says whether the peer may be given work. The caller holds the
+// dispatcher's mutex.
+func (p *peer) usable() bool { return p.link != nil && p.configured && !p.leaving }
+
 // attempt is one open dispatch of a request.
 type attempt struct {
 	key    key
@@ -109,7 +116,7 @@
 	if p.link != nil {
 		_ = p.link.Close()
 	}
-	p.link, p.leaving, p.revision = l, hello.Leaving, hello.Revision
+	p.link, p.configured, p.leaving, p.revision = l, false, hello.Leaving, hello.Revision
 	return p, nil
 }
 
@@ -131,6 +138,9 @@
 			return
 		}
 	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	p.configured = p.configured || p.link == l
 }
 
 func (a *attempt) resumption() messenger.Resume {
--- a/ladder/executor/executor.go
+++ b/ladder/executor/executor.go
@@ -181,6 +181,20 @@
 	e.Announce(ctx)
 }
 
+// GiveUp ends all work that has no answer yet: what waits is refused and never
+// runs, what runs is cancelled.
+func (e *Executor) GiveUp() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for k, j := range e.jobs {
+		if e.queue.Remove(k.request, k.attempt) {
+			e.finish(j, *e.refused(j.start, messenger.RefusedLeaving, retryAfterLeaving))
+			continue
+		}
+		j.cancel()
+	}
+}
+
 // Drain waits until every answer has been taken, or ctx ends. It returns how
 // many were left.
 func (e *Executor) Drain(ctx context.Context) int {
--- a/ladder/starter/starter.go
+++ b/ladder/starter/starter.go
@@ -107,20 +107,31 @@
 	_ = flags.Set("v", fmt.Sprint(verbosity))
 }
 
-// UntilSignal returns a context that ends at the first SIGTERM or SIGINT. A
-// second one ends the process at once.
-func UntilSignal() (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(context.Background())
-	signals := make(chan os.Signal, 2)
+// Stop tells a program when and how to end.
+type Stop struct {
+	// Begun ends at the first SIGTERM or SIGINT: finish what there is.
+	Begun context.Context
+	// Hurried ends at the second: give a final answer to what is left, and
+	// end. A third signal ends the process at once.
+	Hurried context.Context
+}
+
+// UntilSignal returns the program's Stop. Calling release ends both contexts.
+func UntilSignal() (s Stop, release context.CancelFunc) {
+	hurried, hurry := context.WithCancel(context.Background())
+	begun, begin := context.WithCancel(hurried)
+	signals := make(chan os.Signal, 3)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
-		s := <-signals
-		klog.InfoS("stopping", "signal", s.String())
-		cancel()
+		klog.InfoS("stopping", "signal", (<-signals).String())
+		begin()
+		<-signals
+		klog.InfoS("second signal, giving up what is left")
+		hurry()
 		<-signals
-		klog.InfoS("second signal, ending at once")
+		klog.InfoS("third signal, ending at once")
 		klog.Flush()
 		os.Exit(ExitFailed)
 	}()
-	return ctx, cancel
+	return Stop{Begun: begun, Hurried: hurried}, hurry
 }
--- a/ladder/supervisor/supervisor.go
+++ b/ladder/supervisor/supervisor.go
@@ -33,6 +33,9 @@
 	Heartbeats heartbeater.Options
 	// Entries are the peer addresses, IP:port, known from the settings.
 	Entries []string
+	// LeaveDelay is how long a stop waits for work that entries sent before
+	// they heard of it.
+	LeaveDelay time.Duration
 	// ListInterval is the time between two reads of the host list.
 	ListInterval time.Duration
 }
@@ -44,6 +47,8 @@
 	dialTimeout = 3 * time.Second
 	// firstPause and longestPause bound the wait between dials.
 	firstPause, longestPause = 100 * time.Millisecond, 2 * time.Second
+	// answerGrace is how long the answers to work given up may take to leave.
+	answerGrace = 2 * time.Second
 )
 
 // Supervisor is one sidecar.
@@ -97,11 +102,22 @@
 	}
 }
 
-// Stop refuses new work, finishes what there is, and returns how much was
-// left when ctx ended.
+// Stop refuses new work and finishes what there is. What is left when ctx ends
+// gets a final answer; Stop returns how much that was.
 func (s *Supervisor) Stop(ctx context.Context) int {
 	s.executor.Leave(ctx)
-	return s.executor.Drain(ctx)
+	select {
+	case <-s.clock.After(s.options.LeaveDelay):
+	case <-ctx.Done():
+	}
+	left := s.executor.Drain(ctx)
+	if left > 0 {
+		s.executor.GiveUp()
+		ctx, cancel := clockwork.WithTimeout(context.WithoutCancel(ctx), s.clock, answerGrace)
+		defer cancel()
+		s.executor.Drain(ctx)
+	}
+	return left
 }
 
 // entries returns the peer addresses from the settings and the host list. A
--- a/sidecar/runner/runner.go
+++ b/sidecar/runner/runner.go
@@ -30,7 +30,8 @@
 It dials the entries named by --entry and by the platform's host list, keeps
 every answer until the entry has it whole, and brings an engine to new weights.
 On SIGTERM it takes no new work and finishes what it has, at most for
---drain-timeout. Each flag can be set by the environment variable shown.`
+--drain-timeout; what is left then, or at a second SIGTERM, gets a final answer.
+Each flag can be set by the environment variable shown.`
 
 // Settings are a sidecar's flags and environment variables.
 type Settings struct {
@@ -43,6 +44,7 @@
 	Entry        []starter.Address `help:"An entry's peer listener, IP:port. May be given often."`
 	Hosts        starter.Address   `help:"The platform's host list, IP:port."`
 	Listen       starter.Address   `help:"Where to serve status and metrics, IP:port." default:"127.0.0.1:0"`
+	LeaveDelay   time.Duration     `help:"How long a stop waits for entries to hear of it." default:"1s"`
 	DrainTimeout time.Duration     `help:"How long a stop waits for work in progress." default:"30s"`
 	Retention    time.Duration     `help:"How long an answer that no entry has taken is kept." default:"5m"`
 }
@@ -52,6 +54,8 @@
 	switch {
 	case len(s.Entry) == 0 && s.Hosts == "":
 		return fmt.Errorf("--entry: none given, and no --hosts; give one at least")
+	case s.LeaveDelay < 0:
+		return fmt.Errorf("--leave-delay: %s is below 0", s.LeaveDelay)
 	case s.DrainTimeout < 0:
 		return fmt.Errorf("--drain-timeout: %s is below 0", s.DrainTimeout)
 	case s.Retention < time.Second:
@@ -88,7 +92,7 @@
 	if err != nil {
 		return err
 	}
-	stopping, release := starter.UntilSignal()
+	stop, release := starter.UntilSignal()
 	defer release()
 	p := newSupervisor(s, linker.New(e))
 	working, cancel := context.WithCancel(context.Background())
@@ -102,9 +106,9 @@
 		}
 	})
 	klog.InfoS("sidecar started", "target", s.Target, "service", s.Service, "zone", s.Zone, "listen", listener.Addr().String())
-	<-stopping.Done()
-	bounded, stop := context.WithTimeout(working, s.DrainTimeout)
-	defer stop()
+	<-stop.Begun.Done()
+	bounded, giveUp := context.WithTimeout(stop.Hurried, s.LeaveDelay+s.DrainTimeout)
+	defer giveUp()
 	left := p.Stop(bounded)
 	klog.InfoS("sidecar stopped", "target", s.Target, "left", left)
 	cancel()
@@ -115,7 +119,7 @@
 	engine := s.Kind == "model-engine"
 	options := supervisor.Options{
 		Executor: executor.DefaultOptions(), Heartbeats: heartbeater.DefaultOptions(),
-		ListInterval: 2 * time.Second,
+		LeaveDelay: s.LeaveDelay, ListInterval: 2 * time.Second,
 	}
 	options.Executor.Target = identifier.TargetName(s.Target)
 	options.Executor.Service = identifier.ServiceName(s.Service)
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -62,9 +62,9 @@
 	}
 	starter.SetUpLogs(settings.LogVerbosity)
 	defer klog.Flush()
-	ctx, cancel := starter.UntilSignal()
-	defer cancel()
-	if err := chosen[parsed.Selected().Name].run(ctx, stdout); err != nil {
+	stop, release := starter.UntilSignal()
+	defer release()
+	if err := chosen[parsed.Selected().Name].run(stop.Begun, stdout); err != nil {
 		fmt.Fprintf(stderr, "standin: %s: %s\n", parsed.Selected().Name, err)
 		return starter.ExitFailed
 	}
