--- a/standin/endtoend/system_test.go
+++ b/standin/endtoend/system_test.go
@@ -38,24 +38,30 @@
 	listen, operators, peers []string
 	entries                  []*process
 	engines, stocks, scorers []*target
+	// sidecarArguments are added to those of sidecars started from then on.
+	sidecarArguments []string
 	// owner signs approvals.
 	owner ed25519.PrivateKey
 }
 
-// newSystem starts the platform and two entries, and publishes a document.
-func newSystem(t *testing.T) *system {
+// newSystem starts two entries, then the platform that they have to wait for,
+// and publishes a document. The arguments are added to those of the entries.
+func newSystem(t *testing.T, arguments ...string) *system {
 	t.Helper()
 	a := freeAddresses(t, 8)
 	s := &system{
 		t: t, log: a[0], weights: a[1], listen: a[2:4], operators: a[4:6], peers: a[6:8],
 		owner: ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize)),
 	}
-	start(t, "standin", "log", "--listen", s.log)
-	start(t, "standin", "weights", "--listen", s.weights)
 	for n := range s.listen {
-		s.entries = append(s.entries, start(t, "entry", "--name", name("entry", n), "--zone", "bkk-a", "--log", s.log,
-			"--listen", s.listen[n], "--peer-listen", s.peers[n], "--operator-listen", s.operators[n]))
+		settings := append([]string{
+			"--name", name("entry", n), "--zone", "bkk-a", "--log", s.log, "--listen", s.listen[n],
+			"--peer-listen", s.peers[n], "--operator-listen", s.operators[n],
+		}, arguments...)
+		s.entries = append(s.entries, start(t, "entry", settings...))
 	}
+	start(t, "standin", "log", "--listen", s.log)
+	start(t, "standin", "weights", "--listen", s.weights)
 	if a := s.publish(0, s.document(0)); a.Status != http.StatusOK {
 		t.Fatalf("publish: status %d: %s", a.Status, a.Body)
 	}
@@ -86,6 +92,7 @@
 	s.t.Helper()
 	address := freeAddresses(s.t, 1)[0]
 	sidecar := []string{"--target", name, "--service", service, "--kind", kind, "--zone", "bkk-a", "--address", address}
+	sidecar = append(sidecar, s.sidecarArguments...)
 	for _, p := range peers {
 		sidecar = append(sidecar, "--entry", p)
 	}
