--- /dev/null
+++ b/ladder/subsetter/subsetter_test.go
@@ -0,0 +1,88 @@
+package subsetter
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+)
+
+// drawEntries draws entries in up to five zones.
+func drawEntries(t *rapid.T) []Entry {
+	entries := make([]Entry, rapid.IntRange(1, 60).Draw(t, "entries"))
+	for n := range entries {
+		zone := rapid.IntRange(0, 4).Draw(t, "zone")
+		entries[n] = Entry{Address: fmt.Sprintf("10.0.%d.%d:9000", n/200, n%200), Zone: identifier.ZoneName(fmt.Sprintf("z%d", zone))}
+	}
+	return entries
+}
+
+func TestPick_BoundedAndOwnZoneFirst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		entries, links := drawEntries(t), rapid.IntRange(1, 8).Draw(t, "links")
+		picked := Pick("engine-7", "z0", entries, links)
+		own, others := split(entries, "z0")
+		ownPicked, _ := split(picked, "z0")
+		want := min(len(own), max(links-min(outsideLinks, len(others)), 1))
+		if len(entries) <= links {
+			want = len(own)
+		}
+		if diff := cmp.Diff([]int{min(links, len(entries)), want}, []int{len(picked), len(ownPicked)}); diff != "" {
+			t.Errorf("links, links in the own zone (-want +got):\n%s", diff)
+		}
+		distinct := slices.Compact(slices.SortedFunc(slices.Values(picked), func(a, b Entry) int {
+			return map[bool]int{true: -1, false: 1}[a.Address < b.Address]
+		}))
+		if len(distinct) != len(picked) {
+			t.Errorf("an entry was picked twice: %v", picked)
+		}
+	})
+}
+
+// TestPick_OnlyLinksOfChangedEntryMove takes one entry away: who wasn't linked
+// to it keeps every link, and who was keeps all the others.
+func TestPick_OnlyLinksOfChangedEntryMove(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		entries, links := drawEntries(t), rapid.IntRange(1, 8).Draw(t, "links")
+		gone := rapid.IntRange(0, len(entries)-1).Draw(t, "gone")
+		target := identifier.TargetName(rapid.StringN(1, 20, -1).Draw(t, "target"))
+		before := Pick(target, "z0", entries, links)
+		after := Pick(target, "z0", slices.Delete(slices.Clone(entries), gone, gone+1), links)
+		for _, e := range before {
+			if e != entries[gone] && !slices.Contains(after, e) {
+				t.Errorf("link to %v lost with entry %v", e, entries[gone])
+			}
+		}
+		if !slices.Contains(before, entries[gone]) {
+			if diff := cmp.Diff(before, after); diff != "" {
+				t.Errorf("links moved without cause (-before +after):\n%s", diff)
+			}
+		}
+	})
+}
+
+// TestPick_BalancedAtTargetSize places the target's 12,000 sidecars: no entry
+// may get more links than its 9 KB a second carry at 45 bytes a second each.
+func TestPick_BalancedAtTargetSize(t *testing.T) {
+	const entries, zones, sidecars, links, most = 330, 34, 12000, 4, 9 * 1024 / 45
+	all := make([]Entry, entries)
+	for n := range all {
+		all[n] = Entry{Address: fmt.Sprintf("10.1.%d.%d:9000", n/200, n%200), Zone: identifier.ZoneName(fmt.Sprintf("z%d", n%zones))}
+	}
+	count := make(map[string]int)
+	for n := range sidecars {
+		target := identifier.TargetName(fmt.Sprintf("engine-%d", n))
+		for _, e := range Pick(target, identifier.ZoneName(fmt.Sprintf("z%d", n%zones)), all, links) {
+			count[e.Address]++
+		}
+	}
+	for _, e := range all {
+		if count[e.Address] > most {
+			t.Errorf("%s has %d links, at most %d may be", e.Address, count[e.Address], most)
+		}
+	}
+}
--- a/standin/endtoend/caller_test.go
+++ b/standin/endtoend/caller_test.go
@@ -29,12 +29,12 @@
 	// body is the whole body, or the text of a stream.
 	body string
 	// whole says that a stream had its end marker with the right checksum.
-	whole      bool
-	retryAfter string
+	whole bool
 	// Code and Outcome are those of a failure.
-	Code    string `json:"code"`
-	Outcome string `json:"outcome"`
-	err     error
+	Code       string `json:"code"`
+	Outcome    string `json:"outcome"`
+	RetryAfter int    `json:"retry-after-seconds"`
+	err        error
 }
 
 func (a answer) String() string {
@@ -73,7 +73,7 @@
 		return a
 	}
 	defer response.CloseBodyStream()
-	a.status, a.retryAfter = response.StatusCode(), string(response.Header.Peek("Retry-After"))
+	a.status = response.StatusCode()
 	if c.pieces != nil && a.status == fasthttp.StatusOK {
 		c.follow(response.BodyStream(), &a)
 		return a
--- a/standin/endtoend/failure_test.go
+++ b/standin/endtoend/failure_test.go
@@ -166,7 +166,7 @@
 	}
 	keyed := reserve(s.listen[1], "keyed")
 	keyed.key = newKey()
-	if a := keyed.do(); a.Outcome != "not-run" || a.retryAfter == "" {
+	if a := keyed.do(); a.Outcome != "not-run" || a.RetryAfter == 0 {
 		t.Errorf("keyed call: want not-run with Retry-After: %s", a)
 	}
 	s.fault(s.log, "", "")
--- /dev/null
+++ b/standin/endtoend/lifecycle_test.go
@@ -0,0 +1,115 @@
+package endtoend
+
+import (
+	"context"
+	"net/http"
+	"syscall"
+	"testing"
+
+	"github.com/lycheeladder/lycheeladder/ladder/deliverer"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/lister"
+	"github.com/lycheeladder/lycheeladder/ladder/requester"
+)
+
+// endless is more tokens than a test waits for.
+const endless = 1 << 20
+
+// stragglers begins a streamed and an unstreamed call that would go on for ever,
+// and a reservation at a target that never answers.
+func (s *system) stragglers() (stream, plain, once <-chan answer) {
+	s.t.Helper()
+	s.addEngine("--token-time", "10ms")
+	s.addStock("--call-for", "1h")
+	c := streamed(generate(s.listen[0], "hang", endless))
+	stream, plain = c.begin(), generate(s.listen[0], "chain", endless).begin()
+	once = reserve(s.listen[0], "pendant").begin()
+	<-c.pieces
+	eventually(s.t, "all work to have begun", func() bool {
+		return len(s.ran(s.engines[0])) == 2 && len(s.ran(s.stocks[0])) == 1
+	})
+	return stream, plain, once
+}
+
+// wantFinal checks that a call that was given up got a truthful last word.
+func wantFinal(t *testing.T, kind string, a answer) {
+	t.Helper()
+	if a.err != nil || a.whole || a.Outcome != "unknown" || a.Code == "" || a.RetryAfter == 0 {
+		t.Errorf("%s: want outcome unknown, a code and when to come back: %s", kind, a)
+	}
+}
+
+func TestStopWithStragglers_FinalAnswersNoCut(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		drain   string
+		sidecar bool
+		signals int
+	}{
+		{"entry at its drain timeout", "1s", false, 1},
+		{"entry at a second signal", "1h", false, 2},
+		{"sidecar at its drain timeout", "1s", true, 1},
+		{"sidecar at a second signal", "1h", true, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSystem(t, "--drain-timeout", c.drain)
+			s.sidecarArguments = []string{"--drain-timeout", c.drain}
+			stream, plain, once := s.stragglers()
+			leaving := s.entries[:1]
+			if c.sidecar {
+				leaving = []*process{s.engines[0].sidecar, s.stocks[0].sidecar}
+			}
+			for _, p := range leaving {
+				for range c.signals - 1 {
+					p.signal(syscall.SIGTERM)
+					eventually(t, "the stop to begin", p.says("stopping"))
+				}
+				p.stop()
+			}
+			wantFinal(t, "stream", <-stream)
+			wantFinal(t, "unstreamed", <-plain)
+			wantFinal(t, "reservation", <-once)
+		})
+	}
+}
+
+func TestStopOfEntry_TrainerGoesOnElsewhereAtOnce(t *testing.T) {
+	s := newSystem(t, "--leave-delay", "1h")
+	s.addEngine("--token-time", "10ms")
+	s.addScorer()
+	ctx, cancel := context.WithTimeout(t.Context(), callLimit)
+	defer cancel()
+	f := s.newFetcher()
+	if err := f.Submit(ctx, []deliverer.Group{group("short", 2, 10), group("long", 4, 500)}); err != nil {
+		t.Fatal(err)
+	}
+	tokens := map[identifier.GroupID]int{"short": 10, "long": 500}
+	taken := make(map[identifier.SampleID]int)
+	if err := take(ctx, f, taken, 2, tokens); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the long samples at the engine", func() bool { return s.ran(s.engines[0])["long"] == 4 })
+	s.entries[0].signal(syscall.SIGTERM)
+	if err := take(ctx, f, taken, 4, tokens); err != nil {
+		t.Fatal(err)
+	}
+	if ran := s.ran(s.engines[0])["long"]; ran != 4 {
+		t.Errorf("4 samples in progress took %d generations", ran)
+	}
+}
+
+func TestHostListedAsLeaving_TargetGetsNoNewWork(t *testing.T) {
+	s := newSystem(t)
+	hosts := freeAddresses(t, 1)[0]
+	start(t, "standin", "hosts", "--listen", hosts, "--lag", "0s")
+	s.sidecarArguments = []string{"--hosts", hosts}
+	s.addStock()
+	leaving := lister.Host{Name: "stock-1", Role: lister.RoleTarget, Address: s.stocks[0].address, Zone: "bkk-a", State: lister.HostLeaving}
+	if err := requester.New(hosts, "").Into(t.Context(), http.MethodPut, "/hosts/stock-1", leaving, nil); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the target to leave", func() bool { return !s.linked(0, "stock-1") && !s.linked(1, "stock-1") })
+	if a := reserve(s.listen[0], "late").do(); a.Outcome != "not-run" || len(s.ran(s.stocks[0])) != 0 {
+		t.Errorf("reservation at a leaving target: %s", a)
+	}
+}
--- a/standin/endtoend/processes_test.go
+++ b/standin/endtoend/processes_test.go
@@ -88,10 +88,13 @@
 		_ = p.command.Wait()
 		close(ended)
 	}()
-	eventually(p.t, p.program+" to start", func() bool {
-		log := p.read()
-		return strings.Contains(log, " started") || strings.Contains(log, "listening")
-	})
+	says, listens := p.says(" started"), p.says("listening")
+	eventually(p.t, p.program+" to start", func() bool { return says() || listens() })
+}
+
+// says returns a condition: that the program has logged text.
+func (p *process) says(text string) func() bool {
+	return func() bool { return strings.Contains(p.read(), text) }
 }
 
 func (p *process) read() string {
