--- a/entry/publisher/publisher.go
+++ b/entry/publisher/publisher.go
@@ -22,6 +22,8 @@
 	bodyLimit = 8 << 20
 	// publishTimeout bounds the wait for a verdict.
 	publishTimeout = 8 * time.Second
+	// startTimeout bounds the wait of an entry that has just started.
+	startTimeout = 5 * time.Second
 	// retryAfterSeconds is asked while the log is down.
 	retryAfterSeconds = "5"
 )
@@ -50,7 +52,17 @@
 type publisher struct{ coordinator *coordinator.Coordinator }
 
 func (p *publisher) authorize(c fiber.Ctx) error {
-	state, _ := p.coordinator.Follower().State()
+	state, inForce := p.coordinator.Follower().State()
+	if !inForce && c.Method() == fiber.MethodPost {
+		// Who may publish isn't known here yet.
+		ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+		defer cancel()
+		state, inForce = p.coordinator.Follower().Wait(ctx)
+	}
+	if !inForce && c.Method() == fiber.MethodPost {
+		c.Set(fiber.HeaderRetryAfter, retryAfterSeconds)
+		return c.Status(fiber.StatusServiceUnavailable).JSON(Result{Verdict: "refused", Reason: "configuration in force not known yet"})
+	}
 	key, _ := strings.CutPrefix(c.Get(fiber.HeaderAuthorization), "Bearer ")
 	if _, refusal := authorizer.Operator(state.Document, key); refusal != authorizer.RefusalNone {
 		return c.Status(fiber.StatusUnauthorized).JSON(Result{Verdict: "refused", Reason: string(refusal)})
--- a/ladder/accepter/compress.go
+++ b/ladder/accepter/compress.go
@@ -102,7 +102,6 @@
 	if err != nil {
 		return nil, err
 	}
-	defer w.Close()
 	return w.EncodeAll(data, nil), nil
 }
 
--- a/ladder/accepter/fixture_test.go
+++ b/ladder/accepter/fixture_test.go
@@ -4,8 +4,11 @@
 	"context"
 	"crypto/ed25519"
 	"encoding/base64"
+	"flag"
 	"fmt"
+	"os"
 	"strings"
+	"testing"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,6 +19,13 @@
 	"github.com/lycheeladder/lycheeladder/ladder/validator"
 )
 
+// TestMain fixes the seed of the properties; -rapid.seed names another.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
 var (
 	ownerKey = ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))
 	epoch    = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/ladder/accepter/follower.go
+++ b/ladder/accepter/follower.go
@@ -95,6 +95,21 @@
 	return f.state, true
 }
 
+// Wait is State, once the configuration in force is known or ctx has ended.
+func (f *Follower) Wait(ctx context.Context) (State, bool) {
+	for {
+		changed := f.Changed()
+		if s, inForce := f.State(); inForce {
+			return s, true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return State{}, false
+		}
+	}
+}
+
 // Changed returns a channel that is closed at the next change.
 func (f *Follower) Changed() <-chan struct{} {
 	f.mutex.Lock()
--- a/ladder/accepter/start.go
+++ b/ladder/accepter/start.go
@@ -37,6 +37,7 @@
 		return nil
 	}
 	if page.FirstKept == 0 && f.adopt(State{}) {
+		f.apply(page)
 		return nil
 	}
 	f.markGap()
