--- a/ladder/accepter/accepter.go
+++ b/ladder/accepter/accepter.go
@@ -157,12 +157,10 @@
 // judge returns the faults of a document whose base is s. The time that counts
 // for approvals is the log's own.
 func (s State) judge(d *validator.Document, record appender.Record) validator.Faults {
-	faults := validator.Validate(*d)
-	held := s.heldApprovals()
+	faults := append(validator.Validate(*d), approver.CheckOwners(s.Document, d)...)
+	held := s.heldGrants()
 	for i, g := range d.Grants {
-		// A grant that stands unchanged is not checked again: its approval may
-		// have expired since, and is refused at each call then.
-		if a, ok := held[grantKey{g.Team, g.Service}]; ok && sameApproval(a, g.Approval) {
+		if old, ok := held[grantKey{g.Team, g.Service}]; ok && sameApproval(old.Approval, g.Approval) {
 			continue
 		}
 		if err := approver.Check(d, g, record.Time); err != nil {
@@ -179,17 +177,22 @@
 	service identifier.ServiceName
 }
 
-func (s State) heldApprovals() map[grantKey]validator.Approval {
+// heldGrants returns the grants of the document in force. One that stands
+// unchanged is not verified again: if it has expired since, or its owner's key
+// has changed, it stays, and is refused at each call.
+func (s State) heldGrants() map[grantKey]validator.Grant {
 	if s.Document == nil {
 		return nil
 	}
-	held := make(map[grantKey]validator.Approval, len(s.Document.Grants))
+	held := make(map[grantKey]validator.Grant, len(s.Document.Grants))
 	for _, g := range s.Document.Grants {
-		held[grantKey{g.Team, g.Service}] = g.Approval
+		held[grantKey{g.Team, g.Service}] = g
 	}
 	return held
 }
 
+// sameApproval compares times by their instant: how a time's zone is held
+// differs with the machine's own, and a verdict must not.
 func sameApproval(a, b validator.Approval) bool {
 	return a.Signature == b.Signature && a.Expires.Equal(b.Expires) && a.Owner == b.Owner
 }
--- a/ladder/accepter/publish.go
+++ b/ladder/accepter/publish.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
 	"github.com/lycheeladder/lycheeladder/ladder/annotator"
@@ -48,8 +47,7 @@
 // waitForBase returns the state whose revision is base, or a verdict where
 // none of that revision is to come.
 func (f *Follower) waitForBase(ctx context.Context, id publication, base identifier.Revision) (State, Verdict, error) {
-	bounded, cancel := clockwork.WithTimeout(ctx, f.clock, behindTimeout)
-	defer cancel()
+	behind := f.clock.After(behindTimeout)
 	for {
 		changed := f.Changed()
 		if v := f.verdictOn(id); v != nil {
@@ -64,12 +62,13 @@
 		}
 		select {
 		case <-changed:
-		case <-bounded.Done():
-			if ctx.Err() != nil || !inForce {
-				return s, nil, errors.Wrap(bounded.Err(), "configuration in force not known")
+		case <-ctx.Done():
+			return s, nil, errors.Wrap(ctx.Err(), "configuration in force not known")
+		case <-behind:
+			if inForce {
+				// Nothing was appended, so nothing of it can be accepted.
+				return s, Conflict{Base: base, Current: s.Revision}, nil
 			}
-			// Nothing was appended, so nothing of it can be accepted.
-			return s, Conflict{Base: base, Current: s.Revision}, nil
 		}
 	}
 }
--- a/ladder/accepter/record.go
+++ b/ladder/accepter/record.go
@@ -42,6 +42,8 @@
 	Base     identifier.Revision   `cbor:"2,keyasint"`
 	// Hash is of the proposed document.
 	Hash Hash `cbor:"3,keyasint"`
+	// Author is the document's: a reader that can't rebuild it knows who.
+	Author identifier.OperatorName `cbor:"5,keyasint"`
 	// Change is the document's JSON, compressed against the base's.
 	Change []byte `cbor:"4,keyasint"`
 }
--- a/ladder/coordinator/coordinator.go
+++ b/ladder/coordinator/coordinator.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -14,6 +15,7 @@
 
 	"github.com/lycheeladder/lycheeladder/ladder/accepter"
 	"github.com/lycheeladder/lycheeladder/ladder/appender"
+	"github.com/lycheeladder/lycheeladder/ladder/authorizer"
 	"github.com/lycheeladder/lycheeladder/ladder/claimer"
 	"github.com/lycheeladder/lycheeladder/ladder/converger"
 	"github.com/lycheeladder/lycheeladder/ladder/deliverer"
@@ -59,6 +61,10 @@
 	claimer    *claimer.Claimer
 	limiter    *limiter.Limiter
 	recorder   *recorder.Recorder
+
+	mutex sync.Mutex
+	// indexed is the index of the document last asked for.
+	indexed *authorizer.Index
 }
 
 // New returns a Coordinator that follows log. It serves nobody until the end
@@ -124,6 +130,17 @@
 	}
 }
 
+// index returns the index of the document in force.
+func (c *Coordinator) index() *authorizer.Index {
+	s, _ := c.follower.State()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.indexed == nil || c.indexed.Document() != s.Document {
+		c.indexed = authorizer.NewIndex(s.Document, c.indexed)
+	}
+	return c.indexed
+}
+
 // Ready says whether the entry knows what is in force.
 func (c *Coordinator) Ready() bool {
 	s, caughtUp := c.follower.State()
@@ -170,7 +187,8 @@
 	}
 	s, ok := state.Document.ServiceByName(service)
 	if !ok {
-		return messenger.Configuration{}, false
+		// The service is out of play: its sidecars take no work.
+		return messenger.Configuration{Revision: state.Revision}, true
 	}
 	return messenger.Configuration{
 		Revision: state.Revision, Slots: s.Slots, QueueLimit: s.QueueLimit, Model: s.Model,
--- a/ladder/validator/document.go
+++ b/ladder/validator/document.go
@@ -48,6 +48,9 @@
 	Name identifier.OwnerName `json:"name"`
 	// PublicKey is the owner's Ed25519 key in standard base64.
 	PublicKey string `json:"public-key"`
+	// KeyHandover is needed in the document that changes the key: the old
+	// key's signature over the new one, in base64.
+	KeyHandover string `json:"key-handover,omitempty"`
 }
 
 // Model is a model under training.
@@ -100,9 +103,10 @@
 
 // Grant lets a team call a service, once the service's owner has approved it.
 type Grant struct {
-	Team     identifier.TeamName    `json:"team"`
-	Service  identifier.ServiceName `json:"service"`
-	Approval Approval               `json:"approval"`
+	Team    identifier.TeamName    `json:"team"`
+	Service identifier.ServiceName `json:"service"`
+	// Approval is empty while the owner has not approved yet.
+	Approval Approval `json:"approval,omitzero"`
 }
 
 // Approval is an owner's signature over one grant.
