--- a/ladder/accepter/accepter.go
+++ b/ladder/accepter/accepter.go
@@ -160,7 +160,7 @@
 	faults := append(validator.Validate(*d), approver.CheckOwners(s.Document, d)...)
 	held := s.heldGrants()
 	for i, g := range d.Grants {
-		if held[grantKey{g.Team, g.Service}] == g {
+		if old, ok := held[grantKey{g.Team, g.Service}]; ok && sameApproval(old.Approval, g.Approval) {
 			continue
 		}
 		if err := approver.Check(d, g, record.Time); err != nil {
@@ -190,3 +190,9 @@
 	}
 	return held
 }
+
+// sameApproval compares times by their instant: how a time's zone is held
+// differs with the machine's own, and a verdict must not.
+func sameApproval(a, b validator.Approval) bool {
+	return a.Signature == b.Signature && a.Expires.Equal(b.Expires) && a.Owner == b.Owner
+}
