--- a/ladder/router/policy.go
+++ b/ladder/router/policy.go
@@ -83,7 +83,7 @@
 // avoidanceHalfLife is the time in which what was learnt of a slow target
 // counts for half. A target that is avoided isn't heard of, so that nothing
 // else would ever clear it.
-const avoidanceHalfLife = time.Second
+const avoidanceHalfLife = 1000 * time.Millisecond
 
 // expectedWait is in requests of a target at the usual pace.
 func (r *Router) expectedWait(c Candidate) float64 {
--- a/ladder/router/router.go
+++ b/ladder/router/router.go
@@ -2,7 +2,6 @@
 package router
 
 import (
-	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -131,7 +130,7 @@
 	if !begun {
 		return seconds(u.first.limit())
 	}
-	return seconds(math.Max(u.next.limit(), u.first.mean))
+	return seconds(u.next.limit())
 }
 
 // Done closes a request.
