--- a/ladder/router/policy.go
+++ b/ladder/router/policy.go
@@ -85,9 +85,6 @@
 // else would ever clear it.
 const avoidanceHalfLife = 1000 * time.Millisecond
 
-// reportHalfLife is the time in which a load report counts for half.
-const reportHalfLife = time.Second
-
 // expectedWait is in requests of a target at the usual pace.
 func (r *Router) expectedWait(c Candidate) float64 {
 	o := r.observationOf(c)
@@ -97,8 +94,7 @@
 	if o.inFlight > 0 {
 		slowness = math.Max(slowness, o.silence(age))
 	}
-	others := float64(max(0, c.Reported-o.inFlight)) * math.Exp2(-float64(now.Sub(c.ReportedAt))/float64(reportHalfLife))
-	return (1 + float64(o.inFlight) + others) * slowness
+	return float64(1+o.inFlight) * slowness
 }
 
 // silence returns how many times longer than usual nothing has come, 0 if it
