--- a/ladder/executor/job.go
+++ b/ladder/executor/job.go
@@ -40,7 +40,9 @@
 }
 
 func itemOf(m messenger.Start) queuer.Item {
-	return queuer.Item{Request: m.Request, Attempt: m.Attempt, Class: m.Class, Urgency: m.Urgency}
+	return queuer.Item{
+		Request: m.Request, Attempt: m.Attempt, Class: m.Class, Urgency: m.Urgency, Expected: m.Expected,
+	}
 }
 
 // useful says whether the job's answer is, or may still become, a whole one.
--- a/ladder/executor/runner.go
+++ b/ladder/executor/runner.go
@@ -40,7 +40,7 @@
 			return
 		}
 		tasks.Go(func() {
-			defer e.queue.Done()
+			defer e.queue.Done(i)
 			e.run(ctx, key{i.Request, i.Attempt})
 		})
 	}
--- a/ladder/queuer/order.go
+++ b/ladder/queuer/order.go
@@ -1,6 +1,10 @@
 package queuer
 
-import "github.com/lycheeladder/lycheeladder/ladder/identifier"
+import (
+	"time"
+
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+)
 
 // Order is a way to choose which waiting item goes first.
 //
@@ -14,11 +18,51 @@
 // first, then the one that has waited longest. It is a baseline.
 type PlainPriority struct{}
 
+// ShortFirst takes live before rollout, within a class the more urgent first,
+// then the one with the fewest expected tokens, less what it has gained by
+// waiting. While short live work is about, long work doesn't get all slots;
+// while rollout work waits, it always gets one.
+type ShortFirst struct{}
+
 func (FirstInFirstOut) order() {}
 func (PlainPriority) order()   {}
+func (ShortFirst) order()      {}
+
+const (
+	// ageingRate is what an item gains by waiting, in tokens a second: one
+	// with n expected tokens is overtaken only by items that come at most
+	// n/ageingRate seconds after it.
+	ageingRate = 100
+	// reservedShare is one in so many slots that long work can't take.
+	reservedShare = 4
+	// rolloutSlots is what rollout work gets while it waits, whatever live
+	// work there is.
+	rolloutSlots = 1
+)
+
+// best returns the index of the waiting item to run now, -1 if there is none.
+// The caller holds the mutex.
+func (q *Queuer) best() int {
+	if len(q.running) >= q.slots {
+		return -1
+	}
+	_, shortFirst := q.order.(ShortFirst)
+	first := q.rolloutFirst()
+	longAllowed := !shortFirst || q.longAllowed()
+	best := -1
+	for n, e := range q.waiting {
+		if !longAllowed && q.lengths.long(e.Item) {
+			continue
+		}
+		if best < 0 || q.before(e, q.waiting[best], first) {
+			best = n
+		}
+	}
+	return best
+}
 
 // before says whether a, which came later than b, goes before it.
-func (q *Queuer) before(a, b Item) bool {
+func (q *Queuer) before(a, b entry, first identifier.Class) bool {
 	switch q.order.(type) {
 	case FirstInFirstOut:
 		return false
@@ -27,6 +71,54 @@
 			return a.Class == identifier.ClassLive
 		}
 		return a.Urgency > b.Urgency
+	case ShortFirst:
+		if a.Class != b.Class {
+			return a.Class == first
+		}
+		if a.Urgency != b.Urgency {
+			return a.Urgency > b.Urgency
+		}
+		return aged(a, b) < float64(b.Expected)
 	}
 	return false
 }
+
+// aged is the expected tokens of a, plus the gain that the earlier b has over
+// it.
+func aged(a, b entry) float64 {
+	return float64(a.Expected) + ageingRate*a.since.Sub(b.since).Seconds()
+}
+
+// rolloutFirst returns the class that goes first: rollout work while it has
+// fewer slots than it is sure of, live work else.
+func (q *Queuer) rolloutFirst() identifier.Class {
+	running := 0
+	for _, e := range q.running {
+		if e.Class == identifier.ClassRollout {
+			running++
+		}
+	}
+	if running < min(rolloutSlots, q.slots-1) {
+		return identifier.ClassRollout
+	}
+	return identifier.ClassLive
+}
+
+// longAllowed says whether one more long item may run. What has run for long
+// counts as long, whatever was expected of it.
+func (q *Queuer) longAllowed() bool {
+	now := q.clock.Now()
+	if !q.lengths.shortAbout(now) {
+		return true
+	}
+	long := 0
+	for _, e := range q.running {
+		if q.lengths.long(e.Item) || q.lengths.ranLong(now.Sub(e.since)) {
+			long++
+		}
+	}
+	return long < q.slots-q.slots/reservedShare
+}
+
+// shortMemory is how long after the last live item slots are kept for more.
+const shortMemory = 10 * time.Second
--- a/ladder/queuer/queuer.go
+++ b/ladder/queuer/queuer.go
@@ -3,7 +3,9 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
@@ -25,6 +27,13 @@
 	Expected identifier.TokenCount
 }
 
+// entry is an item in the queue or at the target.
+type entry struct {
+	Item
+	// since is when it was put or, once it runs, taken.
+	since time.Time
+}
+
 // Queuer is a bounded queue with a bounded number of running items.
 type Queuer struct {
 	clock clockwork.Clock
@@ -32,11 +41,13 @@
 
 	mutex sync.Mutex
 	// waiting is in order of arrival.
-	waiting []Item
-	// running never exceeds slots, except after slots was lowered.
-	running int
+	waiting []entry
+	// running never has more than slots items, except after slots was lowered.
+	running []entry
 	slots   int
 	limit   int
+	// lengths tells long items from short ones.
+	lengths lengths
 	changed chan struct{}
 }
 
@@ -58,10 +69,12 @@
 func (q *Queuer) Put(i Item) error {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	if len(q.waiting) >= q.limit+max(0, q.slots-q.running) {
+	if len(q.waiting) >= q.limit+max(0, q.slots-len(q.running)) {
 		return ErrFull
 	}
-	q.waiting = append(q.waiting, i)
+	now := q.clock.Now()
+	q.lengths.arrived(i, now)
+	q.waiting = append(q.waiting, entry{Item: i, since: now})
 	q.notify()
 	return nil
 }
@@ -91,20 +104,26 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	best := q.best()
-	if best < 0 || q.running >= q.slots {
+	if best < 0 {
 		return q.changed, Item{}, false
 	}
-	i = q.waiting[best]
-	q.waiting = append(q.waiting[:best], q.waiting[best+1:]...)
-	q.running++
-	return nil, i, true
+	e := q.waiting[best]
+	q.waiting = slices.Delete(q.waiting, best, best+1)
+	e.since = q.clock.Now()
+	q.running = append(q.running, e)
+	return nil, e.Item, true
 }
 
-// Done gives a slot back.
-func (q *Queuer) Done() {
+// Done gives the slot of a taken item back.
+func (q *Queuer) Done(i Item) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	q.running--
+	n := indexOf(q.running, i.Request, i.Attempt)
+	if n < 0 {
+		return
+	}
+	q.lengths.ran(i, q.clock.Since(q.running[n].since))
+	q.running = slices.Delete(q.running, n, n+1)
 	q.notify()
 }
 
@@ -112,30 +131,23 @@
 func (q *Queuer) Remove(request identifier.RequestID, attempt identifier.Attempt) bool {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	for n, i := range q.waiting {
-		if i.Request == request && i.Attempt == attempt {
-			q.waiting = append(q.waiting[:n], q.waiting[n+1:]...)
-			return true
-		}
+	n := indexOf(q.waiting, request, attempt)
+	if n < 0 {
+		return false
 	}
-	return false
+	q.waiting = slices.Delete(q.waiting, n, n+1)
+	return true
 }
 
 // Lengths returns how many items run and wait, and the slots.
 func (q *Queuer) Lengths() (running, waiting, slots int) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return q.running, len(q.waiting), q.slots
+	return len(q.running), len(q.waiting), q.slots
 }
 
-func (q *Queuer) best() int {
-	best := -1
-	for n, i := range q.waiting {
-		if best < 0 || q.before(i, q.waiting[best]) {
-			best = n
-		}
-	}
-	return best
+func indexOf(entries []entry, request identifier.RequestID, attempt identifier.Attempt) int {
+	return slices.IndexFunc(entries, func(e entry) bool { return e.Request == request && e.Attempt == attempt })
 }
 
 func (q *Queuer) notify() {
--- a/measurer/driver/worker.go
+++ b/measurer/driver/worker.go
@@ -28,6 +28,7 @@
 
 // job is one attempt at a worker.
 type job struct {
+	item queuer.Item
 	work *engine.Job
 	// running is set once the work has its slot.
 	running bool
@@ -44,7 +45,7 @@
 	if err := w.queue.Put(i); err != nil {
 		return err
 	}
-	w.jobs[k] = &job{work: work}
+	w.jobs[k] = &job{item: i, work: work}
 	ended := work.Ended
 	work.Ended = func() {
 		w.end(k)
@@ -71,8 +72,8 @@
 }
 
 func (w *Worker) end(k jobKey) {
+	w.queue.Done(w.jobs[k].item)
 	delete(w.jobs, k)
-	w.queue.Done()
 	w.pump()
 }
 
--- a/measurer/verb/blocking.go
+++ b/measurer/verb/blocking.go
@@ -30,8 +30,9 @@
 	return []variant{
 		{name: "first in, first out", policy: router.TwoChoices{}, order: queuer.FirstInFirstOut{}},
 		{name: "plain priority", policy: router.TwoChoices{}, order: queuer.PlainPriority{}},
-		{name: ours, policy: router.Expected{}, order: queuer.PlainPriority{}},
-		{name: noLongWork, policy: router.Expected{}, order: queuer.PlainPriority{}, calm: true},
+		{name: "our targets, plain priority", policy: router.Expected{}, order: queuer.PlainPriority{}},
+		{name: ours, policy: router.Expected{}, order: queuer.ShortFirst{}},
+		{name: noLongWork, policy: router.Expected{}, order: queuer.ShortFirst{}, calm: true},
 	}
 }
 
