--- a/entry/publisher/publisher.go
+++ b/entry/publisher/publisher.go
@@ -1,97 +1,161 @@
-// Package publisher is the HTTP side of an entry towards operators.
+// Package publisher is the HTTP interface of an entry for ladderctl and other
+// programs of operators.
 package publisher
 
 import (
-	"context"
+	"strconv"
 	"strings"
-	"time"
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/pkg/errors"
 
-	"github.com/lycheeladder/lycheeladder/ladder/accepter"
+	"github.com/lycheeladder/lycheeladder/ladder/approver"
 	"github.com/lycheeladder/lycheeladder/ladder/authorizer"
 	"github.com/lycheeladder/lycheeladder/ladder/coordinator"
+	"github.com/lycheeladder/lycheeladder/ladder/explainer"
+	"github.com/lycheeladder/lycheeladder/ladder/historian"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/proposer"
 	"github.com/lycheeladder/lycheeladder/ladder/server"
 	"github.com/lycheeladder/lycheeladder/ladder/validator"
 )
 
-const (
-	// bodyLimit bounds a document.
-	bodyLimit = 8 << 20
-	// publishTimeout bounds the wait for a verdict.
-	publishTimeout = 8 * time.Second
-	// retryAfterSeconds is asked while the log is down.
-	retryAfterSeconds = "5"
-)
-
-// Result answers a publication.
-type Result struct {
-	// Verdict is accepted, conflict, invalid or undecided.
-	Verdict  string              `json:"verdict"`
-	Revision identifier.Revision `json:"revision,omitempty"`
-	Faults   validator.Faults    `json:"faults,omitempty"`
-	Reason   string              `json:"reason,omitempty"`
-}
+// bodyLimit bounds a document, and the console's forms with a draft in them.
+const bodyLimit = 8 << 20
 
 // New returns the operators' application.
-func New(c *coordinator.Coordinator) *fiber.App {
-	p := &publisher{coordinator: c}
+func New(c *coordinator.Coordinator, p *proposer.Proposer, h *historian.Historian) *fiber.App {
+	u := &publisher{coordinator: c, proposer: p, historian: h}
 	app := server.NewApp("operators", bodyLimit)
 	app.Get("/debug/vars", server.Metrics)
-	app.Use(p.authorize)
-	app.Get("/v1/document", p.document)
-	app.Post("/v1/documents", p.publish)
-	app.Get("/v1/status", func(x fiber.Ctx) error { return x.JSON(c.Status()) })
+	// An owner's withdrawal carries its own proof.
+	app.Post("/v1/withdrawals", u.withdraw)
+	operators := app.Group("/v1", u.authorize)
+	operators.Get("/document", u.document)
+	operators.Get("/documents/:revision", u.earlier)
+	operators.Post("/documents", u.publish)
+	operators.Get("/history", u.history)
+	operators.Get("/requests/:id", u.explain)
+	operators.Get("/status", func(x fiber.Ctx) error { return x.JSON(c.Status()) })
 	return app
 }
 
-type publisher struct{ coordinator *coordinator.Coordinator }
+type publisher struct {
+	coordinator *coordinator.Coordinator
+	proposer    *proposer.Proposer
+	historian   *historian.Historian
+}
+
+// operatorKey is where authorize leaves the operator's name.
+type operatorKey struct{}
 
-func (p *publisher) authorize(c fiber.Ctx) error {
-	state, _ := p.coordinator.Follower().State()
+func (u *publisher) authorize(c fiber.Ctx) error {
+	state, _ := u.coordinator.Follower().State()
 	key, _ := strings.CutPrefix(c.Get(fiber.HeaderAuthorization), "Bearer ")
-	if _, refusal := authorizer.Operator(state.Document, key); refusal != authorizer.RefusalNone {
-		return c.Status(fiber.StatusUnauthorized).JSON(Result{Verdict: "refused", Reason: string(refusal)})
+	name, refusal := authorizer.Operator(state.Document, key)
+	if refusal != authorizer.RefusalNone {
+		return refused(c, fiber.StatusUnauthorized, string(refusal))
 	}
+	c.Locals(operatorKey{}, name)
 	return c.Next()
 }
 
-func (p *publisher) document(c fiber.Ctx) error {
-	state, _ := p.coordinator.Follower().State()
+func refused(c fiber.Ctx, status int, reason string) error {
+	return c.Status(status).JSON(proposer.Answer{Verdict: "refused", Reason: reason})
+}
+
+// Revision is a document with its revision.
+type Revision struct {
+	Revision identifier.Revision `json:"revision"`
+	Document *validator.Document `json:"document"`
+}
+
+func (u *publisher) document(c fiber.Ctx) error {
+	state, _ := u.coordinator.Follower().State()
 	if state.Document == nil {
-		return c.Status(fiber.StatusNotFound).JSON(Result{Verdict: "none", Reason: "no document is in force"})
+		return refused(c, fiber.StatusNotFound, "no document is in force")
+	}
+	return c.JSON(Revision{state.Revision, state.Document})
+}
+
+func (u *publisher) earlier(c fiber.Ctx) error {
+	n, err := strconv.ParseUint(c.Params("revision"), 10, 64)
+	if err != nil {
+		return refused(c, fiber.StatusBadRequest, "revision is not a number")
+	}
+	d, err := u.historian.At(c.Context(), identifier.Revision(n))
+	if err != nil {
+		return later(c, err.Error())
+	}
+	if d == nil {
+		return refused(c, fiber.StatusNotFound, "revision "+c.Params("revision")+" is not known here any more")
 	}
-	return c.JSON(struct {
-		Revision identifier.Revision `json:"revision"`
-		Document validator.Document  `json:"document"`
-	}{state.Revision, *state.Document})
+	return c.JSON(Revision{identifier.Revision(n), d})
 }
 
-func (p *publisher) publish(c fiber.Ctx) error {
+func (u *publisher) publish(c fiber.Ctx) error {
 	d, err := validator.Parse(c.Body())
 	if err != nil {
 		var faults validator.Faults
 		errors.As(err, &faults)
-		return c.Status(fiber.StatusUnprocessableEntity).JSON(Result{Verdict: "invalid", Faults: faults})
+		return answer(c, proposer.Faulty{Faults: faults})
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), publishTimeout)
-	defer cancel()
-	v, err := p.coordinator.Follower().Publish(ctx, d)
+	name, _ := c.Locals(operatorKey{}).(identifier.OperatorName)
+	return answer(c, u.proposer.Propose(c.Context(), name, d))
+}
+
+func (u *publisher) withdraw(c fiber.Ctx) error {
+	var w approver.Withdrawal
+	if err := c.Bind().JSON(&w); err != nil {
+		return refused(c, fiber.StatusBadRequest, "body is no withdrawal")
+	}
+	r, err := u.proposer.Withdraw(c.Context(), w)
+	if err != nil {
+		return refused(c, fiber.StatusForbidden, err.Error())
+	}
+	return answer(c, r)
+}
+
+func (u *publisher) history(c fiber.Ctx) error {
+	entries, err := u.historian.Entries(c.Context())
 	if err != nil {
-		c.Set(fiber.HeaderRetryAfter, retryAfterSeconds)
-		return c.Status(fiber.StatusServiceUnavailable).JSON(Result{Verdict: "undecided", Reason: err.Error()})
+		return later(c, err.Error())
+	}
+	return c.JSON(entries)
+}
+
+// Explanation is a decision with its code's meaning and the service's targets
+// as they are now.
+type Explanation struct {
+	Entry    identifier.EntryName `json:"entry"`
+	Decision explainer.Decision   `json:"decision"`
+	Meaning  explainer.Meaning    `json:"meaning"`
+}
+
+func (u *publisher) explain(c fiber.Ctx) error {
+	d, ok := u.coordinator.Explainer().Find(identifier.RequestID(c.Params("id")))
+	if !ok {
+		return refused(c, fiber.StatusNotFound, "this entry doesn't remember the request")
 	}
-	switch v := v.(type) {
-	case accepter.Accepted:
-		return c.JSON(Result{Verdict: "accepted", Revision: v.Revision})
-	case accepter.Conflict:
-		return c.Status(fiber.StatusConflict).JSON(Result{Verdict: "conflict", Revision: v.Current})
-	case accepter.Invalid:
-		return c.Status(fiber.StatusUnprocessableEntity).JSON(Result{Verdict: "invalid", Faults: v.Faults})
-	case accepter.Ignored:
-		return c.Status(fiber.StatusConflict).JSON(Result{Verdict: "ignored", Reason: v.Reason})
+	return c.JSON(Explanation{u.coordinator.Name(), d, explainer.MeaningOf(d.Code)})
+}
+
+// later answers while the log doesn't.
+func later(c fiber.Ctx, reason string) error {
+	return answer(c, proposer.Undecided{Reason: reason})
+}
+
+func answer(c fiber.Ctx, r proposer.Result) error {
+	status := fiber.StatusOK
+	switch r.(type) {
+	case proposer.Accepted:
+	case proposer.Conflict:
+		status = fiber.StatusConflict
+	case proposer.Faulty:
+		status = fiber.StatusUnprocessableEntity
+	case proposer.Undecided:
+		status = fiber.StatusServiceUnavailable
+		c.Set(fiber.HeaderRetryAfter, strconv.Itoa(int(proposer.RetryAfter.Seconds())))
 	}
-	return fiber.ErrInternalServerError
+	return c.Status(status).JSON(proposer.AnswerOf(r))
 }
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -20,9 +20,11 @@
 	"github.com/lycheeladder/lycheeladder/ladder/dispatcher"
 	"github.com/lycheeladder/lycheeladder/ladder/encoder"
 	"github.com/lycheeladder/lycheeladder/ladder/heartbeater"
+	"github.com/lycheeladder/lycheeladder/ladder/historian"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/linker"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/proposer"
 	"github.com/lycheeladder/lycheeladder/ladder/recorder"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
 	"github.com/lycheeladder/lycheeladder/ladder/server"
@@ -107,7 +109,7 @@
 	tasks.Go(func() { c.Run(working) })
 	peers := peerApp(working, c, linker.New(e))
 	tasks.Go(func() { serve(working, "peers", peers, listeners[1], 0) })
-	tasks.Go(func() { serve(working, "operators", publisher.New(c), listeners[2], time.Second) })
+	tasks.Go(func() { serve(working, "operators", operatorApp(s, c), listeners[2], time.Second) })
 	klog.InfoS("entry started", "entry", s.Name, "zone", s.Zone, "listen", listeners[0].Addr().String())
 	callers := receiver.New(c, bodyLimit)
 	go func() {
@@ -151,6 +153,14 @@
 	return coordinator.New(clockwork.NewRealClock(), appender.NewHTTP(string(s.Log)), router.NewRandom(seed), r, options)
 }
 
+// operatorApp serves operators' programs and their console on one listener.
+func operatorApp(s Settings, c *coordinator.Coordinator) *fiber.App {
+	history := historian.New(appender.NewHTTP(string(s.Log)), c.Follower())
+	p := proposer.New(c.Follower(), history)
+	app := publisher.New(c, p, history)
+	return app
+}
+
 func peerApp(ctx context.Context, c *coordinator.Coordinator, l *linker.Linker) *fiber.App {
 	app := server.NewApp("peers", peerBodyLimit)
 	app.Get(linker.Path, func(x fiber.Ctx) error {
--- a/ladder/authorizer/authorizer.go
+++ b/ladder/authorizer/authorizer.go
@@ -3,8 +3,10 @@
 package authorizer
 
 import (
+	"crypto/rand"
 	"crypto/sha256"
 	"crypto/subtle"
+	"encoding/base64"
 	"encoding/hex"
 	"time"
 
@@ -33,6 +35,16 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// keyBytes is the length of a team's or operator's key.
+const keyBytes = 32
+
+// NewKey returns a fresh key for a team or an operator.
+func NewKey() string {
+	secret := make([]byte, keyBytes)
+	_, _ = rand.Read(secret) // It never fails; see crypto/rand.
+	return base64.RawURLEncoding.EncodeToString(secret)
+}
+
 // Team finds the team that holds the key.
 func Team(d *validator.Document, key string) (validator.Team, Refusal) {
 	if d == nil {
--- a/ladder/coordinator/call.go
+++ b/ladder/coordinator/call.go
@@ -6,6 +6,7 @@
 
 	"github.com/lycheeladder/lycheeladder/ladder/authorizer"
 	"github.com/lycheeladder/lycheeladder/ladder/dispatcher"
+	"github.com/lycheeladder/lycheeladder/ladder/explainer"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/limiter"
 	"github.com/lycheeladder/lycheeladder/ladder/recorder"
@@ -39,13 +40,16 @@
 const retryAfterNotReady = 2 * time.Second
 
 // Handle runs a call to its final outcome.
-func (c *Coordinator) Handle(ctx context.Context, call Call) dispatcher.Outcome {
+func (c *Coordinator) Handle(ctx context.Context, call Call) (o dispatcher.Outcome) {
 	began := c.clock.Now()
 	state, _ := c.follower.State()
+	decision := explainer.Decision{Request: call.ID, Service: call.Service, Call: call.Call, Revision: state.Revision}
+	defer func() { c.explain(decision, began, o) }()
 	t, refusal := authorizer.Team(state.Document, call.Key)
 	if refusal != authorizer.RefusalNone {
 		return c.refuse(refusal)
 	}
+	decision.Team, decision.Class = t.Name, t.Class
 	s, refusal := authorizer.Service(state.Document, t.Name, call.Service, began)
 	if refusal != authorizer.RefusalNone {
 		return c.refuse(refusal)
@@ -60,7 +64,6 @@
 	defer c.limiter.Leave(t.Name)
 	r := c.requestOf(call, t, s, began, state.Document.Limits)
 	r.Stream = c.timed(r, began, call.Stream)
-	var o dispatcher.Outcome
 	if call.IdempotencyKey != "" && !r.Idempotent {
 		o = c.dispatcher.DispatchOnce(ctx, c.claimer, r, call.IdempotencyKey)
 	} else {
@@ -70,6 +73,20 @@
 	return c.counted(o)
 }
 
+// explain remembers a decision with its outcome.
+func (c *Coordinator) explain(d explainer.Decision, began time.Time, o dispatcher.Outcome) {
+	d.At, d.Took = c.clock.Now(), c.clock.Since(began)
+	switch o := o.(type) {
+	case dispatcher.Completed:
+		d.Outcome, d.Target, d.Status = "completed", o.Target, o.Status
+	case dispatcher.NotRun:
+		d.Outcome, d.Code, d.RetryAfter = "not-run", string(o.Code), o.RetryAfter
+	case dispatcher.Unknown:
+		d.Outcome, d.Code, d.RetryAfter = "unknown", string(o.Code), o.RetryAfter
+	}
+	c.explainer.Note(d)
+}
+
 func (c *Coordinator) requestOf(call Call, t validator.Team, s validator.Service, now time.Time, l validator.Limits) dispatcher.Request {
 	timeout := time.Duration(l.MaxTimeoutSeconds) * time.Second
 	if call.Timeout > 0 {
--- a/ladder/coordinator/coordinator.go
+++ b/ladder/coordinator/coordinator.go
@@ -17,6 +17,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/converger"
 	"github.com/lycheeladder/lycheeladder/ladder/deliverer"
 	"github.com/lycheeladder/lycheeladder/ladder/dispatcher"
+	"github.com/lycheeladder/lycheeladder/ladder/explainer"
 	"github.com/lycheeladder/lycheeladder/ladder/heartbeater"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/limiter"
@@ -54,6 +55,7 @@
 	claimer    *claimer.Claimer
 	limiter    *limiter.Limiter
 	recorder   *recorder.Recorder
+	explainer  *explainer.Explainer
 }
 
 // New returns a Coordinator that follows log. It serves nobody until the end
@@ -64,7 +66,7 @@
 		follower: accepter.NewFollower(clock, log),
 		goals:    converger.NewGoals(),
 		claimer:  claimer.New(clock, log, options.KeyMaxAge),
-		limiter:  limiter.New(clock),
+		limiter:  limiter.New(clock), explainer: explainer.New(),
 	}
 	c.dispatcher = dispatcher.New(
 		clock, router.New(clock, random, options.Policy), heartbeater.New(clock, options.Heartbeats),
@@ -153,6 +155,12 @@
 // Follower returns the follower of the accepted configuration.
 func (c *Coordinator) Follower() *accepter.Follower { return c.follower }
 
+// Explainer returns the memory of recent decisions.
+func (c *Coordinator) Explainer() *explainer.Explainer { return c.explainer }
+
+// Name returns this entry's name.
+func (c *Coordinator) Name() identifier.EntryName { return c.options.Dispatch.Entry }
+
 // configurations gives sidecars their part of the accepted document.
 type configurations struct{ follower *accepter.Follower }
 
--- a/ladderctl/verb/approve.go
+++ b/ladderctl/verb/approve.go
@@ -18,25 +18,29 @@
 )
 
 // approve signs one grant with the owner's key and writes the document with
-// it to standard output.
+// it, or the approval alone, to standard output.
 type approve struct {
 	Document string        `arg:"" help:"The document's file."`
 	Team     string        `help:"The team." required:""`
 	Service  string        `help:"The service." required:""`
 	KeyFile  string        `help:"The file with the owner's private key." required:""`
 	For      time.Duration `help:"How long the approval holds." default:"8760h"`
+	Until    time.Time     `help:"When the approval ends, as in 2030-01-31T12:00:00Z; goes before --for."`
+	Alone    bool          `help:"Write only the approval, to paste into the console."`
+}
+
+// Help implements verb.
+func (*approve) Help() string {
+	return "Examples:\n  ladderctl approve document.json --team fitters --service spares-app --key-file owner.key\n" +
+		"  ladderctl approve document.json --team fitters --service spares-app --key-file owner.key --alone"
 }
 
 func (a *approve) run(s streams) (int, error) {
-	data, err := os.ReadFile(a.Document)
+	d, err := readDraft(a.Document)
 	if err != nil {
 		return starter.ExitFailed, err
 	}
-	var d validator.Document
-	if err := json.Unmarshal(data, &d); err != nil {
-		return starter.ExitFailed, err
-	}
-	key, err := readPrivateKey(a.KeyFile)
+	key, err := readPrivateKey("--key-file", a.KeyFile)
 	if err != nil {
 		return starter.ExitFailed, err
 	}
@@ -44,15 +48,41 @@
 	if !ok {
 		return starter.ExitFailed, errors.Errorf("--service: %q is not in the document", a.Service)
 	}
+	if _, ok := d.TeamByName(identifier.TeamName(a.Team)); !ok {
+		return starter.ExitFailed, errors.Errorf("--team: %q is not in the document", a.Team)
+	}
+	if a.Until.IsZero() {
+		a.Until = time.Now().Add(a.For)
+	}
 	g := validator.Grant{Team: identifier.TeamName(a.Team), Service: service.Name}
-	g.Approval = approver.Approve(key, g.Team, g.Service, service.Owner, time.Now().Add(a.For))
+	g.Approval = approver.Approve(key, g.Team, g.Service, service.Owner, a.Until)
+	if err := approver.Check(&d, g, time.Now()); err != nil {
+		return starter.ExitFailed, errors.WithMessagef(err, "--key-file %s", a.KeyFile)
+	}
+	if a.Alone {
+		return starter.ExitOK, writeJSON(s, g.Approval)
+	}
 	setGrant(&d, g)
-	out, err := json.MarshalIndent(d, "", "  ")
+	return starter.ExitOK, writeJSON(s, d)
+}
+
+// readDraft reads a document that may still have faults of content, but none
+// of form.
+func readDraft(file string) (d validator.Document, err error) {
+	data, err := os.ReadFile(file)
 	if err != nil {
-		return starter.ExitFailed, err
+		return d, err
+	}
+	return d, errors.WithMessage(json.Unmarshal(data, &d), file)
+}
+
+func writeJSON(s streams, v any) error {
+	out, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return err
 	}
 	fmt.Fprintln(s.stdout, string(out))
-	return starter.ExitOK, nil
+	return nil
 }
 
 func setGrant(d *validator.Document, g validator.Grant) {
@@ -65,14 +95,16 @@
 	d.Grants = append(d.Grants, g)
 }
 
-func readPrivateKey(file string) (ed25519.PrivateKey, error) {
+// readPrivateKey reads the first line that new-key printed for an owner.
+func readPrivateKey(setting, file string) (ed25519.PrivateKey, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
 		return nil, err
 	}
-	seed, err := base64.StdEncoding.DecodeString(strings.TrimSpace(string(data)))
+	line, _, _ := strings.Cut(string(data), "\n")
+	seed, err := base64.StdEncoding.DecodeString(strings.TrimSpace(line))
 	if err != nil || len(seed) != ed25519.SeedSize {
-		return nil, errors.Errorf("--key-file: %s has no owner's key", file)
+		return nil, errors.Errorf("%s: %s has no owner's private key", setting, file)
 	}
 	return ed25519.NewKeyFromSeed(seed), nil
 }
--- /dev/null
+++ b/ladderctl/verb/change_owner_key.go
@@ -0,0 +1,64 @@
+package verb
+
+import (
+	"crypto/ed25519"
+	"encoding/base64"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lycheeladder/lycheeladder/ladder/approver"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/starter"
+)
+
+// changeOwnerKey puts an owner's new key into a document, signed by the old
+// one, and signs each of the owner's valid grants again until the same time,
+// so that no team is cut off.
+type changeOwnerKey struct {
+	Document   string `arg:"" help:"The document's file."`
+	Owner      string `help:"The owner." required:""`
+	OldKeyFile string `help:"The file with the private key in force." required:""`
+	NewKeyFile string `help:"The file with the new private key." required:""`
+}
+
+// Help implements verb.
+func (*changeOwnerKey) Help() string {
+	return "Example:\n  ladderctl change-owner-key document.json --owner prakai --old-key-file owner.key --new-key-file next.key"
+}
+
+func (c *changeOwnerKey) run(s streams) (int, error) {
+	d, err := readDraft(c.Document)
+	if err != nil {
+		return starter.ExitFailed, err
+	}
+	old, err := readPrivateKey("--old-key-file", c.OldKeyFile)
+	if err != nil {
+		return starter.ExitFailed, err
+	}
+	next, err := readPrivateKey("--new-key-file", c.NewKeyFile)
+	if err != nil {
+		return starter.ExitFailed, err
+	}
+	owner := identifier.OwnerName(c.Owner)
+	var valid []int
+	for n, g := range d.Grants {
+		if g.Approval.Owner == owner && approver.Check(&d, g, time.Now()) == nil {
+			valid = append(valid, n)
+		}
+	}
+	for n := range d.Owners {
+		o := &d.Owners[n]
+		if o.Name != owner {
+			continue
+		}
+		o.PublicKey = base64.StdEncoding.EncodeToString(next.Public().(ed25519.PublicKey))
+		o.KeyHandover = approver.HandOver(old, owner, o.PublicKey)
+		for _, n := range valid {
+			g := &d.Grants[n]
+			g.Approval = approver.Approve(next, g.Team, g.Service, owner, g.Approval.Expires)
+		}
+		return starter.ExitOK, writeJSON(s, d)
+	}
+	return starter.ExitFailed, errors.Errorf("--owner: %q is not in the document", c.Owner)
+}
--- a/ladderctl/verb/new_key.go
+++ b/ladderctl/verb/new_key.go
@@ -7,7 +7,9 @@
 	"fmt"
 
 	"github.com/lycheeladder/lycheeladder/ladder/authorizer"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/starter"
+	"github.com/lycheeladder/lycheeladder/ladder/validator"
 )
 
 // newKey prints a secret and what stands for it in the document, each on a
@@ -16,8 +18,11 @@
 	Kind string `arg:"" help:"What the key is for: team, operator or owner." enum:"team,operator,owner"`
 }
 
-// keyBytes is the length of a team's or operator's key.
-const keyBytes = 32
+// Help implements verb.
+func (*newKey) Help() string {
+	return "The first line is the secret, the second what goes into the document.\n\n" +
+		"Examples:\n  ladderctl new-key team\n  ladderctl new-key owner"
+}
 
 func (k *newKey) run(s streams) (int, error) {
 	if k.Kind == "owner" {
@@ -29,12 +34,14 @@
 		fmt.Fprintln(s.stdout, base64.StdEncoding.EncodeToString(public))
 		return starter.ExitOK, nil
 	}
-	secret := make([]byte, keyBytes)
-	if _, err := rand.Read(secret); err != nil {
-		return starter.ExitFailed, err
-	}
-	key := base64.RawURLEncoding.EncodeToString(secret)
+	key := authorizer.NewKey()
 	fmt.Fprintln(s.stdout, key)
 	fmt.Fprintln(s.stdout, authorizer.HashKey(key))
 	return starter.ExitOK, nil
 }
+
+// operatorOf returns the operator of d that has the key.
+func operatorOf(d validator.Document, key string) (identifier.OperatorName, bool) {
+	name, refusal := authorizer.Operator(&d, key)
+	return name, refusal == authorizer.RefusalNone
+}
--- a/ladderctl/verb/validate.go
+++ b/ladderctl/verb/validate.go
@@ -2,45 +2,83 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
+	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/lycheeladder/lycheeladder/ladder/approver"
 	"github.com/lycheeladder/lycheeladder/ladder/starter"
 	"github.com/lycheeladder/lycheeladder/ladder/validator"
 )
 
 // validate checks a document as every reader does.
 type validate struct {
+	output
 	Document string `arg:"" help:"The document's file."`
 }
 
+// Help implements verb.
+func (*validate) Help() string {
+	return "Examples:\n  ladderctl validate document.json\n  ladderctl validate document.json --output json"
+}
+
+// report is what validate shows as JSON.
+type report struct {
+	Faults validator.Faults `json:"faults"`
+	// Waiting lists grants that still need a valid approval.
+	Waiting []string `json:"waiting"`
+}
+
 func (v *validate) run(s streams) (int, error) {
-	_, code, err := readDocument(s, v.Document)
-	if code != starter.ExitOK || err != nil {
-		return code, err
+	d, faults, err := readDocument(v.Document)
+	if err != nil {
+		return starter.ExitFailed, err
+	}
+	r := report{Faults: faults, Waiting: []string{}}
+	if len(faults) == 0 {
+		for _, n := range approver.Waiting(&d, time.Now()) {
+			r.Waiting = append(r.Waiting, approver.Check(&d, d.Grants[n], time.Now()).Error())
+		}
 	}
-	fmt.Fprintln(s.stdout, "valid")
-	return starter.ExitOK, nil
+	err = v.print(s, r, func(w io.Writer) {
+		if len(faults) == 0 {
+			fmt.Fprintln(w, "valid")
+		}
+		for _, text := range r.Waiting {
+			fmt.Fprintln(w, "waiting for its owner: "+text)
+		}
+		writeFaults(w, faults)
+	})
+	if len(faults) > 0 {
+		return exitFaults, err
+	}
+	return starter.ExitOK, err
 }
 
-// readDocument reads and checks a file, and prints its faults.
-func readDocument(s streams, file string) (d validator.Document, code int, err error) {
+// readDocument reads and checks a file. The document holds what was readable
+// also where there are faults.
+func readDocument(file string) (d validator.Document, faults validator.Faults, err error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return d, starter.ExitFailed, err
+		return d, nil, err
 	}
 	d, err = validator.Parse(data)
-	var faults validator.Faults
 	if errors.As(err, &faults) {
-		printFaults(s, faults)
-		return d, exitFaults, nil
+		return d, faults, nil
 	}
-	return d, starter.ExitOK, err
+	return d, nil, err
 }
 
-func printFaults(s streams, faults validator.Faults) {
-	for _, f := range faults {
-		fmt.Fprintln(s.stdout, f)
+// readValid is readDocument for verbs that take no document with faults.
+func readValid(s streams, file string) (d validator.Document, code int, err error) {
+	d, faults, err := readDocument(file)
+	if err != nil {
+		return d, starter.ExitFailed, err
+	}
+	if len(faults) > 0 {
+		return d, exitFaults, output{}.print(s, nil, func(w io.Writer) { writeFaults(w, faults) })
 	}
+	return d, starter.ExitOK, nil
 }
--- a/ladderctl/verb/verb.go
+++ b/ladderctl/verb/verb.go
@@ -8,27 +8,33 @@
 	"github.com/alecthomas/kong"
 	"k8s.io/klog/v2"
 
-	"github.com/lycheeladder/lycheeladder/ladder/requester"
 	"github.com/lycheeladder/lycheeladder/ladder/starter"
 )
 
 const manual = `Validates, publishes, approves and shows.
 
 Exit codes: 0 done; 1 failed; 2 wrong usage; 3 the document has faults; 4 a
-conflict with another change; 5 the log is down, ask again.`
+conflict with another change; 5 the log gave no answer, ask again with the same
+file; 6 refused: the key may not do this, or the thing is not known there.
+
+Each flag can be set by the environment variable shown. Give keys that way: a
+command line is seen by others on the host.`
 
 // The exit codes beside those of starter.
 const (
 	exitFaults   = 3
 	exitConflict = 4
 	exitLater    = 5
+	exitRefused  = 6
 )
 
-// streams are where a verb reads and writes.
+// streams are where a verb writes.
 type streams struct{ stdout, stderr io.Writer }
 
 // verb is one subcommand. Its fields are its settings.
 type verb interface {
+	// Help returns the examples that --help shows.
+	Help() string
 	// run returns the exit code; an error goes with code 1.
 	run(s streams) (int, error)
 }
@@ -42,11 +48,16 @@
 
 // table lists every verb once.
 var table = []line{
-	{"validate", "Check a document.", func() verb { return &validate{} }},
+	{"validate", "Check a document as every reader does.", func() verb { return &validate{} }},
+	{"diff", "Show what a document changes, by named item.", func() verb { return &diff{} }},
 	{"publish", "Publish a document.", func() verb { return &publish{} }},
 	{"approve", "Add an owner's approval to a document.", func() verb { return &approve{} }},
+	{"withdraw", "Take a team's grant back, in force at once.", func() verb { return &withdraw{} }},
 	{"new-key", "Make a key for a team, an operator or an owner.", func() verb { return &newKey{} }},
+	{"change-owner-key", "Hand an owner over to a new key.", func() verb { return &changeOwnerKey{} }},
+	{"history", "Show who proposed what, and when.", func() verb { return &history{} }},
 	{"status", "Show the state of entries and targets.", func() verb { return &status{} }},
+	{"explain", "Show why a request was refused, or where it went.", func() verb { return &explain{} }},
 }
 
 // Main parses the arguments, runs the verb and returns the exit code.
@@ -74,13 +85,3 @@
 	}
 	return code
 }
-
-// remote are the settings of verbs that talk to an entry.
-type remote struct {
-	Operator starter.Address `help:"An entry's operator listener, IP:port." required:""`
-	Key      string          `help:"The operator's key." required:""`
-}
-
-func (r remote) requester() *requester.Requester {
-	return requester.New(string(r.Operator), r.Key)
-}
