Give operators a console of forms on the entry's operator listener

Server-rendered, no script, phone-width and keyboard-friendly. The draft lives in the page as JSON, so that it keeps what was mistyped and outlives a session or an entry; fields of forms are named by the paths that faults are named by. Sessions are bound to one incarnation of one entry: a cookie signed with a key derived from an operator's key hash could be made by whoever reads the log.

--- /dev/null
+++ b/entry/console/live.go
@@ -0,0 +1,119 @@
+package console
+
+import (
+	"fmt"
+	"html/template"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/lycheeladder/lycheeladder/entry/plotter"
+	"github.com/lycheeladder/lycheeladder/ladder/coordinator"
+	"github.com/lycheeladder/lycheeladder/ladder/deliverer"
+	"github.com/lycheeladder/lycheeladder/ladder/differ"
+	"github.com/lycheeladder/lycheeladder/ladder/dispatcher"
+	"github.com/lycheeladder/lycheeladder/ladder/explainer"
+	"github.com/lycheeladder/lycheeladder/ladder/historian"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/recorder"
+)
+
+// functions are what the templates call.
+var functions = template.FuncMap{
+	"plot": func(s recorder.Summary) template.HTML {
+		return plotter.Bars(s.Buckets, fmt.Sprintf("%s %s %s: %d requests, median %.1f ms, 99th percentile %.1f ms",
+			s.Team, s.Class, s.Measure, s.Count, s.Median, s.P99))
+	},
+	"milliseconds": func(f float64) string { return strconv.FormatFloat(f, 'f', 1, 64) },
+	"round":        func(d time.Duration) string { return d.Round(time.Millisecond).String() },
+	"when":         func(t time.Time) string { return t.UTC().Format("2006-01-02 15:04:05 MST") },
+	"brief":        brief,
+}
+
+// briefLength bounds a value in a table, in bytes.
+const briefLength = 60
+
+func brief(text string) string {
+	if len(text) <= briefLength {
+		return text
+	}
+	return strings.ToValidUTF8(text[:briefLength], "") + "…"
+}
+
+// liveContent is what the page of the live state shows.
+type liveContent struct {
+	Status coordinator.Status
+	// Lowest and Highest are the revisions in force at this entry and the
+	// sidecars linked to it.
+	Lowest, Highest identifier.Revision
+	Goals           map[identifier.ModelName]identifier.WeightVersion
+	// Asked is the request asked about, if any.
+	Asked   string
+	Found   *explainer.Decision
+	Meaning explainer.Meaning
+}
+
+func (c *Console) live(x fiber.Ctx) error {
+	content := liveContent{Status: c.coordinator.Status(), Asked: strings.TrimSpace(x.Query("request"))}
+	content.Goals = make(map[identifier.ModelName]identifier.WeightVersion, len(content.Status.Goals))
+	for _, g := range content.Status.Goals {
+		content.Goals[g.Model] = g.Version
+	}
+	content.Lowest, content.Highest = content.Status.Revision, content.Status.Revision
+	for _, t := range content.Status.Targets {
+		content.Lowest, content.Highest = min(content.Lowest, t.Revision), max(content.Highest, t.Revision)
+	}
+	slices.SortFunc(content.Status.Targets, func(a, b dispatcher.TargetStatus) int {
+		return strings.Compare(string(a.Service+" "+identifier.ServiceName(a.Target)), string(b.Service+" "+identifier.ServiceName(b.Target)))
+	})
+	slices.SortFunc(content.Status.Sessions, func(a, b deliverer.Status) int { return strings.Compare(string(a.Model), string(b.Model)) })
+	if d, ok := c.coordinator.Explainer().Find(identifier.RequestID(content.Asked)); ok {
+		content.Found, content.Meaning = &d, explainer.MeaningOf(d.Code)
+	}
+	return c.show(x, "live.html", "Live", "live", content)
+}
+
+// historyContent is what the page of the history shows.
+type historyContent struct {
+	Entries []historian.Entry
+	Failure string
+}
+
+func (c *Console) history(x fiber.Ctx) error {
+	entries, err := c.historian.Entries(x.Context())
+	content := historyContent{Entries: entries}
+	if err != nil {
+		content.Failure = err.Error()
+	}
+	return c.show(x, "history.html", "History", "history", content)
+}
+
+// revisionContent is what the page of one revision shows.
+type revisionContent struct {
+	Revision identifier.Revision
+	Known    bool
+	Changes  []differ.Change
+	Failure  string
+}
+
+// revision shows what a revision changed.
+func (c *Console) revision(x fiber.Ctx) error {
+	n, err := strconv.ParseUint(x.Params("revision"), 10, 64)
+	if err != nil || n == 0 {
+		return fiber.ErrNotFound
+	}
+	content := revisionContent{Revision: identifier.Revision(n)}
+	d, err := c.historian.At(x.Context(), content.Revision)
+	if err == nil && d != nil {
+		before, _ := c.historian.At(x.Context(), content.Revision-1)
+		content.Known = before != nil || content.Revision == 1
+		content.Changes, err = differ.Diff(before, d)
+	}
+	if err != nil {
+		content.Failure = err.Error()
+	}
+	return c.show(x, "revision.html", "Revision "+x.Params("revision"), "history", content)
+}
--- /dev/null
+++ b/entry/drafter/drafter.go
@@ -0,0 +1,207 @@
+// Package drafter holds a document while an operator changes it in the
+// console's forms. A draft may have any faults: it keeps what was typed.
+package drafter
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/lycheeladder/lycheeladder/ladder/annotator"
+	"github.com/lycheeladder/lycheeladder/ladder/authorizer"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/validator"
+)
+
+// The draft is a tree of JSON rather than a Document, since a Document can't
+// hold a number that was mistyped. It lives in the page: an entry keeps
+// nothing. Fields of forms are named by their path in the document, which is
+// also what faults are named by.
+
+// Draft is a document that is being changed.
+type Draft struct {
+	// tree is the document's JSON; numbers are json.Number.
+	tree map[string]any
+}
+
+// Begin returns a draft made from the document in force.
+func Begin(d validator.Document, base identifier.Revision, author identifier.OperatorName) (*Draft, error) {
+	d.ID, d.Base, d.Author = identifier.NewDocumentID(), base, author
+	data, err := validator.Encode(d)
+	if err != nil {
+		return nil, err
+	}
+	return Read(data)
+}
+
+// Read returns the draft that a page carried.
+func Read(data []byte) (draft *Draft, err error) {
+	defer annotator.Annotate(&err, "read draft")
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.UseNumber()
+	draft = &Draft{}
+	if err := decoder.Decode(&draft.tree); err != nil {
+		return nil, err
+	}
+	if draft.tree == nil {
+		return nil, errors.New("not an object")
+	}
+	return draft, nil
+}
+
+// JSON returns the draft for the page, and to be published.
+func (d *Draft) JSON() string {
+	data, err := json.MarshalIndent(d.tree, "", " ")
+	if err != nil {
+		return "{}"
+	}
+	return string(data)
+}
+
+// Document returns the draft as a document, with all its faults.
+func (d *Draft) Document() (document validator.Document, faults validator.Faults) {
+	document, err := validator.Parse([]byte(d.JSON()))
+	if err != nil && !errors.As(err, &faults) {
+		faults = validator.Faults{{Path: "document", Value: err.Error(), Allowed: "a document"}}
+	}
+	return document, faults
+}
+
+// items returns the section's items; the limits are one item.
+func (d *Draft) items(s Section) []map[string]any {
+	if s.Item == "" {
+		item, ok := d.tree[s.Name].(map[string]any)
+		if !ok {
+			item = make(map[string]any)
+			d.tree[s.Name] = item
+		}
+		return []map[string]any{item}
+	}
+	list, _ := d.tree[s.Name].([]any)
+	items := make([]map[string]any, 0, len(list))
+	for i := range list {
+		item, ok := list[i].(map[string]any)
+		if !ok {
+			item = make(map[string]any)
+			list[i] = item
+		}
+		items = append(items, item)
+	}
+	return items
+}
+
+func path(s Section, n int, field string) string {
+	if s.Item == "" {
+		return s.Name + "." + field
+	}
+	return fmt.Sprintf("%s[%d].%s", s.Name, n, field)
+}
+
+// Take puts what a form has of the section into the draft. value returns a
+// form field by its path and whether the form has it.
+func (d *Draft) Take(s Section, value func(path string) (string, bool)) {
+	for n, item := range d.items(s) {
+		for _, f := range s.Fields {
+			text, ok := value(path(s, n, f.Name))
+			if !ok && f.Kind != Yes {
+				continue
+			}
+			put(item, f, strings.TrimSpace(text))
+		}
+	}
+}
+
+func put(item map[string]any, f Field, text string) {
+	if text == "" && (f.Optional || f.Kind == Yes) {
+		delete(item, f.Name)
+		return
+	}
+	switch f.Kind {
+	case Text, Choice:
+		item[f.Name] = text
+	case Number:
+		item[f.Name] = numberOf(text)
+	case Yes:
+		item[f.Name] = true
+	case Lines:
+		item[f.Name] = linesOf(text)
+	case Object:
+		item[f.Name] = objectOf(text)
+	}
+}
+
+// numberOf returns a number, or the text if it is none.
+func numberOf(text string) any {
+	var n json.Number
+	if json.Unmarshal([]byte(text), &n) == nil && !strings.HasPrefix(text, `"`) {
+		return n
+	}
+	return text
+}
+
+func linesOf(text string) []any {
+	lines := []any{}
+	for line := range strings.Lines(text) {
+		if line = strings.TrimSpace(line); line != "" {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
+func objectOf(text string) any {
+	decoder := json.NewDecoder(strings.NewReader(text))
+	decoder.UseNumber()
+	var object map[string]any
+	if decoder.Decode(&object) == nil {
+		return object
+	}
+	return text
+}
+
+// Add appends an empty item to the section.
+func (d *Draft) Add(s Section) {
+	item := make(map[string]any)
+	for _, f := range s.Fields {
+		switch {
+		case f.Initial != "":
+			put(item, f, f.Initial)
+		case !f.Optional && f.Kind == Lines:
+			item[f.Name] = []any{}
+		case !f.Optional && f.Kind != Yes:
+			item[f.Name] = ""
+		}
+	}
+	list, _ := d.tree[s.Name].([]any)
+	d.tree[s.Name] = append(list, item)
+}
+
+// Remove takes the nth item out of the section.
+func (d *Draft) Remove(s Section, n int) {
+	list, _ := d.tree[s.Name].([]any)
+	if n >= 0 && n < len(list) {
+		d.tree[s.Name] = slices.Delete(list, n, n+1)
+	}
+}
+
+// NewKey makes a key for the nth item and puts its hash into the draft. The
+// key is returned once and is kept nowhere.
+func (d *Draft) NewKey(s Section, n int) (key string) {
+	items := d.items(s)
+	if !s.Keys || n < 0 || n >= len(items) {
+		return ""
+	}
+	key = authorizer.NewKey()
+	hash := authorizer.HashKey(key)
+	if s.Name == "operators" {
+		items[n]["key-hash"] = hash
+		return key
+	}
+	hashes, _ := items[n]["key-hashes"].([]any)
+	items[n]["key-hashes"] = append(hashes, hash)
+	return key
+}
--- /dev/null
+++ b/entry/drafter/form.go
@@ -0,0 +1,137 @@
+package drafter
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/lycheeladder/lycheeladder/ladder/validator"
+)
+
+// Item is one item as the form shows it.
+type Item struct {
+	Index  int
+	Title  string
+	Inputs []Input
+	// Faulty is set if any input has a fault.
+	Faulty bool
+	// Faults are those that stand at no input.
+	Faults validator.Faults
+}
+
+// Input is one field as the form shows it.
+type Input struct {
+	Field
+	Path  string
+	Value string
+	// Values are what a choice offers, the present value among them.
+	Values []string
+	Faults validator.Faults
+}
+
+// Form returns the section's items with their faults.
+func (d *Draft) Form(s Section, faults validator.Faults) []Item {
+	items := make([]Item, 0)
+	for n, fields := range d.items(s) {
+		item := Item{Index: n, Title: titleOf(s, n, fields)}
+		own := path(s, n, "")
+		for _, f := range s.Fields {
+			in := Input{Field: f, Path: path(s, n, f.Name), Value: shown(fields[f.Name])}
+			in.Faults = at(faults, in.Path)
+			in.Values = d.values(f, in.Value)
+			item.Inputs = append(item.Inputs, in)
+			item.Faulty = item.Faulty || len(in.Faults) > 0
+		}
+		for _, fault := range faults {
+			if strings.HasPrefix(fault.Path, own) && !item.shows(fault) {
+				item.Faults, item.Faulty = append(item.Faults, fault), true
+			}
+		}
+		items = append(items, item)
+	}
+	return items
+}
+
+func (i Item) shows(fault validator.Fault) bool {
+	for _, in := range i.Inputs {
+		if len(at(validator.Faults{fault}, in.Path)) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// at returns the faults at the path or below it.
+func at(faults validator.Faults, path string) (found validator.Faults) {
+	for _, f := range faults {
+		rest, ok := strings.CutPrefix(f.Path, path)
+		if ok && (rest == "" || rest[0] == '.' || rest[0] == '[') {
+			found = append(found, f)
+		}
+	}
+	return found
+}
+
+func titleOf(s Section, n int, fields map[string]any) string {
+	switch {
+	case s.Item == "":
+		return s.Title
+	case s.Name == "grants" && shown(fields["team"]) != "":
+		return shown(fields["team"]) + " → " + shown(fields["service"])
+	case shown(fields["name"]) != "":
+		return shown(fields["name"])
+	}
+	return fmt.Sprintf("new %s %d", s.Item, n+1)
+}
+
+// values returns what a choice offers.
+func (d *Draft) values(f Field, present string) []string {
+	if f.Kind != Choice {
+		return nil
+	}
+	var values []string
+	if f.Optional {
+		values = append(values, "")
+	}
+	values = append(values, f.Options...)
+	if f.From != "" {
+		from, _ := SectionByName(f.From)
+		for _, item := range d.items(from) {
+			values = append(values, shown(item["name"]))
+		}
+	}
+	for _, v := range values {
+		if v == present {
+			return values
+		}
+	}
+	return append(values, present)
+}
+
+// shown returns a value as the form shows it.
+func shown(value any) string {
+	switch v := value.(type) {
+	case nil:
+		return ""
+	case string:
+		return v
+	case json.Number:
+		return v.String()
+	case []any:
+		lines := make([]string, 0, len(v))
+		for _, line := range v {
+			lines = append(lines, shown(line))
+		}
+		return strings.Join(lines, "\n")
+	case bool:
+		if v {
+			return "true"
+		}
+		return ""
+	}
+	data, err := json.MarshalIndent(value, "", " ")
+	if err != nil {
+		return ""
+	}
+	return string(data)
+}
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 	"k8s.io/klog/v2"
 
+	"github.com/lycheeladder/lycheeladder/entry/console"
 	"github.com/lycheeladder/lycheeladder/entry/publisher"
 	"github.com/lycheeladder/lycheeladder/entry/receiver"
 	"github.com/lycheeladder/lycheeladder/ladder/appender"
@@ -101,6 +102,10 @@
 	r := recorder.New()
 	r.Publish("lycheeladder")
 	c := newCoordinator(s, r)
+	operators, err := operatorApp(s, c)
+	if err != nil {
+		return err
+	}
 	stopping, release := starter.UntilSignal()
 	defer release()
 	working, cancel := context.WithCancel(context.Background())
@@ -109,7 +114,7 @@
 	tasks.Go(func() { c.Run(working) })
 	peers := peerApp(working, c, linker.New(e))
 	tasks.Go(func() { serve(working, "peers", peers, listeners[1], 0) })
-	tasks.Go(func() { serve(working, "operators", operatorApp(s, c), listeners[2], time.Second) })
+	tasks.Go(func() { serve(working, "operators", operators, listeners[2], time.Second) })
 	klog.InfoS("entry started", "entry", s.Name, "zone", s.Zone, "listen", listeners[0].Addr().String())
 	callers := receiver.New(c, bodyLimit)
 	go func() {
@@ -154,11 +159,16 @@
 }
 
 // operatorApp serves operators' programs and their console on one listener.
-func operatorApp(s Settings, c *coordinator.Coordinator) *fiber.App {
+func operatorApp(s Settings, c *coordinator.Coordinator) (*fiber.App, error) {
 	history := historian.New(appender.NewHTTP(string(s.Log)), c.Follower())
 	p := proposer.New(c.Follower(), history)
 	app := publisher.New(c, p, history)
-	return app
+	pages, err := console.New(clockwork.NewRealClock(), c, p, history)
+	if err != nil {
+		return nil, err
+	}
+	pages.Mount(app)
+	return app, nil
 }
 
 func peerApp(ctx context.Context, c *coordinator.Coordinator, l *linker.Linker) *fiber.App {
