Tie a proposal's id to its content

Found while using the console: a draft refused for a missing approval and then mended was given the old refusal for ever, since verdicts are found by document id; after a lost answer a changed draft could even have been called accepted. The proposer now makes the id from the draft's id and its whole content.

--- a/entry/console/draft.go
+++ b/entry/console/draft.go
@@ -37,8 +37,10 @@
 	Count  map[string]int
 	Faults validator.Faults
 	// Loose are the section's faults that stand at no item.
-	Loose   validator.Faults
+	Loose validator.Faults
+	// Changes are those since the revision Against.
 	Changes []differ.Change
+	Against identifier.Revision
 	// Waiting lists grants without a valid approval; Approved says until when
 	// each of the others is approved, by its place.
 	Waiting  []string
@@ -151,11 +153,10 @@
 	content.approvals(&document, c.clock.Now())
 	s, ok := drafter.SectionByName(here)
 	if !ok {
-		changes, err := differ.Diff(state.Document, &document)
-		if err != nil {
+		content.Section = drafter.Section{Name: review, Title: "Review"}
+		if err := c.compare(x, &content, &document); err != nil {
 			return err
 		}
-		content.Section, content.Changes = drafter.Section{Name: review, Title: "Review"}, changes
 		if more != nil {
 			more(&content)
 		}
@@ -173,6 +174,19 @@
 	return c.show(x, "section.html", s.Title, s.Name, content)
 }
 
+// compare lists the draft's changes since its base, or, where the base is not
+// known any more, against what is in force.
+func (c *Console) compare(x fiber.Ctx, content *draftContent, document *validator.Document) (err error) {
+	content.Against = document.Base
+	base, err := c.historian.At(x.Context(), document.Base)
+	if err != nil || base == nil {
+		state := c.state()
+		content.Against, base = state.Revision, state.Document
+	}
+	content.Changes, err = differ.Diff(base, document)
+	return err
+}
+
 // approvals tells which grants have a valid approval at now.
 func (d *draftContent) approvals(document *validator.Document, now time.Time) {
 	d.Approved = make(map[int]string, len(document.Grants))
--- a/ladder/proposer/proposer.go
+++ b/ladder/proposer/proposer.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"fmt"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"github.com/lycheeladder/lycheeladder/ladder/accepter"
@@ -78,8 +80,25 @@
 // New returns a Proposer.
 func New(f Follower, h History) *Proposer { return &Proposer{follower: f, history: h} }
 
-// Propose publishes the operator's document and waits for the verdict. The
-// operator is "" only while no document is in force.
+// Identify makes the document's id from its id and its whole content. A
+// verdict is found again by the id; were the id the draft's alone, a draft that
+// was mended after a refusal, or changed after a lost answer, would be given
+// the verdict on what it was before.
+func Identify(d validator.Document) (validator.Document, error) {
+	data, err := validator.Encode(d)
+	if err != nil {
+		return d, err
+	}
+	d.ID = identifier.DocumentID(uuid.NewHash(sha256.New(), uuid.NameSpaceOID, data, contentVersion).String())
+	return d, nil
+}
+
+// contentVersion is the UUID version for ids of one's own making.
+const contentVersion = 8
+
+// Propose publishes the operator's document and waits for the verdict. To
+// propose the same document again is safe. The operator is "" only while no
+// document is in force.
 func (p *Proposer) Propose(ctx context.Context, operator identifier.OperatorName, d validator.Document) Result {
 	faults := validator.Validate(d)
 	if operator != "" && d.Author != operator {
@@ -90,6 +109,10 @@
 	if len(faults) > 0 {
 		return Faulty{Faults: faults}
 	}
+	d, err := Identify(d)
+	if err != nil {
+		return Undecided{Reason: err.Error()}
+	}
 	return p.publish(ctx, d)
 }
 
