--- a/ladder/coordinator/coordinator.go
+++ b/ladder/coordinator/coordinator.go
@@ -20,6 +20,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/converger"
 	"github.com/lycheeladder/lycheeladder/ladder/deliverer"
 	"github.com/lycheeladder/lycheeladder/ladder/dispatcher"
+	"github.com/lycheeladder/lycheeladder/ladder/explainer"
 	"github.com/lycheeladder/lycheeladder/ladder/heartbeater"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/limiter"
@@ -61,6 +62,7 @@
 	claimer    *claimer.Claimer
 	limiter    *limiter.Limiter
 	recorder   *recorder.Recorder
+	explainer  *explainer.Explainer
 	began      time.Time
 
 	mutex sync.Mutex
@@ -77,7 +79,7 @@
 			accepter.Options{Retention: options.LogRetention}),
 		goals:   converger.NewGoals(),
 		claimer: claimer.New(clock, log, options.KeyMaxAge),
-		limiter: limiter.New(clock),
+		limiter: limiter.New(clock), explainer: explainer.New(),
 	}
 	c.dispatcher = dispatcher.New(
 		clock, router.New(clock, random, options.Policy), heartbeater.New(clock, options.Heartbeats),
@@ -145,6 +147,11 @@
 	return c.indexed
 }
 
+func (c *Coordinator) revision() identifier.Revision {
+	s, _ := c.follower.State()
+	return s.Revision
+}
+
 // settleTime is how long a new entry waits for targets of every service before
 // it calls itself ready. Sidecars dial a restarted entry within it.
 const settleTime = 10 * time.Second
@@ -202,6 +209,12 @@
 // Follower returns the follower of the accepted configuration.
 func (c *Coordinator) Follower() *accepter.Follower { return c.follower }
 
+// Explainer returns the memory of recent decisions.
+func (c *Coordinator) Explainer() *explainer.Explainer { return c.explainer }
+
+// Name returns this entry's name.
+func (c *Coordinator) Name() identifier.EntryName { return c.options.Dispatch.Entry }
+
 // configurations gives sidecars their part of the accepted document.
 type configurations struct{ follower *accepter.Follower }
 
