--- a/ladderctl/verb/entry_test.go
+++ b/ladderctl/verb/entry_test.go
@@ -20,6 +20,9 @@
 // older.json. It judges proposals with the real proposer.
 const fakeRevision = 3
 
+// outageSeconds in a document stands for a log outage.
+const outageSeconds = 77
+
 type fakeFollower struct{ current *validator.Document }
 
 func (f fakeFollower) State() (accepter.State, bool) {
@@ -27,7 +30,7 @@
 }
 
 func (f fakeFollower) Publish(_ context.Context, d validator.Document) (accepter.Verdict, error) {
-	if d.ID == "during-an-outage" {
+	if d.Limits.MaxTimeoutSeconds == outageSeconds {
 		return nil, context.DeadlineExceeded
 	}
 	if d.Base != fakeRevision {
