--- a/entry/console/draft.go
+++ b/entry/console/draft.go
@@ -217,7 +217,7 @@
 		x.Status(fiber.StatusUnprocessableEntity)
 		return c.showDraft(x, d, review, nil)
 	}
-	o := &outcome{Wait: proposer.RetryAfter, Again: c.clock.Now().Add(proposer.RetryAfter)}
+	o := &outcome{}
 	switch r := c.proposer.Propose(x.Context(), operatorOf(x), document).(type) {
 	case proposer.Accepted:
 		o.Accepted = &r
@@ -237,7 +237,7 @@
 	case proposer.Undecided:
 		x.Status(fiber.StatusServiceUnavailable)
 		x.Set(fiber.HeaderRetryAfter, strconv.Itoa(int(proposer.RetryAfter.Seconds())))
-		o.Undecided = r.Reason
+		o.Undecided, o.Wait, o.Again = r.Reason, proposer.RetryAfter, c.clock.Now().Add(proposer.RetryAfter)
 	}
 	return c.showDraft(x, d, review, func(content *draftContent) { content.Outcome = o })
 }
--- a/ladder/validator/validator.go
+++ b/ladder/validator/validator.go
@@ -85,8 +85,18 @@
 	return d, nil
 }
 
-// Encode returns the document's JSON.
+// Encode returns the document's JSON. Empty lists are written as such: null is
+// a fault of form.
 func Encode(d Document) ([]byte, error) {
+	d.Operators, d.Owners, d.Models = orEmpty(d.Operators), orEmpty(d.Owners), orEmpty(d.Models)
+	d.Services, d.Teams, d.Grants = orEmpty(d.Services), orEmpty(d.Teams), orEmpty(d.Grants)
 	data, err := json.Marshal(d)
 	return data, errors.WithMessage(err, "encode document")
 }
+
+func orEmpty[T any](list []T) []T {
+	if list == nil {
+		return []T{}
+	}
+	return list
+}
