--- a/entry/console/log_test.go
+++ b/entry/console/log_test.go
@@ -9,6 +9,9 @@
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 )
 
+// pollTime is how long a read waits for a record.
+const pollTime = 20 * time.Millisecond
+
 // memoryLog is the platform's log in memory, for one stream.
 type memoryLog struct {
 	mutex   sync.Mutex
@@ -43,6 +46,7 @@
 }
 
 func (l *memoryLog) Read(ctx context.Context, _ identifier.StreamName, from identifier.LogOffset, _ int) (appender.Page, error) {
+	poll := time.After(pollTime)
 	for {
 		l.mutex.Lock()
 		page := appender.Page{Next: identifier.LogOffset(len(l.records)), Records: l.records[min(int(from), len(l.records)):]}
@@ -53,6 +57,8 @@
 		}
 		select {
 		case <-changed:
+		case <-poll:
+			return page, nil
 		case <-ctx.Done():
 			return page, ctx.Err()
 		}
--- a/entry/publisher/publisher.go
+++ b/entry/publisher/publisher.go
@@ -3,8 +3,10 @@
 package publisher
 
 import (
+	"context"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/pkg/errors"
@@ -20,8 +22,13 @@
 	"github.com/lycheeladder/lycheeladder/ladder/validator"
 )
 
-// bodyLimit bounds a document, and the console's forms with a draft in them.
-const bodyLimit = 8 << 20
+const (
+	// bodyLimit bounds a document, and the console's forms with a draft in
+	// them.
+	bodyLimit = 8 << 20
+	// startTimeout bounds the wait of an entry that has just started.
+	startTimeout = 5 * time.Second
+)
 
 // New returns the operators' application.
 func New(c *coordinator.Coordinator, p *proposer.Proposer, h *historian.Historian) *fiber.App {
@@ -50,7 +57,15 @@
 type operatorKey struct{}
 
 func (u *publisher) authorize(c fiber.Ctx) error {
-	state, _ := u.coordinator.Follower().State()
+	state, inForce := u.coordinator.Follower().State()
+	if !inForce && c.Method() == fiber.MethodPost {
+		// Who may publish isn't known here yet.
+		ctx, cancel := context.WithTimeout(c.Context(), startTimeout)
+		defer cancel()
+		if state, inForce = u.coordinator.Follower().Wait(ctx); !inForce {
+			return later(c, "configuration in force not known yet")
+		}
+	}
 	key, _ := strings.CutPrefix(c.Get(fiber.HeaderAuthorization), "Bearer ")
 	name, refusal := authorizer.Operator(state.Document, key)
 	if refusal != authorizer.RefusalNone {
--- a/ladder/accepter/approval_test.go
+++ b/ladder/accepter/approval_test.go
@@ -65,7 +65,11 @@
 func apply(t *testing.T, documents ...validator.Document) (s accepter.State, v accepter.Verdict) {
 	t.Helper()
 	for n, d := range documents {
-		data, err := accepter.Record{Kind: accepter.KindProposal, Document: d}.Encode()
+		p, err := accepter.NewProposal(s.Document, d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		data, err := accepter.EncodeRecord(p)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -161,7 +165,7 @@
 			if diff := cmp.Diff(accepter.Verdict(accepter.Accepted{Revision: 2}), v); diff != "" {
 				t.Fatalf("verdict (-want +got):\n%s", diff)
 			}
-			_, got := authorizer.Service(s.Document, "franchisees", "spares-app", c.at)
+			_, got := authorizer.NewIndex(s.Document, nil).Service("franchisees", "spares-app", c.at)
 			if diff := cmp.Diff(c.want, got); diff != "" {
 				t.Errorf("refusal (-want +got):\n%s", diff)
 			}
@@ -249,12 +253,12 @@
 		"franchisees": authorizer.RefusalNone, "next": authorizer.RefusalNone,
 		"": authorizer.RefusalKeyMissing, "operator": authorizer.RefusalKeyUnknown,
 	} {
-		if _, got := authorizer.Team(&d, key); got != want {
+		if _, got := authorizer.NewIndex(&d, nil).Team(key); got != want {
 			t.Errorf("key %q: %q, want %q", key, got, want)
 		}
 	}
 	d.Teams[0].KeyHashes = d.Teams[0].KeyHashes[1:]
-	if _, got := authorizer.Team(&d, "franchisees"); got != authorizer.RefusalKeyUnknown {
+	if _, got := authorizer.NewIndex(&d, nil).Team("franchisees"); got != authorizer.RefusalKeyUnknown {
 		t.Errorf("the old key after the exchange: %q", got)
 	}
 }
--- a/ladder/coordinator/call.go
+++ b/ladder/coordinator/call.go
@@ -42,19 +42,19 @@
 // Handle runs a call to its final outcome.
 func (c *Coordinator) Handle(ctx context.Context, call Call) (o dispatcher.Outcome) {
 	began := c.clock.Now()
-	state, _ := c.follower.State()
-	decision := explainer.Decision{Request: call.ID, Service: call.Service, Call: call.Call, Revision: state.Revision}
+	index := c.index()
+	decision := explainer.Decision{Request: call.ID, Service: call.Service, Call: call.Call, Revision: c.revision()}
 	defer func() { c.explain(decision, began, o) }()
-	t, refusal := authorizer.Team(state.Document, call.Key)
+	t, refusal := index.Team(call.Key)
 	if refusal != authorizer.RefusalNone {
 		return c.refuse(refusal)
 	}
 	decision.Team, decision.Class = t.Name, t.Class
-	s, refusal := authorizer.Service(state.Document, t.Name, call.Service, began)
+	s, refusal := index.Service(t.Name, call.Service, began)
 	if refusal != authorizer.RefusalNone {
 		return c.refuse(refusal)
 	}
-	if len(call.Body) > state.Document.Limits.MaxBodyBytes {
+	if len(call.Body) > index.Document().Limits.MaxBodyBytes {
 		return c.counted(dispatcher.NotRun{Code: CodeTooLarge})
 	}
 	bounds := limiter.Bounds{RequestsPerSecond: t.RequestsPerSecond, Burst: t.Burst, InFlight: t.InFlightLimit}
@@ -62,7 +62,7 @@
 		return c.counted(dispatcher.NotRun{Code: CodeTeamLimit, RetryAfter: retryAfter})
 	}
 	defer c.limiter.Leave(t.Name)
-	r := c.requestOf(call, t, s, began, state.Document.Limits)
+	r := c.requestOf(call, t, s, began, index.Document().Limits)
 	r.Stream = c.timed(r, began, call.Stream)
 	if call.IdempotencyKey != "" && !r.Idempotent {
 		o = c.dispatcher.DispatchOnce(ctx, c.claimer, r, call.IdempotencyKey)
@@ -73,6 +73,11 @@
 	return c.counted(o)
 }
 
+func (c *Coordinator) revision() identifier.Revision {
+	s, _ := c.follower.State()
+	return s.Revision
+}
+
 // explain remembers a decision with its outcome.
 func (c *Coordinator) explain(d explainer.Decision, began time.Time, o dispatcher.Outcome) {
 	d.At, d.Took = c.clock.Now(), c.clock.Since(began)
--- a/ladder/coordinator/coordinator.go
+++ b/ladder/coordinator/coordinator.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"math"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -13,6 +15,7 @@
 
 	"github.com/lycheeladder/lycheeladder/ladder/accepter"
 	"github.com/lycheeladder/lycheeladder/ladder/appender"
+	"github.com/lycheeladder/lycheeladder/ladder/authorizer"
 	"github.com/lycheeladder/lycheeladder/ladder/claimer"
 	"github.com/lycheeladder/lycheeladder/ladder/converger"
 	"github.com/lycheeladder/lycheeladder/ladder/deliverer"
@@ -36,6 +39,10 @@
 	KeyMaxAge time.Duration
 	// SampleTimeout bounds one attempt at a sample.
 	SampleTimeout time.Duration
+	// LogRetention is how long the log keeps records, 0 for ever.
+	LogRetention time.Duration
+	// Peers tell what is in force where the log can't; nil if there are none.
+	Peers accepter.Peers
 }
 
 // The retry budget: a tenth of recent successes, and a few to begin with.
@@ -56,17 +63,23 @@
 	limiter    *limiter.Limiter
 	recorder   *recorder.Recorder
 	explainer  *explainer.Explainer
+	began      time.Time
+
+	mutex sync.Mutex
+	// indexed is the index of the document last asked for.
+	indexed *authorizer.Index
 }
 
 // New returns a Coordinator that follows log. It serves nobody until the end
 // of the log was reached once.
 func New(clock clockwork.Clock, log appender.Log, random router.Random, r *recorder.Recorder, options Options) *Coordinator {
 	c := &Coordinator{
-		clock: clock, options: options, recorder: r,
-		follower: accepter.NewFollower(clock, log),
-		goals:    converger.NewGoals(),
-		claimer:  claimer.New(clock, log, options.KeyMaxAge),
-		limiter:  limiter.New(clock), explainer: explainer.New(),
+		clock: clock, options: options, recorder: r, began: clock.Now(),
+		follower: accepter.NewFollower(clock, log, options.Peers, router.NewRandom(uint64(random.IntN(math.MaxInt32))),
+			accepter.Options{Retention: options.LogRetention}),
+		goals:   converger.NewGoals(),
+		claimer: claimer.New(clock, log, options.KeyMaxAge),
+		limiter: limiter.New(clock), explainer: explainer.New(),
 	}
 	c.dispatcher = dispatcher.New(
 		clock, router.New(clock, random, options.Policy), heartbeater.New(clock, options.Heartbeats),
@@ -86,6 +99,9 @@
 	tasks.Go(func() { c.spreadGoals(ctx) })
 }
 
+// Leave sends trainers to other entries. Calls are still taken.
+func (c *Coordinator) Leave() { c.deliverer.Leave() }
+
 // ServeLink talks to one sidecar until the link fails or ctx ends.
 func (c *Coordinator) ServeLink(ctx context.Context, l messenger.Link) error {
 	return c.dispatcher.Serve(ctx, l)
@@ -120,10 +136,43 @@
 	}
 }
 
-// Ready says whether the entry knows what is in force.
+// index returns the index of the document in force.
+func (c *Coordinator) index() *authorizer.Index {
+	s, _ := c.follower.State()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.indexed == nil || c.indexed.Document() != s.Document {
+		c.indexed = authorizer.NewIndex(s.Document, c.indexed)
+	}
+	return c.indexed
+}
+
+// settleTime is how long a new entry waits for targets of every service before
+// it calls itself ready. Sidecars dial a restarted entry within it.
+const settleTime = 10 * time.Second
+
+// Ready says whether the entry knows what is in force and has had time to hear
+// of targets. A service without any target does not hold it up for ever.
 func (c *Coordinator) Ready() bool {
 	s, caughtUp := c.follower.State()
-	return caughtUp && s.Document != nil
+	if !caughtUp || s.Document == nil {
+		return false
+	}
+	if c.clock.Since(c.began) > settleTime {
+		return true
+	}
+	usable := make(map[identifier.ServiceName]bool)
+	for _, t := range c.dispatcher.Targets() {
+		if t.Usable {
+			usable[t.Service] = true
+		}
+	}
+	for _, service := range s.Document.Services {
+		if !usable[service.Name] {
+			return false
+		}
+	}
+	return true
 }
 
 // Status is what an entry knows of itself and its neighbours.
@@ -172,7 +221,8 @@
 	}
 	s, ok := state.Document.ServiceByName(service)
 	if !ok {
-		return messenger.Configuration{}, false
+		// The service is out of play: its sidecars take no work.
+		return messenger.Configuration{Revision: state.Revision}, true
 	}
 	return messenger.Configuration{
 		Revision: state.Revision, Slots: s.Slots, QueueLimit: s.QueueLimit, Model: s.Model,
--- a/ladder/executor/job.go
+++ b/ladder/executor/job.go
@@ -40,7 +40,9 @@
 }
 
 func itemOf(m messenger.Start) queuer.Item {
-	return queuer.Item{Request: m.Request, Attempt: m.Attempt, Class: m.Class, Urgency: m.Urgency}
+	return queuer.Item{
+		Request: m.Request, Attempt: m.Attempt, Class: m.Class, Urgency: m.Urgency, Expected: m.Expected,
+	}
 }
 
 // useful says whether the job's answer is, or may still become, a whole one.
@@ -64,12 +66,23 @@
 	})
 }
 
+// leastOf is how many bytes beyond offset are worth a frame: the first at once,
+// since the entry judges targets by when they begin, then, for a caller who
+// doesn't read as it comes, a full chunk. An engine makes a token at a time, and
+// a frame for each would cost more than the token.
+func (j *job) leastOf(offset uint64) uint64 {
+	if j.start.Streamed || offset == 0 {
+		return 1
+	}
+	return chunkBytes
+}
+
 // follow sends chunks as they come, then the answer.
 func (c *connection) follow(ctx context.Context, j *job, offset uint64) {
 	j.pumping.Lock()
 	defer j.pumping.Unlock()
 	for {
-		data, ended, err := j.output.Next(ctx, offset)
+		data, ended, err := j.output.NextAtLeast(ctx, offset, j.leastOf(offset))
 		if err != nil {
 			return
 		}
--- a/ladder/historian/historian.go
+++ b/ladder/historian/historian.go
@@ -107,7 +107,9 @@
 			return nil
 		}
 		if page.FirstKept > h.state.Next {
-			h.skip(page, target)
+			// The revisions in between are gone: go on from what is in force.
+			h.state = target
+			return nil
 		}
 		for _, record := range page.Records {
 			h.apply(record)
@@ -116,21 +118,6 @@
 	return nil
 }
 
-// skip starts anew after a gap: the revisions in between are not known any
-// more, so it goes on from what the follower has.
-func (h *Historian) skip(page appender.Page, target accepter.State) {
-	h.state.Next = page.FirstKept
-	for _, record := range page.Records {
-		r, err := accepter.DecodeRecord(record.Data)
-		if err == nil && r.Kind == accepter.KindCarryForward && r.Revision > h.state.Revision {
-			d := r.Document
-			h.state = accepter.State{Revision: r.Revision, Document: &d, Next: r.ReadUpTo}
-			return
-		}
-	}
-	h.state = target
-}
-
 func (h *Historian) apply(record appender.Record) {
 	state, verdict := h.state.Apply(record)
 	h.state = state
@@ -138,7 +125,11 @@
 	if err != nil {
 		return
 	}
-	e := Entry{Document: r.Document.ID, Base: r.Document.Base, Author: r.Document.Author, Time: record.Time}
+	p, ok := r.(accepter.Proposal)
+	if !ok {
+		return
+	}
+	e := Entry{Document: p.Document, Base: p.Base, Author: p.Author, Time: record.Time}
 	switch v := verdict.(type) {
 	case accepter.Accepted:
 		e.Verdict, e.Revision = "accepted", v.Revision
