--- a/ladder/accepter/compress.go
+++ b/ladder/accepter/compress.go
@@ -32,7 +32,7 @@
 		return p, err
 	}
 	change, err := compress(base, data)
-	return Proposal{Document: d.ID, Base: d.Base, Hash: sha256.Sum256(data), Change: change}, err
+	return Proposal{Document: d.ID, Base: d.Base, Hash: sha256.Sum256(data), Author: d.Author, Change: change}, err
 }
 
 // rebuild returns the proposed document, given the one it was made from.
@@ -45,8 +45,8 @@
 	if hash != p.Hash {
 		return d, errors.Errorf("hash is %s, not %s", hash, p.Hash)
 	}
-	if d.ID != p.Document || d.Base != p.Base {
-		return d, errors.New("id or base differ from the document's")
+	if d.ID != p.Document || d.Base != p.Base || d.Author != p.Author {
+		return d, errors.New("id, base or author differ from the document's")
 	}
 	return d, nil
 }
