--- a/entry/publisher/publisher.go
+++ b/entry/publisher/publisher.go
@@ -22,11 +22,13 @@
 	"github.com/lycheeladder/lycheeladder/ladder/validator"
 )
 
-// bodyLimit bounds a document, and the console's forms with a draft in them.
-const bodyLimit = 8 << 20
-
-// startTimeout bounds the wait of an entry that has just started.
-const startTimeout = 5 * time.Second
+const (
+	// bodyLimit bounds a document, and the console's forms with a draft in
+	// them.
+	bodyLimit = 8 << 20
+	// startTimeout bounds the wait of an entry that has just started.
+	startTimeout = 5 * time.Second
+)
 
 // New returns the operators' application.
 func New(c *coordinator.Coordinator, p *proposer.Proposer, h *historian.Historian) *fiber.App {
@@ -58,13 +60,11 @@
 	state, inForce := u.coordinator.Follower().State()
 	if !inForce && c.Method() == fiber.MethodPost {
 		// Who may publish isn't known here yet.
-		ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+		ctx, cancel := context.WithTimeout(c.Context(), startTimeout)
 		defer cancel()
-		state, inForce = u.coordinator.Follower().Wait(ctx)
-	}
-	if !inForce && c.Method() == fiber.MethodPost {
-		c.Set(fiber.HeaderRetryAfter, strconv.Itoa(int(startTimeout.Seconds())))
-		return refused(c, fiber.StatusServiceUnavailable, "configuration in force not known yet")
+		if state, inForce = u.coordinator.Follower().Wait(ctx); !inForce {
+			return later(c, "configuration in force not known yet")
+		}
 	}
 	key, _ := strings.CutPrefix(c.Get(fiber.HeaderAuthorization), "Bearer ")
 	name, refusal := authorizer.Operator(state.Document, key)
--- a/ladder/coordinator/call.go
+++ b/ladder/coordinator/call.go
@@ -73,6 +73,11 @@
 	return c.counted(o)
 }
 
+func (c *Coordinator) revision() identifier.Revision {
+	s, _ := c.follower.State()
+	return s.Revision
+}
+
 // explain remembers a decision with its outcome.
 func (c *Coordinator) explain(d explainer.Decision, began time.Time, o dispatcher.Outcome) {
 	d.At, d.Took = c.clock.Now(), c.clock.Since(began)
