--- a/ladder/dispatcher/dispatch.go
+++ b/ladder/dispatcher/dispatch.go
@@ -71,7 +71,7 @@
 			continue
 		}
 		candidates = append(candidates, router.Candidate{
-			Target: p.target, Zone: p.zone, Reported: p.load.InFlight + p.load.Queued, ReportedAt: p.loadAt,
+			Target: p.target, Service: service, Zone: p.zone, Reported: p.load.InFlight + p.load.Queued, ReportedAt: p.loadAt,
 		})
 	}
 	target, ok := d.router.Choose(candidates)
@@ -83,29 +83,26 @@
 
 // try runs one attempt. It returns nil if another target may be tried.
 func (d *Dispatcher) try(ctx context.Context, r Request, p *peer, n identifier.Attempt, s *progress) Outcome {
-	began := d.clock.Now()
-	a := d.open(p, key{r.ID, n})
+	a := d.open(p, key{r.ID, n}, r.Stream != nil)
 	sent := d.start(ctx, r, p, n)
 	defer d.close(a)
 	if !sent {
-		d.router.Done(p.target, 0)
+		d.router.Done(p.target)
 		return nil
 	}
 	err := d.follow(ctx, r, a, s)
 	answer := d.answerOf(a)
 	if answer == nil && err != nil {
-		d.router.Done(p.target, 0)
+		d.router.Done(p.target)
 		if r.Sample == "" || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			d.abandon(a)
 		}
 		return gaveUp(ctx, d.options.RetryAfter)
 	}
+	d.router.Done(p.target)
 	o := d.judge(r, a, answer, s)
 	if _, ok := o.(Completed); ok {
-		d.router.Done(p.target, d.clock.Since(began))
 		d.budget.Earn()
-	} else {
-		d.router.Done(p.target, 0)
 	}
 	return o
 }
@@ -175,10 +172,10 @@
 	return NotRun{Code: refusalByReason[m.Reason], RetryAfter: max(m.RetryAfter, least)}
 }
 
-func (d *Dispatcher) open(p *peer, k key) *attempt {
+func (d *Dispatcher) open(p *peer, k key, streamed bool) *attempt {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	a := &attempt{key: k, peer: p, output: accumulator.New()}
+	a := &attempt{key: k, peer: p, streamed: streamed, output: accumulator.New(), heard: d.clock.Now()}
 	p.attempts[k] = a
 	return a
 }
@@ -203,7 +200,7 @@
 		Call: r.Call, Body: r.Body, Idempotent: r.Idempotent,
 		Timeout: r.Deadline.Sub(d.clock.Now()), Expected: r.Expected, Sample: r.Sample,
 		Fingerprint: identifier.NewFingerprint(r.Service, r.Call, r.Body),
-		Urgency:     r.Urgency, Oldest: r.Oldest,
+		Urgency:     r.Urgency, Oldest: r.Oldest, Streamed: r.Stream != nil,
 	}
 	if d.beats.SendWithin(ctx, l, m) != nil {
 		_ = l.Close()
@@ -258,14 +255,7 @@
 // Locate asks every sidecar of the service which of the samples it holds, and
 // waits for the answers until ctx ends.
 func (d *Dispatcher) Locate(ctx context.Context, service identifier.ServiceName, samples []identifier.SampleID) map[identifier.SampleID]HeldAt {
-	d.mutex.Lock()
-	var peers []*peer
-	for _, p := range d.peers {
-		if p.service == service && p.link != nil {
-			peers = append(peers, p)
-		}
-	}
-	d.mutex.Unlock()
+	peers := d.linked(service)
 	found := make(chan map[identifier.SampleID]HeldAt, len(peers))
 	var tasks conc.WaitGroup
 	for _, p := range peers {
@@ -329,7 +319,7 @@
 // join follows an attempt that is already known at the peer, and judges its
 // answer. An error says that ctx has ended.
 func (d *Dispatcher) join(ctx context.Context, r Request, p *peer, k key, s *progress) (Outcome, error) {
-	a := d.open(p, k)
+	a := d.open(p, k, r.Stream != nil)
 	defer d.close(a)
 	d.mutex.Lock()
 	l := p.link
--- a/ladder/dispatcher/peer.go
+++ b/ladder/dispatcher/peer.go
@@ -33,14 +33,14 @@
 	service     identifier.ServiceName
 	zone        identifier.ZoneName
 	// link is nil while no link is up.
-	link messenger.Link
-	// configured is set once the configuration has been sent on link: before
-	// it a sidecar has no queue.
-	configured bool
-	leaving    bool
-	revision   identifier.Revision
-	load       messenger.Load
-	loadAt     time.Time
+	link     messenger.Link
+	leaving  bool
+	revision identifier.Revision
+	load     messenger.Load
+	loadAt   time.Time
+	// configured is what this link's sidecar has: the Configuration sent last,
+	// at the newest revision under which it is the same.
+	configured messenger.Configuration
 	// attempts are those open at this incarnation.
 	attempts map[key]*attempt
 	// gone is closed when the incarnation will not be heard of again.
@@ -50,14 +50,19 @@
 }
 
 // usable says whether the peer may be given work. The caller holds the
-// dispatcher's mutex.
-func (p *peer) usable() bool { return p.link != nil && p.configured && !p.leaving }
+// dispatcher's mutex. Before its configuration it has no queue.
+func (p *peer) usable() bool { return p.link != nil && p.configured.Revision > 0 && !p.leaving }
 
 // attempt is one open dispatch of a request.
 type attempt struct {
 	key    key
 	peer   *peer
 	output *accumulator.Accumulator
+	// streamed says that pieces come as they are made; else, after the first,
+	// their times tell how much they hold and not how fast the target is.
+	streamed bool
+	// heard is when a piece of the answer came last, or the dispatch.
+	heard time.Time
 	// answer is an End or a Refused that fits the output, set before output
 	// ends; nil if the sidecar is lost.
 	answer messenger.Answer
@@ -79,7 +84,8 @@
 	}
 	klog.InfoS("sidecar linked", "target", p.target, "incarnation", p.incarnation, "zone", p.zone)
 	d.resume(ctx, p, l)
-	err = d.beats.Run(ctx, l, d.heartbeat, func(m messenger.Message) error { return d.handle(ctx, p, l, m) })
+	beat := func() messenger.Heartbeat { return d.heartbeat(p) }
+	err = d.beats.Run(ctx, l, beat, func(m messenger.Message) error { return d.handle(ctx, p, l, m) })
 	klog.InfoS("sidecar link ended", "target", p.target, "incarnation", p.incarnation, "err", err)
 	d.detach(p, l)
 	return err
@@ -116,18 +122,17 @@
 	if p.link != nil {
 		_ = p.link.Close()
 	}
-	p.link, p.configured, p.leaving, p.revision = l, false, hello.Leaving, hello.Revision
+	p.link, p.leaving, p.revision = l, hello.Leaving, hello.Revision
+	p.configured = messenger.Configuration{}
 	return p, nil
 }
 
 // resume sends the sidecar its configuration and asks for every open answer
 // from where it broke off.
 func (d *Dispatcher) resume(ctx context.Context, p *peer, l messenger.Link) {
+	d.configure(ctx, p)
 	d.mutex.Lock()
 	var messages []messenger.Message
-	if m, ok := d.configurationOf(p); ok {
-		messages = append(messages, m)
-	}
 	for _, a := range p.attempts {
 		messages = append(messages, a.resumption())
 	}
@@ -138,9 +143,6 @@
 			return
 		}
 	}
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	p.configured = p.configured || p.link == l
 }
 
 func (a *attempt) resumption() messenger.Resume {
@@ -232,12 +234,28 @@
 
 func (d *Dispatcher) chunk(ctx context.Context, p *peer, l messenger.Link, m messenger.Chunk) error {
 	a := d.attemptOf(p, key{m.Request, m.Attempt}, m.Incarnation)
-	if a == nil || a.output.WriteAt(m.Offset, m.Data) {
+	if a == nil {
+		return nil
+	}
+	if first := m.Offset == 0; first || a.streamed {
+		d.heard(a, first)
+	}
+	if a.output.WriteAt(m.Offset, m.Data) {
 		return nil
 	}
 	return d.beats.SendWithin(ctx, l, a.resumption())
 }
 
+// heard lets the router learn from the time a piece took.
+func (d *Dispatcher) heard(a *attempt, first bool) {
+	d.mutex.Lock()
+	now := d.clock.Now()
+	gap := now.Sub(a.heard)
+	a.heard = now
+	d.mutex.Unlock()
+	d.router.Heard(a.peer.target, gap, first)
+}
+
 func (d *Dispatcher) end(ctx context.Context, p *peer, l messenger.Link, m messenger.End) error {
 	k := key{m.Request, m.Attempt}
 	a := d.attemptOf(p, k, m.Incarnation)
