--- a/ladder/subsetter/subsetter.go
+++ b/ladder/subsetter/subsetter.go
@@ -45,11 +45,21 @@
 
 // ranked orders entries by their hash with target, the highest first.
 func ranked(target identifier.TargetName, entries []Entry) []Entry {
-	ranked := slices.Clone(entries)
-	score := func(e Entry) uint64 { return xxhash.Sum64String(string(target) + "\x00" + e.Address) }
-	slices.SortFunc(ranked, func(a, b Entry) int {
-		return cmp.Or(cmp.Compare(score(b), score(a)), cmp.Compare(a.Address, b.Address))
+	type scored struct {
+		entry Entry
+		score uint64
+	}
+	order := make([]scored, 0, len(entries))
+	for _, e := range entries {
+		order = append(order, scored{e, xxhash.Sum64String(string(target) + "\x00" + e.Address)})
+	}
+	slices.SortFunc(order, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.entry.Address, b.entry.Address))
 	})
+	ranked := make([]Entry, 0, len(order))
+	for _, o := range order {
+		ranked = append(ranked, o.entry)
+	}
 	return ranked
 }
 
