Bound each sidecar's links, and leave entries and hosts without cutting off work

- An entry that is no longer wanted, because it is leaving or another one ranks before it, is told so on its link, which is closed once its work is done and it has been quiet for a second.
Before, the link was closed at once.
- A sidecar whose own host the list calls leaving takes no more work.
- Weight goals go into a heartbeat only when they changed since the last on that link.

--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -41,6 +41,7 @@
 // Settings are an entry's flags and environment variables.
 type Settings struct {
 	starter.Common
+	heartbeater.Settings
 	Name           string            `help:"This entry's name." required:""`
 	Zone           string            `help:"The availability zone of this host." required:""`
 	Listen         starter.Address   `help:"Where callers and trainers come in, IP:port." required:""`
@@ -145,7 +146,7 @@
 
 func newCoordinator(s Settings, r *recorder.Recorder) *coordinator.Coordinator {
 	options := coordinator.Options{
-		Dispatch: dispatcher.DefaultOptions(), Heartbeats: heartbeater.DefaultOptions(),
+		Dispatch: dispatcher.DefaultOptions(), Heartbeats: s.Settings.Options(),
 		Policy: router.Expected{}, KeyMaxAge: s.KeyMaxAge, SampleTimeout: s.SampleTimeout,
 		LogRetention: s.LogRetention,
 	}
--- a/ladder/executor/executor.go
+++ b/ladder/executor/executor.go
@@ -69,8 +69,8 @@
 	// traces has every attempt that was refused or has ended, until it is
 	// older than Memory. An attempt is never in jobs and traces at once.
 	traces map[key]trace
-	// links are those that heartbeats go out on.
-	links map[messenger.Link]struct{}
+	// links are those that heartbeats go out on; true for one that retires.
+	links map[messenger.Link]bool
 	// configuration is the newest received.
 	configuration messenger.Configuration
 	leaving       bool
@@ -96,7 +96,7 @@
 		clock: clock, target: target, queue: q, beats: beats, goals: goals, options: options,
 		jobs:   make(map[key]*job),
 		traces: make(map[key]trace),
-		links:  make(map[messenger.Link]struct{}),
+		links:  make(map[messenger.Link]bool),
 	}
 }
 
@@ -113,7 +113,7 @@
 	defer pumps.Wait()
 	defer cancel()
 	c := &connection{executor: e, link: l, pumps: &pumps, ctx: ctx}
-	return e.beats.Run(ctx, l, e.heartbeat, c.handle)
+	return e.beats.Run(ctx, l, func() messenger.Heartbeat { return e.heartbeat(l) }, c.handle)
 }
 
 func (e *Executor) hello() messenger.Hello {
@@ -126,12 +126,12 @@
 	}
 }
 
-func (e *Executor) heartbeat() messenger.Heartbeat {
+func (e *Executor) heartbeat(l messenger.Link) messenger.Heartbeat {
 	running, waiting, slots := e.queue.Lengths()
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	return messenger.Heartbeat{
-		Revision: e.configuration.Revision, Leaving: e.leaving, Goals: e.goals.All(),
+		Revision: e.configuration.Revision, Leaving: e.leaving || e.links[l], Goals: e.goals.All(),
 		Load: messenger.Load{InFlight: running, Queued: waiting, Slots: slots, Version: e.version},
 	}
 }
@@ -159,7 +159,6 @@
 
 // Announce sends a heartbeat on every link at once, for news that can't wait.
 func (e *Executor) Announce(ctx context.Context) {
-	h := e.heartbeat()
 	e.mutex.Lock()
 	links := make([]messenger.Link, 0, len(e.links))
 	for l := range e.links {
@@ -169,7 +168,7 @@
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
 	for _, l := range links {
-		tasks.Go(func() { _ = e.beats.SendWithin(ctx, l, h) })
+		tasks.Go(func() { _ = e.beats.SendWithin(ctx, l, e.heartbeat(l)) })
 	}
 }
 
@@ -195,10 +194,12 @@
 	}
 }
 
+// drainPoll is the time between two looks at what is left.
+const drainPoll = 20 * time.Millisecond
+
 // Drain waits until every answer has been taken, or ctx ends. It returns how
 // many were left.
 func (e *Executor) Drain(ctx context.Context) int {
-	const poll = 20 * time.Millisecond
 	for {
 		e.mutex.Lock()
 		left := len(e.jobs)
@@ -209,7 +210,7 @@
 		select {
 		case <-ctx.Done():
 			return left
-		case <-e.clock.After(poll):
+		case <-e.clock.After(drainPoll):
 		}
 	}
 }
@@ -253,7 +254,7 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if up {
-		e.links[l] = struct{}{}
+		e.links[l] = false
 	} else {
 		delete(e.links, l)
 	}
--- a/ladder/heartbeater/heartbeater.go
+++ b/ladder/heartbeater/heartbeater.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -33,6 +34,33 @@
 	return Options{Interval: time.Second, Deadline: 3500 * time.Millisecond}
 }
 
+// Settings are the flags of a program that has links. The peers' intervals
+// must be well below the deadline here.
+type Settings struct {
+	HeartbeatInterval time.Duration `help:"Time between heartbeats on a link." default:"1s"`
+	HeartbeatDeadline time.Duration `help:"Silence after which a link is given up." default:"3500ms"`
+}
+
+// leastBeats is how many intervals the deadline must have, so that one lost
+// heartbeat ends no link.
+const leastBeats = 2
+
+// Validate checks what the flags' types don't.
+func (s Settings) Validate() error {
+	if s.HeartbeatInterval <= 0 {
+		return errors.Errorf("--heartbeat-interval: %s is not above 0", s.HeartbeatInterval)
+	}
+	if least := leastBeats * s.HeartbeatInterval; s.HeartbeatDeadline < least {
+		return errors.Errorf("--heartbeat-deadline: %s is below %d intervals, %s", s.HeartbeatDeadline, leastBeats, least)
+	}
+	return nil
+}
+
+// Options returns the settings as Options.
+func (s Settings) Options() Options {
+	return Options{Interval: s.HeartbeatInterval, Deadline: s.HeartbeatDeadline}
+}
+
 // Heartbeater runs links.
 type Heartbeater struct {
 	clock   clockwork.Clock
@@ -46,7 +74,8 @@
 
 // Run hands every message to handle until the link fails, the peer falls
 // silent or ctx ends; it closes the link and says why. beat makes each
-// heartbeat.
+// heartbeat; its goals are left out while they are those sent before on this
+// link, which gives messages in order or fails.
 func (h *Heartbeater) Run(ctx context.Context, l messenger.Link, beat func() messenger.Heartbeat, handle func(messenger.Message) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	var tasks conc.WaitGroup
@@ -68,8 +97,15 @@
 func (h *Heartbeater) send(ctx context.Context, l messenger.Link, beat func() messenger.Heartbeat) {
 	ticker := h.clock.NewTicker(h.options.Interval)
 	defer ticker.Stop()
+	var sent []messenger.WeightGoal
 	for {
-		if h.SendWithin(ctx, l, beat()) != nil {
+		m := beat()
+		if slices.Equal(m.Goals, sent) {
+			m.Goals = nil
+		} else {
+			sent = m.Goals
+		}
+		if h.SendWithin(ctx, l, m) != nil {
 			_ = l.Close()
 			return
 		}
--- a/ladder/subsetter/subsetter.go
+++ b/ladder/subsetter/subsetter.go
@@ -30,10 +30,10 @@
 // outsideLinks is how many links go to other zones, if there are several links.
 const outsideLinks = 1
 
-// Pick returns the entries for target, at most links of them. It returns all
-// if there are no more than that.
+// Pick returns the entries for target, at most links of them, or all if
+// links is 0.
 func Pick(target identifier.TargetName, zone identifier.ZoneName, entries []Entry, links int) []Entry {
-	if len(entries) <= links {
+	if links <= 0 || len(entries) <= links {
 		return slices.Clone(entries)
 	}
 	own, others := split(ranked(target, entries), zone)
--- a/ladder/supervisor/supervisor.go
+++ b/ladder/supervisor/supervisor.go
@@ -8,10 +8,8 @@
 	"sync"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/jonboulle/clockwork"
 	"github.com/sourcegraph/conc"
-	"k8s.io/klog/v2"
 
 	"github.com/lycheeladder/lycheeladder/ladder/caller"
 	"github.com/lycheeladder/lycheeladder/ladder/converger"
@@ -31,6 +29,10 @@
 type Options struct {
 	Executor   executor.Options
 	Heartbeats heartbeater.Options
+	// Address is the target's, by which the host list names it.
+	Address string
+	// Links is how many entries are linked to at most, 0 for all.
+	Links int
 	// Entries are the peer addresses, IP:port, known from the settings.
 	Entries []string
 	// LeaveDelay is how long a stop waits for work that entries sent before
@@ -62,8 +64,8 @@
 	options   Options
 
 	mutex sync.Mutex
-	// dialled has the stop function of each entry's task.
-	dialled map[string]context.CancelFunc
+	// dialled has a channel for each entry's task, closed to retire its link.
+	dialled map[string]chan struct{}
 }
 
 // New returns a Supervisor of target. hosts may be nil.
@@ -73,7 +75,7 @@
 	s := &Supervisor{
 		clock: clock, dialer: dialer, hosts: hosts, options: options,
 		executor: executor.New(clock, target, queuer.New(clock, queuer.ShortFirst{}, firstSlots, firstQueue), beats, goals, options.Executor),
-		dialled:  make(map[string]context.CancelFunc),
+		dialled:  make(map[string]chan struct{}),
 	}
 	if options.Executor.Engine {
 		s.converger = converger.New(clock, target, goals, s.executor)
@@ -93,7 +95,7 @@
 		tasks.Go(func() { s.converger.Run(ctx) })
 	}
 	for {
-		s.adjust(ctx, &tasks, s.entries(ctx))
+		s.followHosts(ctx, &tasks)
 		select {
 		case <-ctx.Done():
 			return
@@ -119,81 +121,3 @@
 	}
 	return left
 }
-
-// entries returns the peer addresses from the settings and the host list. A
-// list that can't be read changes nothing.
-func (s *Supervisor) entries(ctx context.Context) map[string]bool {
-	wanted := make(map[string]bool)
-	for _, address := range s.options.Entries {
-		wanted[address] = true
-	}
-	if s.hosts == nil {
-		return wanted
-	}
-	hosts, err := s.hosts.Hosts(ctx)
-	if err != nil {
-		klog.V(1).InfoS("host list not read", "err", err)
-		s.mutex.Lock()
-		defer s.mutex.Unlock()
-		for address := range s.dialled {
-			wanted[address] = true
-		}
-		return wanted
-	}
-	for _, h := range hosts {
-		if h.Role == lister.RoleEntry {
-			wanted[h.Address] = true
-		}
-	}
-	return wanted
-}
-
-// adjust starts a task for each new entry and stops those of entries gone.
-func (s *Supervisor) adjust(ctx context.Context, tasks *conc.WaitGroup, wanted map[string]bool) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	for address, stop := range s.dialled {
-		if !wanted[address] {
-			stop()
-			delete(s.dialled, address)
-		}
-	}
-	for address := range wanted {
-		if _, ok := s.dialled[address]; ok || ctx.Err() != nil {
-			continue
-		}
-		entryCtx, stop := context.WithCancel(ctx)
-		s.dialled[address] = stop
-		tasks.Go(func() { s.keepLinked(entryCtx, address) })
-	}
-}
-
-// keepLinked dials an entry again and again until ctx ends.
-func (s *Supervisor) keepLinked(ctx context.Context, address string) {
-	pauses := backoff.NewExponentialBackOff()
-	pauses.InitialInterval, pauses.MaxInterval = firstPause, longestPause
-	for ctx.Err() == nil {
-		began := s.clock.Now()
-		err := s.serve(ctx, address)
-		if s.clock.Since(began) > longestPause {
-			pauses.Reset()
-		}
-		klog.V(1).InfoS("link to entry ended", "entry", address, "err", err)
-		select {
-		case <-ctx.Done():
-		case <-s.clock.After(pauses.NextBackOff()):
-		}
-	}
-}
-
-func (s *Supervisor) serve(ctx context.Context, address string) error {
-	dialCtx, cancel := clockwork.WithTimeout(ctx, s.clock, dialTimeout)
-	defer cancel()
-	l, err := s.dialer.Dial(dialCtx, address)
-	if err != nil {
-		return err
-	}
-	defer l.Close()
-	klog.InfoS("linked to entry", "entry", address)
-	return s.executor.Serve(ctx, l)
-}
--- a/sidecar/runner/runner.go
+++ b/sidecar/runner/runner.go
@@ -36,6 +36,7 @@
 // Settings are a sidecar's flags and environment variables.
 type Settings struct {
 	starter.Common
+	heartbeater.Settings
 	Target       string            `help:"This target's name, unique in its service." required:""`
 	Service      string            `help:"The service that the target belongs to." required:""`
 	Zone         string            `help:"The availability zone of this host." required:""`
@@ -43,6 +44,7 @@
 	Address      starter.Address   `help:"Where the target listens, IP:port." required:""`
 	Entry        []starter.Address `help:"An entry's peer listener, IP:port. May be given often."`
 	Hosts        starter.Address   `help:"The platform's host list, IP:port."`
+	Links        int               `help:"How many entries to link to at most." default:"4"`
 	Listen       starter.Address   `help:"Where to serve status and metrics, IP:port." default:"127.0.0.1:0"`
 	LeaveDelay   time.Duration     `help:"How long a stop waits for entries to hear of it." default:"1s"`
 	DrainTimeout time.Duration     `help:"How long a stop waits for work in progress." default:"30s"`
@@ -54,6 +56,8 @@
 	switch {
 	case len(s.Entry) == 0 && s.Hosts == "":
 		return fmt.Errorf("--entry: none given, and no --hosts; give one at least")
+	case s.Links < 1:
+		return fmt.Errorf("--links: %d is below 1", s.Links)
 	case s.LeaveDelay < 0:
 		return fmt.Errorf("--leave-delay: %s is below 0", s.LeaveDelay)
 	case s.DrainTimeout < 0:
@@ -118,8 +122,8 @@
 func newSupervisor(s Settings, l *linker.Linker) *supervisor.Supervisor {
 	engine := s.Kind == "model-engine"
 	options := supervisor.Options{
-		Executor: executor.DefaultOptions(), Heartbeats: heartbeater.DefaultOptions(),
-		LeaveDelay: s.LeaveDelay, ListInterval: 2 * time.Second,
+		Executor: executor.DefaultOptions(), Heartbeats: s.Settings.Options(),
+		Address: string(s.Address), Links: s.Links, LeaveDelay: s.LeaveDelay, ListInterval: 2 * time.Second,
 	}
 	options.Executor.Target = identifier.TargetName(s.Target)
 	options.Executor.Service = identifier.ServiceName(s.Service)
