Stop the request that crashes each target, and clear what was beside it

The sidecar reports what was at its engine when the process died (another boot id, or none, after a stream broke off). What was at one crash runs alone; a whole answer clears it, a crash of its own after an earlier one convicts it, and a convicted request is refused as not-run until its quarantine is over. News of crashes only grows and spreads over links both ways, also when a link comes up. Equal requests that must run alone go to one target, chosen by rendezvous, one at a time for each entry: else each entry tests the suspect at once.

Refusing at two crashes without one of its own was ruled out: an equal neighbour is at both.

Engines only: a plain service has no boot id to read.

--- a/ladder/coordinator/coordinator.go
+++ b/ladder/coordinator/coordinator.go
@@ -193,5 +193,6 @@
 	return messenger.Configuration{
 		Revision: state.Revision, Slots: s.Slots, QueueLimit: s.QueueLimit, Model: s.Model,
 		FencingChecked: s.FencingChecked, AwayPercent: s.AwayPercent, Peers: peers, Rank: rank,
+		CrashQuarantine: time.Duration(state.Document.Limits.CrashQuarantineSeconds) * time.Second,
 	}, true
 }
--- a/ladder/dispatcher/dispatch.go
+++ b/ladder/dispatcher/dispatch.go
@@ -10,6 +10,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/accumulator"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/quarantiner"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
 )
 
@@ -45,7 +46,7 @@
 		if n > 1 && !d.budget.Spend() {
 			break
 		}
-		p := d.choose(r.Service, s.tried)
+		p := d.choose(r, s.tried)
 		if p == nil {
 			break
 		}
@@ -61,19 +62,19 @@
 }
 
 // choose picks a linked, staying target of the service that wasn't tried.
-func (d *Dispatcher) choose(service identifier.ServiceName, tried map[identifier.TargetName]bool) *peer {
+func (d *Dispatcher) choose(r Request, tried map[identifier.TargetName]bool) *peer {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	var candidates []router.Candidate
 	for _, p := range d.peers {
-		if p.service != service || p.link == nil || p.leaving || tried[p.target] {
+		if p.service != r.Service || p.link == nil || p.leaving || tried[p.target] {
 			continue
 		}
 		candidates = append(candidates, router.Candidate{
-			Target: p.target, Service: service, Zone: p.zone, Reported: p.load.InFlight + p.load.Queued, ReportedAt: p.loadAt,
+			Target: p.target, Service: r.Service, Zone: p.zone, Reported: p.load.InFlight + p.load.Queued, ReportedAt: p.loadAt,
 		})
 	}
-	target, ok := d.router.Choose(candidates)
+	target, ok := d.router.Choose(d.narrow(r, candidates))
 	if !ok {
 		return nil
 	}
@@ -81,9 +82,15 @@
 }
 
 // try runs one attempt. It returns nil if another target may be tried.
-func (d *Dispatcher) try(ctx context.Context, r Request, p *peer, n identifier.Attempt, s *progress) Outcome {
+func (d *Dispatcher) try(ctx context.Context, r Request, p *peer, n identifier.Attempt, s *progress) (o Outcome) {
+	v, refused := d.enter(ctx, r, s)
+	if refused != nil {
+		d.router.Done(p.target)
+		return refused
+	}
+	defer func() { d.leave(ctx, r, v, o) }()
 	a := d.open(p, key{r.ID, n}, r.Stream != nil)
-	sent := d.start(ctx, r, p, n)
+	sent := d.start(ctx, r, p, n, v)
 	defer d.close(a)
 	if !sent {
 		d.router.Done(p.target)
@@ -97,7 +104,7 @@
 		return gaveUp(ctx, d.options.RetryAfter)
 	}
 	d.router.Done(p.target)
-	o := d.judge(r, a, answer, s)
+	o = d.judge(r, a, answer, s)
 	if _, ok := o.(Completed); ok {
 		d.budget.Earn()
 	}
@@ -182,7 +189,8 @@
 
 // start sends the request. It returns false only if it surely never left. An
 // error of the link leaves that open; the answer to a Resume will tell.
-func (d *Dispatcher) start(ctx context.Context, r Request, p *peer, n identifier.Attempt) bool {
+func (d *Dispatcher) start(ctx context.Context, r Request, p *peer, n identifier.Attempt, v quarantiner.Verdict) bool {
+	_, alone := v.(quarantiner.Alone)
 	d.mutex.Lock()
 	l := p.link
 	d.mutex.Unlock()
@@ -194,7 +202,7 @@
 		Call: r.Call, Body: r.Body, Idempotent: r.Idempotent,
 		Timeout: r.Deadline.Sub(d.clock.Now()), Expected: r.Expected, Sample: r.Sample,
 		Fingerprint: identifier.NewFingerprint(r.Service, r.Call, r.Body),
-		Urgency:     r.Urgency, Oldest: r.Oldest, Streamed: r.Stream != nil,
+		Urgency:     r.Urgency, Oldest: r.Oldest, Streamed: r.Stream != nil, Alone: alone,
 	}
 	if d.beats.SendWithin(ctx, l, m) != nil {
 		_ = l.Close()
--- a/ladder/dispatcher/dispatcher.go
+++ b/ladder/dispatcher/dispatcher.go
@@ -15,6 +15,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/limiter"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/quarantiner"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
 )
 
@@ -79,6 +80,7 @@
 	goals          Goals
 	configurations Configurations
 	options        Options
+	quarantine     *quarantiner.Quarantiner
 
 	mutex sync.Mutex
 	// peers has one entry per target, the newest incarnation heard of.
@@ -91,7 +93,7 @@
 func New(clock clockwork.Clock, r *router.Router, beats *heartbeater.Heartbeater, budget *limiter.Budget, goals Goals, configurations Configurations, options Options) *Dispatcher {
 	return &Dispatcher{
 		clock: clock, router: r, beats: beats, budget: budget, goals: goals,
-		configurations: configurations, options: options,
+		configurations: configurations, options: options, quarantine: quarantiner.New(clock),
 		peers: make(map[identifier.TargetName]*peer),
 	}
 }
@@ -155,6 +157,7 @@
 func (d *Dispatcher) configure(ctx context.Context, p *peer) {
 	d.mutex.Lock()
 	m, ok := d.configurationOf(p)
+	d.quarantine.SetPeriod(m.CrashQuarantine)
 	unchanged := m
 	unchanged.Revision = p.configured.Revision
 	if !ok || unchanged == p.configured {
--- a/ladder/dispatcher/once.go
+++ b/ladder/dispatcher/once.go
@@ -34,7 +34,7 @@
 	}
 	generation := uint32(1)
 	for range maxGenerations {
-		p := d.choose(r.Service, s.tried)
+		p := d.choose(r, s.tried)
 		if p == nil {
 			return s.last
 		}
--- a/ladder/dispatcher/peer.go
+++ b/ladder/dispatcher/peer.go
@@ -133,6 +133,9 @@
 		messages = append(messages, a.resumption())
 	}
 	d.mutex.Unlock()
+	for _, m := range d.quarantine.All() {
+		messages = append(messages, m)
+	}
 	for _, m := range messages {
 		if d.beats.SendWithin(ctx, l, m) != nil {
 			_ = l.Close()
@@ -208,6 +211,9 @@
 		}
 		return nil
 	case messenger.Crashed:
+		if d.quarantine.Learn(m) {
+			go d.spreadCrashes(ctx, p, m)
+		}
 		return nil
 	case messenger.Start, messenger.Cancel, messenger.Resume, messenger.Release, messenger.Configuration, messenger.Locate:
 		return errUnexpected
--- a/ladder/executor/connection.go
+++ b/ladder/executor/connection.go
@@ -9,6 +9,7 @@
 
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/quarantiner"
 )
 
 const (
@@ -55,7 +56,11 @@
 		e.configure(m)
 	case messenger.Locate:
 		c.send(e.locate(m))
-	case messenger.Chunk, messenger.End, messenger.Refused, messenger.Crashed, messenger.Located:
+	case messenger.Crashed:
+		if e.quarantine.Learn(m) {
+			c.pumps.Go(func() { e.broadcast(c.ctx, c.link, m) })
+		}
+	case messenger.Chunk, messenger.End, messenger.Refused, messenger.Located:
 		return errUnexpected
 	}
 	return nil
@@ -77,6 +82,7 @@
 	}
 	j, ok := e.jobs[k]
 	if !ok {
+		m.Alone = m.Alone || e.suspected(m)
 		if refused := e.admit(m); refused != nil {
 			e.traces[k] = trace{since: e.clock.Now(), answer: *refused}
 			c.send(*refused)
@@ -97,6 +103,9 @@
 	if e.leaving {
 		return e.refused(m, messenger.RefusedLeaving, retryAfterLeaving)
 	}
+	if v, ok := e.quarantine.Judge(m.Fingerprint).(quarantiner.Refused); ok {
+		return e.refused(m, messenger.RefusedQuarantined, v.RetryAfter)
+	}
 	i := itemOf(m)
 	if err := e.queue.Put(i); err != nil {
 		return e.refused(m, messenger.RefusedQueueFull, retryAfterFull)
@@ -178,6 +187,7 @@
 		return
 	}
 	e.configuration = m
+	e.quarantine.SetPeriod(m.CrashQuarantine)
 	e.queue.Resize(m.Slots, m.QueueLimit)
 }
 
--- a/ladder/executor/executor.go
+++ b/ladder/executor/executor.go
@@ -17,6 +17,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/heartbeater"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/quarantiner"
 	"github.com/lycheeladder/lycheeladder/ladder/queuer"
 )
 
@@ -62,6 +63,10 @@
 	beats   *heartbeater.Heartbeater
 	goals   Goals
 	options Options
+	// quarantine knows which requests may not run, or only alone.
+	quarantine *quarantiner.Quarantiner
+	// crashes is held while a crash is being reported.
+	crashes sync.Mutex
 
 	mutex sync.Mutex
 	// jobs has every attempt whose answer is still held.
@@ -94,9 +99,10 @@
 func New(clock clockwork.Clock, target caller.Target, q *queuer.Queuer, beats *heartbeater.Heartbeater, goals Goals, options Options) *Executor {
 	return &Executor{
 		clock: clock, target: target, queue: q, beats: beats, goals: goals, options: options,
-		jobs:   make(map[key]*job),
-		traces: make(map[key]trace),
-		links:  make(map[messenger.Link]struct{}),
+		quarantine: quarantiner.New(clock),
+		jobs:       make(map[key]*job),
+		traces:     make(map[key]trace),
+		links:      make(map[messenger.Link]struct{}),
 	}
 }
 
@@ -105,6 +111,11 @@
 	if err := e.beats.SendWithin(ctx, l, e.hello()); err != nil {
 		return err
 	}
+	for _, m := range e.quarantine.All() {
+		if err := e.beats.SendWithin(ctx, l, m); err != nil {
+			return err
+		}
+	}
 	e.setLink(l, true)
 	defer e.orphan(l)
 	defer e.setLink(l, false)
@@ -159,17 +170,24 @@
 
 // Announce sends a heartbeat on every link at once, for news that can't wait.
 func (e *Executor) Announce(ctx context.Context) {
-	h := e.heartbeat()
+	e.broadcast(ctx, nil, e.heartbeat())
+}
+
+// broadcast sends a message on every link but one, all at once, and returns
+// when it has gone out.
+func (e *Executor) broadcast(ctx context.Context, except messenger.Link, m messenger.Message) {
 	e.mutex.Lock()
 	links := make([]messenger.Link, 0, len(e.links))
 	for l := range e.links {
-		links = append(links, l)
+		if l != except {
+			links = append(links, l)
+		}
 	}
 	e.mutex.Unlock()
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
 	for _, l := range links {
-		tasks.Go(func() { _ = e.beats.SendWithin(ctx, l, h) })
+		tasks.Go(func() { _ = e.beats.SendWithin(ctx, l, m) })
 	}
 }
 
--- a/ladder/executor/job.go
+++ b/ladder/executor/job.go
@@ -23,6 +23,9 @@
 	// set before output ends.
 	answer  messenger.Answer
 	endedAt time.Time
+	// bootID names the target's process that the work was handed to; empty
+	// while it waits.
+	bootID string
 	// owner is the link that the answer goes to.
 	owner messenger.Link
 	// stopPump ends the task that sends to owner.
@@ -40,7 +43,7 @@
 }
 
 func itemOf(m messenger.Start) queuer.Item {
-	return queuer.Item{Request: m.Request, Attempt: m.Attempt, Class: m.Class, Urgency: m.Urgency}
+	return queuer.Item{Request: m.Request, Attempt: m.Attempt, Class: m.Class, Urgency: m.Urgency, Alone: m.Alone}
 }
 
 // useful says whether the job's answer is, or may still become, a whole one.
--- a/ladder/executor/runner.go
+++ b/ladder/executor/runner.go
@@ -63,7 +63,7 @@
 	e.mutex.Lock()
 	j := e.jobs[k]
 	e.mutex.Unlock()
-	if j == nil {
+	if j == nil || e.putBack(j) {
 		return
 	}
 	workCtx, cancel := clockwork.WithDeadline(j.ctx, e.clock, j.deadline)
@@ -85,6 +85,7 @@
 		klog.InfoS("target doesn't answer, work refused", "request", j.start.Request, "err", err)
 		return *e.refused(j.start, messenger.RefusedByTarget, retryAfterFull)
 	}
+	e.setBootID(j, before.BootID)
 	l := labeler.New(before)
 	status, err := e.target.Do(ctx, e.workOf(j), func(p caller.Piece) error {
 		l.Add(p)
@@ -95,8 +96,10 @@
 		return *e.refused(j.start, messenger.RefusedByTarget, retryAfterFull)
 	}
 	if err != nil {
+		e.reportCrash(ctx, before.BootID)
 		return e.broken(ctx, j, err)
 	}
+	e.reportWhole(ctx, j)
 	return e.whole(ctx, j, status, l)
 }
 
--- a/ladder/messenger/messenger.go
+++ b/ladder/messenger/messenger.go
@@ -13,8 +13,8 @@
 
 // Both ends of a link say Hello first. After it an entry sends Start, Cancel,
 // Resume, Release, Locate and Configuration; a sidecar sends Chunk, End,
-// Refused, Crashed and Located. Both send Heartbeat. An answer always names request,
-// attempt and incarnation, so that a late or crossed one is told apart.
+// Refused and Located. Both send Heartbeat and Crashed. An answer always names
+// request, attempt and incarnation, so that a late or crossed one is told apart.
 
 // ErrClosed says that the link is closed or has failed.
 var ErrClosed = errors.New("link closed")
@@ -163,6 +163,8 @@
 	AwayPercent    int                  `cbor:"6,keyasint,omitempty"`
 	Peers          int                  `cbor:"7,keyasint,omitempty"`
 	Rank           int                  `cbor:"8,keyasint,omitempty"`
+	// CrashQuarantine is how long a request that crashes targets is refused.
+	CrashQuarantine time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
 // Chunk is a piece of an answer.
@@ -237,11 +239,17 @@
 	RetryAfter  time.Duration          `cbor:"5,keyasint,omitempty"`
 }
 
-// Crashed reports what was at the target when its process died.
+// Crashed reports what was at a target when its process died. It is passed on
+// over every link, both ways.
 type Crashed struct {
 	BootID string `cbor:"1,keyasint"`
-	// Fingerprints has one entry per request that was running.
+	// Fingerprints names the requests that were running.
 	Fingerprints []identifier.Fingerprint `cbor:"2,keyasint"`
+	Target       identifier.TargetName    `cbor:"3,keyasint"`
+	// Cleared names those of them that have since run alone to a whole answer.
+	Cleared []identifier.Fingerprint `cbor:"4,keyasint,omitempty"`
+	// Age is the time since the crash, so that no clocks are compared.
+	Age time.Duration `cbor:"5,keyasint"`
 }
 
 func (Hello) message()         {}
--- /dev/null
+++ b/ladder/quarantiner/quarantiner_test.go
@@ -0,0 +1,114 @@
+package quarantiner_test
+
+import (
+	"context"
+	"flag"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/quarantiner"
+)
+
+// TestMain fixes the seed of the properties; -rapid.seed names another.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+func crashOf(bootID string, f ...identifier.Fingerprint) messenger.Crashed {
+	return messenger.Crashed{Target: "engine", BootID: bootID, Fingerprints: f}
+}
+
+func TestJudge(t *testing.T) {
+	const a, b, c = 1, 2, 3
+	free, alone, refused := quarantiner.Free{}, quarantiner.Alone{}, quarantiner.Refused{RetryAfter: quarantine}
+	cases := []struct {
+		name    string
+		crashes []messenger.Crashed
+		cleared []identifier.Fingerprint
+		wait    time.Duration
+		// want is of a, b and c.
+		want []quarantiner.Verdict
+	}{
+		{"one crash", []messenger.Crashed{crashOf("1", a, b)}, nil, 0, []quarantiner.Verdict{alone, alone, free}},
+		{"one crash reported twice", []messenger.Crashed{crashOf("1", a), crashOf("1", a)}, nil, 0, []quarantiner.Verdict{alone, free, free}},
+		{"two together twice", []messenger.Crashed{crashOf("1", a, b), crashOf("2", a, b)}, nil, 0, []quarantiner.Verdict{alone, alone, free}},
+		{"never by itself", []messenger.Crashed{crashOf("1", a, b), crashOf("2", a, c)}, nil, 0, []quarantiner.Verdict{alone, alone, alone}},
+		{"the other is cleared", []messenger.Crashed{crashOf("1", a, b), crashOf("2", a, b)}, []identifier.Fingerprint{b}, 0, []quarantiner.Verdict{refused, free, free}},
+		{"then by itself", []messenger.Crashed{crashOf("1", a, b), crashOf("2", a)}, nil, 0, []quarantiner.Verdict{refused, free, free}},
+		{"cleared, then at one more", []messenger.Crashed{crashOf("1", a)}, []identifier.Fingerprint{a}, 0, []quarantiner.Verdict{free, free, free}},
+		{"expired", []messenger.Crashed{crashOf("1", a), crashOf("2", a)}, nil, quarantine + 1, []quarantiner.Verdict{free, free, free}},
+	}
+	for _, x := range cases {
+		t.Run(x.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			q := quarantiner.New(clock)
+			for _, m := range x.crashes {
+				q.Learn(m)
+			}
+			for _, f := range x.cleared {
+				q.Clear(f)
+			}
+			clock.Advance(x.wait)
+			got := []quarantiner.Verdict{q.Judge(a), q.Judge(b), q.Judge(c)}
+			if diff := cmp.Diff(x.want, got); diff != "" {
+				t.Errorf("verdicts (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestEnter_OneOfEqualSuspectsAtATime(t *testing.T) {
+	q := quarantiner.New(clockwork.NewFakeClock())
+	q.Learn(crashOf("1", 1, 2))
+	first, _ := q.Enter(t.Context(), 1)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, waiting := q.Enter(ended, 1)
+	q.Clear(1)
+	q.Leave(1, first)
+	second, _ := q.Enter(t.Context(), 1)
+	got := []any{first, waiting, second}
+	if diff := cmp.Diff([]any{quarantiner.Alone{}, context.Canceled, quarantiner.Free{}}, got, cmp.Comparer(func(a, b error) bool { return a == b })); diff != "" {
+		t.Errorf("first, while it runs, once it is cleared (-want +got):\n%s", diff)
+	}
+}
+
+// TestLearn_AnyOrderOneVerdict: news may come in any order and more than once.
+func TestLearn_AnyOrderOneVerdict(t *testing.T) {
+	fingerprints := rapid.SliceOfN(rapid.Uint64Range(1, 6), 1, 4)
+	rapid.Check(t, func(t *rapid.T) {
+		clock := clockwork.NewFakeClock()
+		one, other := quarantiner.New(clock), quarantiner.New(clock)
+		var news []messenger.Crashed
+		for range rapid.IntRange(1, 8).Draw(t, "events") {
+			if rapid.Bool().Draw(t, "clear") {
+				news = append(news, one.Clear(identifier.Fingerprint(rapid.Uint64Range(1, 6).Draw(t, "f")))...)
+				continue
+			}
+			m := messenger.Crashed{BootID: rapid.StringMatching("[1-4]").Draw(t, "boot")}
+			for _, f := range fingerprints.Draw(t, "present") {
+				m.Fingerprints = append(m.Fingerprints, identifier.Fingerprint(f))
+			}
+			one.Learn(m)
+			news = append(news, m)
+		}
+		for _, m := range slices.Concat(rapid.Permutation(news).Draw(t, "order"), one.All()[:rapid.IntRange(0, len(one.All())).Draw(t, "again")]) {
+			other.Learn(m)
+		}
+		for f := range identifier.Fingerprint(7) {
+			if diff := cmp.Diff(one.Judge(f), other.Judge(f)); diff != "" {
+				t.Fatalf("verdict on %d (-want +got):\n%s", f, diff)
+			}
+		}
+	})
+}
--- a/ladder/queuer/queuer.go
+++ b/ladder/queuer/queuer.go
@@ -23,6 +23,8 @@
 	Urgency int
 	// Expected is the expected number of tokens, 0 if unknown.
 	Expected identifier.TokenCount
+	// Alone says that nothing may run beside it.
+	Alone bool
 }
 
 // Queuer is a bounded queue with a bounded number of running items.
@@ -35,6 +37,8 @@
 	waiting []Item
 	// running never exceeds slots, except after slots was lowered.
 	running int
+	// alone is set while an item runs that nothing may run beside.
+	alone   bool
 	slots   int
 	limit   int
 	changed chan struct{}
@@ -91,10 +95,11 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	best := q.best()
-	if best < 0 || q.running >= q.slots {
+	if best < 0 || q.running >= q.slots || q.alone || (q.waiting[best].Alone && q.running > 0) {
 		return q.changed, Item{}, false
 	}
 	i = q.waiting[best]
+	q.alone = i.Alone
 	q.waiting = append(q.waiting[:best], q.waiting[best+1:]...)
 	q.running++
 	return nil, i, true
@@ -105,6 +110,7 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	q.running--
+	q.alone = false
 	q.notify()
 }
 
