--- a/ladder/dispatcher/peer.go
+++ b/ladder/dispatcher/peer.go
@@ -49,6 +49,12 @@
 	located chan messenger.Located
 }
 
+// usable says whether the peer may be given work: before its configuration it
+// has no queue. The caller holds the dispatcher's mutex.
+func (p *peer) usable() bool {
+	return p.link != nil && p.configured.Revision > 0 && !p.leaving
+}
+
 // attempt is one open dispatch of a request.
 type attempt struct {
 	key    key
--- a/ladder/executor/job.go
+++ b/ladder/executor/job.go
@@ -43,7 +43,9 @@
 }
 
 func itemOf(m messenger.Start) queuer.Item {
-	return queuer.Item{Request: m.Request, Attempt: m.Attempt, Class: m.Class, Urgency: m.Urgency, Alone: m.Alone}
+	return queuer.Item{
+		Request: m.Request, Attempt: m.Attempt, Class: m.Class, Urgency: m.Urgency, Expected: m.Expected, Alone: m.Alone,
+	}
 }
 
 // useful says whether the job's answer is, or may still become, a whole one.
