--- a/ladder/coordinator/coordinator.go
+++ b/ladder/coordinator/coordinator.go
@@ -73,6 +73,7 @@
 // New returns a Coordinator that follows log. It serves nobody until the end
 // of the log was reached once.
 func New(clock clockwork.Clock, log appender.Log, random router.Random, r *recorder.Recorder, options Options) *Coordinator {
+	log = appender.NewBreaker(clock, log)
 	c := &Coordinator{
 		clock: clock, options: options, recorder: r, began: clock.Now(),
 		follower: accepter.NewFollower(clock, log, options.Peers, router.NewRandom(uint64(random.IntN(math.MaxInt32))),
@@ -147,11 +148,6 @@
 	return c.indexed
 }
 
-func (c *Coordinator) revision() identifier.Revision {
-	s, _ := c.follower.State()
-	return s.Revision
-}
-
 // settleTime is how long a new entry waits for targets of every service before
 // it calls itself ready. Sidecars dial a restarted entry within it.
 const settleTime = 10 * time.Second
@@ -232,5 +228,6 @@
 	return messenger.Configuration{
 		Revision: state.Revision, Slots: s.Slots, QueueLimit: s.QueueLimit, Model: s.Model,
 		FencingChecked: s.FencingChecked, AwayPercent: s.AwayPercent, Peers: peers, Rank: rank,
+		CrashQuarantine: time.Duration(state.Document.Limits.CrashQuarantineSeconds) * time.Second,
 	}, true
 }
--- a/ladder/executor/job.go
+++ b/ladder/executor/job.go
@@ -23,6 +23,9 @@
 	// set before output ends.
 	answer  messenger.Answer
 	endedAt time.Time
+	// bootID names the target's process that the work was handed to; empty
+	// while it waits.
+	bootID string
 	// owner is the link that the answer goes to.
 	owner messenger.Link
 	// stopPump ends the task that sends to owner.
@@ -41,7 +44,7 @@
 
 func itemOf(m messenger.Start) queuer.Item {
 	return queuer.Item{
-		Request: m.Request, Attempt: m.Attempt, Class: m.Class, Urgency: m.Urgency, Expected: m.Expected,
+		Request: m.Request, Attempt: m.Attempt, Class: m.Class, Urgency: m.Urgency, Expected: m.Expected, Alone: m.Alone,
 	}
 }
 
