Tell entries of new weights at once, and each link its own model's alone

Cause: new weights went to an entry's own sidecars at once, and from those to other entries with the next heartbeat. At the target a trainer's word takes about three such steps (each sidecar has 4 of 330 entries), so the spread alone could take three heartbeats of the 7 s. And each of 32 models' news went over every link: 146 links x 118 bytes x 32 models in 120 s are 4.6 KB/s of the 9 KB/s. Now a sidecar passes news on at once, and a link carries its own model's only.

The slope of links now counts acknowledgements too.

--- a/ladder/dispatcher/dispatcher.go
+++ b/ladder/dispatcher/dispatcher.go
@@ -135,13 +135,26 @@
 	return list
 }
 
-// Announce sends a heartbeat to every sidecar at once: new weight goals can't
-// wait for the next one.
+// Announce sends a heartbeat at once to every sidecar whose model has new
+// weights: they can't wait for the next one.
 func (d *Dispatcher) Announce(ctx context.Context) {
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
 	for _, p := range d.linked("") {
-		tasks.Go(func() { d.send(ctx, p, d.heartbeat(p)) })
+		tasks.Go(func() { d.announce(ctx, p) })
+	}
+}
+
+func (d *Dispatcher) announce(ctx context.Context, p *peer) {
+	m := d.heartbeat(p)
+	d.mutex.Lock()
+	news := len(m.Goals) > 0 && m.Goals[0] != p.announced
+	if news {
+		p.announced = m.Goals[0]
+	}
+	d.mutex.Unlock()
+	if news {
+		d.send(ctx, p, m)
 	}
 }
 
@@ -217,8 +230,16 @@
 	return peers
 }
 
+// heartbeat carries the goal of the sidecar's own model alone: with 32 models,
+// all of them on every link would take half of what a node may spend.
 func (d *Dispatcher) heartbeat(p *peer) messenger.Heartbeat {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return messenger.Heartbeat{Goals: d.goals.All(), Revision: p.configured.Revision}
+	m := messenger.Heartbeat{Revision: p.configured.Revision}
+	for _, g := range d.goals.All() {
+		if g.Model == p.configured.Model {
+			m.Goals = append(m.Goals, g)
+		}
+	}
+	return m
 }
--- a/ladder/dispatcher/peer.go
+++ b/ladder/dispatcher/peer.go
@@ -34,6 +34,8 @@
 	zone        identifier.ZoneName
 	// link is nil while no link is up.
 	link     messenger.Link
+	// announced is the goal last sent at once.
+	announced messenger.WeightGoal
 	leaving  bool
 	revision identifier.Revision
 	load     messenger.Load
@@ -74,7 +76,7 @@
 func (d *Dispatcher) Serve(ctx context.Context, l messenger.Link) error {
 	hello := messenger.Hello{
 		Name: string(d.options.Entry), Incarnation: d.options.Incarnation,
-		Zone: d.options.Zone, Goals: d.goals.All(),
+		Zone: d.options.Zone,
 	}
 	if err := d.beats.SendWithin(ctx, l, hello); err != nil {
 		return err
@@ -125,7 +127,7 @@
 		_ = p.link.Close()
 	}
 	p.link, p.leaving, p.revision = l, hello.Leaving, hello.Revision
-	p.configured = messenger.Configuration{}
+	p.configured, p.announced = messenger.Configuration{}, messenger.WeightGoal{}
 	return p, nil
 }
 
--- a/ladder/supervisor/supervisor.go
+++ b/ladder/supervisor/supervisor.go
@@ -59,6 +59,7 @@
 	dialer   Dialer
 	hosts    lister.HostList
 	executor *executor.Executor
+	goals    *converger.Goals
 	// converger is nil for a plain service.
 	converger *converger.Converger
 	options   Options
@@ -73,7 +74,7 @@
 	goals := converger.NewGoals()
 	beats := heartbeater.New(clock, options.Heartbeats)
 	s := &Supervisor{
-		clock: clock, dialer: dialer, hosts: hosts, options: options,
+		clock: clock, dialer: dialer, hosts: hosts, options: options, goals: goals,
 		executor: executor.New(clock, target, queuer.New(clock, queuer.ShortFirst{}, firstSlots, firstQueue), beats, goals, options.Executor),
 		dialled:  make(map[string]chan struct{}),
 	}
@@ -93,6 +94,7 @@
 	tasks.Go(func() { s.executor.Run(ctx) })
 	if s.converger != nil {
 		tasks.Go(func() { s.converger.Run(ctx) })
+		tasks.Go(func() { s.spreadGoals(ctx) })
 	}
 	for {
 		s.followHosts(ctx, &tasks)
@@ -104,6 +106,21 @@
 	}
 }
 
+// spreadGoals tells every entry of new weights at once. A trainer tells one
+// entry, so the news goes from link to link; waiting for a heartbeat at each
+// would take longer than all engines may.
+func (s *Supervisor) spreadGoals(ctx context.Context) {
+	for {
+		changed := s.goals.Changed()
+		s.executor.Announce(ctx)
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Stop refuses new work and finishes what there is. What is left when ctx ends
 // gets a final answer; Stop returns how much that was.
 func (s *Supervisor) Stop(ctx context.Context) int {
--- a/sloper/rig/counter.go
+++ b/sloper/rig/counter.go
@@ -10,8 +10,9 @@
 )
 
 // frameOverhead is what one small frame costs beside its content: 6 bytes of
-// WebSocket and 52 of TCP and IP with timestamps.
-const frameOverhead = 58
+// WebSocket, 52 of TCP and IP with timestamps, and 52 of an acknowledgement that
+// nothing else carries.
+const frameOverhead = 110
 
 // counter counts the bytes of both directions of the links dialled through it.
 type counter struct {
