Prove that weight news doesn't wait for an engine's switch

With a load of a minute it is red with spreadGoals off: spread_test.go:68: -7, 7, 7, 7 +0, 0, 0, 0 and green with it. So before, news went on to other entries after each engine's load and switch, or with a heartbeat.

--- a/ladder/supervisor/spread_test.go
+++ b/ladder/supervisor/spread_test.go
@@ -54,7 +54,7 @@
 			}
 			o.Executor.Target, o.Executor.Service = identifier.TargetName(fmt.Sprintf("engine-%d", n)), "advice-models"
 			o.Executor.Incarnation, o.Executor.Engine = identifier.NewIncarnation(), true
-			engine := faker.NewEngine(clock, o.Executor.Target, faker.NewLedger(), faker.EngineOptions{Slots: 1})
+			engine := faker.NewEngine(clock, o.Executor.Target, faker.NewLedger(), faker.EngineOptions{Slots: 1, LoadTime: time.Minute})
 			go supervisor.New(clock, engine, network, nil, o).Run(ctx)
 		}
 		synctest.Wait()
