--- a/ladder/explainer/meanings.go
+++ b/ladder/explainer/meanings.go
@@ -17,6 +17,7 @@
 	{"body-too-large", "The body is above limits.max-body-bytes.", "Send less, or raise the limit in the document."},
 	{"caller-gone", "The caller closed the connection before the outcome was known.", "Nothing; a call that may not be repeated may have run."},
 	{"crashes-targets", "The same request was in progress in two crashes of targets and is held back.", "Keep the request for the engine's makers. It is taken again after limits.crash-quarantine-seconds."},
+	{"entry-stopping", "The entry is being stopped and takes nothing more.", "Send it again: the balancer gives it to another entry."},
 	{"idempotency-key-invalid", "The idempotency key is no UUIDv7.", "Mend the caller."},
 	{"idempotency-key-reused", "The idempotency key belongs to another request.", "Mend the caller: one key for one request."},
 	{"idempotency-key-too-old", "The idempotency key is older than the log surely keeps claims.", "Look up the effect at the service, then send with a new key."},
--- a/ladder/starter/starter.go
+++ b/ladder/starter/starter.go
@@ -65,6 +65,9 @@
 	Options []kong.Option
 }
 
+// EnvironmentPrefix begins the name of each environment variable.
+const EnvironmentPrefix = "LYCHEELADDER"
+
 // Parse reads the settings of a program from arguments and environment
 // variables (LYCHEELADDER_ and the flag in capitals) into settings. It returns
 // the exit code and false where the program must not go on.
@@ -73,7 +76,7 @@
 	options := append([]kong.Option{
 		kong.Name(d.Name),
 		kong.Description(d.Text),
-		kong.DefaultEnvars("LYCHEELADDER"),
+		kong.DefaultEnvars(EnvironmentPrefix),
 		kong.Vars{"version": d.Name + " " + Version},
 		kong.Writers(stdout, stderr),
 		kong.Exit(func(c int) { code, exited = c, true }),
--- /dev/null
+++ b/ladder/tabulator/tabulator.go
@@ -0,0 +1,56 @@
+// Package tabulator makes the tables of docs/OPERATIONS.md that come from the
+// programs themselves, and puts them into the page.
+package tabulator
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
+
+	"github.com/lycheeladder/lycheeladder/ladder/explainer"
+	"github.com/lycheeladder/lycheeladder/ladder/starter"
+)
+
+// Settings returns the table of a program's flags and environment variables.
+func Settings(program string, settings any) (string, error) {
+	parser, err := kong.New(settings, kong.Name(program), kong.DefaultEnvars(starter.EnvironmentPrefix), kong.Vars{"version": ""})
+	if err != nil {
+		return "", errors.WithMessagef(err, "settings of %s", program)
+	}
+	var b strings.Builder
+	b.WriteString("| flag | environment variable | default | meaning |\n|---|---|---|---|\n")
+	for _, f := range parser.Model.Flags {
+		if f.Name == "help" || f.Name == "version" {
+			continue
+		}
+		value := f.Default
+		if f.Required {
+			value = "must be given"
+		}
+		fmt.Fprintf(&b, "| `--%s` | `%s` | %s | %s |\n", f.Name, strings.Join(f.Envs, "`, `"), value, f.Help)
+	}
+	return b.String(), nil
+}
+
+// Codes returns the table of the codes that callers are given.
+func Codes() string {
+	var b strings.Builder
+	b.WriteString("| code | meaning | what to do |\n|---|---|---|\n")
+	for _, m := range explainer.Meanings {
+		fmt.Fprintf(&b, "| `%s` | %s | %s |\n", m.Code, m.Meaning, m.Action)
+	}
+	return b.String()
+}
+
+// Put returns the page with the block between the marks of that name replaced.
+func Put(page, name, block string) (string, error) {
+	begin, end := "<!-- begin "+name+" -->\n", "<!-- end "+name+" -->"
+	before, rest, ok := strings.Cut(page, begin)
+	_, after, closed := strings.Cut(rest, end)
+	if !ok || !closed {
+		return "", errors.Errorf("page has no block %q", name)
+	}
+	return before + begin + block + end + after, nil
+}
--- /dev/null
+++ b/ladder/tabulator/tabulator_test.go
@@ -0,0 +1,81 @@
+package tabulator_test
+
+import (
+	"flag"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/lycheeladder/lycheeladder/ladder/explainer"
+	"github.com/lycheeladder/lycheeladder/ladder/tabulator"
+)
+
+var update = flag.Bool("update", false, "write the tables into docs/OPERATIONS.md")
+
+const pageFile = "../../docs/OPERATIONS.md"
+
+func TestCodes_PageIsCurrent(t *testing.T) {
+	data, err := os.ReadFile(pageFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want, err := tabulator.Put(string(data), "codes", tabulator.Codes())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if *update {
+		if err := os.WriteFile(pageFile, []byte(want), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	if diff := cmp.Diff(want, string(data)); diff != "" {
+		t.Errorf("%s is not current (-want +got):\n%s", pageFile, diff)
+	}
+}
+
+// Every code, log event and counter in the programs' sources is explained.
+func TestPage_ExplainsWhatTheProgramsSay(t *testing.T) {
+	page, err := os.ReadFile(pageFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	source := sources(t)
+	for _, m := range regexp.MustCompile(`(?:Code|Refusal) += "([a-z-]+)"`).FindAllStringSubmatch(source, -1) {
+		if explainer.MeaningOf(m[1]).Meaning == "" {
+			t.Errorf("code %q has no line in explainer.Meanings", m[1])
+		}
+	}
+	for _, pattern := range []string{`klog\.(?:V\(\d\)\.)?(?:InfoS|ErrorS)\((?:err, |nil, )?"([^"]+)"`, `\.Count\("([^"]+)"`} {
+		for _, m := range regexp.MustCompile(pattern).FindAllStringSubmatch(source, -1) {
+			if !strings.Contains(string(page), "`"+m[1]) {
+				t.Errorf("%q has no line in %s", m[1], pageFile)
+			}
+		}
+	}
+}
+
+// sources returns the programs' own code but tests.
+func sources(t *testing.T) string {
+	t.Helper()
+	var b strings.Builder
+	for _, module := range []string{"ladder", "entry", "sidecar"} {
+		err := filepath.WalkDir("../../"+module, func(path string, _ fs.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			data, err := os.ReadFile(path)
+			b.Write(data)
+			return err
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	return b.String()
+}
