Show fifty items of a section at a time, and find the others by name

At the target size a page of 2,000 grants, each with a choice of 300 teams, would take tens of megabytes. What is not on the page stays as it is: without that check every box not shown was taken as unchecked: --- FAIL: TestTake_WhatIsNotOnThePageStays - FencingChecked: true + FencingChecked: false

--- a/entry/console/draft.go
+++ b/entry/console/draft.go
@@ -29,8 +29,11 @@
 type draftContent struct {
 	Section drafter.Section
 	Items   []drafter.Item
-	Draft   string
-	Base    identifier.Revision
+	// Find is the text that the items' names contain; Found counts them.
+	Find  string
+	Found int
+	Draft string
+	Base  identifier.Revision
 	// Behind is set if another document is in force than the draft's base.
 	Behind bool
 	// Count gives the faults of each section; Faults are all of them.
@@ -162,7 +165,11 @@
 		}
 		return c.show(x, "review.html", "Review", review, content)
 	}
-	content.Section, content.Items = s, d.Form(s, faults)
+	content.Section, content.Find = s, strings.TrimSpace(x.FormValue("find"))
+	if x.FormValue("section") != s.Name || strings.HasPrefix(x.FormValue("do"), "add") {
+		content.Find = ""
+	}
+	content.Items, content.Found = d.Form(s, faults, content.Find)
 	for _, f := range faults {
 		if f.Path == s.Name {
 			content.Loose = append(content.Loose, f)
--- a/entry/drafter/drafter.go
+++ b/entry/drafter/drafter.go
@@ -105,6 +105,10 @@
 // form field by its path and whether the form has it.
 func (d *Draft) Take(s Section, value func(path string) (string, bool)) {
 	for n, item := range d.items(s) {
+		onPage := slices.ContainsFunc(s.Fields, func(f Field) bool { _, ok := value(path(s, n, f.Name)); return ok })
+		if !onPage {
+			continue // Its boxes are not unchecked.
+		}
 		for _, f := range s.Fields {
 			text, ok := value(path(s, n, f.Name))
 			if !ok && f.Kind != Yes {
--- a/entry/drafter/form.go
+++ b/entry/drafter/form.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"strings"
 
 	"github.com/lycheeladder/lycheeladder/ladder/validator"
@@ -29,27 +30,61 @@
 	Faults validator.Faults
 }
 
-// Form returns the section's items with their faults.
-func (d *Draft) Form(s Section, faults validator.Faults) []Item {
-	items := make([]Item, 0)
-	for n, fields := range d.items(s) {
-		item := Item{Index: n, Title: titleOf(s, n, fields)}
-		own := path(s, n, "")
-		for _, f := range s.Fields {
-			in := Input{Field: f, Path: path(s, n, f.Name), Value: shown(fields[f.Name])}
-			in.Faults = at(faults, in.Path)
-			in.Values = d.values(f, in.Value)
-			item.Inputs = append(item.Inputs, in)
-			item.Faulty = item.Faulty || len(in.Faults) > 0
+// MaxItems bounds the items of one page: with thousands of grants, each with a
+// choice of hundreds of teams, a page of all would take tens of megabytes.
+const MaxItems = 50
+
+// Form returns the section's items whose title contains find, and those with
+// faults, with their faults; at most MaxItems, the last one among them. found
+// counts them all.
+func (d *Draft) Form(s Section, faults validator.Faults, find string) (items []Item, found int) {
+	faulty := places(s, faults)
+	var chosen []int
+	all := d.items(s)
+	for n, fields := range all {
+		if faulty[n] || strings.Contains(titleOf(s, n, fields), find) {
+			chosen = append(chosen, n)
+		}
+	}
+	found = len(chosen)
+	if found > MaxItems {
+		chosen = append(chosen[:MaxItems-1], chosen[found-1])
+	}
+	for _, n := range chosen {
+		items = append(items, d.item(s, n, all[n], faults))
+	}
+	return items, found
+}
+
+// places returns which items of the section have faults.
+func places(s Section, faults validator.Faults) map[int]bool {
+	faulty := make(map[int]bool)
+	for _, f := range faults {
+		rest, ok := strings.CutPrefix(f.Path, s.Name+"[")
+		index, _, closed := strings.Cut(rest, "]")
+		if n, err := strconv.Atoi(index); ok && closed && err == nil {
+			faulty[n] = true
 		}
-		for _, fault := range faults {
-			if strings.HasPrefix(fault.Path, own) && !item.shows(fault) {
-				item.Faults, item.Faulty = append(item.Faults, fault), true
-			}
+	}
+	return faulty
+}
+
+func (d *Draft) item(s Section, n int, fields map[string]any, faults validator.Faults) Item {
+	item := Item{Index: n, Title: titleOf(s, n, fields)}
+	own := path(s, n, "")
+	for _, f := range s.Fields {
+		in := Input{Field: f, Path: path(s, n, f.Name), Value: shown(fields[f.Name])}
+		in.Faults = at(faults, in.Path)
+		in.Values = d.values(f, in.Value)
+		item.Inputs = append(item.Inputs, in)
+		item.Faulty = item.Faulty || len(in.Faults) > 0
+	}
+	for _, fault := range faults {
+		if strings.HasPrefix(fault.Path, own) && !item.shows(fault) {
+			item.Faults, item.Faulty = append(item.Faults, fault), true
 		}
-		items = append(items, item)
 	}
-	return items
+	return item
 }
 
 func (i Item) shows(fault validator.Fault) bool {
