--- a/ladder/tabulator/tabulator.go
+++ b/ladder/tabulator/tabulator.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"os"
 	"strings"
 
 	"github.com/alecthomas/kong"
@@ -44,6 +45,23 @@
 	return b.String()
 }
 
+// Compare returns the page in file as it should be with the block, and as it
+// is. With write it writes the former first.
+func Compare(file, name, block string, write bool) (want, got string, err error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return "", "", err
+	}
+	want, err = Put(string(data), name, block)
+	if err != nil {
+		return "", "", errors.WithMessage(err, file)
+	}
+	if write {
+		return want, want, os.WriteFile(file, []byte(want), 0o644)
+	}
+	return want, string(data), nil
+}
+
 // Put returns the page with the block between the marks of that name replaced.
 func Put(page, name, block string) (string, error) {
 	begin, end := "<!-- begin "+name+" -->\n", "<!-- end "+name+" -->"
--- a/ladder/tabulator/tabulator_test.go
+++ b/ladder/tabulator/tabulator_test.go
@@ -1,7 +1,6 @@
 package tabulator_test
 
 import (
-	"flag"
 	"io/fs"
 	"os"
 	"path/filepath"
@@ -15,27 +14,13 @@
 	"github.com/lycheeladder/lycheeladder/ladder/tabulator"
 )
 
-var update = flag.Bool("update", false, "write the tables into docs/OPERATIONS.md")
-
 const pageFile = "../../docs/OPERATIONS.md"
 
+// After a change: UPDATE_PAGES=1 go test ./ladder/tabulator
 func TestCodes_PageIsCurrent(t *testing.T) {
-	data, err := os.ReadFile(pageFile)
-	if err != nil {
-		t.Fatal(err)
-	}
-	want, err := tabulator.Put(string(data), "codes", tabulator.Codes())
-	if err != nil {
-		t.Fatal(err)
-	}
-	if *update {
-		if err := os.WriteFile(pageFile, []byte(want), 0o644); err != nil {
-			t.Fatal(err)
-		}
-		return
-	}
-	if diff := cmp.Diff(want, string(data)); diff != "" {
-		t.Errorf("%s is not current (-want +got):\n%s", pageFile, diff)
+	want, got, err := tabulator.Compare(pageFile, "codes", tabulator.Codes(), os.Getenv("UPDATE_PAGES") != "")
+	if diff := cmp.Diff(want, got); diff != "" || err != nil {
+		t.Errorf("page is not current, %v (-want +got):\n%s", err, diff)
 	}
 }
 
