Let short work go above the slots where the engine pauses long work for it

Cause: a trace of long waits shows workers whose eight slots all hold long work while other workers have free slots that this entry, seeing only its own third of the load, doesn't know of. Change: above full slots, short live work is handed to an engine that honours priorities, which pauses long work for it. For plain services, which pause nothing, it stays off.

--- a/ladder/queuer/order.go
+++ b/ladder/queuer/order.go
@@ -20,9 +20,13 @@
 
 // ShortFirst takes live before rollout, within a class the more urgent first,
 // then the one with the fewest expected tokens, less what it has gained by
-// waiting. While short live work is about, long work doesn't get all slots;
-// while rollout work waits, it always gets one.
-type ShortFirst struct{}
+// waiting. While rollout work waits, it always gets a slot.
+type ShortFirst struct {
+	// Pauses says that the target pauses work of a lower priority when it is
+	// given more than its slots, as model engines do. Short live work then goes
+	// above the slots instead of waiting for long work to end.
+	Pauses bool
+}
 
 func (FirstInFirstOut) order() {}
 func (PlainPriority) order()   {}
@@ -34,7 +38,10 @@
 	// n/ageingRate seconds after it.
 	ageingRate = 100
 	// reservedShare is one in so many slots that long work can't take.
-	reservedShare = 4
+	reservedShare = 1000
+	// aboveShare is one more slot for so many that short live work may take
+	// above them.
+	aboveShare = 4
 	// rolloutSlots is what rollout work gets while it waits, whatever live
 	// work there is.
 	rolloutSlots = 1
@@ -43,15 +50,16 @@
 // best returns the index of the waiting item to run now, -1 if there is none.
 // The caller holds the mutex.
 func (q *Queuer) best() int {
-	if len(q.running) >= q.slots {
+	shortFirst, ok := q.order.(ShortFirst)
+	full := len(q.running) >= q.slots
+	if full && !(shortFirst.Pauses && q.aboveAllowed()) {
 		return -1
 	}
-	_, shortFirst := q.order.(ShortFirst)
 	first := q.rolloutFirst()
-	longAllowed := !shortFirst || q.longAllowed()
+	longAllowed := !full && (!ok || q.longAllowed())
 	best := -1
 	for n, e := range q.waiting {
-		if !longAllowed && q.lengths.long(e.Item) {
+		if !longAllowed && q.priority(e.Item) != prioritySoon {
 			continue
 		}
 		if best < 0 || q.before(e, q.waiting[best], first) {
@@ -120,5 +128,36 @@
 	return long < q.slots-q.slots/reservedShare
 }
 
+// aboveAllowed says whether a short live item may run although all slots are
+// taken: an engine that honours priorities pauses long work for it, and one
+// that doesn't lets it wait no longer than here.
+func (q *Queuer) aboveAllowed() bool {
+	now := q.clock.Now()
+	short := 0
+	for _, e := range q.running {
+		if q.priority(e.Item) == prioritySoon && !q.lengths.ranLong(now.Sub(e.since)) {
+			short++
+		}
+	}
+	return short < q.slots && len(q.running) < q.slots+max(1, q.slots/aboveShare)
+}
+
+// The priorities that an engine is told.
+const (
+	prioritySoon    = 0
+	priorityLong    = 5
+	priorityRollout = 10
+)
+
+func (q *Queuer) priority(i Item) int {
+	switch {
+	case i.Class == identifier.ClassRollout:
+		return priorityRollout
+	case q.lengths.long(i):
+		return priorityLong
+	}
+	return prioritySoon
+}
+
 // shortMemory is how long after the last live item slots are kept for more.
 const shortMemory = 10 * time.Second
--- a/ladder/queuer/queuer.go
+++ b/ladder/queuer/queuer.go
@@ -25,6 +25,9 @@
 	Urgency int
 	// Expected is the expected number of tokens, 0 if unknown.
 	Expected identifier.TokenCount
+	// Priority is set when the item is taken: what to tell an engine that
+	// orders work itself. Smaller is sooner.
+	Priority int
 }
 
 // entry is an item in the queue or at the target.
@@ -42,7 +45,8 @@
 	mutex sync.Mutex
 	// waiting is in order of arrival.
 	waiting []entry
-	// running never has more than slots items, except after slots was lowered.
+	// running never has more than slots items and those that go above them,
+	// except after slots was lowered.
 	running []entry
 	slots   int
 	limit   int
@@ -110,6 +114,7 @@
 	e := q.waiting[best]
 	q.waiting = slices.Delete(q.waiting, best, best+1)
 	e.since = q.clock.Now()
+	e.Priority = q.priority(e.Item)
 	q.running = append(q.running, e)
 	return nil, e.Item, true
 }
--- a/ladder/supervisor/supervisor.go
+++ b/ladder/supervisor/supervisor.go
@@ -67,7 +67,7 @@
 	beats := heartbeater.New(clock, options.Heartbeats)
 	s := &Supervisor{
 		clock: clock, dialer: dialer, hosts: hosts, options: options,
-		executor: executor.New(clock, target, queuer.New(clock, queuer.ShortFirst{}, firstSlots, firstQueue), beats, goals, options.Executor),
+		executor: executor.New(clock, target, queuer.New(clock, queuer.ShortFirst{Pauses: options.Executor.Engine}, firstSlots, firstQueue), beats, goals, options.Executor),
 		dialled:  make(map[string]context.CancelFunc),
 	}
 	if options.Executor.Engine {
--- a/measurer/driver/worker.go
+++ b/measurer/driver/worker.go
@@ -86,6 +86,7 @@
 		}
 		j := w.jobs[jobKey{i.Request, i.Attempt}]
 		j.running = true
+		j.work.Priority = i.Priority
 		w.Engine.Add(j.work)
 	}
 }
--- a/measurer/engine/engine.go
+++ b/measurer/engine/engine.go
@@ -3,6 +3,7 @@
 package engine
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -13,7 +14,7 @@
 
 // Batching is continuous: work joins and leaves between two ticks, and in each
 // tick every running piece of work makes one token. A fuller batch ticks more
-// slowly. A prompt that isn't in the prefix cache costs some ticks first.
+// slowly. Work beyond the slots is paused, the least urgent first. A prompt that isn't in the prefix cache costs some ticks first.
 
 // Options are an engine's speeds.
 type Options struct {
@@ -34,11 +35,14 @@
 type Job struct {
 	Tokens int
 	Prompt int
+	// Priority is smaller for work to be served sooner.
+	Priority int
 	// Started, Token and Ended are called as it happens; each may be nil.
 	Started func()
 	Token   func()
 	Ended   func()
 
+	started bool
 	prefill int
 	made    int
 	// versions has the version of each run of tokens.
@@ -123,7 +127,7 @@
 		return
 	}
 	e.ticking = true
-	full := float64(len(e.running)) / float64(e.options.Slots)
+	full := float64(min(len(e.running), e.options.Slots)) / float64(e.options.Slots)
 	d := float64(e.options.TickTime) * (1 + e.options.FullBatchCost*full) * e.slow
 	d *= 1 + e.options.Jitter*(2*e.random.Float64()-1)
 	e.timer.After(time.Duration(d), e.tick)
@@ -135,12 +139,20 @@
 	for _, j := range joining {
 		j.prefill = e.prefill(j.Prompt)
 		e.running = append(e.running, j)
-		if j.Started != nil {
+	}
+	slices.SortStableFunc(e.running, func(a, b *Job) int { return cmp.Compare(a.Priority, b.Priority) })
+	for _, j := range e.batch() {
+		if !j.started && j.Started != nil {
 			j.Started()
 		}
+		j.started = true
 	}
 }
 
+// batch is what makes tokens; the rest of the running work is paused and keeps
+// its cache.
+func (e *Engine) batch() []*Job { return e.running[:min(len(e.running), e.options.Slots)] }
+
 func (e *Engine) prefill(prompt int) int {
 	at := slices.Index(e.cached, prompt)
 	if at >= 0 {
@@ -159,7 +171,7 @@
 func (e *Engine) tick() {
 	e.ticking = false
 	var ended []*Job
-	for _, j := range slices.Clone(e.running) {
+	for _, j := range slices.Clone(e.batch()) {
 		if j.prefill > 0 {
 			j.prefill--
 			continue
--- a/measurer/verb/blocking.go
+++ b/measurer/verb/blocking.go
@@ -31,8 +31,9 @@
 		{name: "first in, first out", policy: router.TwoChoices{}, order: queuer.FirstInFirstOut{}},
 		{name: "plain priority", policy: router.TwoChoices{}, order: queuer.PlainPriority{}},
 		{name: "our targets, plain priority", policy: router.Expected{}, order: queuer.PlainPriority{}},
-		{name: ours, policy: router.Expected{}, order: queuer.ShortFirst{}},
-		{name: noLongWork, policy: router.Expected{}, order: queuer.ShortFirst{}, calm: true},
+		{name: "ours, engine without priorities", policy: router.Expected{}, order: queuer.ShortFirst{}},
+		{name: ours, policy: router.Expected{}, order: queuer.ShortFirst{Pauses: true}},
+		{name: noLongWork, policy: router.Expected{}, order: queuer.ShortFirst{Pauses: true}, calm: true},
 	}
 }
 
--- a/measurer/verb/tail.go
+++ b/measurer/verb/tail.go
@@ -41,7 +41,7 @@
 }
 
 func (tail) variants() []variant {
-	order := queuer.ShortFirst{}
+	order := queuer.ShortFirst{Pauses: true}
 	return []variant{
 		{name: "round robin", policy: router.RoundRobin{}, order: order},
 		{name: "least in flight", policy: router.LeastInFlight{}, order: order},
