--- a/ladder/queuer/lengths.go
+++ b/ladder/queuer/lengths.go
@@ -12,19 +12,13 @@
 type lengths struct {
 	tokens  logMean
 	runTime logMean
-	// lastLive is when a live item came last.
-	lastLive time.Time
 }
 
 // longFactor is how many times the usual length is long.
 const longFactor = 4
 
-func (l *lengths) arrived(i Item, now time.Time) {
-	if i.Class != identifier.ClassLive {
-		return
-	}
-	l.lastLive = now
-	if i.Expected > 0 {
+func (l *lengths) arrived(i Item) {
+	if i.Class == identifier.ClassLive && i.Expected > 0 {
 		l.tokens.add(float64(i.Expected))
 	}
 }
@@ -35,11 +29,6 @@
 	}
 }
 
-// shortAbout says whether live work has come of late.
-func (l *lengths) shortAbout(now time.Time) bool {
-	return !l.lastLive.IsZero() && now.Sub(l.lastLive) < shortMemory
-}
-
 // long says whether an item is expected to be long. A rollout item of which
 // nothing is expected is; a live one isn't.
 func (l *lengths) long(i Item) bool {
--- a/ladder/queuer/order.go
+++ b/ladder/queuer/order.go
@@ -1,10 +1,6 @@
 package queuer
 
-import (
-	"time"
-
-	"github.com/lycheeladder/lycheeladder/ladder/identifier"
-)
+import "github.com/lycheeladder/lycheeladder/ladder/identifier"
 
 // Order is a way to choose which waiting item goes first.
 //
@@ -37,8 +33,6 @@
 	// with n expected tokens is overtaken only by items that come at most
 	// n/ageingRate seconds after it.
 	ageingRate = 100
-	// reservedShare is one in so many slots that long work can't take.
-	reservedShare = 1000
 	// aboveShare is one more slot for so many that short live work may take
 	// above them.
 	aboveShare = 4
@@ -50,16 +44,15 @@
 // best returns the index of the waiting item to run now, -1 if there is none.
 // The caller holds the mutex.
 func (q *Queuer) best() int {
-	shortFirst, ok := q.order.(ShortFirst)
+	shortFirst, _ := q.order.(ShortFirst)
 	full := len(q.running) >= q.slots
-	if full && !(shortFirst.Pauses && q.aboveAllowed()) {
+	if full && (!shortFirst.Pauses || !q.aboveAllowed()) {
 		return -1
 	}
-	first := q.rolloutFirst()
-	longAllowed := !full && (!ok || q.longAllowed())
+	first := q.firstClass()
 	best := -1
 	for n, e := range q.waiting {
-		if !longAllowed && q.priority(e.Item) != prioritySoon {
+		if full && q.priority(e.Item) != prioritySoon {
 			continue
 		}
 		if best < 0 || q.before(e, q.waiting[best], first) {
@@ -97,9 +90,9 @@
 	return float64(a.Expected) + ageingRate*a.since.Sub(b.since).Seconds()
 }
 
-// rolloutFirst returns the class that goes first: rollout work while it has
+// firstClass returns the class that goes first: rollout work while it has
 // fewer slots than it is sure of, live work else.
-func (q *Queuer) rolloutFirst() identifier.Class {
+func (q *Queuer) firstClass() identifier.Class {
 	running := 0
 	for _, e := range q.running {
 		if e.Class == identifier.ClassRollout {
@@ -112,22 +105,6 @@
 	return identifier.ClassLive
 }
 
-// longAllowed says whether one more long item may run. What has run for long
-// counts as long, whatever was expected of it.
-func (q *Queuer) longAllowed() bool {
-	now := q.clock.Now()
-	if !q.lengths.shortAbout(now) {
-		return true
-	}
-	long := 0
-	for _, e := range q.running {
-		if q.lengths.long(e.Item) || q.lengths.ranLong(now.Sub(e.since)) {
-			long++
-		}
-	}
-	return long < q.slots-q.slots/reservedShare
-}
-
 // aboveAllowed says whether a short live item may run although all slots are
 // taken: an engine that honours priorities pauses long work for it, and one
 // that doesn't lets it wait no longer than here.
@@ -158,6 +135,3 @@
 	}
 	return prioritySoon
 }
-
-// shortMemory is how long after the last live item slots are kept for more.
-const shortMemory = 10 * time.Second
--- a/ladder/queuer/queuer.go
+++ b/ladder/queuer/queuer.go
@@ -77,7 +77,7 @@
 		return ErrFull
 	}
 	now := q.clock.Now()
-	q.lengths.arrived(i, now)
+	q.lengths.arrived(i)
 	q.waiting = append(q.waiting, entry{Item: i, since: now})
 	q.notify()
 	return nil
--- a/measurer/verb/blocking.go
+++ b/measurer/verb/blocking.go
@@ -26,6 +26,9 @@
 	noLongWork     = "ours, no long work"
 )
 
+// shortAndLong is what became of both kinds of calls.
+type shortAndLong struct{ shorts, longs observed }
+
 func (blocking) variants() []variant {
 	return []variant{
 		{name: "first in, first out", policy: router.TwoChoices{}, order: queuer.FirstInFirstOut{}},
@@ -48,11 +51,10 @@
 			p50 := summarizer.Line{Deployment: d.Name, Variant: v.name, Figure: "short p50 wait", Unit: "ms"}
 			p99 := summarizer.Line{Deployment: d.Name, Variant: v.name, Figure: "short p99 wait", Unit: "ms"}
 			long := summarizer.Line{Deployment: d.Name, Variant: v.name, Figure: "long tokens", Unit: "tokens/s"}
-			for _, seed := range seeds {
-				shorts, longs := m.run(d, v, seed)
-				p50.Values = append(p50.Values, summarizer.Quantile(shorts.waits, 0.5))
-				p99.Values = append(p99.Values, summarizer.Quantile(shorts.waits, 0.99))
-				long.Values = append(long.Values, float64(longs.tokens)/blockingTime.Seconds())
+			for _, o := range overSeeds(seeds, func(seed uint64) shortAndLong { return m.run(d, v, seed) }) {
+				p50.Values = append(p50.Values, summarizer.Quantile(o.shorts.waits, 0.5))
+				p99.Values = append(p99.Values, summarizer.Quantile(o.shorts.waits, 0.99))
+				long.Values = append(long.Values, float64(o.longs.tokens)/blockingTime.Seconds())
 			}
 			r.Lines = append(r.Lines, p50, p99, long)
 		}
@@ -67,18 +69,18 @@
 	return r
 }
 
-func (blocking) run(d driver.Deployment, v variant, seed uint64) (shorts, longs *observed) {
+func (blocking) run(d driver.Deployment, v variant, seed uint64) shortAndLong {
 	s := driver.New(driver.Options{Deployment: d, Policy: v.policy, Order: v.order, QueueLimit: 1024, Hedge: v.hedge, Seed: seed})
 	const meanShort = float64(shortLeast+shortMost) / 2
 	rate := blockingLoad * d.Capacity(meanShort*(1-longShare+longShare*longFactor))
 	start := s.Timer.Now()
 	from, until := start.Add(blockingWarmUp), start.Add(blockingWarmUp+blockingTime)
-	shorts, longs = &observed{}, &observed{}
-	arrive(s, kind{class: identifier.ClassLive, perSecond: rate * (1 - longShare), least: shortLeast, most: shortMost}, from, until, shorts)
+	var o shortAndLong
+	arrive(s, kind{class: identifier.ClassLive, perSecond: rate * (1 - longShare), least: shortLeast, most: shortMost}, from, until, &o.shorts)
 	if !v.calm {
 		long := kind{class: identifier.ClassLive, perSecond: rate * longShare, least: shortLeast * longFactor, most: shortMost * longFactor}
-		arrive(s, long, from, until, longs)
+		arrive(s, long, from, until, &o.longs)
 	}
 	s.Timer.Run(blockingWarmUp + blockingTime)
-	return shorts, longs
+	return o
 }
--- a/measurer/verb/load.go
+++ b/measurer/verb/load.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/sourcegraph/conc/iter"
+
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/measurer/driver"
 )
@@ -26,6 +28,8 @@
 	completed int
 	refused   int
 	tokens    int
+	// hedges counts second attempts, the warm-up's too.
+	hedges int
 	// totals and waits are in milliseconds, of completed calls.
 	totals []float64
 	waits  []float64
@@ -74,3 +78,11 @@
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// atOnce is how many seeds are run at a time.
+const atOnce = 3
+
+// overSeeds runs one variant with every seed.
+func overSeeds[T any](seeds []uint64, run func(seed uint64) T) []T {
+	return iter.Mapper[uint64, T]{MaxGoroutines: atOnce}.Map(seeds, func(seed *uint64) T { return run(*seed) })
+}
--- a/measurer/verb/tail.go
+++ b/measurer/verb/tail.go
@@ -63,11 +63,10 @@
 			p50 := summarizer.Line{Deployment: d.Name, Variant: v.name, Figure: "p50", Unit: "ms"}
 			p99 := summarizer.Line{Deployment: d.Name, Variant: v.name, Figure: "p99", Unit: "ms"}
 			extra := summarizer.Line{Deployment: d.Name, Variant: v.name, Figure: "hedges", Unit: "of calls"}
-			for _, seed := range seeds {
-				s, o := m.run(d, v, seed)
+			for _, o := range overSeeds(seeds, func(seed uint64) *observed { return m.run(d, v, seed) }) {
 				p50.Values = append(p50.Values, summarizer.Quantile(o.totals, 0.5))
 				p99.Values = append(p99.Values, summarizer.Quantile(o.totals, 0.99))
-				extra.Values = append(extra.Values, float64(s.Hedges)/float64(o.sent))
+				extra.Values = append(extra.Values, float64(o.hedges)/float64(o.sent))
 			}
 			r.Lines = append(r.Lines, p50, p99)
 			if v.hedge {
@@ -82,7 +81,7 @@
 	return r
 }
 
-func (tail) run(d driver.Deployment, v variant, seed uint64) (*driver.System, *observed) {
+func (tail) run(d driver.Deployment, v variant, seed uint64) *observed {
 	s := driver.New(driver.Options{Deployment: d, Policy: v.policy, Order: v.order, QueueLimit: queueLimit, Hedge: v.hedge, Seed: seed})
 	if !v.calm {
 		slowDown(s)
@@ -92,7 +91,8 @@
 	start := s.Timer.Now()
 	arrive(s, k, start.Add(tailWarmUp), start.Add(tailWarmUp+tailTime), o)
 	s.Timer.Run(tailWarmUp + tailTime + 30*time.Second)
-	return s, o
+	o.hedges = s.Hedges
+	return o
 }
 
 // slowDown makes some targets slow for a moment, then others.
