Hedge silent idempotent calls in the dispatcher

Streams that have begun and samples aren't hedged. Whoever hedges must still be truthful: not-run is said only if neither attempt may have run.

--- a/ladder/dispatcher/dispatch.go
+++ b/ladder/dispatcher/dispatch.go
@@ -50,6 +50,16 @@
 			break
 		}
 		s.tried[p.target] = true
+		if r.hedgeable() {
+			o, hedged := d.race(ctx, r, p, n, s)
+			if o != nil {
+				return o
+			}
+			if hedged {
+				n++
+			}
+			continue
+		}
 		if o := d.try(ctx, r, p, n, s); o != nil {
 			return o
 		}
