--- a/ladder/dispatcher/dispatch.go
+++ b/ladder/dispatcher/dispatch.go
@@ -52,6 +52,16 @@
 			break
 		}
 		s.tried[p.target] = true
+		if r.hedgeable() {
+			o, hedged := d.race(ctx, r, p, n, s)
+			if o != nil {
+				return o
+			}
+			if hedged {
+				n++
+			}
+			continue
+		}
 		if o := d.try(ctx, r, p, n, s); o != nil {
 			return o
 		}
@@ -90,7 +100,7 @@
 		return refused
 	}
 	defer func() { d.leave(ctx, r, v, o) }()
-	a := d.open(p, key{r.ID, n}, r.Stream != nil)
+	a := d.open(p, key{r.ID, n}, r.followed())
 	sent := d.start(ctx, r, p, n, v)
 	defer d.close(a)
 	if !sent {
@@ -208,7 +218,7 @@
 		Call: r.Call, Body: r.Body, Idempotent: r.Idempotent,
 		Timeout: r.Deadline.Sub(d.clock.Now()), Expected: r.Expected, Sample: r.Sample,
 		Fingerprint: identifier.NewFingerprint(r.Service, r.Call, r.Body),
-		Urgency:     r.Urgency, Oldest: r.Oldest, Streamed: r.Stream != nil, Alone: alone,
+		Urgency:     r.Urgency, Oldest: r.Oldest, Streamed: r.followed(), Alone: alone,
 	}
 	if d.beats.SendWithin(ctx, l, m) != nil {
 		_ = l.Close()
@@ -327,7 +337,7 @@
 // join follows an attempt that is already known at the peer, and judges its
 // answer. An error says that ctx has ended.
 func (d *Dispatcher) join(ctx context.Context, r Request, p *peer, k key, s *progress) (Outcome, error) {
-	a := d.open(p, k, r.Stream != nil)
+	a := d.open(p, k, r.followed())
 	defer d.close(a)
 	d.mutex.Lock()
 	l := p.link
--- a/ladder/dispatcher/dispatcher.go
+++ b/ladder/dispatcher/dispatcher.go
@@ -42,6 +42,10 @@
 	Stream func([]byte) error
 }
 
+// followed says whether pieces of the answer matter before its end: to the
+// caller, or to tell a target that has turned slow. A sample has no such hurry.
+func (r Request) followed() bool { return r.Sample == "" }
+
 // Options are a Dispatcher's settings.
 type Options struct {
 	Entry       identifier.EntryName
--- a/ladder/dispatcher/peer.go
+++ b/ladder/dispatcher/peer.go
@@ -33,13 +33,13 @@
 	service     identifier.ServiceName
 	zone        identifier.ZoneName
 	// link is nil while no link is up.
-	link     messenger.Link
+	link messenger.Link
 	// announced is the goal last sent at once.
 	announced messenger.WeightGoal
-	leaving  bool
-	revision identifier.Revision
-	load     messenger.Load
-	loadAt   time.Time
+	leaving   bool
+	revision  identifier.Revision
+	load      messenger.Load
+	loadAt    time.Time
 	// configured is what this link's sidecar has: the Configuration sent last,
 	// at the newest revision under which it is the same.
 	configured messenger.Configuration
--- a/ladder/executor/job.go
+++ b/ladder/executor/job.go
@@ -71,7 +71,7 @@
 
 // leastOf is how many bytes beyond offset are worth a frame: the first at once,
 // since the entry judges targets by when they begin, then, for a caller who
-// doesn't read as it comes, a full chunk. An engine makes a token at a time, and
+// doesn't follow it, a full chunk. An engine makes a token at a time, and
 // a frame for each would cost more than the token.
 func (j *job) leastOf(offset uint64) uint64 {
 	if j.start.Streamed || offset == 0 {
