--- a/ladder/dispatcher/peer.go
+++ b/ladder/dispatcher/peer.go
@@ -19,6 +19,7 @@
 var (
 	errUnexpected = errors.New("message not for an entry")
 	errNoHello    = errors.New("first message is not a hello")
+	errReplaced   = errors.New("a later sidecar of the target is linked")
 )
 
 type key struct {
@@ -43,6 +44,8 @@
 	// configured is what this link's sidecar has: the Configuration sent last,
 	// at the newest revision under which it is the same.
 	configured messenger.Configuration
+	// detached counts the links that have failed.
+	detached int
 	// attempts are those open at this incarnation.
 	attempts map[key]*attempt
 	// gone is closed when the incarnation will not be heard of again.
@@ -67,6 +70,9 @@
 	streamed bool
 	// heard is when a piece of the answer came last, or the dispatch.
 	heard time.Time
+	// users is how many calls follow the attempt: a caller may send a keyed
+	// call again through the same entry.
+	users int
 	// answer is an End or a Refused that fits the output, set before output
 	// ends; nil if the sidecar is lost.
 	answer messenger.Answer
@@ -111,6 +117,11 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	p := d.peers[identifier.TargetName(hello.Name)]
+	// Incarnations are UUIDv7, so the later one is larger. A sidecar that was
+	// paused and replaced would else take turns with its successor for ever.
+	if p != nil && p.link != nil && hello.Incarnation < p.incarnation {
+		return nil, errReplaced
+	}
 	if p == nil || p.incarnation != hello.Incarnation {
 		if p != nil {
 			d.lose(p)
@@ -164,10 +175,12 @@
 		return
 	}
 	p.link = nil
+	p.detached++
+	detached := p.detached
 	d.clock.AfterFunc(d.options.Reconnect, func() {
 		d.mutex.Lock()
 		defer d.mutex.Unlock()
-		if p.link == nil {
+		if p.link == nil && p.detached == detached {
 			d.lose(p)
 		}
 	})
--- a/sidecar/runner/runner.go
+++ b/sidecar/runner/runner.go
@@ -46,7 +46,7 @@
 	Hosts        starter.Address   `help:"The platform's host list, IP:port."`
 	Links        int               `help:"How many entries to link to at most." default:"4"`
 	Listen       starter.Address   `help:"Where to serve status and metrics, IP:port." default:"127.0.0.1:0"`
-	LeaveDelay   time.Duration     `help:"How long a stop waits for entries to hear of it." default:"1s"`
+	LeaveDelay   time.Duration     `help:"How long a stop stays at least, to refuse work that entries sent before they heard of it." default:"4500ms"`
 	DrainTimeout time.Duration     `help:"How long a stop waits for work in progress." default:"30s"`
 	Retention    time.Duration     `help:"How long an answer that no entry has taken is kept." default:"5m"`
 }
@@ -123,8 +123,9 @@
 	engine := s.Kind == "model-engine"
 	options := supervisor.Options{
 		Executor: executor.DefaultOptions(), Heartbeats: s.Settings.Options(),
-		Address: string(s.Address), Links: s.Links, LeaveDelay: s.LeaveDelay, ListInterval: 2 * time.Second,
+		Address: string(s.Address), Links: s.Links, ListInterval: 2 * time.Second,
 	}
+	options.Executor.Linger = s.LeaveDelay
 	options.Executor.Target = identifier.TargetName(s.Target)
 	options.Executor.Service = identifier.ServiceName(s.Service)
 	options.Executor.Zone = identifier.ZoneName(s.Zone)
