Refuse at once what needs the log while it is known to be down

Cause: every keyed call and every publication waited for the append's timeout of 3 s while the log was silent. A breaker stands in front of the log at each entry; its reading, which never stops, is the probe.

--- a/ladder/appender/breaker.go
+++ b/ladder/appender/breaker.go
@@ -14,7 +14,9 @@
 // A caller must not wait for seconds to learn that the log is down when others
 // have just learned it. The memory is short: after it one call goes through as
 // a probe, and the next ones as soon as that one succeeds. Appends and reads
-// have a circuit each, since either may fail alone.
+// have a circuit each, since either may fail alone; while reads fail nobody
+// appends, since what was appended could not be read back. So an entry, which
+// reads all the time, never needs a caller as a probe.
 
 const (
 	// failuresToOpen is how many failures in a row, without a success between,
@@ -22,6 +24,9 @@
 	failuresToOpen = 3
 	// openTime is how long an open circuit fails calls before a probe.
 	openTime = time.Second
+	// readMemory is how long failed reads keep appends from the log. It is
+	// longer than one read takes to fail.
+	readMemory = 15 * time.Second
 )
 
 // Breaker is a Log that fails fast while the log behind it is known to be
@@ -38,7 +43,7 @@
 
 // Append implements Log. What it fails by itself has had no effect.
 func (b *Breaker) Append(ctx context.Context, stream identifier.StreamName, records [][]byte) (first identifier.LogOffset, err error) {
-	if !b.appends.enter() {
+	if b.read.down() || !b.appends.enter() {
 		return 0, errors.WithMessage(ErrUnavailable, "circuit open")
 	}
 	defer func() { b.appends.leave(ctx, err) }()
@@ -63,6 +68,15 @@
 	failures int
 	// probeAt is when an open circuit lets the next probe through.
 	probeAt time.Time
+	// failedAt is the time of the last failure.
+	failedAt time.Time
+}
+
+// down says whether the last calls have failed, and not long ago.
+func (c *circuit) down() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.failures >= failuresToOpen && c.clock.Since(c.failedAt) < readMemory
 }
 
 // enter says whether a call may go through.
@@ -90,6 +104,7 @@
 	case ctx.Err() == context.Canceled:
 	default:
 		c.failures++
-		c.probeAt = c.clock.Now().Add(openTime)
+		c.failedAt = c.clock.Now()
+		c.probeAt = c.failedAt.Add(openTime)
 	}
 }
