--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 	"k8s.io/klog/v2"
 
+	"github.com/lycheeladder/lycheeladder/entry/console"
 	"github.com/lycheeladder/lycheeladder/entry/publisher"
 	"github.com/lycheeladder/lycheeladder/ladder/accepter"
 	"github.com/lycheeladder/lycheeladder/ladder/appender"
@@ -20,9 +21,11 @@
 	"github.com/lycheeladder/lycheeladder/ladder/dispatcher"
 	"github.com/lycheeladder/lycheeladder/ladder/encoder"
 	"github.com/lycheeladder/lycheeladder/ladder/heartbeater"
+	"github.com/lycheeladder/lycheeladder/ladder/historian"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/linker"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/proposer"
 	"github.com/lycheeladder/lycheeladder/ladder/recorder"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
 	"github.com/lycheeladder/lycheeladder/ladder/server"
@@ -41,6 +44,7 @@
 // Settings are an entry's flags and environment variables.
 type Settings struct {
 	starter.Common
+	heartbeater.Settings
 	Name           string            `help:"This entry's name." required:""`
 	Zone           string            `help:"The availability zone of this host." required:""`
 	Listen         starter.Address   `help:"Where callers and trainers come in, IP:port." required:""`
@@ -108,6 +112,10 @@
 	r := recorder.New()
 	r.Publish("lycheeladder")
 	c := newCoordinator(s, r)
+	operators, err := operatorApp(s, c)
+	if err != nil {
+		return err
+	}
 	stop, release := starter.UntilSignal()
 	defer release()
 	working, cancel := context.WithCancel(context.Background())
@@ -116,7 +124,7 @@
 	tasks.Go(func() { c.Run(working) })
 	peers := peerApp(working, c, linker.New(e))
 	tasks.Go(func() { serve(working, "peers", peers, listeners[1], 0) })
-	tasks.Go(func() { serve(working, "operators", publisher.New(c), listeners[2], time.Second) })
+	tasks.Go(func() { serve(working, "operators", operators, listeners[2], time.Second) })
 	klog.InfoS("entry started", "entry", s.Name, "zone", s.Zone, "listen", listeners[0].Addr().String())
 	serveCallers(stop, s, c, listeners[0])
 	cancel()
@@ -145,7 +153,7 @@
 
 func newCoordinator(s Settings, r *recorder.Recorder) *coordinator.Coordinator {
 	options := coordinator.Options{
-		Dispatch: dispatcher.DefaultOptions(), Heartbeats: heartbeater.DefaultOptions(),
+		Dispatch: dispatcher.DefaultOptions(), Heartbeats: s.Settings.Options(),
 		Policy: router.Expected{}, KeyMaxAge: s.KeyMaxAge, SampleTimeout: s.SampleTimeout,
 		LogRetention: s.LogRetention,
 	}
@@ -157,6 +165,19 @@
 	return coordinator.New(clockwork.NewRealClock(), appender.NewHTTP(string(s.Log)), router.NewRandom(seed), r, options)
 }
 
+// operatorApp serves operators' programs and their console on one listener.
+func operatorApp(s Settings, c *coordinator.Coordinator) (*fiber.App, error) {
+	history := historian.New(appender.NewHTTP(string(s.Log)), c.Follower())
+	p := proposer.New(c.Follower(), history)
+	app := publisher.New(c, p, history)
+	pages, err := console.New(clockwork.NewRealClock(), c, p, history)
+	if err != nil {
+		return nil, err
+	}
+	pages.Mount(app)
+	return app, nil
+}
+
 func peerApp(ctx context.Context, c *coordinator.Coordinator, l *linker.Linker) *fiber.App {
 	app := server.NewApp("peers", peerBodyLimit)
 	app.Get(accepter.StatePath, func(x fiber.Ctx) error {
--- a/ladder/messenger/messenger.go
+++ b/ladder/messenger/messenger.go
@@ -123,8 +123,8 @@
 	Alone bool `cbor:"13,keyasint,omitempty"`
 	// Urgency orders rollout work; larger is sooner.
 	Urgency int `cbor:"14,keyasint,omitempty"`
-	// Streamed says that the caller reads the answer as it comes; of any other,
-	// full chunks are sent.
+	// Streamed says that the answer is wanted piece by piece as it comes; of any
+	// other, full chunks are sent.
 	Streamed bool `cbor:"16,keyasint,omitempty"`
 	// Oldest is the oldest weight version that can still be of use.
 	Oldest identifier.WeightVersion `cbor:"15,keyasint,omitempty"`
--- a/ladder/subsetter/subsetter.go
+++ b/ladder/subsetter/subsetter.go
@@ -30,10 +30,10 @@
 // outsideLinks is how many links go to other zones, if there are several links.
 const outsideLinks = 1
 
-// Pick returns the entries for target, at most links of them. It returns all
-// if there are no more than that.
+// Pick returns the entries for target, at most links of them, or all if
+// links is 0.
 func Pick(target identifier.TargetName, zone identifier.ZoneName, entries []Entry, links int) []Entry {
-	if len(entries) <= links {
+	if links <= 0 || len(entries) <= links {
 		return slices.Clone(entries)
 	}
 	own, others := split(ranked(target, entries), zone)
@@ -45,11 +45,21 @@
 
 // ranked orders entries by their hash with target, the highest first.
 func ranked(target identifier.TargetName, entries []Entry) []Entry {
-	ranked := slices.Clone(entries)
-	score := func(e Entry) uint64 { return xxhash.Sum64String(string(target) + "\x00" + e.Address) }
-	slices.SortFunc(ranked, func(a, b Entry) int {
-		return cmp.Or(cmp.Compare(score(b), score(a)), cmp.Compare(a.Address, b.Address))
+	type scored struct {
+		entry Entry
+		score uint64
+	}
+	order := make([]scored, 0, len(entries))
+	for _, e := range entries {
+		order = append(order, scored{e, xxhash.Sum64String(string(target) + "\x00" + e.Address)})
+	}
+	slices.SortFunc(order, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.entry.Address, b.entry.Address))
 	})
+	ranked := make([]Entry, 0, len(order))
+	for _, o := range order {
+		ranked = append(ranked, o.entry)
+	}
 	return ranked
 }
 
