Close hostile links alone, name silence as such, and run the end-to-end tests side by side

Frames of the wrong kind, unknown kinds and fields, trailing bytes, endless maps and too long frames close their link and no other; the entry counts ended links by reason (link-malformed, link-silent, link-closed).

--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -10,6 +10,7 @@
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 	"k8s.io/klog/v2"
 
@@ -115,7 +116,7 @@
 	defer cancel()
 	var tasks conc.WaitGroup
 	tasks.Go(func() { c.Run(working) })
-	peers := peerApp(working, c, linker.New(e))
+	peers := peerApp(working, c, linker.New(e), r)
 	tasks.Go(func() { serve(working, "peers", peers, listeners[1], 0) })
 	tasks.Go(func() { serve(working, "operators", publisher.New(c), listeners[2], time.Second) })
 	klog.InfoS("entry started", "entry", s.Name, "zone", s.Zone, "listen", listeners[0].Addr().String())
@@ -158,7 +159,7 @@
 	return coordinator.New(clockwork.NewRealClock(), appender.NewHTTP(string(s.Log)), router.NewRandom(seed), r, options)
 }
 
-func peerApp(ctx context.Context, c *coordinator.Coordinator, l *linker.Linker) *fiber.App {
+func peerApp(ctx context.Context, c *coordinator.Coordinator, l *linker.Linker, r *recorder.Recorder) *fiber.App {
 	app := server.NewApp("peers", peerBodyLimit)
 	app.Get(accepter.StatePath, func(x fiber.Ctx) error {
 		data, ok := c.Follower().Snapshot()
@@ -169,10 +170,22 @@
 	})
 	app.Get(linker.Path, func(x fiber.Ctx) error {
 		return l.Upgrade(x.RequestCtx(), func(link messenger.Link) {
-			if err := c.ServeLink(ctx, link); err != nil {
+			if err := c.ServeLink(ctx, link); err != nil && ctx.Err() == nil {
+				r.Count("link-" + endOf(err))
 				klog.V(1).InfoS("link ended", "err", err)
 			}
 		})
 	})
 	return app
 }
+
+// endOf names why a link ended, for the counters.
+func endOf(err error) string {
+	switch {
+	case errors.Is(err, linker.ErrHostile):
+		return "malformed"
+	case errors.Is(err, heartbeater.ErrSilent):
+		return "silent"
+	}
+	return "closed"
+}
--- a/standin/endtoend/lifecycle_test.go
+++ b/standin/endtoend/lifecycle_test.go
@@ -93,6 +93,9 @@
 	if err := take(ctx, f, taken, 4, tokens); err != nil {
 		t.Fatal(err)
 	}
+	if status, err := s.status(1); err != nil || len(status.Sessions) != 1 {
+		t.Errorf("the trainer has no session at the other entry: %v, err %v", status.Sessions, err)
+	}
 	if ran := s.ran(s.engines[0])["long"]; ran != 4 {
 		t.Errorf("4 samples in progress took %d generations", ran)
 	}
--- a/standin/endtoend/system_test.go
+++ b/standin/endtoend/system_test.go
@@ -44,10 +44,16 @@
 	owner ed25519.PrivateKey
 }
 
+// systems bounds the systems that run at once, some ten processes of 25 MB each.
+var systems = make(chan struct{}, 4)
+
 // newSystem starts two entries, then the platform that they have to wait for,
 // and publishes a document. The arguments are added to those of the entries.
 func newSystem(t *testing.T, arguments ...string) *system {
 	t.Helper()
+	t.Parallel()
+	systems <- struct{}{}
+	t.Cleanup(func() { <-systems })
 	a := freeAddresses(t, 8)
 	s := &system{
 		t: t, log: a[0], weights: a[1], listen: a[2:4], operators: a[4:6], peers: a[6:8],
