--- a/ladder/linker/linker_test.go
+++ b/ladder/linker/linker_test.go
@@ -105,7 +105,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	_ = c.WriteMessage(websocket.BinaryMessage, make([]byte, encoder.MaxFrameBytes+1))
 	if err := <-ended; !errors.Is(err, websocket.ErrReadLimit) {
 		t.Errorf("want %v, got %v", websocket.ErrReadLimit, err)
--- a/sidecar/runner/runner.go
+++ b/sidecar/runner/runner.go
@@ -44,7 +44,7 @@
 	Address      starter.Address   `help:"Where the target listens, IP:port." required:""`
 	Entry        []starter.Address `help:"An entry's peer listener, IP:port. May be given often."`
 	Hosts        starter.Address   `help:"The platform's host list, IP:port."`
-	Links        int               `help:"How many entries to link to at most." default:"4"`
+	Links        int               `help:"How many entries to link to at most, 0 for all. Targets times links should be twice the entries at least." default:"4"`
 	Listen       starter.Address   `help:"Where to serve status and metrics, IP:port." default:"127.0.0.1:0"`
 	LeaveDelay   time.Duration     `help:"How long a stop waits for entries to hear of it." default:"1s"`
 	DrainTimeout time.Duration     `help:"How long a stop waits for work in progress." default:"30s"`
@@ -56,8 +56,8 @@
 	switch {
 	case len(s.Entry) == 0 && s.Hosts == "":
 		return fmt.Errorf("--entry: none given, and no --hosts; give one at least")
-	case s.Links < 1:
-		return fmt.Errorf("--links: %d is below 1", s.Links)
+	case s.Links < 0:
+		return fmt.Errorf("--links: %d is below 0", s.Links)
 	case s.LeaveDelay < 0:
 		return fmt.Errorf("--leave-delay: %s is below 0", s.LeaveDelay)
 	case s.DrainTimeout < 0:
--- a/standin/endtoend/lifecycle_test.go
+++ b/standin/endtoend/lifecycle_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"syscall"
 	"testing"
 
+	"github.com/lycheeladder/lycheeladder/ladder/caller"
 	"github.com/lycheeladder/lycheeladder/ladder/deliverer"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/lister"
@@ -101,6 +103,32 @@
 	}
 }
 
+func TestStopDuringWeightSwitch_StreamWholeAndEngineConverged(t *testing.T) {
+	const tokens = 300
+	s := newSystem(t)
+	s.addEngine("--token-time", "10ms", "--switch-time", "2s")
+	c := streamed(generate(s.listen[0], "hang", tokens))
+	done := c.begin()
+	<-c.pieces
+	if err := s.newFetcher().Announce(t.Context(), 2); err != nil {
+		t.Fatal(err)
+	}
+	engine := caller.NewHTTP(s.engines[0].address, true)
+	eventually(t, "the new weights to be loaded", func() bool {
+		state, err := engine.State(t.Context())
+		return err == nil && slices.Contains(state.Loaded, 2)
+	})
+	s.engines[0].sidecar.stop()
+	if a := <-done; !a.whole || !generated(a.body, "hang", tokens) {
+		t.Errorf("stream: %s", a)
+	}
+	s.engines[0].sidecar.again()
+	eventually(t, "the engine to be known at version 2", func() bool {
+		status, err := s.status(1)
+		return err == nil && len(status.Targets) == 1 && status.Targets[0].Load.Version == 2
+	})
+}
+
 func TestHostListedAsLeaving_TargetGetsNoNewWork(t *testing.T) {
 	s := newSystem(t)
 	hosts := freeAddresses(t, 1)[0]
