--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -10,10 +10,10 @@
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/jonboulle/clockwork"
-	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 	"k8s.io/klog/v2"
 
+	"github.com/lycheeladder/lycheeladder/entry/console"
 	"github.com/lycheeladder/lycheeladder/entry/publisher"
 	"github.com/lycheeladder/lycheeladder/ladder/accepter"
 	"github.com/lycheeladder/lycheeladder/ladder/appender"
@@ -21,9 +21,10 @@
 	"github.com/lycheeladder/lycheeladder/ladder/dispatcher"
 	"github.com/lycheeladder/lycheeladder/ladder/encoder"
 	"github.com/lycheeladder/lycheeladder/ladder/heartbeater"
+	"github.com/lycheeladder/lycheeladder/ladder/historian"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/linker"
-	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/proposer"
 	"github.com/lycheeladder/lycheeladder/ladder/recorder"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
 	"github.com/lycheeladder/lycheeladder/ladder/server"
@@ -110,6 +111,10 @@
 	r := recorder.New()
 	r.Publish("lycheeladder")
 	c := newCoordinator(s, r)
+	operators, err := operatorApp(s, c)
+	if err != nil {
+		return err
+	}
 	stop, release := starter.UntilSignal()
 	defer release()
 	working, cancel := context.WithCancel(context.Background())
@@ -118,7 +123,7 @@
 	tasks.Go(func() { c.Run(working) })
 	peers := peerApp(working, c, linker.New(e), r)
 	tasks.Go(func() { serve(working, "peers", peers, listeners[1], 0) })
-	tasks.Go(func() { serve(working, "operators", publisher.New(c), listeners[2], time.Second) })
+	tasks.Go(func() { serve(working, "operators", operators, listeners[2], time.Second) })
 	klog.InfoS("entry started", "entry", s.Name, "zone", s.Zone, "listen", listeners[0].Addr().String())
 	serveCallers(stop, s, c, listeners[0])
 	cancel()
@@ -159,33 +164,15 @@
 	return coordinator.New(clockwork.NewRealClock(), appender.NewHTTP(string(s.Log)), router.NewRandom(seed), r, options)
 }
 
-func peerApp(ctx context.Context, c *coordinator.Coordinator, l *linker.Linker, r *recorder.Recorder) *fiber.App {
-	app := server.NewApp("peers", peerBodyLimit)
-	app.Get(accepter.StatePath, func(x fiber.Ctx) error {
-		data, ok := c.Follower().Snapshot()
-		if !ok {
-			return fiber.ErrServiceUnavailable
-		}
-		return x.Send(data)
-	})
-	app.Get(linker.Path, func(x fiber.Ctx) error {
-		return l.Upgrade(x.RequestCtx(), func(link messenger.Link) {
-			if err := c.ServeLink(ctx, link); err != nil && ctx.Err() == nil {
-				r.Count("link-" + endOf(err))
-				klog.V(1).InfoS("link ended", "err", err)
-			}
-		})
-	})
-	return app
-}
-
-// endOf names why a link ended, for the counters.
-func endOf(err error) string {
-	switch {
-	case errors.Is(err, linker.ErrHostile):
-		return "malformed"
-	case errors.Is(err, heartbeater.ErrSilent):
-		return "silent"
+// operatorApp serves operators' programs and their console on one listener.
+func operatorApp(s Settings, c *coordinator.Coordinator) (*fiber.App, error) {
+	history := historian.New(appender.NewHTTP(string(s.Log)), c.Follower())
+	p := proposer.New(c.Follower(), history)
+	app := publisher.New(c, p, history)
+	pages, err := console.New(clockwork.NewRealClock(), c, p, history)
+	if err != nil {
+		return nil, err
 	}
-	return "closed"
+	pages.Mount(app)
+	return app, nil
 }
--- a/ladder/authorizer/authorizer.go
+++ b/ladder/authorizer/authorizer.go
@@ -3,8 +3,10 @@
 package authorizer
 
 import (
+	"crypto/rand"
 	"crypto/sha256"
 	"crypto/subtle"
+	"encoding/base64"
 	"encoding/hex"
 
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
@@ -31,6 +33,16 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// keyBytes is the length of a team's or operator's key.
+const keyBytes = 32
+
+// NewKey returns a fresh key for a team or an operator.
+func NewKey() string {
+	secret := make([]byte, keyBytes)
+	_, _ = rand.Read(secret) // It never fails; see crypto/rand.
+	return base64.RawURLEncoding.EncodeToString(secret)
+}
+
 // Operator finds the operator that holds the key. While no document is in
 // force anyone may publish the first one.
 func Operator(d *validator.Document, key string) (identifier.OperatorName, Refusal) {
--- a/ladder/coordinator/coordinator.go
+++ b/ladder/coordinator/coordinator.go
@@ -20,6 +20,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/converger"
 	"github.com/lycheeladder/lycheeladder/ladder/deliverer"
 	"github.com/lycheeladder/lycheeladder/ladder/dispatcher"
+	"github.com/lycheeladder/lycheeladder/ladder/explainer"
 	"github.com/lycheeladder/lycheeladder/ladder/heartbeater"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/limiter"
@@ -61,6 +62,7 @@
 	claimer    *claimer.Claimer
 	limiter    *limiter.Limiter
 	recorder   *recorder.Recorder
+	explainer  *explainer.Explainer
 	began      time.Time
 
 	mutex sync.Mutex
@@ -71,13 +73,14 @@
 // New returns a Coordinator that follows log. It serves nobody until the end
 // of the log was reached once.
 func New(clock clockwork.Clock, log appender.Log, random router.Random, r *recorder.Recorder, options Options) *Coordinator {
+	log = appender.NewBreaker(clock, log)
 	c := &Coordinator{
 		clock: clock, options: options, recorder: r, began: clock.Now(),
 		follower: accepter.NewFollower(clock, log, options.Peers, router.NewRandom(uint64(random.IntN(math.MaxInt32))),
 			accepter.Options{Retention: options.LogRetention}),
 		goals:   converger.NewGoals(),
 		claimer: claimer.New(clock, log, options.KeyMaxAge),
-		limiter: limiter.New(clock),
+		limiter: limiter.New(clock), explainer: explainer.New(),
 	}
 	c.dispatcher = dispatcher.New(
 		clock, router.New(clock, random, options.Policy), heartbeater.New(clock, options.Heartbeats),
@@ -202,6 +205,12 @@
 // Follower returns the follower of the accepted configuration.
 func (c *Coordinator) Follower() *accepter.Follower { return c.follower }
 
+// Explainer returns the memory of recent decisions.
+func (c *Coordinator) Explainer() *explainer.Explainer { return c.explainer }
+
+// Name returns this entry's name.
+func (c *Coordinator) Name() identifier.EntryName { return c.options.Dispatch.Entry }
+
 // configurations gives sidecars their part of the accepted document.
 type configurations struct{ follower *accepter.Follower }
 
@@ -219,5 +228,6 @@
 	return messenger.Configuration{
 		Revision: state.Revision, Slots: s.Slots, QueueLimit: s.QueueLimit, Model: s.Model,
 		FencingChecked: s.FencingChecked, AwayPercent: s.AwayPercent, Peers: peers, Rank: rank,
+		CrashQuarantine: time.Duration(state.Document.Limits.CrashQuarantineSeconds) * time.Second,
 	}, true
 }
--- /dev/null
+++ b/sidecar/runner/settings_test.go
@@ -0,0 +1,23 @@
+package runner
+
+import (
+	"os"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/lycheeladder/lycheeladder/ladder/tabulator"
+)
+
+// The table of settings in docs/OPERATIONS.md is made from Settings. After a
+// change: UPDATE_PAGES=1 go test ./sidecar/runner -run Settings
+func TestSettings_PageIsCurrent(t *testing.T) {
+	table, err := tabulator.Settings("sidecar", &Settings{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want, got, err := tabulator.Compare("../../docs/OPERATIONS.md", "settings of sidecar", table, os.Getenv("UPDATE_PAGES") != "")
+	if diff := cmp.Diff(want, got); diff != "" || err != nil {
+		t.Errorf("page is not current, %v (-want +got):\n%s", err, diff)
+	}
+}
