--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 MODULES := ladder $(PROGRAMS) sloper measurer
 VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo dev)
 
-.PHONY: build test vet lint format demo slopes measure
+.PHONY: build test vet lint format demo pages slopes measure
 build:
 	@mkdir -p bin
 	@for p in $(PROGRAMS); do go build -ldflags "-X github.com/lycheeladder/lycheeladder/ladder/starter.Version=$(VERSION)" -o bin/$$p ./$$p || exit 1; done
@@ -30,3 +30,9 @@
 # Baseline, ours and the bound side by side, in virtual time.
 measure:
 	@go run ./measurer all --write docs
+
+# The parts of docs/ that come from the programs. One package after the other:
+# they write the same page.
+pages:
+	UPDATE_PAGES=1 go test -p 1 -count=1 ./ladder/tabulator ./entry/runner ./sidecar/runner
+	go test ./ladderctl/verb -run Schema -update
--- a/ladder/tabulator/tabulator_test.go
+++ b/ladder/tabulator/tabulator_test.go
@@ -16,7 +16,7 @@
 
 const pageFile = "../../docs/OPERATIONS.md"
 
-// After a change: UPDATE_PAGES=1 go test ./ladder/tabulator
+// After a change: make pages
 func TestCodes_PageIsCurrent(t *testing.T) {
 	want, got, err := tabulator.Compare(pageFile, "codes", tabulator.Codes(), os.Getenv("UPDATE_PAGES") != "")
 	if diff := cmp.Diff(want, got); diff != "" || err != nil {
--- a/ladderctl/verb/schema_test.go
+++ b/ladderctl/verb/schema_test.go
@@ -15,7 +15,7 @@
 const schemaFile = "../../docs/document.schema.json"
 
 // The committed schema is made from the Go types, their comments and the table
-// of bounds. After a change: go test ./ladderctl/verb -run Schema -update
+// of bounds. After a change: make pages
 func TestSchema_CommittedFileIsCurrent(t *testing.T) {
 	got := schemaOf(t)
 	if *update {
--- a/sidecar/runner/settings_test.go
+++ b/sidecar/runner/settings_test.go
@@ -10,7 +10,7 @@
 )
 
 // The table of settings in docs/OPERATIONS.md is made from Settings. After a
-// change: UPDATE_PAGES=1 go test ./sidecar/runner -run Settings
+// change: make pages
 func TestSettings_PageIsCurrent(t *testing.T) {
 	table, err := tabulator.Settings("sidecar", &Settings{})
 	if err != nil {
