--- a/entry/console/draft.go
+++ b/entry/console/draft.go
@@ -194,28 +194,45 @@
 	return err
 }
 
+const (
+	day = 24 * time.Hour
+	// renewal is how long before its end an approval should be renewed.
+	renewal = 30 * day
+)
+
 // approvals tells which grants have a valid approval at now.
 func (d *draftContent) approvals(document *validator.Document, now time.Time) {
 	d.Approved = make(map[int]string, len(document.Grants))
 	for n, g := range document.Grants {
+		if _, ok := document.ServiceByName(g.Service); !ok {
+			continue // A fault already says so.
+		}
 		if err := approver.Check(document, g, now); err != nil {
 			d.Waiting = append(d.Waiting, fmt.Sprintf("%s → %s: %s", g.Team, g.Service, errors.Cause(err)))
 			continue
 		}
 		d.Approved[n] = fmt.Sprintf("approved by %s until %s", g.Approval.Owner, g.Approval.Expires.UTC().Format(time.DateOnly))
+		if left := g.Approval.Expires.Sub(now); left < renewal {
+			d.Approved[n] += fmt.Sprintf(": renew it, %d days are left", int(left/day))
+		}
 	}
 }
 
 func countBySection(faults validator.Faults) map[string]int {
 	count := make(map[string]int)
 	for _, f := range faults {
-		section, _, _ := strings.Cut(f.Path, ".")
-		section, _, _ = strings.Cut(section, "[")
-		count[section]++
+		count[sectionOf(f.Path)]++
 	}
 	return count
 }
 
+// sectionOf returns the section that a path in the document is in.
+func sectionOf(path string) string {
+	section, _, _ := strings.Cut(path, ".")
+	section, _, _ = strings.Cut(section, "[")
+	return section
+}
+
 // publish proposes the draft. Whatever the answer, the draft stays in the
 // page, with the same document id unless it is rebased.
 func (c *Console) publish(x fiber.Ctx, d *drafter.Draft) error {
--- a/entry/console/live.go
+++ b/entry/console/live.go
@@ -31,6 +31,7 @@
 	"round":        func(d time.Duration) string { return d.Round(time.Millisecond).String() },
 	"when":         func(t time.Time) string { return t.UTC().Format("2006-01-02 15:04:05 MST") },
 	"brief":        brief,
+	"section":      sectionOf,
 }
 
 // briefLength bounds a value in a table, in bytes.
