--- a/ladder/queuer/order.go
+++ b/ladder/queuer/order.go
@@ -1,10 +1,6 @@
 package queuer
 
-import (
-	"time"
-
-	"github.com/lycheeladder/lycheeladder/ladder/identifier"
-)
+import "github.com/lycheeladder/lycheeladder/ladder/identifier"
 
 // Order is a way to choose which waiting item goes first.
 //
@@ -20,9 +16,13 @@
 
 // ShortFirst takes live before rollout, within a class the more urgent first,
 // then the one with the fewest expected tokens, less what it has gained by
-// waiting. While short live work is about, long work doesn't get all slots;
-// while rollout work waits, it always gets one.
-type ShortFirst struct{}
+// waiting. While rollout work waits, it always gets a slot.
+type ShortFirst struct {
+	// Pauses says that the target pauses work of a lower priority when it is
+	// given more than its slots, as model engines do. Short live work then goes
+	// above the slots instead of waiting for long work to end.
+	Pauses bool
+}
 
 func (FirstInFirstOut) order() {}
 func (PlainPriority) order()   {}
@@ -33,8 +33,9 @@
 	// with n expected tokens is overtaken only by items that come at most
 	// n/ageingRate seconds after it.
 	ageingRate = 100
-	// reservedShare is one in so many slots that long work can't take.
-	reservedShare = 4
+	// aboveShare is one more slot for so many that short live work may take
+	// above them.
+	aboveShare = 4
 	// rolloutSlots is what rollout work gets while it waits, whatever live
 	// work there is.
 	rolloutSlots = 1
@@ -43,15 +44,15 @@
 // best returns the index of the waiting item to run now, -1 if there is none.
 // The caller holds the mutex.
 func (q *Queuer) best() int {
-	if len(q.running) >= q.slots {
+	shortFirst, _ := q.order.(ShortFirst)
+	full := len(q.running) >= q.slots
+	if full && (!shortFirst.Pauses || !q.aboveAllowed()) {
 		return -1
 	}
-	_, shortFirst := q.order.(ShortFirst)
-	first := q.rolloutFirst()
-	longAllowed := !shortFirst || q.longAllowed()
+	first := q.firstClass()
 	best := -1
 	for n, e := range q.waiting {
-		if !longAllowed && q.lengths.long(e.Item) {
+		if full && q.priority(e.Item) != prioritySoon {
 			continue
 		}
 		if best < 0 || q.before(e, q.waiting[best], first) {
@@ -89,9 +90,9 @@
 	return float64(a.Expected) + ageingRate*a.since.Sub(b.since).Seconds()
 }
 
-// rolloutFirst returns the class that goes first: rollout work while it has
+// firstClass returns the class that goes first: rollout work while it has
 // fewer slots than it is sure of, live work else.
-func (q *Queuer) rolloutFirst() identifier.Class {
+func (q *Queuer) firstClass() identifier.Class {
 	running := 0
 	for _, e := range q.running {
 		if e.Class == identifier.ClassRollout {
@@ -104,21 +105,33 @@
 	return identifier.ClassLive
 }
 
-// longAllowed says whether one more long item may run. What has run for long
-// counts as long, whatever was expected of it.
-func (q *Queuer) longAllowed() bool {
+// aboveAllowed says whether a short live item may run although all slots are
+// taken: an engine that honours priorities pauses long work for it, and one
+// that doesn't lets it wait no longer than here.
+func (q *Queuer) aboveAllowed() bool {
 	now := q.clock.Now()
-	if !q.lengths.shortAbout(now) {
-		return true
-	}
-	long := 0
+	short := 0
 	for _, e := range q.running {
-		if q.lengths.long(e.Item) || q.lengths.ranLong(now.Sub(e.since)) {
-			long++
+		if q.priority(e.Item) == prioritySoon && !q.lengths.ranLong(now.Sub(e.since)) {
+			short++
 		}
 	}
-	return long < q.slots-q.slots/reservedShare
+	return short < q.slots && len(q.running) < q.slots+max(1, q.slots/aboveShare)
 }
 
-// shortMemory is how long after the last live item slots are kept for more.
-const shortMemory = 10 * time.Second
+// The priorities that an engine is told.
+const (
+	prioritySoon    = 0
+	priorityLong    = 5
+	priorityRollout = 10
+)
+
+func (q *Queuer) priority(i Item) int {
+	switch {
+	case i.Class == identifier.ClassRollout:
+		return priorityRollout
+	case q.lengths.long(i):
+		return priorityLong
+	}
+	return prioritySoon
+}
--- a/ladder/queuer/queuer.go
+++ b/ladder/queuer/queuer.go
@@ -27,6 +27,9 @@
 	Expected identifier.TokenCount
 	// Alone says that nothing may run beside it.
 	Alone bool
+	// Priority is set when the item is taken: what to tell an engine that
+	// orders work itself. Smaller is sooner.
+	Priority int
 }
 
 // entry is an item in the queue or at the target.
@@ -44,7 +47,8 @@
 	mutex sync.Mutex
 	// waiting is in order of arrival.
 	waiting []entry
-	// running never has more than slots items, except after slots was lowered.
+	// running never has more than slots items and those that go above them,
+	// except after slots was lowered.
 	running []entry
 	slots   int
 	limit   int
@@ -75,7 +79,7 @@
 		return ErrFull
 	}
 	now := q.clock.Now()
-	q.lengths.arrived(i, now)
+	q.lengths.arrived(i)
 	q.waiting = append(q.waiting, entry{Item: i, since: now})
 	q.notify()
 	return nil
@@ -112,6 +116,7 @@
 	e := q.waiting[best]
 	q.waiting = slices.Delete(q.waiting, best, best+1)
 	e.since = q.clock.Now()
+	e.Priority = q.priority(e.Item)
 	q.running = append(q.running, e)
 	return nil, e.Item, true
 }
