--- a/ladder/dispatcher/peer.go
+++ b/ladder/dispatcher/peer.go
@@ -35,12 +35,17 @@
 	zone        identifier.ZoneName
 	// link is nil while no link is up.
 	link messenger.Link
+	// announced is the goal last sent at once.
+	announced messenger.WeightGoal
+	leaving   bool
+	revision  identifier.Revision
+	load      messenger.Load
+	loadAt    time.Time
+	// configured is what this link's sidecar has: the Configuration sent last,
+	// at the newest revision under which it is the same.
+	configured messenger.Configuration
 	// detached counts the links that have failed.
 	detached int
-	leaving  bool
-	revision identifier.Revision
-	load     messenger.Load
-	loadAt   time.Time
 	// attempts are those open at this incarnation.
 	attempts map[key]*attempt
 	// gone is closed when the incarnation will not be heard of again.
@@ -49,11 +54,22 @@
 	located chan messenger.Located
 }
 
+// usable says whether the peer may be given work: before its configuration it
+// has no queue. The caller holds the dispatcher's mutex.
+func (p *peer) usable() bool {
+	return p.link != nil && p.configured.Revision > 0 && !p.leaving
+}
+
 // attempt is one open dispatch of a request.
 type attempt struct {
 	key    key
 	peer   *peer
 	output *accumulator.Accumulator
+	// streamed says that pieces come as they are made; else, after the first,
+	// their times tell how much they hold and not how fast the target is.
+	streamed bool
+	// heard is when a piece of the answer came last, or the dispatch.
+	heard time.Time
 	// users is how many calls follow the attempt: a caller may send a keyed
 	// call again through the same entry.
 	users int
@@ -66,7 +82,7 @@
 func (d *Dispatcher) Serve(ctx context.Context, l messenger.Link) error {
 	hello := messenger.Hello{
 		Name: string(d.options.Entry), Incarnation: d.options.Incarnation,
-		Zone: d.options.Zone, Goals: d.goals.All(),
+		Zone: d.options.Zone,
 	}
 	if err := d.beats.SendWithin(ctx, l, hello); err != nil {
 		return err
@@ -78,7 +94,8 @@
 	}
 	klog.InfoS("sidecar linked", "target", p.target, "incarnation", p.incarnation, "zone", p.zone)
 	d.resume(ctx, p, l)
-	err = d.beats.Run(ctx, l, d.heartbeat, func(m messenger.Message) error { return d.handle(ctx, p, l, m) })
+	beat := func() messenger.Heartbeat { return d.heartbeat(p) }
+	err = d.beats.Run(ctx, l, beat, func(m messenger.Message) error { return d.handle(ctx, p, l, m) })
 	klog.InfoS("sidecar link ended", "target", p.target, "incarnation", p.incarnation, "err", err)
 	d.detach(p, l)
 	return err
@@ -121,21 +138,23 @@
 		_ = p.link.Close()
 	}
 	p.link, p.leaving, p.revision = l, hello.Leaving, hello.Revision
+	p.configured, p.announced = messenger.Configuration{}, messenger.WeightGoal{}
 	return p, nil
 }
 
 // resume sends the sidecar its configuration and asks for every open answer
 // from where it broke off.
 func (d *Dispatcher) resume(ctx context.Context, p *peer, l messenger.Link) {
+	d.configure(ctx, p)
 	d.mutex.Lock()
 	var messages []messenger.Message
-	if m, ok := d.configurationOf(p); ok {
-		messages = append(messages, m)
-	}
 	for _, a := range p.attempts {
 		messages = append(messages, a.resumption())
 	}
 	d.mutex.Unlock()
+	for _, m := range d.quarantine.All() {
+		messages = append(messages, m)
+	}
 	for _, m := range messages {
 		if d.beats.SendWithin(ctx, l, m) != nil {
 			_ = l.Close()
@@ -213,6 +232,9 @@
 		}
 		return nil
 	case messenger.Crashed:
+		if d.quarantine.Learn(m) {
+			go d.spreadCrashes(ctx, p, m)
+		}
 		return nil
 	case messenger.Start, messenger.Cancel, messenger.Resume, messenger.Release, messenger.Configuration, messenger.Locate:
 		return errUnexpected
@@ -235,12 +257,28 @@
 
 func (d *Dispatcher) chunk(ctx context.Context, p *peer, l messenger.Link, m messenger.Chunk) error {
 	a := d.attemptOf(p, key{m.Request, m.Attempt}, m.Incarnation)
-	if a == nil || a.output.WriteAt(m.Offset, m.Data) {
+	if a == nil {
+		return nil
+	}
+	if first := m.Offset == 0; first || a.streamed {
+		d.heard(a, first)
+	}
+	if a.output.WriteAt(m.Offset, m.Data) {
 		return nil
 	}
 	return d.beats.SendWithin(ctx, l, a.resumption())
 }
 
+// heard lets the router learn from the time a piece took.
+func (d *Dispatcher) heard(a *attempt, first bool) {
+	d.mutex.Lock()
+	now := d.clock.Now()
+	gap := now.Sub(a.heard)
+	a.heard = now
+	d.mutex.Unlock()
+	d.router.Heard(a.peer.target, gap, first)
+}
+
 func (d *Dispatcher) end(ctx context.Context, p *peer, l messenger.Link, m messenger.End) error {
 	k := key{m.Request, m.Attempt}
 	a := d.attemptOf(p, k, m.Incarnation)
--- a/ladder/executor/executor.go
+++ b/ladder/executor/executor.go
@@ -17,6 +17,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/heartbeater"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/quarantiner"
 	"github.com/lycheeladder/lycheeladder/ladder/queuer"
 )
 
@@ -66,6 +67,10 @@
 	beats   *heartbeater.Heartbeater
 	goals   Goals
 	options Options
+	// quarantine knows which requests may not run, or only alone.
+	quarantine *quarantiner.Quarantiner
+	// crashes is held while a crash is being reported.
+	crashes sync.Mutex
 
 	mutex sync.Mutex
 	// jobs has every attempt whose answer is still held.
@@ -73,8 +78,8 @@
 	// traces has every attempt that was refused or has ended, until it is
 	// older than Memory. An attempt is never in jobs and traces at once.
 	traces map[key]trace
-	// links are those that heartbeats go out on.
-	links map[messenger.Link]struct{}
+	// links are those that heartbeats go out on; true for one that retires.
+	links map[messenger.Link]bool
 	// configuration is the newest received.
 	configuration messenger.Configuration
 	leaving       bool
@@ -100,9 +105,10 @@
 func New(clock clockwork.Clock, target caller.Target, q *queuer.Queuer, beats *heartbeater.Heartbeater, goals Goals, options Options) *Executor {
 	return &Executor{
 		clock: clock, target: target, queue: q, beats: beats, goals: goals, options: options,
-		jobs:   make(map[key]*job),
-		traces: make(map[key]trace),
-		links:  make(map[messenger.Link]struct{}),
+		quarantine: quarantiner.New(clock),
+		jobs:       make(map[key]*job),
+		traces:     make(map[key]trace),
+		links:      make(map[messenger.Link]bool),
 	}
 }
 
@@ -111,6 +117,11 @@
 	if err := e.beats.SendWithin(ctx, l, e.hello()); err != nil {
 		return err
 	}
+	for _, m := range e.quarantine.All() {
+		if err := e.beats.SendWithin(ctx, l, m); err != nil {
+			return err
+		}
+	}
 	e.setLink(l, true)
 	defer e.orphan(l)
 	defer e.setLink(l, false)
@@ -119,7 +130,7 @@
 	defer pumps.Wait()
 	defer cancel()
 	c := &connection{executor: e, link: l, pumps: &pumps, ctx: ctx}
-	return e.beats.Run(ctx, l, e.heartbeat, c.handle)
+	return e.beats.Run(ctx, l, func() messenger.Heartbeat { return e.heartbeat(l) }, c.handle)
 }
 
 func (e *Executor) hello() messenger.Hello {
@@ -132,12 +143,12 @@
 	}
 }
 
-func (e *Executor) heartbeat() messenger.Heartbeat {
+func (e *Executor) heartbeat(l messenger.Link) messenger.Heartbeat {
 	running, waiting, slots := e.queue.Lengths()
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	return messenger.Heartbeat{
-		Revision: e.configuration.Revision, Leaving: e.leaving, Goals: e.goals.All(),
+		Revision: e.configuration.Revision, Leaving: e.leaving || e.links[l], Goals: e.goals.All(),
 		Load: messenger.Load{InFlight: running, Queued: waiting, Slots: slots, Version: e.version},
 	}
 }
@@ -165,17 +176,29 @@
 
 // Announce sends a heartbeat on every link at once, for news that can't wait.
 func (e *Executor) Announce(ctx context.Context) {
-	h := e.heartbeat()
+	e.eachLink(ctx, nil, func(l messenger.Link) messenger.Message { return e.heartbeat(l) })
+}
+
+// broadcast sends a message on every link but one.
+func (e *Executor) broadcast(ctx context.Context, except messenger.Link, m messenger.Message) {
+	e.eachLink(ctx, except, func(messenger.Link) messenger.Message { return m })
+}
+
+// eachLink sends each link but one its message, all at once, and returns when
+// they have gone out.
+func (e *Executor) eachLink(ctx context.Context, except messenger.Link, messageFor func(messenger.Link) messenger.Message) {
 	e.mutex.Lock()
 	links := make([]messenger.Link, 0, len(e.links))
 	for l := range e.links {
-		links = append(links, l)
+		if l != except {
+			links = append(links, l)
+		}
 	}
 	e.mutex.Unlock()
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
 	for _, l := range links {
-		tasks.Go(func() { _ = e.beats.SendWithin(ctx, l, h) })
+		tasks.Go(func() { _ = e.beats.SendWithin(ctx, l, messageFor(l)) })
 	}
 }
 
@@ -193,10 +216,26 @@
 	}
 }
 
+// GiveUp ends all work that has no answer yet: what waits is refused and never
+// runs, what runs is cancelled.
+func (e *Executor) GiveUp() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for k, j := range e.jobs {
+		if e.queue.Remove(k.request, k.attempt) {
+			e.finish(j, *e.refused(j.start, messenger.RefusedLeaving, retryAfterLeaving))
+			continue
+		}
+		j.cancel()
+	}
+}
+
+// drainPoll is the time between two looks at what is left.
+const drainPoll = 20 * time.Millisecond
+
 // Drain waits until every answer has been taken and Linger is over, or ctx
 // ends. It returns how many answers were left.
 func (e *Executor) Drain(ctx context.Context) int {
-	const poll = 20 * time.Millisecond
 	for {
 		left, lingered := e.left()
 		if left == 0 && lingered {
@@ -205,7 +244,7 @@
 		select {
 		case <-ctx.Done():
 			return left
-		case <-e.clock.After(poll):
+		case <-e.clock.After(drainPoll):
 		}
 	}
 }
@@ -265,7 +304,7 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if up {
-		e.links[l] = struct{}{}
+		e.links[l] = false
 	} else {
 		delete(e.links, l)
 	}
--- a/ladder/executor/job.go
+++ b/ladder/executor/job.go
@@ -22,6 +22,9 @@
 	// set before output ends.
 	answer  messenger.Answer
 	endedAt time.Time
+	// bootID names the target's process that the work was handed to; empty
+	// while it waits.
+	bootID string
 	// abandoned says that nobody will take the answer.
 	abandoned bool
 	// owner is the link that the answer goes to.
@@ -39,7 +42,9 @@
 }
 
 func itemOf(m messenger.Start) queuer.Item {
-	return queuer.Item{Request: m.Request, Attempt: m.Attempt, Class: m.Class, Urgency: m.Urgency}
+	return queuer.Item{
+		Request: m.Request, Attempt: m.Attempt, Class: m.Class, Urgency: m.Urgency, Expected: m.Expected, Alone: m.Alone,
+	}
 }
 
 // useful says whether the job's answer is, or may still become, a whole one.
@@ -63,12 +68,23 @@
 	})
 }
 
+// leastOf is how many bytes beyond offset are worth a frame: the first at once,
+// since the entry judges targets by when they begin, then, for a caller who
+// doesn't follow it, a full chunk. An engine makes a token at a time, and
+// a frame for each would cost more than the token.
+func (j *job) leastOf(offset uint64) uint64 {
+	if j.start.Streamed || offset == 0 {
+		return 1
+	}
+	return chunkBytes
+}
+
 // follow sends chunks as they come, then the answer. It doesn't wait for an
 // earlier task that may be stuck on a silent link: offsets make it harmless
 // that both send for a moment.
 func (c *connection) follow(ctx context.Context, j *job, offset uint64) {
 	for {
-		data, ended, err := j.output.Next(ctx, offset)
+		data, ended, err := j.output.NextAtLeast(ctx, offset, j.leastOf(offset))
 		if err != nil {
 			return
 		}
--- a/ladder/faker/network.go
+++ b/ladder/faker/network.go
@@ -23,14 +23,21 @@
 // NewNetwork returns a Network without listeners.
 func NewNetwork() *Network { return &Network{listeners: make(map[string]Serve)} }
 
-// Listen has serve run on every link that is dialled to address from now on;
-// nil ends that.
+// Listen has serve run on every link that is dialled to address from now on.
 func (n *Network) Listen(address string, serve Serve) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	n.listeners[address] = serve
 }
 
+// Close has dials to address refused from now on.
+func (n *Network) Close(address string) { n.Listen(address, nil) }
+
+// Dial implements supervisor.Dialer for a process without a name.
+func (n *Network) Dial(ctx context.Context, address string) (messenger.Link, error) {
+	return n.Dialer("").Dial(ctx, address)
+}
+
 // Dialer returns the network as the process from sees it.
 func (n *Network) Dialer(from string) *Dialer { return &Dialer{network: n, from: from} }
 
--- a/ladder/prover/document.go
+++ b/ladder/prover/document.go
@@ -69,7 +69,11 @@
 	}
 }
 
-// recordOf returns the document as a proposal in the log.
+// recordOf returns the first document as a proposal in the log.
 func recordOf(d validator.Document) ([]byte, error) {
-	return accepter.Record{Kind: accepter.KindProposal, Document: d}.Encode()
+	p, err := accepter.NewProposal(nil, d)
+	if err != nil {
+		return nil, err
+	}
+	return accepter.EncodeRecord(p)
 }
--- a/ladder/prover/processes.go
+++ b/ladder/prover/processes.go
@@ -83,7 +83,7 @@
 			w.sleep(20 * time.Millisecond)
 		}
 	}
-	w.network.Listen(name, nil)
+	w.network.Close(name)
 	e.stop()
 }
 
--- /dev/null
+++ b/ladder/queuer/order.go
@@ -0,0 +1,137 @@
+package queuer
+
+import "github.com/lycheeladder/lycheeladder/ladder/identifier"
+
+// Order is a way to choose which waiting item goes first.
+//
+//sumtype:decl
+type Order interface{ order() }
+
+// FirstInFirstOut takes items in the order of arrival. It is a baseline.
+type FirstInFirstOut struct{}
+
+// PlainPriority takes live before rollout, within a class the more urgent
+// first, then the one that has waited longest. It is a baseline.
+type PlainPriority struct{}
+
+// ShortFirst takes live before rollout, within a class the more urgent first,
+// then the one with the fewest expected tokens, less what it has gained by
+// waiting. While rollout work waits, it always gets a slot.
+type ShortFirst struct {
+	// Pauses says that the target pauses work of a lower priority when it is
+	// given more than its slots, as model engines do. Short live work then goes
+	// above the slots instead of waiting for long work to end.
+	Pauses bool
+}
+
+func (FirstInFirstOut) order() {}
+func (PlainPriority) order()   {}
+func (ShortFirst) order()      {}
+
+const (
+	// ageingRate is what an item gains by waiting, in tokens a second: one
+	// with n expected tokens is overtaken only by items that come at most
+	// n/ageingRate seconds after it.
+	ageingRate = 100
+	// aboveShare is one more slot for so many that short live work may take
+	// above them.
+	aboveShare = 4
+	// rolloutSlots is what rollout work gets while it waits, whatever live
+	// work there is.
+	rolloutSlots = 1
+)
+
+// best returns the index of the waiting item to run now, -1 if there is none.
+// The caller holds the mutex.
+func (q *Queuer) best() int {
+	shortFirst, _ := q.order.(ShortFirst)
+	full := len(q.running) >= q.slots
+	if full && (!shortFirst.Pauses || !q.aboveAllowed()) {
+		return -1
+	}
+	first := q.firstClass()
+	best := -1
+	for n, e := range q.waiting {
+		if full && q.priority(e.Item) != prioritySoon {
+			continue
+		}
+		if best < 0 || q.before(e, q.waiting[best], first) {
+			best = n
+		}
+	}
+	return best
+}
+
+// before says whether a, which came later than b, goes before it.
+func (q *Queuer) before(a, b entry, first identifier.Class) bool {
+	switch q.order.(type) {
+	case FirstInFirstOut:
+		return false
+	case PlainPriority:
+		if a.Class != b.Class {
+			return a.Class == identifier.ClassLive
+		}
+		return a.Urgency > b.Urgency
+	case ShortFirst:
+		if a.Class != b.Class {
+			return a.Class == first
+		}
+		if a.Urgency != b.Urgency {
+			return a.Urgency > b.Urgency
+		}
+		return aged(a, b) < float64(b.Expected)
+	}
+	return false
+}
+
+// aged is the expected tokens of a, plus the gain that the earlier b has over
+// it.
+func aged(a, b entry) float64 {
+	return float64(a.Expected) + ageingRate*a.since.Sub(b.since).Seconds()
+}
+
+// firstClass returns the class that goes first: rollout work while it has
+// fewer slots than it is sure of, live work else.
+func (q *Queuer) firstClass() identifier.Class {
+	running := 0
+	for _, e := range q.running {
+		if e.Class == identifier.ClassRollout {
+			running++
+		}
+	}
+	if running < min(rolloutSlots, q.slots-1) {
+		return identifier.ClassRollout
+	}
+	return identifier.ClassLive
+}
+
+// aboveAllowed says whether a short live item may run although all slots are
+// taken: an engine that honours priorities pauses long work for it, and one
+// that doesn't lets it wait no longer than here.
+func (q *Queuer) aboveAllowed() bool {
+	now := q.clock.Now()
+	short := 0
+	for _, e := range q.running {
+		if q.priority(e.Item) == prioritySoon && !q.lengths.ranLong(now.Sub(e.since)) {
+			short++
+		}
+	}
+	return short < q.slots && len(q.running) < q.slots+max(1, q.slots/aboveShare)
+}
+
+// The priorities that an engine is told.
+const (
+	prioritySoon    = 0
+	priorityLong    = 5
+	priorityRollout = 10
+)
+
+func (q *Queuer) priority(i Item) int {
+	switch {
+	case i.Class == identifier.ClassRollout:
+		return priorityRollout
+	case q.lengths.long(i):
+		return priorityLong
+	}
+	return prioritySoon
+}
--- a/ladder/queuer/queuer.go
+++ b/ladder/queuer/queuer.go
@@ -3,16 +3,16 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
+	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 )
 
-// Live goes before rollout. Within a class the more urgent goes first, then
-// the one that has waited longest.
-
 // ErrFull says that the queue is at its limit.
 var ErrFull = errors.New("queue full")
 
@@ -21,24 +21,45 @@
 	Request identifier.RequestID
 	Attempt identifier.Attempt
 	Class   identifier.Class
+	// Urgency orders rollout work; larger is sooner.
 	Urgency int
+	// Expected is the expected number of tokens, 0 if unknown.
+	Expected identifier.TokenCount
+	// Alone says that nothing may run beside it.
+	Alone bool
+	// Priority is set when the item is taken: what to tell an engine that
+	// orders work itself. Smaller is sooner.
+	Priority int
+}
+
+// entry is an item in the queue or at the target.
+type entry struct {
+	Item
+	// since is when it was put or, once it runs, taken.
+	since time.Time
 }
 
 // Queuer is a bounded queue with a bounded number of running items.
 type Queuer struct {
+	clock clockwork.Clock
+	order Order
+
 	mutex sync.Mutex
 	// waiting is in order of arrival.
-	waiting []Item
-	// running never exceeds slots, except after slots was lowered.
-	running int
+	waiting []entry
+	// running never has more than slots items and those that go above them,
+	// except after slots was lowered.
+	running []entry
 	slots   int
 	limit   int
+	// lengths tells long items from short ones.
+	lengths lengths
 	changed chan struct{}
 }
 
 // New returns a Queuer with slots running and limit waiting items at most.
-func New(slots, limit int) *Queuer {
-	return &Queuer{slots: slots, limit: limit, changed: make(chan struct{})}
+func New(clock clockwork.Clock, order Order, slots, limit int) *Queuer {
+	return &Queuer{clock: clock, order: order, slots: slots, limit: limit, changed: make(chan struct{})}
 }
 
 // Resize changes the bounds; what waits or runs is left.
@@ -54,10 +75,12 @@
 func (q *Queuer) Put(i Item) error {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	if len(q.waiting) >= q.limit+max(0, q.slots-q.running) {
+	if len(q.waiting) >= q.limit+max(0, q.slots-len(q.running)) {
 		return ErrFull
 	}
-	q.waiting = append(q.waiting, i)
+	now := q.clock.Now()
+	q.lengths.arrived(i)
+	q.waiting = append(q.waiting, entry{Item: i, since: now})
 	q.notify()
 	return nil
 }
@@ -65,16 +88,10 @@
 // Take waits for the next item and takes a slot for it; Done gives it back.
 func (q *Queuer) Take(ctx context.Context) (Item, error) {
 	for {
-		q.mutex.Lock()
-		if best := q.best(); best >= 0 && q.running < q.slots {
-			i := q.waiting[best]
-			q.waiting = append(q.waiting[:best], q.waiting[best+1:]...)
-			q.running++
-			q.mutex.Unlock()
+		changed, i, ok := q.next()
+		if ok {
 			return i, nil
 		}
-		changed := q.changed
-		q.mutex.Unlock()
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -83,11 +100,42 @@
 	}
 }
 
-// Done gives a slot back.
-func (q *Queuer) Done() {
+// Next is Take without the wait: it returns false if there is nothing to take.
+func (q *Queuer) Next() (Item, bool) {
+	_, i, ok := q.next()
+	return i, ok
+}
+
+func (q *Queuer) next() (changed <-chan struct{}, i Item, ok bool) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	best := q.best()
+	if best < 0 || !q.fitsBeside(q.waiting[best].Item) {
+		return q.changed, Item{}, false
+	}
+	e := q.waiting[best]
+	q.waiting = slices.Delete(q.waiting, best, best+1)
+	e.since = q.clock.Now()
+	e.Priority = q.priority(e.Item)
+	q.running = append(q.running, e)
+	return nil, e.Item, true
+}
+
+// fitsBeside says whether the item may run beside what runs now.
+func (q *Queuer) fitsBeside(i Item) bool {
+	return len(q.running) == 0 || (!i.Alone && !q.running[0].Alone)
+}
+
+// Done gives the slot of a taken item back.
+func (q *Queuer) Done(i Item) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	q.running--
+	n := indexOf(q.running, i.Request, i.Attempt)
+	if n < 0 {
+		return
+	}
+	q.lengths.ran(i, q.clock.Since(q.running[n].since))
+	q.running = slices.Delete(q.running, n, n+1)
 	q.notify()
 }
 
@@ -95,37 +143,23 @@
 func (q *Queuer) Remove(request identifier.RequestID, attempt identifier.Attempt) bool {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	for n, i := range q.waiting {
-		if i.Request == request && i.Attempt == attempt {
-			q.waiting = append(q.waiting[:n], q.waiting[n+1:]...)
-			return true
-		}
+	n := indexOf(q.waiting, request, attempt)
+	if n < 0 {
+		return false
 	}
-	return false
+	q.waiting = slices.Delete(q.waiting, n, n+1)
+	return true
 }
 
 // Lengths returns how many items run and wait, and the slots.
 func (q *Queuer) Lengths() (running, waiting, slots int) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return q.running, len(q.waiting), q.slots
+	return len(q.running), len(q.waiting), q.slots
 }
 
-func (q *Queuer) best() int {
-	best := -1
-	for n, i := range q.waiting {
-		if best < 0 || before(i, q.waiting[best]) {
-			best = n
-		}
-	}
-	return best
-}
-
-func before(a, b Item) bool {
-	if a.Class != b.Class {
-		return a.Class == identifier.ClassLive
-	}
-	return a.Urgency > b.Urgency
+func indexOf(entries []entry, request identifier.RequestID, attempt identifier.Attempt) int {
+	return slices.IndexFunc(entries, func(e entry) bool { return e.Request == request && e.Attempt == attempt })
 }
 
 func (q *Queuer) notify() {
--- a/sidecar/runner/runner.go
+++ b/sidecar/runner/runner.go
@@ -30,11 +30,13 @@
 It dials the entries named by --entry and by the platform's host list, keeps
 every answer until the entry has it whole, and brings an engine to new weights.
 On SIGTERM it takes no new work and finishes what it has, at most for
---drain-timeout. Each flag can be set by the environment variable shown.`
+--drain-timeout; what is left then, or at a second SIGTERM, gets a final answer.
+Each flag can be set by the environment variable shown.`
 
 // Settings are a sidecar's flags and environment variables.
 type Settings struct {
 	starter.Common
+	heartbeater.Settings
 	Target       string            `help:"This target's name, unique in its service." required:""`
 	Service      string            `help:"The service that the target belongs to." required:""`
 	Zone         string            `help:"The availability zone of this host." required:""`
@@ -42,7 +44,9 @@
 	Address      starter.Address   `help:"Where the target listens, IP:port." required:""`
 	Entry        []starter.Address `help:"An entry's peer listener, IP:port. May be given often."`
 	Hosts        starter.Address   `help:"The platform's host list, IP:port."`
+	Links        int               `help:"How many entries to link to at most, 0 for all. Targets times links should be twice the entries at least." default:"4"`
 	Listen       starter.Address   `help:"Where to serve status and metrics, IP:port." default:"127.0.0.1:0"`
+	LeaveDelay   time.Duration     `help:"How long a stop stays at least, to refuse work that entries sent before they heard of it." default:"4500ms"`
 	DrainTimeout time.Duration     `help:"How long a stop waits for work in progress." default:"30s"`
 	Retention    time.Duration     `help:"How long an answer that no entry has taken is kept." default:"5m"`
 }
@@ -52,6 +56,10 @@
 	switch {
 	case len(s.Entry) == 0 && s.Hosts == "":
 		return fmt.Errorf("--entry: none given, and no --hosts; give one at least")
+	case s.Links < 0:
+		return fmt.Errorf("--links: %d is below 0", s.Links)
+	case s.LeaveDelay < 0:
+		return fmt.Errorf("--leave-delay: %s is below 0", s.LeaveDelay)
 	case s.DrainTimeout < 0:
 		return fmt.Errorf("--drain-timeout: %s is below 0", s.DrainTimeout)
 	case s.Retention < time.Second:
@@ -88,7 +96,7 @@
 	if err != nil {
 		return err
 	}
-	stopping, release := starter.UntilSignal()
+	stop, release := starter.UntilSignal()
 	defer release()
 	p := newSupervisor(s, linker.New(e))
 	working, cancel := context.WithCancel(context.Background())
@@ -102,9 +110,9 @@
 		}
 	})
 	klog.InfoS("sidecar started", "target", s.Target, "service", s.Service, "zone", s.Zone, "listen", listener.Addr().String())
-	<-stopping.Done()
-	bounded, stop := context.WithTimeout(working, s.DrainTimeout)
-	defer stop()
+	<-stop.Begun.Done()
+	bounded, giveUp := context.WithTimeout(stop.Hurried, s.LeaveDelay+s.DrainTimeout)
+	defer giveUp()
 	left := p.Stop(bounded)
 	klog.InfoS("sidecar stopped", "target", s.Target, "left", left)
 	cancel()
@@ -114,9 +122,10 @@
 func newSupervisor(s Settings, l *linker.Linker) *supervisor.Supervisor {
 	engine := s.Kind == "model-engine"
 	options := supervisor.Options{
-		Executor: executor.DefaultOptions(), Heartbeats: heartbeater.DefaultOptions(),
-		ListInterval: 2 * time.Second, Address: string(s.Address),
+		Executor: executor.DefaultOptions(), Heartbeats: s.Settings.Options(),
+		Address: string(s.Address), Links: s.Links, ListInterval: 2 * time.Second,
 	}
+	options.Executor.Linger = s.LeaveDelay
 	options.Executor.Target = identifier.TargetName(s.Target)
 	options.Executor.Service = identifier.ServiceName(s.Service)
 	options.Executor.Zone = identifier.ZoneName(s.Zone)
