Take turns at switching weights by windows from the goal's announcement

Cause, by reading: each target counted its delay from the end of its own load, with a fixed half second a wave, and kept a rank from before others came or went. Change: windows counted from when the goal was learnt, as long as the longest switch reported; a late target waits for its next window; entries send ranks anew when a target comes or goes. Not good enough: targets that learn the goal with the next heartbeat count from another moment.

--- a/ladder/converger/converger.go
+++ b/ladder/converger/converger.go
@@ -29,14 +29,13 @@
 	stateTimeout = 2 * time.Second
 	// checkInterval is the time between two looks at an idle engine.
 	checkInterval = time.Second
-	// waveDuration is the time given to each wave of switches.
-	waveDuration = 500 * time.Millisecond
 )
 
 // Sidecar is what a Converger needs of its executor.
 type Sidecar interface {
 	Configuration() messenger.Configuration
 	SetVersion(v identifier.WeightVersion)
+	SetSwitchTime(d time.Duration)
 	Announce(ctx context.Context)
 }
 
@@ -48,6 +47,11 @@
 	sidecar Sidecar
 	// fencing grows from one sidecar incarnation to the next on a host.
 	fencing identifier.FencingNumber
+	// goal is the newest seen, and since when it was learnt.
+	goal  identifier.WeightVersion
+	since time.Time
+	// switchTime is the longest switch of late.
+	switchTime time.Duration
 }
 
 // New returns a Converger. Orders carry the time of its making as fencing
@@ -86,18 +90,24 @@
 	if configuration.Model == "" || goal <= s.Version {
 		return nil
 	}
+	if goal != c.goal {
+		c.goal, c.since = goal, c.clock.Now()
+	}
 	o := caller.Order{Model: configuration.Model, Version: goal, Fencing: c.fencing}
 	if !slices.Contains(s.Loaded, goal) {
 		if err := c.order(ctx, c.target.Load, o); err != nil {
 			return errors.WithMessagef(err, "load version %d", goal)
 		}
 	}
-	if !c.wait(ctx, wave(configuration)) {
+	if !c.awaitTurn(ctx) {
 		return ctx.Err()
 	}
+	began := c.clock.Now()
 	if err := c.order(ctx, c.target.Switch, o); err != nil {
 		return errors.WithMessagef(err, "switch to version %d", goal)
 	}
+	c.switchTime = Learn(c.switchTime, c.clock.Since(began))
+	c.sidecar.SetSwitchTime(c.switchTime)
 	s, err = c.read(ctx)
 	if err != nil {
 		return err
@@ -107,24 +117,19 @@
 	return nil
 }
 
-// wave is the delay before this sidecar's switch.
-func wave(m messenger.Configuration) time.Duration {
-	if m.AwayPercent <= 0 || m.AwayPercent >= 100 || m.Peers <= 1 {
-		return 0
-	}
-	atOnce := max(1, m.Peers*m.AwayPercent/100)
-	return time.Duration(m.Rank/atOnce) * waveDuration
-}
-
-func (c *Converger) wait(ctx context.Context, d time.Duration) bool {
-	if d == 0 {
-		return true
-	}
-	select {
-	case <-ctx.Done():
-		return false
-	case <-c.clock.After(d):
-		return true
+// awaitTurn waits for this target's turn; it returns false if ctx ends first.
+// The rank is read anew after each wait, since targets come and go.
+func (c *Converger) awaitTurn(ctx context.Context) bool {
+	for {
+		d := Turn(c.sidecar.Configuration(), c.since, c.clock.Now())
+		if d == 0 {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-c.clock.After(d):
+		}
 	}
 }
 
--- a/ladder/dispatcher/dispatcher.go
+++ b/ladder/dispatcher/dispatcher.go
@@ -143,7 +143,12 @@
 }
 
 // Configure sends every sidecar its part of the accepted document.
-func (d *Dispatcher) Configure(ctx context.Context) {
+func (d *Dispatcher) Configure(ctx context.Context) { d.configure(ctx, "") }
+
+// configure does so for one service, or for all. A service's targets are told
+// anew when one has come or gone, or the time of a switch has changed: their
+// turns to switch weights depend on it.
+func (d *Dispatcher) configure(ctx context.Context, service identifier.ServiceName) {
 	type part struct {
 		link messenger.Link
 		m    messenger.Configuration
@@ -151,6 +156,9 @@
 	var parts []part
 	d.mutex.Lock()
 	for _, p := range d.peers {
+		if service != "" && p.service != service {
+			continue
+		}
 		if m, ok := d.configurationOf(p); ok && p.link != nil {
 			parts = append(parts, part{p.link, m})
 		}
@@ -175,7 +183,20 @@
 			rank++
 		}
 	}
-	return d.configurations.For(p.service, rank, peers)
+	m, ok := d.configurations.For(p.service, rank, peers)
+	m.SwitchTime = d.longestSwitch(p.service)
+	return m, ok
+}
+
+// longestSwitch returns the longest switch of weights that a service's targets
+// report. The caller holds the mutex.
+func (d *Dispatcher) longestSwitch(service identifier.ServiceName) (longest time.Duration) {
+	for _, p := range d.peers {
+		if p.service == service {
+			longest = max(longest, p.load.SwitchTime)
+		}
+	}
+	return longest
 }
 
 // links returns the open links, of one service or of all.
--- a/ladder/dispatcher/peer.go
+++ b/ladder/dispatcher/peer.go
@@ -74,6 +74,7 @@
 	}
 	klog.InfoS("sidecar linked", "target", p.target, "incarnation", p.incarnation, "zone", p.zone)
 	d.resume(ctx, p, l)
+	d.configure(ctx, p.service)
 	err = d.beats.Run(ctx, l, d.heartbeat, func(m messenger.Message) error { return d.handle(ctx, p, l, m) })
 	klog.InfoS("sidecar link ended", "target", p.target, "incarnation", p.incarnation, "err", err)
 	d.detach(p, l)
@@ -175,6 +176,7 @@
 	if d.peers[p.target] == p {
 		delete(d.peers, p.target)
 		d.router.Forget(p.target)
+		go d.configure(context.Background(), p.service)
 	}
 }
 
@@ -185,8 +187,13 @@
 	case messenger.Heartbeat:
 		d.goals.Learn(m.Goals)
 		d.mutex.Lock()
-		defer d.mutex.Unlock()
+		before := d.longestSwitch(p.service)
 		p.leaving, p.revision, p.load, p.loadAt = m.Leaving, m.Revision, m.Load, d.clock.Now()
+		changed := before != d.longestSwitch(p.service)
+		d.mutex.Unlock()
+		if changed {
+			d.configure(ctx, p.service)
+		}
 		return nil
 	case messenger.Chunk:
 		return d.chunk(ctx, p, l, m)
--- a/ladder/executor/executor.go
+++ b/ladder/executor/executor.go
@@ -76,6 +76,8 @@
 	leaving       bool
 	// version is the weight version last read from the engine.
 	version identifier.WeightVersion
+	// switchTime is how long the engine's last switch took.
+	switchTime time.Duration
 }
 
 type key struct {
@@ -132,7 +134,7 @@
 	defer e.mutex.Unlock()
 	return messenger.Heartbeat{
 		Revision: e.configuration.Revision, Leaving: e.leaving, Goals: e.goals.All(),
-		Load: messenger.Load{InFlight: running, Queued: waiting, Slots: slots, Version: e.version},
+		Load: messenger.Load{InFlight: running, Queued: waiting, Slots: slots, Version: e.version, SwitchTime: e.switchTime},
 	}
 }
 
@@ -143,6 +145,13 @@
 	e.version = v
 }
 
+// SetSwitchTime notes how long a switch of weights took.
+func (e *Executor) SetSwitchTime(d time.Duration) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.switchTime = d
+}
+
 // Version returns the weight version last read from the engine.
 func (e *Executor) Version() identifier.WeightVersion {
 	e.mutex.Lock()
--- a/ladder/messenger/messenger.go
+++ b/ladder/messenger/messenger.go
@@ -55,6 +55,8 @@
 	Queued   int                      `cbor:"2,keyasint,omitempty"`
 	Slots    int                      `cbor:"3,keyasint,omitempty"`
 	Version  identifier.WeightVersion `cbor:"4,keyasint,omitempty"`
+	// SwitchTime is how long the engine's last switch of weights took.
+	SwitchTime time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // Hello is the first message each way.
@@ -158,6 +160,8 @@
 	AwayPercent    int                  `cbor:"6,keyasint,omitempty"`
 	Peers          int                  `cbor:"7,keyasint,omitempty"`
 	Rank           int                  `cbor:"8,keyasint,omitempty"`
+	// SwitchTime is the longest that any peer has reported.
+	SwitchTime time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
 // Chunk is a piece of an answer.
--- a/measurer/verb/verb.go
+++ b/measurer/verb/verb.go
@@ -34,6 +34,7 @@
 var table = []line{
 	{"tail", "Tail latency while some targets are slow for moments.", tail{}},
 	{"blocking", "Wait of short work behind long work.", blocking{}},
+	{"switching", "Capacity away while weights are switched.", switching{}},
 }
 
 // common are the settings of every verb.
