--- a/ladder/converger/converger.go
+++ b/ladder/converger/converger.go
@@ -47,9 +47,6 @@
 	sidecar Sidecar
 	// fencing grows from one sidecar incarnation to the next on a host.
 	fencing identifier.FencingNumber
-	// goal is the newest seen, and since when it was learnt.
-	goal  identifier.WeightVersion
-	since time.Time
 	// switchTime is the longest switch of late.
 	switchTime time.Duration
 }
@@ -86,20 +83,20 @@
 		return err
 	}
 	configuration := c.sidecar.Configuration()
-	goal := c.goals.Newest(configuration.Model)
+	goal, since := c.goals.Announced(configuration.Model)
 	if configuration.Model == "" || goal <= s.Version {
 		return nil
 	}
-	if goal != c.goal {
-		c.goal, c.since = goal, c.clock.Now()
-	}
 	o := caller.Order{Model: configuration.Model, Version: goal, Fencing: c.fencing}
 	if !slices.Contains(s.Loaded, goal) {
+		if !c.await(ctx, since, LoadTurn) {
+			return ctx.Err()
+		}
 		if err := c.order(ctx, c.target.Load, o); err != nil {
 			return errors.WithMessagef(err, "load version %d", goal)
 		}
 	}
-	if !c.awaitTurn(ctx) {
+	if !c.await(ctx, since, SwitchTurn) {
 		return ctx.Err()
 	}
 	began := c.clock.Now()
@@ -117,11 +114,11 @@
 	return nil
 }
 
-// awaitTurn waits for this target's turn; it returns false if ctx ends first.
-// The rank is read anew after each wait, since targets come and go.
-func (c *Converger) awaitTurn(ctx context.Context) bool {
+// await waits for this target's turn; it returns false if ctx ends first. The
+// rank is read anew after each wait, since targets come and go.
+func (c *Converger) await(ctx context.Context, since time.Time, turn func(m messenger.Configuration, since, now time.Time) time.Duration) bool {
 	for {
-		d := Turn(c.sidecar.Configuration(), c.since, c.clock.Now())
+		d := turn(c.sidecar.Configuration(), since, c.clock.Now())
 		if d == 0 {
 			return true
 		}
--- a/ladder/converger/goals.go
+++ b/ladder/converger/goals.go
@@ -4,6 +4,9 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
 
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
@@ -12,18 +15,26 @@
 // Goals holds the newest announced version of each model. It spreads over
 // every link both ways, so that it needs neither a leader nor the log.
 type Goals struct {
+	clock clockwork.Clock
 	mutex sync.Mutex
 	// newest only grows.
-	newest  map[identifier.ModelName]identifier.WeightVersion
+	newest  map[identifier.ModelName]goal
 	changed chan struct{}
 }
 
+// goal is one model's newest version.
+type goal struct {
+	version identifier.WeightVersion
+	// since is when it was announced, by this process's clock.
+	since time.Time
+}
+
 // maxGoals bounds the models that peers can make this process remember.
 const maxGoals = 1024
 
 // NewGoals returns an empty Goals.
-func NewGoals() *Goals {
-	return &Goals{newest: make(map[identifier.ModelName]identifier.WeightVersion), changed: make(chan struct{})}
+func NewGoals(clock clockwork.Clock) *Goals {
+	return &Goals{clock: clock, newest: make(map[identifier.ModelName]goal), changed: make(chan struct{})}
 }
 
 // Learn takes goals from a trainer or a peer; older ones change nothing.
@@ -31,12 +42,13 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	learned := false
-	for _, goal := range goals {
-		known, ok := g.newest[goal.Model]
-		if goal.Version <= known || (!ok && len(g.newest) >= maxGoals) {
+	now := g.clock.Now()
+	for _, w := range goals {
+		known, ok := g.newest[w.Model]
+		if w.Version <= known.version || (!ok && len(g.newest) >= maxGoals) {
 			continue
 		}
-		g.newest[goal.Model] = goal.Version
+		g.newest[w.Model] = goal{version: w.Version, since: now.Add(-max(0, w.Age))}
 		learned = true
 	}
 	if learned {
@@ -50,8 +62,8 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	goals := make([]messenger.WeightGoal, 0, len(g.newest))
-	for m, v := range g.newest {
-		goals = append(goals, messenger.WeightGoal{Model: m, Version: v})
+	for m, w := range g.newest {
+		goals = append(goals, messenger.WeightGoal{Model: m, Version: w.version, Age: g.clock.Since(w.since)})
 	}
 	slices.SortFunc(goals, func(a, b messenger.WeightGoal) int { return strings.Compare(string(a.Model), string(b.Model)) })
 	return goals
@@ -61,7 +73,14 @@
 func (g *Goals) Newest(m identifier.ModelName) identifier.WeightVersion {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.newest[m]
+	return g.newest[m].version
+}
+
+// Announced returns a model's goal and when it was announced.
+func (g *Goals) Announced(m identifier.ModelName) (identifier.WeightVersion, time.Time) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.newest[m].version, g.newest[m].since
 }
 
 // Changed returns a channel that is closed when a goal moves on.
--- a/ladder/converger/turn.go
+++ b/ladder/converger/turn.go
@@ -6,39 +6,64 @@
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 )
 
-// Switches go in turns that nobody orders. From the moment a goal is learnt,
-// time is cut into windows, each as long as the longest switch among the
-// service's targets; a target of rank r may begin only at the start of every
-// waves-th window. One that is late, since its weights weren't loaded yet or
-// its switch failed, waits for its next window, so that it is never away
-// together with another wave. A delay counted from each target's own load was
-// tried first: loads end at different times, and the waves overlapped.
+// Switches go in turns that nobody orders. From the moment a goal is
+// announced, which every message that carries it tells by its age, time is cut
+// into windows as long as the longest switch among the service's targets. A
+// target may begin only at the start of its wave's window, and a target that is
+// late, since its weights weren't loaded or its switch failed, waits for its
+// wave's next one. Weights are loaded a fixed time before the window, so that a
+// whole service doesn't ask the store at once. `measurer switching` compares
+// with a lease holder; docs/DESIGN.md, "New weights", tells what was tried.
 
 const (
+	// switchBudget is the time in which all targets are to have switched.
+	switchBudget = 7 * time.Second
+	// lead is from the announcement to the first window: a heartbeat, in case
+	// the announcement was lost, and a load.
+	lead = 2 * time.Second
 	// firstWindow holds until the time of a switch is known.
 	firstWindow = time.Second
 	// windowStep is what windows are rounded up to, so that a service's targets
 	// agree on it although each hears of the newest switch at another moment.
 	windowStep = 250 * time.Millisecond
-	// windowMargin is for the spread of a goal over the links.
+	// windowMargin is for the error of ages.
 	windowMargin = 100 * time.Millisecond
 	// startTolerance is how late in its window a switch may begin.
 	startTolerance = 50 * time.Millisecond
 )
 
-// Turn returns how long a target waits before it may begin its switch; 0 says
-// that it may begin now. since is when it has learnt the goal.
-func Turn(m messenger.Configuration, since, now time.Time) time.Duration {
+// schedule is a service's windows, as one target sees them.
+type schedule struct {
+	window time.Duration
+	// waves is how many windows there are until the first wave's next; 0 says
+	// that a target may switch at any time.
+	waves int
+	// wave is the target's own, from 0.
+	wave int
+}
+
+func scheduleOf(m messenger.Configuration) schedule {
 	if m.AwayPercent <= 0 || m.AwayPercent >= 100 || m.Peers <= 1 {
-		return 0
+		return schedule{}
 	}
 	atOnce := max(1, m.Peers*m.AwayPercent/100)
 	waves := (m.Peers + atOnce - 1) / atOnce
-	wave := (m.Rank / atOnce) % waves
-	window := windowOf(m.SwitchTime)
-	passed := max(0, now.Sub(since))
-	round := time.Duration(waves) * window
-	own := time.Duration(wave) * window
+	return schedule{window: windowOf(m.SwitchTime, waves), waves: waves, wave: (m.Rank / atOnce) % waves}
+}
+
+// SwitchTurn returns how long a target waits before it may begin its switch; 0
+// says that it may begin now. since is when the goal was announced.
+func SwitchTurn(m messenger.Configuration, since, now time.Time) time.Duration {
+	s := scheduleOf(m)
+	if s.waves == 0 {
+		return 0
+	}
+	own := time.Duration(s.wave) * s.window
+	round := time.Duration(s.waves) * s.window
+	passed := now.Sub(since) - lead
+	if passed < 0 {
+		return own - passed
+	}
 	into := passed % round
 	switch {
 	case into < own:
@@ -49,6 +74,12 @@
 	return round - into + own
 }
 
+// LoadTurn returns how long a target waits before it loads the weights.
+func LoadTurn(m messenger.Configuration, since, now time.Time) time.Duration {
+	s := scheduleOf(m)
+	return max(0, time.Duration(s.wave)*s.window-now.Sub(since))
+}
+
 // Learn returns the longest switch of late, once one more has taken d. Older
 // ones count for less and less. It is rounded up, so that it seldom changes.
 func Learn(longest, d time.Duration) time.Duration {
@@ -57,11 +88,12 @@
 	return (longest + step - 1) / step * step
 }
 
-// windowOf returns the window for the longest switch known, 0 if none is.
-func windowOf(longest time.Duration) time.Duration {
-	if longest <= 0 {
-		return firstWindow
+// windowOf returns the window for the longest switch known, 0 if none is. All
+// windows together fit in the budget, even if a switch doesn't fit in one.
+func windowOf(longest time.Duration, waves int) time.Duration {
+	window := firstWindow
+	if longest > 0 {
+		window = (longest + windowMargin + windowStep - 1) / windowStep * windowStep
 	}
-	steps := (longest + windowMargin + windowStep - 1) / windowStep
-	return steps * windowStep
+	return min(window, (switchBudget-lead)/time.Duration(waves))
 }
--- a/ladder/coordinator/coordinator.go
+++ b/ladder/coordinator/coordinator.go
@@ -62,7 +62,7 @@
 	c := &Coordinator{
 		clock: clock, options: options, recorder: r,
 		follower: accepter.NewFollower(clock, log),
-		goals:    converger.NewGoals(),
+		goals:    converger.NewGoals(clock),
 		claimer:  claimer.New(clock, log, options.KeyMaxAge),
 		limiter:  limiter.New(clock),
 	}
--- a/ladder/messenger/messenger.go
+++ b/ladder/messenger/messenger.go
@@ -47,6 +47,8 @@
 type WeightGoal struct {
 	Model   identifier.ModelName     `cbor:"1,keyasint"`
 	Version identifier.WeightVersion `cbor:"2,keyasint"`
+	// Age is the time since the announcement, so that no clocks are compared.
+	Age time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // Load is what a sidecar last knew of its target.
--- a/ladder/supervisor/supervisor.go
+++ b/ladder/supervisor/supervisor.go
@@ -63,7 +63,7 @@
 
 // New returns a Supervisor of target. hosts may be nil.
 func New(clock clockwork.Clock, target caller.Target, dialer Dialer, hosts lister.HostList, options Options) *Supervisor {
-	goals := converger.NewGoals()
+	goals := converger.NewGoals(clock)
 	beats := heartbeater.New(clock, options.Heartbeats)
 	s := &Supervisor{
 		clock: clock, dialer: dialer, hosts: hosts, options: options,
--- a/measurer/verb/switching.go
+++ b/measurer/verb/switching.go
@@ -180,16 +180,17 @@
 // own is one sidecar: the converger's rule.
 func (r *round) own(m messenger.Configuration, n int) {
 	m.Rank = n
-	since := r.timer.Now()
+	// The age of a goal is off by the time of one message.
+	since := r.began.Add(time.Duration(r.random.ExpFloat64() * float64(linkDelay)))
 	var turn func()
 	turn = func() {
-		if d := converger.Turn(m, since, r.timer.Now()); d > 0 {
+		if d := converger.SwitchTurn(m, since, r.timer.Now()); d > 0 {
 			r.timer.After(d, turn)
 			return
 		}
 		r.away(func(took time.Duration) { r.longest[n] = converger.Learn(r.longest[n], took) })
 	}
-	r.load(turn)
+	r.timer.After(converger.LoadTurn(m, since, r.timer.Now()), func() { r.load(turn) })
 }
 
 // holder orders waves once all have loaded, each after the last has ended.
