--- a/ladder/converger/turn.go
+++ b/ladder/converger/turn.go
@@ -8,7 +8,7 @@
 
 // Switches go in turns that nobody orders. From the moment a goal is
 // announced, which every message that carries it tells by its age, time is cut
-// into windows as long as the longest switch among the service's targets. A
+// into windows, none shorter than the longest switch known in the service. A
 // target may begin only at the start of its wave's window, and a target that is
 // late, since its weights weren't loaded or its switch failed, waits for its
 // wave's next one. Weights are loaded a fixed time before the window, so that a
@@ -21,13 +21,9 @@
 	// lead is from the announcement to the first window: a heartbeat, in case
 	// the announcement was lost, and a load.
 	lead = 2 * time.Second
-	// firstWindow holds until the time of a switch is known.
-	firstWindow = time.Second
 	// windowStep is what windows are rounded up to, so that a service's targets
 	// agree on it although each hears of the newest switch at another moment.
 	windowStep = 250 * time.Millisecond
-	// windowMargin is for the error of ages.
-	windowMargin = 100 * time.Millisecond
 	// startTolerance is how late in its window a switch may begin.
 	startTolerance = 50 * time.Millisecond
 )
@@ -88,12 +84,10 @@
 	return (longest + step - 1) / step * step
 }
 
-// windowOf returns the window for the longest switch known, 0 if none is. All
-// windows together fit in the budget, even if a switch doesn't fit in one.
+// windowOf returns the longest window with which all targets switch within the
+// budget, or the longest switch known if that is longer: the share that may be
+// away goes before the budget.
 func windowOf(longest time.Duration, waves int) time.Duration {
-	window := firstWindow
-	if longest > 0 {
-		window = (longest + windowMargin + windowStep - 1) / windowStep * windowStep
-	}
-	return min(window, (switchBudget-lead)/time.Duration(waves))
+	longest = (longest + windowStep - 1) / windowStep * windowStep
+	return max(longest, (switchBudget-lead)/time.Duration(waves))
 }
--- a/measurer/verb/switching.go
+++ b/measurer/verb/switching.go
@@ -59,8 +59,8 @@
 			r.Lines = append(r.Lines, away, over, p50, most)
 		}
 		r.Aims = append(r.Aims, summarizer.Aim{
-			Deployment: d.Name, Text: "most of the service away, in % (median of seeds)", Bound: awayPercent,
-			Value: summarizer.Quantile(r.Find(d.Name, leaderless, "most away").Values, 0.5),
+			Deployment: d.Name, Text: "most of the service away, in % (worst of all seeds and rounds)", Bound: awayPercent,
+			Value: summarizer.Quantile(r.Find(d.Name, leaderless, "most away").Values, 1),
 		}, summarizer.Aim{
 			Deployment: d.Name, Text: "until all switched, in s (worst of all seeds and rounds)", Bound: switchBound.Seconds(),
 			Value: summarizer.Quantile(r.Find(d.Name, leaderless, "most until all switched").Values, 1),
