--- a/ladder/converger/converger.go
+++ b/ladder/converger/converger.go
@@ -29,14 +29,13 @@
 	stateTimeout = 2 * time.Second
 	// checkInterval is the time between two looks at an idle engine.
 	checkInterval = time.Second
-	// waveDuration is the time given to each wave of switches.
-	waveDuration = 500 * time.Millisecond
 )
 
 // Sidecar is what a Converger needs of its executor.
 type Sidecar interface {
 	Configuration() messenger.Configuration
 	SetVersion(v identifier.WeightVersion)
+	SetSwitchTime(d time.Duration)
 	Announce(ctx context.Context)
 }
 
@@ -48,6 +47,8 @@
 	sidecar Sidecar
 	// fencing grows from one sidecar incarnation to the next on a host.
 	fencing identifier.FencingNumber
+	// switchTime is the longest switch of late.
+	switchTime time.Duration
 }
 
 // New returns a Converger. Orders carry the time of its making as fencing
@@ -82,22 +83,28 @@
 		return err
 	}
 	configuration := c.sidecar.Configuration()
-	goal := c.goals.Newest(configuration.Model)
+	goal, since := c.goals.Announced(configuration.Model)
 	if configuration.Model == "" || goal <= s.Version {
 		return nil
 	}
 	o := caller.Order{Model: configuration.Model, Version: goal, Fencing: c.fencing}
 	if !slices.Contains(s.Loaded, goal) {
+		if !c.await(ctx, since, LoadTurn) {
+			return ctx.Err()
+		}
 		if err := c.order(ctx, c.target.Load, o); err != nil {
 			return errors.WithMessagef(err, "load version %d", goal)
 		}
 	}
-	if !c.wait(ctx, wave(configuration)) {
+	if !c.await(ctx, since, SwitchTurn) {
 		return ctx.Err()
 	}
+	began := c.clock.Now()
 	if err := c.order(ctx, c.target.Switch, o); err != nil {
 		return errors.WithMessagef(err, "switch to version %d", goal)
 	}
+	c.switchTime = Learn(c.switchTime, c.clock.Since(began))
+	c.sidecar.SetSwitchTime(c.switchTime)
 	s, err = c.read(ctx)
 	if err != nil {
 		return err
@@ -107,24 +114,19 @@
 	return nil
 }
 
-// wave is the delay before this sidecar's switch.
-func wave(m messenger.Configuration) time.Duration {
-	if m.AwayPercent <= 0 || m.AwayPercent >= 100 || m.Peers <= 1 {
-		return 0
-	}
-	atOnce := max(1, m.Peers*m.AwayPercent/100)
-	return time.Duration(m.Rank/atOnce) * waveDuration
-}
-
-func (c *Converger) wait(ctx context.Context, d time.Duration) bool {
-	if d == 0 {
-		return true
-	}
-	select {
-	case <-ctx.Done():
-		return false
-	case <-c.clock.After(d):
-		return true
+// await waits for this target's turn; it returns false if ctx ends first. The
+// rank is read anew after each wait, since targets come and go.
+func (c *Converger) await(ctx context.Context, since time.Time, turn func(m messenger.Configuration, since, now time.Time) time.Duration) bool {
+	for {
+		d := turn(c.sidecar.Configuration(), since, c.clock.Now())
+		if d == 0 {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-c.clock.After(d):
+		}
 	}
 }
 
--- a/ladder/executor/executor.go
+++ b/ladder/executor/executor.go
@@ -87,6 +87,8 @@
 	leftAt time.Time
 	// version is the weight version last read from the engine.
 	version identifier.WeightVersion
+	// switchTime is how long the engine's last switch took.
+	switchTime time.Duration
 }
 
 type key struct {
@@ -149,7 +151,7 @@
 	defer e.mutex.Unlock()
 	return messenger.Heartbeat{
 		Revision: e.configuration.Revision, Leaving: e.leaving || e.links[l], Goals: e.goals.All(),
-		Load: messenger.Load{InFlight: running, Queued: waiting, Slots: slots, Version: e.version},
+		Load: messenger.Load{InFlight: running, Queued: waiting, Slots: slots, Version: e.version, SwitchTime: e.switchTime},
 	}
 }
 
@@ -160,6 +162,13 @@
 	e.version = v
 }
 
+// SetSwitchTime notes how long a switch of weights took.
+func (e *Executor) SetSwitchTime(d time.Duration) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.switchTime = d
+}
+
 // Version returns the weight version last read from the engine.
 func (e *Executor) Version() identifier.WeightVersion {
 	e.mutex.Lock()
