--- a/ladder/coordinator/outage_test.go
+++ b/ladder/coordinator/outage_test.go
@@ -109,7 +109,7 @@
 	start := func(name identifier.TargetName, service identifier.ServiceName, engine bool, target caller.Target) {
 		o := supervisor.Options{Executor: executor.DefaultOptions(), Heartbeats: heartbeater.DefaultOptions(), Entries: []string{"entry"}, ListInterval: time.Minute}
 		o.Executor.Target, o.Executor.Service, o.Executor.Engine, o.Executor.Incarnation = name, service, engine, identifier.NewIncarnation()
-		s := supervisor.New(clock, target, network, nil, o)
+		s := supervisor.New(clock, target, network.Dialer(string(name)), nil, o)
 		b.tasks.Go(func() { s.Run(ctx) })
 	}
 	start("spares-1", "spares", false, faker.NewService(clock, "spares-1", ledger, 10*time.Millisecond))
