Return the answer of a first attempt that wasn't hedged

The matrix had no such call: scenario idempotent-call is new, and without the mend it says 'recovery: generate at entry-1 after the faults: {Code:no-target}'.

--- a/ladder/dispatcher/hedge.go
+++ b/ladder/dispatcher/hedge.go
@@ -42,6 +42,9 @@
 	run(p, n)
 	var ended []raced
 	if first, ok := d.awaitSilence(results, r, p, n); ok {
+		if _, ok := first.outcome.(Completed); ok {
+			return first.outcome, false
+		}
 		ended = append(ended, first)
 	} else if second := d.second(r, s); second != nil {
 		hedged = true
--- a/ladder/prover/checks.go
+++ b/ladder/prover/checks.go
@@ -57,7 +57,7 @@
 		}
 		var asks []ask
 		if len(w.options.Engines) > 0 {
-			asks = append(asks, advice("recovered-"+name, 5))
+			asks = append(asks, advice("recovered-"+name, 5), unstreamed("recovered-unstreamed-"+name, 5))
 		}
 		if w.options.Plain > 0 {
 			asks = append(asks, reservation("recovered-"+name))
--- a/ladder/prover/live.go
+++ b/ladder/prover/live.go
@@ -30,6 +30,28 @@
 	}
 }
 
+// idempotentCall: calls that may be repeated and aren't streamed, so that a
+// silent one is asked for a second time elsewhere.
+func idempotentCall() Scenario {
+	return Scenario{
+		Name:    "idempotent-call",
+		Options: Options{Engines: []faker.EngineOptions{engineOptions(), engineOptions()}, Bound: 1, FencingChecked: true},
+		act: func(w *World) {
+			w.together(
+				func() { w.send("entry-1", unstreamed("advice-a", 10)) },
+				func() { w.send("entry-2", unstreamed("advice-b", 20)) },
+			)
+			w.send("entry-1", unstreamed("advice-c", 5))
+		},
+	}
+}
+
+func unstreamed(subject string, tokens int) ask {
+	a := advice(subject, tokens)
+	a.stream = false
+	return a
+}
+
 // unkeyedCall: calls that may not be repeated, and carry no key.
 func unkeyedCall() Scenario {
 	return Scenario{
--- a/ladder/prover/scenarios.go
+++ b/ladder/prover/scenarios.go
@@ -56,7 +56,7 @@
 
 // Scenarios lists every scenario.
 var Scenarios = []Scenario{
-	liveStream(), unkeyedCall(), keyedCall(), keyedCallAgain(),
+	liveStream(), idempotentCall(), unkeyedCall(), keyedCall(), keyedCallAgain(),
 	samplesOfAGroup(), samplesEntryDies(),
 	weightSwitch(), weightSwitchUnstamped(), weightSwitchOldSidecar(),
 	operatorsRace(), targetLeaves(), entryStops(), sidecarStops(),
