--- a/ladder/injector/injector.go
+++ b/ladder/injector/injector.go
@@ -198,6 +198,9 @@
 // OutsideKinds are the faults of a call that a caller or trainer makes.
 func OutsideKinds() []Kind { return withoutProcess }
 
+// ProcessKinds are the faults of a call that a process of the system makes.
+func ProcessKinds() []Kind { return callKinds() }
+
 func callKinds() []Kind {
 	return []Kind{Refused, AnswerLost, Slow, KilledBefore, KilledAfter, PausedBriefly, Paused}
 }
--- a/ladder/prover/checks.go
+++ b/ladder/prover/checks.go
@@ -60,7 +60,7 @@
 			asks = append(asks, advice("recovered-"+name, 5), unstreamed("recovered-unstreamed-"+name, 5))
 		}
 		if w.options.Plain > 0 {
-			asks = append(asks, reservation("recovered-"+name))
+			asks = append(asks, reservation("recovered-plain-"+name))
 		}
 		for _, a := range asks {
 			o := w.send(name, a)
--- a/ladder/prover/scenarios.go
+++ b/ladder/prover/scenarios.go
@@ -60,4 +60,5 @@
 	samplesOfAGroup(), samplesEntryDies(),
 	weightSwitch(), weightSwitchUnstamped(), weightSwitchOldSidecar(),
 	operatorsRace(), targetLeaves(), entryStops(), sidecarStops(),
+	configurationAges(), logOutage(),
 }
