--- a/ladder/deliverer/deliverer.go
+++ b/ladder/deliverer/deliverer.go
@@ -128,6 +128,8 @@
 type Status struct {
 	Model   identifier.ModelName     `json:"model"`
 	Session identifier.SessionNumber `json:"session"`
+	// Groups counts those that the trainer lacks samples of.
+	Groups int `json:"groups"`
 	// Pending, Ready and Unacknowledged count samples.
 	Pending        int `json:"pending"`
 	Ready          int `json:"ready"`
--- a/ladder/deliverer/fetch.go
+++ b/ladder/deliverer/fetch.go
@@ -68,7 +68,7 @@
 			again = append(again, taken)
 			continue
 		}
-		s.have[taken.ID] = true
+		s.take(taken)
 	}
 	s.mutex.Unlock()
 	s.remake(again)
@@ -99,7 +99,7 @@
 	s.mutex.Lock()
 	for _, sample := range again {
 		if g, ok := s.groups[sample.Group]; ok {
-			wanted = append(wanted, work{group: g, sample: sample.ID})
+			wanted = append(wanted, work{group: g.Group, sample: sample.ID})
 		}
 	}
 	s.stale += len(wanted)
--- a/ladder/deliverer/session.go
+++ b/ladder/deliverer/session.go
@@ -29,7 +29,7 @@
 	mutex sync.Mutex
 	have  map[identifier.SampleID]bool
 	// groups has every group submitted whose samples aren't all taken.
-	groups map[identifier.GroupID]Group
+	groups map[identifier.GroupID]*openGroup
 	// pending counts samples not ready yet.
 	pending int
 	// ready samples have no number yet.
@@ -54,7 +54,7 @@
 		clock: clock, generator: g, goals: goals, plan: plan, number: o.Session, takeover: o.Takeover,
 		ctx: ctx, cancel: cancel, slots: make(chan struct{}, max(1, plan.Parallel)),
 		have:   make(map[identifier.SampleID]bool, len(o.Have)),
-		groups: make(map[identifier.GroupID]Group), lastFetch: clock.Now(),
+		groups: make(map[identifier.GroupID]*openGroup), lastFetch: clock.Now(),
 		changed: make(chan struct{}),
 	}
 	for _, id := range o.Have {
@@ -76,7 +76,7 @@
 	defer s.mutex.Unlock()
 	return Status{
 		Model: s.plan.Model, Session: s.number, Pending: s.pending, Ready: len(s.ready),
-		Unacknowledged: len(s.handed), Version: s.version, Stale: s.stale, Idle: s.idle,
+		Groups: len(s.groups), Unacknowledged: len(s.handed), Version: s.version, Stale: s.stale, Idle: s.idle,
 	}
 }
 
@@ -88,18 +88,47 @@
 		if _, known := s.groups[g.ID]; known {
 			continue
 		}
-		s.groups[g.ID] = g
+		open := &openGroup{Group: g}
 		for n := range g.Samples {
 			if id := SampleIDOf(g.ID, n); !s.have[id] {
 				wanted = append(wanted, work{group: g, sample: id})
+				open.missing++
 			}
 		}
+		if open.missing > 0 {
+			s.groups[g.ID] = open
+		}
 	}
 	s.pending += len(wanted)
 	s.mutex.Unlock()
 	go s.startAll(wanted)
 }
 
+// openGroup is a group of which the trainer lacks samples.
+type openGroup struct {
+	Group
+	// missing is how many it lacks; never 0.
+	missing int
+}
+
+// take notes that the trainer has a sample, and forgets a group that is whole.
+// The caller holds the mutex.
+func (s *session) take(sample Sample) {
+	g, ok := s.groups[sample.Group]
+	if !ok || s.have[sample.ID] {
+		return
+	}
+	s.have[sample.ID] = true
+	g.missing--
+	if g.missing > 0 {
+		return
+	}
+	delete(s.groups, g.ID)
+	for n := range g.Samples {
+		delete(s.have, SampleIDOf(g.ID, n))
+	}
+}
+
 // work is one sample to be made.
 type work struct {
 	group  Group
--- a/ladder/fetcher/fetcher.go
+++ b/ladder/fetcher/fetcher.go
@@ -232,21 +232,19 @@
 	for id := range f.have {
 		opening.Have = append(opening.Have, id)
 	}
-	submission := deliverer.Submission{Model: f.options.Model, Session: f.session}
-	for _, g := range f.groups {
-		submission.Groups = append(submission.Groups, g.Group)
-	}
 	f.mutex.Unlock()
 	if err := entry.Open(ctx, opening); err != nil {
 		return err
 	}
-	if err := entry.Submit(ctx, submission); err != nil {
-		return err
-	}
+	// From here on Submit sends groups itself; those known now are sent here.
 	f.mutex.Lock()
-	defer f.mutex.Unlock()
 	f.open = true
-	return nil
+	submission := deliverer.Submission{Model: f.options.Model, Session: opening.Session}
+	for _, g := range f.groups {
+		submission.Groups = append(submission.Groups, g.Group)
+	}
+	f.mutex.Unlock()
+	return entry.Submit(ctx, submission)
 }
 
 // fail leaves the entry in use for the next one.
--- /dev/null
+++ b/ladder/fetcher/fetcher_test.go
@@ -0,0 +1,91 @@
+package fetcher_test
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lycheeladder/lycheeladder/ladder/deliverer"
+	"github.com/lycheeladder/lycheeladder/ladder/dispatcher"
+	"github.com/lycheeladder/lycheeladder/ladder/fetcher"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+)
+
+// slowEntry is an entry whose openings take a second.
+type slowEntry struct{ *deliverer.Deliverer }
+
+func (e slowEntry) Open(_ context.Context, o deliverer.Opening) error {
+	time.Sleep(time.Second)
+	return e.Deliverer.Open(o, deliverer.Plan{Model: o.Model, Bound: 1, Parallel: 4, Timeout: time.Minute})
+}
+
+func (e slowEntry) Submit(_ context.Context, s deliverer.Submission) error {
+	return e.Deliverer.Submit(s)
+}
+
+func (e slowEntry) Announce(context.Context, deliverer.Announcement) error { return nil }
+
+// ready generates every sample at once.
+type ready struct{}
+
+func (ready) Newest(identifier.ModelName) identifier.WeightVersion { return 1 }
+
+func (ready) Generate(context.Context, dispatcher.Request) dispatcher.Outcome {
+	return dispatcher.Completed{Status: 200, Body: []byte("text"), Spans: []messenger.Span{{Version: 1, To: 1}}}
+}
+
+func (ready) Held(context.Context, identifier.ServiceName, []identifier.SampleID) map[identifier.SampleID]dispatcher.HeldAt {
+	return nil
+}
+
+func (ready) TakeOver(context.Context, dispatcher.Request, dispatcher.HeldAt) dispatcher.Outcome {
+	return nil
+}
+
+func (ready) Score(context.Context, deliverer.Plan, identifier.SampleID, string) (*float64, error) {
+	return nil, nil
+}
+
+func groupOf(id identifier.GroupID) []deliverer.Group {
+	return []deliverer.Group{{ID: id, Body: json.RawMessage(`{}`), Samples: 2}}
+}
+
+// A group that is asked for while a session opens is part of it, and the entry
+// forgets every group that the trainer has whole.
+func TestSubmit_WhileASessionOpens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		clock := clockwork.NewRealClock()
+		d := deliverer.New(clock, ready{}, ready{})
+		running, stop := context.WithCancel(ctx)
+		go d.Run(running)
+		f := fetcher.New(clock, []fetcher.Entry{slowEntry{d}}, fetcher.Options{Model: "advice", Limit: 8, Pause: time.Second})
+		_ = f.Submit(ctx, groupOf("before"))
+		time.AfterFunc(500*time.Millisecond, func() { _ = f.Submit(ctx, groupOf("meanwhile")) })
+		got := make(map[identifier.GroupID]int)
+		for range 4 {
+			sample, err := f.Next(ctx, 1)
+			if err != nil {
+				t.Fatalf("next: %v, got so far %v", err, got)
+			}
+			got[sample.Group]++
+		}
+		if diff := cmp.Diff(map[identifier.GroupID]int{"before": 2, "meanwhile": 2}, got); diff != "" {
+			t.Errorf("samples by group (-want +got):\n%s", diff)
+		}
+		last, end := context.WithTimeout(ctx, 2*time.Second)
+		defer end()
+		_, _ = f.Next(last, 1)
+		if groups := d.Sessions()[0].Groups; groups != 0 {
+			t.Errorf("the session remembers %d groups, want none", groups)
+		}
+		stop()
+	})
+}
