--- a/ladder/dispatcher/hedge.go
+++ b/ladder/dispatcher/hedge.go
@@ -7,6 +7,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/quarantiner"
 )
 
 // A call may be caught at a target that turns slow. Once its attempt has been
@@ -88,9 +89,9 @@
 }
 
 // second chooses a target for a second attempt, nil if there is none or the
-// budget doesn't allow it.
+// budget doesn't allow it. What may only run alone gets none.
 func (d *Dispatcher) second(r Request, s *progress) *peer {
-	if !d.budget.Spend() {
+	if _, free := d.quarantine.Judge(fingerprintOf(r)).(quarantiner.Free); !free || !d.budget.Spend() {
 		return nil
 	}
 	p := d.choose(r, s.tried)
@@ -113,6 +114,7 @@
 		case NotRun:
 			refused = o
 		case Completed:
+			return o
 		}
 	}
 	if gaveUp != nil || s.mayHaveRun {
