--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -24,7 +24,6 @@
 	"github.com/lycheeladder/lycheeladder/ladder/historian"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/linker"
-	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 	"github.com/lycheeladder/lycheeladder/ladder/proposer"
 	"github.com/lycheeladder/lycheeladder/ladder/recorder"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
@@ -122,7 +121,7 @@
 	defer cancel()
 	var tasks conc.WaitGroup
 	tasks.Go(func() { c.Run(working) })
-	peers := peerApp(working, c, linker.New(e))
+	peers := peerApp(working, c, linker.New(e), r)
 	tasks.Go(func() { serve(working, "peers", peers, listeners[1], 0) })
 	tasks.Go(func() { serve(working, "operators", operators, listeners[2], time.Second) })
 	klog.InfoS("entry started", "entry", s.Name, "zone", s.Zone, "listen", listeners[0].Addr().String())
@@ -177,22 +176,3 @@
 	pages.Mount(app)
 	return app, nil
 }
-
-func peerApp(ctx context.Context, c *coordinator.Coordinator, l *linker.Linker) *fiber.App {
-	app := server.NewApp("peers", peerBodyLimit)
-	app.Get(accepter.StatePath, func(x fiber.Ctx) error {
-		data, ok := c.Follower().Snapshot()
-		if !ok {
-			return fiber.ErrServiceUnavailable
-		}
-		return x.Send(data)
-	})
-	app.Get(linker.Path, func(x fiber.Ctx) error {
-		return l.Upgrade(x.RequestCtx(), func(link messenger.Link) {
-			if err := c.ServeLink(ctx, link); err != nil {
-				klog.V(1).InfoS("link ended", "err", err)
-			}
-		})
-	})
-	return app
-}
--- a/ladder/messenger/messenger.go
+++ b/ladder/messenger/messenger.go
@@ -47,6 +47,13 @@
 type WeightGoal struct {
 	Model   identifier.ModelName     `cbor:"1,keyasint"`
 	Version identifier.WeightVersion `cbor:"2,keyasint"`
+	// Age is the time since the announcement, so that no clocks are compared.
+	Age time.Duration `cbor:"3,keyasint,omitempty"`
+}
+
+// Same says whether both are of one announcement, whatever their age.
+func (g WeightGoal) Same(other WeightGoal) bool {
+	return g.Model == other.Model && g.Version == other.Version
 }
 
 // Load is what a sidecar last knew of its target.
@@ -55,6 +62,8 @@
 	Queued   int                      `cbor:"2,keyasint,omitempty"`
 	Slots    int                      `cbor:"3,keyasint,omitempty"`
 	Version  identifier.WeightVersion `cbor:"4,keyasint,omitempty"`
+	// SwitchTime is how long the engine's last switch of weights took.
+	SwitchTime time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // Hello is the first message each way.
@@ -165,6 +174,8 @@
 	Rank           int                  `cbor:"8,keyasint,omitempty"`
 	// CrashQuarantine is how long a request that crashes targets is refused.
 	CrashQuarantine time.Duration `cbor:"9,keyasint,omitempty"`
+	// SwitchTime is the longest that any peer has reported.
+	SwitchTime time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // Chunk is a piece of an answer.
--- a/ladder/quarantiner/crash_test.go
+++ b/ladder/quarantiner/crash_test.go
@@ -84,7 +84,7 @@
 		}
 		options.Executor.Target, options.Executor.Service, options.Executor.Engine = name, "model", true
 		options.Executor.Incarnation = identifier.NewIncarnation()
-		s := supervisor.New(r.clock, mortalEngine{e, &r.crashes}, r.network, nil, options)
+		s := supervisor.New(r.clock, mortalEngine{e, &r.crashes}, r.network.Dialer(string(options.Executor.Target)), nil, options)
 		r.tasks.Go(func() { s.Run(ctx) })
 	}
 	time.Sleep(time.Second)
@@ -97,9 +97,9 @@
 	options.Entry, options.Incarnation = identifier.EntryName(name), identifier.NewIncarnation()
 	random := rand.New(rand.NewPCG(1, uint64(len(r.entries))))
 	d := dispatcher.New(r.clock, router.New(r.clock, random, router.LeastInFlight{}), heartbeater.New(r.clock, heartbeater.DefaultOptions()),
-		limiter.NewBudget(1, 100), converger.NewGoals(), fixed{}, options)
+		limiter.NewBudget(1, 100), converger.NewGoals(r.clock), fixed{}, options)
 	r.entries = append(r.entries, d)
-	r.network.Listen(name, func(l messenger.Link) { _ = d.Serve(r.ctx, l) })
+	r.network.Listen(name, func(_ string, l messenger.Link) { _ = d.Serve(r.ctx, l) })
 }
 
 func (r *rig) send(entry int, prompt string) dispatcher.Outcome {
--- a/ladder/supervisor/entries.go
+++ b/ladder/supervisor/entries.go
@@ -32,7 +32,9 @@
 	if s.hosts == nil {
 		return nil, true
 	}
-	hosts, err := s.hosts.Hosts(ctx)
+	bounded, cancel := clockwork.WithTimeout(ctx, s.clock, listTimeout)
+	defer cancel()
+	hosts, err := s.hosts.Hosts(bounded)
 	if err != nil {
 		klog.V(1).InfoS("host list not read", "err", err)
 	}
--- a/ladder/supervisor/supervisor.go
+++ b/ladder/supervisor/supervisor.go
@@ -35,9 +35,6 @@
 	Links int
 	// Entries are the peer addresses, IP:port, known from the settings.
 	Entries []string
-	// LeaveDelay is how long a stop waits for work that entries sent before
-	// they heard of it.
-	LeaveDelay time.Duration
 	// ListInterval is the time between two reads of the host list.
 	ListInterval time.Duration
 }
@@ -45,6 +42,8 @@
 const (
 	// firstSlots and firstQueue hold until a configuration comes.
 	firstSlots, firstQueue = 1, 0
+	// listTimeout bounds a read of the host list.
+	listTimeout = 2 * time.Second
 	// dialTimeout bounds a dial.
 	dialTimeout = 3 * time.Second
 	// firstPause and longestPause bound the wait between dials.
@@ -71,7 +70,7 @@
 
 // New returns a Supervisor of target. hosts may be nil.
 func New(clock clockwork.Clock, target caller.Target, dialer Dialer, hosts lister.HostList, options Options) *Supervisor {
-	goals := converger.NewGoals()
+	goals := converger.NewGoals(clock)
 	beats := heartbeater.New(clock, options.Heartbeats)
 	s := &Supervisor{
 		clock: clock, dialer: dialer, hosts: hosts, options: options, goals: goals,
@@ -125,10 +124,6 @@
 // gets a final answer; Stop returns how much that was.
 func (s *Supervisor) Stop(ctx context.Context) int {
 	s.executor.Leave(ctx)
-	select {
-	case <-s.clock.After(s.options.LeaveDelay):
-	case <-ctx.Done():
-	}
 	left := s.executor.Drain(ctx)
 	if left > 0 {
 		s.executor.GiveUp()
