--- /dev/null
+++ b/ladder/validator/fuzz_test.go
@@ -0,0 +1,28 @@
+package validator_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/lycheeladder/lycheeladder/ladder/validator"
+)
+
+// FuzzParse: a document is refused with faults, or it is valid and its JSON
+// says the same again.
+func FuzzParse(f *testing.F) {
+	f.Fuzz(func(t *testing.T, data []byte) {
+		d, err := validator.Parse(data)
+		if err != nil {
+			return
+		}
+		canonical, err := validator.Encode(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := validator.Parse(canonical)
+		if diff := cmp.Diff(d, again); diff != "" || err != nil {
+			t.Errorf("%v (-first +second):\n%s", err, diff)
+		}
+	})
+}
