--- /dev/null
+++ b/entry/runner/peers.go
@@ -0,0 +1,50 @@
+package runner
+
+import (
+	"context"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/lycheeladder/lycheeladder/ladder/accepter"
+	"github.com/lycheeladder/lycheeladder/ladder/coordinator"
+	"github.com/lycheeladder/lycheeladder/ladder/heartbeater"
+	"github.com/lycheeladder/lycheeladder/ladder/linker"
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/recorder"
+	"github.com/lycheeladder/lycheeladder/ladder/server"
+)
+
+// peerApp takes the links of sidecars, and tells other entries what is in
+// force.
+func peerApp(ctx context.Context, c *coordinator.Coordinator, l *linker.Linker, r *recorder.Recorder) *fiber.App {
+	app := server.NewApp("peers", peerBodyLimit)
+	app.Get(accepter.StatePath, func(x fiber.Ctx) error {
+		data, ok := c.Follower().Snapshot()
+		if !ok {
+			return fiber.ErrServiceUnavailable
+		}
+		return x.Send(data)
+	})
+	app.Get(linker.Path, func(x fiber.Ctx) error {
+		return l.Upgrade(x.RequestCtx(), func(link messenger.Link) {
+			if err := c.ServeLink(ctx, link); err != nil && ctx.Err() == nil {
+				r.Count("link-" + endOf(err))
+				klog.V(1).InfoS("link ended", "err", err)
+			}
+		})
+	})
+	return app
+}
+
+// endOf names why a link ended, for the counters.
+func endOf(err error) string {
+	switch {
+	case errors.Is(err, linker.ErrHostile):
+		return "malformed"
+	case errors.Is(err, heartbeater.ErrSilent):
+		return "silent"
+	}
+	return "closed"
+}
--- a/ladder/coordinator/coordinator.go
+++ b/ladder/coordinator/coordinator.go
@@ -78,7 +78,7 @@
 		clock: clock, options: options, recorder: r, began: clock.Now(),
 		follower: accepter.NewFollower(clock, log, options.Peers, router.NewRandom(uint64(random.IntN(math.MaxInt32))),
 			accepter.Options{Retention: options.LogRetention}),
-		goals:   converger.NewGoals(),
+		goals:   converger.NewGoals(clock),
 		claimer: claimer.New(clock, log, options.KeyMaxAge),
 		limiter: limiter.New(clock), explainer: explainer.New(),
 	}
--- a/ladder/dispatcher/dispatcher.go
+++ b/ladder/dispatcher/dispatcher.go
@@ -152,7 +152,7 @@
 func (d *Dispatcher) announce(ctx context.Context, p *peer) {
 	m := d.heartbeat(p)
 	d.mutex.Lock()
-	news := len(m.Goals) > 0 && m.Goals[0] != p.announced
+	news := len(m.Goals) > 0 && !m.Goals[0].Same(p.announced)
 	if news {
 		p.announced = m.Goals[0]
 	}
@@ -165,10 +165,15 @@
 // Configure sends every sidecar its part of the accepted document. Most changes
 // leave a sidecar's part as it was: then the next heartbeat's revision says so,
 // and nothing else is sent.
-func (d *Dispatcher) Configure(ctx context.Context) {
+func (d *Dispatcher) Configure(ctx context.Context) { d.configureService(ctx, "") }
+
+// configureService does so for one service, or for all. A service's targets are
+// told anew when one has come or gone, or the time of a switch has changed:
+// their turns to switch weights depend on it.
+func (d *Dispatcher) configureService(ctx context.Context, service identifier.ServiceName) {
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
-	for _, p := range d.linked("") {
+	for _, p := range d.linked(service) {
 		tasks.Go(func() { d.configure(ctx, p) })
 	}
 }
@@ -191,7 +196,7 @@
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if p.link == l && m.Revision > p.configured.Revision {
+	if p.link == l && m.Revision >= p.configured.Revision {
 		p.configured = m
 	}
 }
@@ -218,7 +223,20 @@
 			rank++
 		}
 	}
-	return d.configurations.For(p.service, rank, peers)
+	m, ok := d.configurations.For(p.service, rank, peers)
+	m.SwitchTime = d.longestSwitch(p.service)
+	return m, ok
+}
+
+// longestSwitch returns the longest switch of weights that a service's targets
+// report. The caller holds the mutex.
+func (d *Dispatcher) longestSwitch(service identifier.ServiceName) (longest time.Duration) {
+	for _, p := range d.peers {
+		if p.service == service {
+			longest = max(longest, p.load.SwitchTime)
+		}
+	}
+	return longest
 }
 
 // linked returns the peers with a link, of one service or of all.
--- a/ladder/dispatcher/peer.go
+++ b/ladder/dispatcher/peer.go
@@ -19,6 +19,7 @@
 var (
 	errUnexpected = errors.New("message not for an entry")
 	errNoHello    = errors.New("first message is not a hello")
+	errReplaced   = errors.New("a later sidecar of the target is linked")
 )
 
 type key struct {
@@ -43,6 +44,8 @@
 	// configured is what this link's sidecar has: the Configuration sent last,
 	// at the newest revision under which it is the same.
 	configured messenger.Configuration
+	// detached counts the links that have failed.
+	detached int
 	// attempts are those open at this incarnation.
 	attempts map[key]*attempt
 	// gone is closed when the incarnation will not be heard of again.
@@ -67,6 +70,9 @@
 	streamed bool
 	// heard is when a piece of the answer came last, or the dispatch.
 	heard time.Time
+	// users is how many calls follow the attempt: a caller may send a keyed
+	// call again through the same entry.
+	users int
 	// answer is an End or a Refused that fits the output, set before output
 	// ends; nil if the sidecar is lost.
 	answer messenger.Answer
@@ -88,6 +94,7 @@
 	}
 	klog.InfoS("sidecar linked", "target", p.target, "incarnation", p.incarnation, "zone", p.zone)
 	d.resume(ctx, p, l)
+	d.configureService(ctx, p.service)
 	beat := func() messenger.Heartbeat { return d.heartbeat(p) }
 	err = d.beats.Run(ctx, l, beat, func(m messenger.Message) error { return d.handle(ctx, p, l, m) })
 	klog.InfoS("sidecar link ended", "target", p.target, "incarnation", p.incarnation, "err", err)
@@ -111,6 +118,11 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	p := d.peers[identifier.TargetName(hello.Name)]
+	// Incarnations are UUIDv7, so the later one is larger. A sidecar that was
+	// paused and replaced would else take turns with its successor for ever.
+	if p != nil && p.link != nil && hello.Incarnation < p.incarnation {
+		return nil, errReplaced
+	}
 	if p == nil || p.incarnation != hello.Incarnation {
 		if p != nil {
 			d.lose(p)
@@ -164,10 +176,12 @@
 		return
 	}
 	p.link = nil
+	p.detached++
+	detached := p.detached
 	d.clock.AfterFunc(d.options.Reconnect, func() {
 		d.mutex.Lock()
 		defer d.mutex.Unlock()
-		if p.link == nil {
+		if p.link == nil && p.detached == detached {
 			d.lose(p)
 		}
 	})
@@ -192,6 +206,7 @@
 	if d.peers[p.target] == p {
 		delete(d.peers, p.target)
 		d.router.Forget(p.target)
+		go d.configureService(context.Background(), p.service)
 	}
 }
 
@@ -202,8 +217,13 @@
 	case messenger.Heartbeat:
 		d.goals.Learn(m.Goals)
 		d.mutex.Lock()
-		defer d.mutex.Unlock()
+		before := d.longestSwitch(p.service)
 		p.leaving, p.revision, p.load, p.loadAt = m.Leaving, m.Revision, m.Load, d.clock.Now()
+		changed := before != d.longestSwitch(p.service)
+		d.mutex.Unlock()
+		if changed {
+			go d.configureService(ctx, p.service)
+		}
 		return nil
 	case messenger.Chunk:
 		return d.chunk(ctx, p, l, m)
--- a/ladder/heartbeater/heartbeater.go
+++ b/ladder/heartbeater/heartbeater.go
@@ -100,7 +100,7 @@
 	var sent []messenger.WeightGoal
 	for {
 		m := beat()
-		if slices.Equal(m.Goals, sent) {
+		if slices.EqualFunc(m.Goals, sent, messenger.WeightGoal.Same) {
 			m.Goals = nil
 		} else {
 			sent = m.Goals
--- a/ladder/supervisor/spread_test.go
+++ b/ladder/supervisor/spread_test.go
@@ -40,10 +40,10 @@
 		beats := heartbeater.Options{Interval: time.Hour, Deadline: 3 * time.Hour}
 		var all []*converger.Goals
 		for n := range entries {
-			goals := converger.NewGoals()
+			goals := converger.NewGoals(clock)
 			d := dispatcher.New(clock, router.New(clock, router.NewRandom(1), router.RoundRobin{}), heartbeater.New(clock, beats),
 				limiter.NewBudget(0, 0), goals, adviceEverywhere{}, dispatcher.DefaultOptions())
-			network.Listen(fmt.Sprintf("entry-%d", n), func(l messenger.Link) { _ = d.Serve(ctx, l) })
+			network.Listen(fmt.Sprintf("entry-%d", n), func(_ string, l messenger.Link) { _ = d.Serve(ctx, l) })
 			go announce(ctx, d, goals)
 			all = append(all, goals)
 		}
@@ -55,7 +55,7 @@
 			o.Executor.Target, o.Executor.Service = identifier.TargetName(fmt.Sprintf("engine-%d", n)), "advice-models"
 			o.Executor.Incarnation, o.Executor.Engine = identifier.NewIncarnation(), true
 			engine := faker.NewEngine(clock, o.Executor.Target, faker.NewLedger(), faker.EngineOptions{Slots: 1, LoadTime: time.Minute})
-			go supervisor.New(clock, engine, network, nil, o).Run(ctx)
+			go supervisor.New(clock, engine, network.Dialer(string(o.Executor.Target)), nil, o).Run(ctx)
 		}
 		synctest.Wait()
 		all[0].Learn([]messenger.WeightGoal{{Model: "advice", Version: 7}})
