--- a/measurer/driver/entry.go
+++ b/measurer/driver/entry.go
@@ -28,6 +28,9 @@
 	// Expected is what the caller says of Tokens, 0 if nothing.
 	Expected identifier.TokenCount
 	Prompt   int
+	// Team and Bounds limit the call; without Bounds there is no limit.
+	Team   identifier.TeamName
+	Bounds *limiter.Bounds
 	// Timeout is how long the caller waits; 0 is for ever.
 	Timeout time.Duration
 	Done    func(Result)
@@ -51,13 +54,14 @@
 	zone   identifier.ZoneName
 	router *router.Router
 	budget *limiter.Budget
+	limits *limiter.Limiter
 	calls  int
 }
 
 func (s *System) newEntry(zone identifier.ZoneName, seed uint64) *Entry {
 	return &Entry{
 		system: s, zone: zone, router: router.New(s.Timer.Clock(), router.NewRandom(seed), s.options.Policy),
-		budget: limiter.NewBudget(retryShare, retryMost),
+		budget: limiter.NewBudget(retryShare, retryMost), limits: limiter.New(s.Timer.Clock()),
 	}
 }
 
@@ -95,6 +99,9 @@
 	}
 	t.After(e.system.options.Deployment.ToClients, func() {
 		o.cameAt = t.Now()
+		if !o.enter() {
+			return
+		}
 		o.try()
 		if c.Timeout > 0 {
 			t.After(c.Timeout, func() { o.end(Result{}) })
@@ -102,6 +109,20 @@
 	})
 }
 
+// enter asks the team's limits; a call that is refused there is ended.
+func (o *open) enter() bool {
+	e := o.entry
+	if o.call.Bounds == nil {
+		return true
+	}
+	retryAfter, ok := e.limits.Enter(o.call.Team, *o.call.Bounds)
+	if !ok {
+		o.call.Bounds = nil
+		o.end(Result{Refused: true, RetryAfter: retryAfter, Total: e.system.Timer.Now().Sub(o.sentAt)})
+	}
+	return ok
+}
+
 // try gives the call to a target that wasn't tried yet; it returns false if
 // there is none.
 func (o *open) try() bool {
@@ -215,6 +236,9 @@
 		return
 	}
 	o.ended = true
+	if o.call.Bounds != nil {
+		o.entry.limits.Leave(o.call.Team)
+	}
 	for n, a := range o.attempts {
 		delete(o.attempts, n)
 		o.entry.router.Done(a.worker.Name)
--- /dev/null
+++ b/measurer/verb/fairness.go
@@ -0,0 +1,97 @@
+package verb
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/limiter"
+	"github.com/lycheeladder/lycheeladder/ladder/queuer"
+	"github.com/lycheeladder/lycheeladder/ladder/router"
+	"github.com/lycheeladder/lycheeladder/measurer/driver"
+	"github.com/lycheeladder/lycheeladder/measurer/summarizer"
+)
+
+// fairness measures what one team far above its limit does to the others.
+type fairness struct{}
+
+const (
+	fairTeams     = 4
+	fairLoad      = 0.6
+	greedFactor   = 10
+	fairTime      = 60 * time.Second
+	fairnessBound = 1.2
+	noLimits      = "no limits"
+	line99        = "p99 of the other teams"
+	noGreed       = "ours, no team above its limit"
+)
+
+func (m fairness) report(seeds []uint64) summarizer.Report {
+	r := summarizer.Report{
+		Name: "fairness", Title: "Fairness between teams",
+		Setting: fmt.Sprintf("%d teams of short live calls, each limited to its part of %.0f%% of the capacity; one of them sends %d times its limit, for %s. The p99 is that of the others.",
+			fairTeams, 100*fairLoad, greedFactor, fairTime),
+	}
+	for _, d := range driver.Deployments() {
+		for _, name := range []string{noLimits, ours, noGreed} {
+			line := summarizer.Line{Deployment: d.Name, Variant: name, Figure: line99, Unit: "ms"}
+			failed := summarizer.Line{Deployment: d.Name, Variant: name, Figure: "calls of the others refused", Unit: "of calls"}
+			for _, o := range overSeeds(seeds, func(seed uint64) *observed { return m.run(d, name, seed) }) {
+				line.Values = append(line.Values, summarizer.Quantile(o.totals, 0.99))
+				failed.Values = append(failed.Values, float64(o.refused)/float64(o.sent))
+			}
+			r.Lines = append(r.Lines, line, failed)
+		}
+		r.Aims = append(r.Aims, summarizer.Aim{
+			Deployment: d.Name, Text: "p99 of the others over that with no team above its limit", Bound: fairnessBound,
+			Value: summarizer.Ratio(r.Find(d.Name, ours, line99), r.Find(d.Name, noGreed, line99)),
+		})
+	}
+	return r
+}
+
+func (fairness) run(d driver.Deployment, name string, seed uint64) *observed {
+	s := driver.New(driver.Options{
+		Deployment: d, Policy: router.Expected{}, Order: queuer.ShortFirst{Pauses: true}, QueueLimit: queueLimit, Hedge: true, Seed: seed,
+	})
+	perTeam := fairLoad * d.Capacity((shortLeast+shortMost)/2) / fairTeams
+	// A team's limit holds at each entry; the balancer spreads its calls. It
+	// is a quarter above the mean, since arrivals come in bunches.
+	const headroom = 1.25
+	atEntry := perTeam / float64(len(s.Entries))
+	bounds := limiter.Bounds{RequestsPerSecond: headroom * atEntry, Burst: int(headroom * atEntry), InFlight: int(2 * headroom * atEntry)}
+	o := &observed{}
+	end := s.Timer.Now().Add(fairTime)
+	from := s.Timer.Now().Add(tailWarmUp)
+	for n := range fairTeams {
+		rate, into := perTeam, o
+		if n == 0 {
+			into = &observed{}
+			if name != noGreed {
+				rate *= greedFactor
+			}
+		}
+		team := identifier.TeamName(fmt.Sprintf("team-%d", n))
+		poisson(s, rate, end, func() {
+			tokens := shortLeast + s.Random.IntN(shortMost-shortLeast+1)
+			counts := s.Timer.Now().After(from)
+			c := driver.Call{
+				Class: identifier.ClassLive, Tokens: tokens, Expected: identifier.TokenCount(tokens), Prompt: s.Random.IntN(prompts),
+				Team: team, Done: func(r driver.Result) {
+					if counts {
+						into.add(r, tokens)
+					}
+				},
+			}
+			if name != noLimits {
+				c.Bounds = &bounds
+			}
+			if counts {
+				into.sent++
+			}
+			s.AnyEntry().Send(c)
+		})
+	}
+	s.Timer.Run(fairTime + 10*time.Second)
+	return o
+}
--- /dev/null
+++ b/measurer/verb/overload.go
@@ -0,0 +1,200 @@
+package verb
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/queuer"
+	"github.com/lycheeladder/lycheeladder/ladder/router"
+	"github.com/lycheeladder/lycheeladder/measurer/driver"
+	"github.com/lycheeladder/lycheeladder/measurer/summarizer"
+)
+
+// overload measures what live callers get during a surge: live and rollout work
+// together ask for half as much again as there is.
+type overload struct{}
+
+const (
+	calmLoad      = 0.6
+	surgeLive     = 1.2
+	surgeRollout  = 0.3
+	calmBefore    = 20 * time.Second
+	surgeTime     = 60 * time.Second
+	calmAfter     = 40 * time.Second
+	callerTimeout = 2 * time.Second
+	rolloutLeast  = 300
+	rolloutMost   = 900
+	// liveShare is what rollout work's one slot of eight leaves.
+	liveShare      = 7.0 / 8
+	goodputBound   = 0.95
+	retriesBound   = 0.10
+	refusalBound   = 50.0
+	recoveryBound  = 5.0
+	recoveredRatio = 1.2
+	unbounded      = 1 << 20
+)
+
+// surge is what one seed gave.
+type surge struct {
+	live                     observed
+	retries, hedges, started int
+	refusals                 []float64
+	withoutRetryAfter        int
+	// recovery is in seconds from the end of the surge.
+	recovery float64
+}
+
+func (overload) variants() []variant {
+	return []variant{
+		{name: "no bound, first in, first out", policy: router.TwoChoices{}, order: queuer.FirstInFirstOut{}, queue: unbounded},
+		{name: "no bound, plain priority", policy: router.TwoChoices{}, order: queuer.PlainPriority{}, queue: unbounded},
+		{name: ours, policy: router.Expected{}, order: queuer.ShortFirst{Pauses: true}, hedge: true, queue: queueLimit},
+	}
+}
+
+func (m overload) report(seeds []uint64) summarizer.Report {
+	r := summarizer.Report{
+		Name: "overload", Title: "Overload",
+		Setting: fmt.Sprintf("Live calls at %.0f%% of the capacity, that rise to %.0f%% for %s, beside rollout work at %.0f%%. A caller waits %s at most; one that has waited in vain asks again at once, one that was refused comes back when it was told to, each three times at most. Live work's share is what one slot in eight for rollout work leaves; goodput counts calls answered in time during the surge. Recovery is until the p99 of a second is within 1.2 times that before the surge.",
+			100*calmLoad, 100*surgeLive, surgeTime, 100*surgeRollout, callerTimeout),
+	}
+	for _, d := range driver.Deployments() {
+		share := liveShare * d.Capacity((shortLeast+shortMost)/2)
+		for _, v := range m.variants() {
+			names := []string{"goodput of the share", "retries and hedges", "p99 until a refusal", "refusals without when to come back", "recovery"}
+			lines := make([]summarizer.Line, len(names))
+			for n, unit := range []string{"", "of calls", "ms", "", "s"} {
+				lines[n] = summarizer.Line{Deployment: d.Name, Variant: v.name, Figure: names[n], Unit: unit}
+			}
+			for _, o := range overSeeds(seeds, func(seed uint64) *surge { return m.run(d, v, seed) }) {
+				for n, value := range []float64{
+					float64(o.live.completed) / surgeTime.Seconds() / share,
+					float64(o.retries+o.hedges) / float64(o.started),
+					summarizer.Quantile(o.refusals, 0.99), float64(o.withoutRetryAfter), o.recovery,
+				} {
+					lines[n].Values = append(lines[n].Values, value)
+				}
+			}
+			r.Lines = append(r.Lines, lines...)
+		}
+		median := func(figure string) float64 {
+			return summarizer.Quantile(r.Find(d.Name, ours, figure).Values, 0.5)
+		}
+		r.Aims = append(r.Aims,
+			summarizer.Aim{Deployment: d.Name, Text: "goodput of live work over its share", AtLeast: true, Bound: goodputBound, Value: median("goodput of the share")},
+			summarizer.Aim{Deployment: d.Name, Text: "retries and hedges of calls", Bound: retriesBound, Value: median("retries and hedges")},
+			summarizer.Aim{Deployment: d.Name, Text: "p99 until a refusal, in ms", Bound: refusalBound, Value: median("p99 until a refusal")},
+			summarizer.Aim{Deployment: d.Name, Text: "refusals without when to come back", Bound: 0, Value: median("refusals without when to come back")},
+			summarizer.Aim{Deployment: d.Name, Text: "recovery, in s", Bound: recoveryBound, Value: median("recovery")},
+		)
+	}
+	return r
+}
+
+func (m overload) run(d driver.Deployment, v variant, seed uint64) *surge {
+	s := driver.New(driver.Options{Deployment: d, Policy: v.policy, Order: v.order, QueueLimit: v.queue, Hedge: v.hedge, Seed: seed})
+	o := &surge{}
+	start := s.Timer.Now()
+	from, until := start.Add(calmBefore), start.Add(calmBefore+surgeTime)
+	end := until.Add(calmAfter)
+	seconds := make([][]float64, int(end.Sub(start)/time.Second)+1)
+	short, long := d.Capacity((shortLeast+shortMost)/2), d.Capacity((rolloutLeast+rolloutMost)/2)
+	live := func(after time.Duration, load float64, length time.Duration) {
+		s.Timer.After(after, func() {
+			poisson(s, load*short, s.Timer.Now().Add(length), func() {
+				c := &patientCaller{system: s, surge: o, from: from, until: until, seconds: seconds, start: start}
+				c.tokens = shortLeast + s.Random.IntN(shortMost-shortLeast+1)
+				c.prompt = s.Random.IntN(prompts)
+				c.ask()
+			})
+		})
+	}
+	live(0, calmLoad, calmBefore)
+	live(calmBefore, surgeLive, surgeTime)
+	live(calmBefore+surgeTime, calmLoad, calmAfter)
+	k := kind{class: identifier.ClassRollout, perSecond: surgeRollout * long, least: rolloutLeast, most: rolloutMost}
+	arrive(s, k, start, end, &observed{})
+	var retries, hedges int
+	s.Timer.After(calmBefore, func() { retries, hedges = s.Retries, s.Hedges })
+	s.Timer.After(calmBefore+surgeTime, func() { o.retries, o.hedges = s.Retries-retries, s.Hedges-hedges })
+	s.Timer.Run(end.Sub(start))
+	o.recovery = recoveryOf(seconds)
+	return o
+}
+
+// poisson calls do at independent moments until the end.
+func poisson(s *driver.System, perSecond float64, end time.Time, do func()) {
+	s.Timer.After(time.Duration(s.Random.ExpFloat64()/perSecond*float64(time.Second)), func() {
+		if s.Timer.Now().After(end) {
+			return
+		}
+		do()
+		poisson(s, perSecond, end, do)
+	})
+}
+
+// recoveryOf returns how many seconds after the surge the p99 was as before.
+// A call that was given up counts as the caller's timeout.
+func recoveryOf(seconds [][]float64) float64 {
+	before, surgeEnd := int(calmBefore/time.Second), int((calmBefore+surgeTime)/time.Second)
+	var calm []float64
+	for _, totals := range seconds[before/2 : before] {
+		calm = append(calm, summarizer.Quantile(totals, 0.99))
+	}
+	usual := summarizer.Quantile(calm, 1)
+	last := surgeEnd
+	for n := surgeEnd; n < len(seconds)-int(callerTimeout/time.Second)-1; n++ {
+		if summarizer.Quantile(seconds[n], 0.99) > recoveredRatio*usual {
+			last = n + 1
+		}
+	}
+	return float64(last - surgeEnd)
+}
+
+// patientCaller asks again when it was refused or has waited in vain.
+type patientCaller struct {
+	system      *driver.System
+	surge       *surge
+	start       time.Time
+	from, until time.Time
+	// seconds has the latencies of the calls sent in each second.
+	seconds        [][]float64
+	tokens, prompt int
+	asked          int
+}
+
+const mostAsked = 4
+
+func (c *patientCaller) ask() {
+	c.asked++
+	t := c.system.Timer
+	sent := t.Now()
+	surging := sent.After(c.from) && sent.Before(c.until)
+	if surging {
+		c.surge.started++
+	}
+	at := min(len(c.seconds)-1, int(sent.Sub(c.start)/time.Second))
+	c.system.AnyEntry().Send(driver.Call{
+		Class: identifier.ClassLive, Tokens: c.tokens, Expected: identifier.TokenCount(c.tokens), Prompt: c.prompt, Timeout: callerTimeout,
+		Done: func(r driver.Result) {
+			if r.Completed {
+				c.seconds[at] = append(c.seconds[at], milliseconds(r.Total))
+				if now := t.Now(); now.After(c.from) && now.Before(c.until) {
+					c.surge.live.completed++
+				}
+				return
+			}
+			c.seconds[at] = append(c.seconds[at], milliseconds(callerTimeout))
+			if r.Refused && surging {
+				c.surge.refusals = append(c.surge.refusals, milliseconds(r.Total))
+				if r.RetryAfter <= 0 {
+					c.surge.withoutRetryAfter++
+				}
+			}
+			if c.asked < mostAsked {
+				t.After(r.RetryAfter, c.ask)
+			}
+		},
+	})
+}
--- a/measurer/verb/tail.go
+++ b/measurer/verb/tail.go
@@ -38,6 +38,7 @@
 	order  queuer.Order
 	hedge  bool
 	calm   bool
+	queue  int
 }
 
 func (tail) variants() []variant {
