--- a/ladder/executor/job.go
+++ b/ladder/executor/job.go
@@ -42,6 +42,7 @@
 func itemOf(m messenger.Start) queuer.Item {
 	return queuer.Item{
 		Request: m.Request, Attempt: m.Attempt, Class: m.Class, Urgency: m.Urgency, Expected: m.Expected,
+		Patience: m.Timeout,
 	}
 }
 
--- a/ladder/queuer/order.go
+++ b/ladder/queuer/order.go
@@ -119,6 +119,23 @@
 	return short < q.slots && len(q.running) < q.slots+max(1, q.slots/aboveShare)
 }
 
+// tooLate says whether the live work before an item would likely take more than
+// half of its caller's patience; the other half is for the work itself. Work
+// that is given up half-way is worse than a refusal.
+func (q *Queuer) tooLate(i Item) bool {
+	if _, ok := q.order.(ShortFirst); !ok || i.Patience <= 0 || i.Class != identifier.ClassLive || !q.lengths.runTime.known() {
+		return false
+	}
+	before := 0
+	for _, e := range q.waiting {
+		if q.priority(e.Item) == prioritySoon {
+			before++
+		}
+	}
+	wait := float64(before) * q.lengths.runTime.value() / float64(max(1, q.slots))
+	return wait > i.Patience.Seconds()/2
+}
+
 // The priorities that an engine is told.
 const (
 	prioritySoon    = 0
--- a/ladder/queuer/queuer.go
+++ b/ladder/queuer/queuer.go
@@ -25,6 +25,8 @@
 	Urgency int
 	// Expected is the expected number of tokens, 0 if unknown.
 	Expected identifier.TokenCount
+	// Patience is how long the caller still waits, 0 if that isn't known.
+	Patience time.Duration
 	// Priority is set when the item is taken: what to tell an engine that
 	// orders work itself. Smaller is sooner.
 	Priority int
@@ -68,14 +70,18 @@
 	q.notify()
 }
 
-// Put adds an item, or returns ErrFull. An item that finds a free slot and
-// nobody before it is never refused.
+// Put adds an item, or returns ErrFull: the queue is at its limit, or its
+// answer would likely come too late. An item that finds a free slot and nobody
+// before it is never refused.
 func (q *Queuer) Put(i Item) error {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	if len(q.waiting) >= q.limit+max(0, q.slots-len(q.running)) {
 		return ErrFull
 	}
+	if q.tooLate(i) {
+		return ErrFull
+	}
 	now := q.clock.Now()
 	q.lengths.arrived(i)
 	q.waiting = append(q.waiting, entry{Item: i, since: now})
--- a/measurer/driver/entry.go
+++ b/measurer/driver/entry.go
@@ -182,7 +182,7 @@
 	}
 	work.Token = func() { t.After(back, func() { o.heard(n, a) }) }
 	work.Ended = func() { t.After(back, func() { o.answered(n, a) }) }
-	i := queuer.Item{Request: o.request, Attempt: n, Class: o.call.Class, Expected: o.call.Expected}
+	i := queuer.Item{Request: o.request, Attempt: n, Class: o.call.Class, Expected: o.call.Expected, Patience: o.call.Timeout}
 	if err := a.worker.start(i, work); err != nil {
 		t.After(back, func() { o.refused(n, a, time.Second) })
 	}
