Bound the waiting work of each class on its own

Cause, from calls refused after the surge: rollout work that waits filled the one queue, and live calls were refused. A trace by second shows what is left: live p99 doubles as soon as engines are full of rollout work, since only two live calls may go above the eight slots.

--- a/ladder/queuer/queuer.go
+++ b/ladder/queuer/queuer.go
@@ -51,13 +51,15 @@
 	// except after slots was lowered.
 	running []entry
 	slots   int
-	limit   int
+	// limit bounds the waiting items of each class.
+	limit int
 	// lengths tells long items from short ones.
 	lengths lengths
 	changed chan struct{}
 }
 
-// New returns a Queuer with slots running and limit waiting items at most.
+// New returns a Queuer with slots running and, of each class, limit waiting
+// items at most: waiting rollout work doesn't keep live work out.
 func New(clock clockwork.Clock, order Order, slots, limit int) *Queuer {
 	return &Queuer{clock: clock, order: order, slots: slots, limit: limit, changed: make(chan struct{})}
 }
@@ -76,7 +78,7 @@
 func (q *Queuer) Put(i Item) error {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	if len(q.waiting) >= q.limit+max(0, q.slots-len(q.running)) {
+	if q.waitingOf(i.Class) >= q.limit+max(0, q.slots-len(q.running)) {
 		return ErrFull
 	}
 	if q.tooLate(i) {
@@ -157,6 +159,15 @@
 	return len(q.running), len(q.waiting), q.slots
 }
 
+func (q *Queuer) waitingOf(c identifier.Class) (count int) {
+	for _, e := range q.waiting {
+		if e.Class == c {
+			count++
+		}
+	}
+	return count
+}
+
 func indexOf(entries []entry, request identifier.RequestID, attempt identifier.Attempt) int {
 	return slices.IndexFunc(entries, func(e entry) bool { return e.Request == request && e.Attempt == attempt })
 }
