--- a/ladder/queuer/order.go
+++ b/ladder/queuer/order.go
@@ -33,9 +33,6 @@
 	// with n expected tokens is overtaken only by items that come at most
 	// n/ageingRate seconds after it.
 	ageingRate = 100
-	// aboveShare is one more slot for so many that short live work may take
-	// above them.
-	aboveShare = 4
 	// rolloutSlots is what rollout work gets while it waits, whatever live
 	// work there is.
 	rolloutSlots = 1
@@ -107,7 +104,8 @@
 
 // aboveAllowed says whether a short live item may run although all slots are
 // taken: an engine that honours priorities pauses long work for it, and one
-// that doesn't lets it wait no longer than here.
+// that doesn't lets it wait no longer than here. Some of the long work always
+// goes on, and no more is ever paused than the engine has slots.
 func (q *Queuer) aboveAllowed() bool {
 	now := q.clock.Now()
 	short := 0
@@ -116,7 +114,7 @@
 			short++
 		}
 	}
-	return short < q.slots && len(q.running) < q.slots+max(1, q.slots/aboveShare)
+	return short < q.slots-rolloutSlots && len(q.running) < 2*q.slots
 }
 
 // tooLate says whether the live work before an item would likely take more than
