--- a/ladder/converger/turn.go
+++ b/ladder/converger/turn.go
@@ -21,11 +21,11 @@
 	// lead is from the announcement to the first window: a heartbeat, in case
 	// the announcement was lost, and a load.
 	lead = 2 * time.Second
-	// windowStep is what windows are rounded up to, so that a service's targets
-	// agree on it although each hears of the newest switch at another moment.
-	windowStep = 250 * time.Millisecond
+	// windowStep is what the time of a switch is rounded up to, so that what
+	// targets report of it, and with it the windows, seldom changes.
+	windowStep = 20 * time.Millisecond
 	// startTolerance is how late in its window a switch may begin.
-	startTolerance = 50 * time.Millisecond
+	startTolerance = 40 * time.Millisecond
 )
 
 // schedule is a service's windows, as one target sees them.
@@ -79,15 +79,14 @@
 // Learn returns the longest switch of late, once one more has taken d. Older
 // ones count for less and less. It is rounded up, so that it seldom changes.
 func Learn(longest, d time.Duration) time.Duration {
-	const step = 50 * time.Millisecond
-	longest = max(d, longest*9/10)
-	return (longest + step - 1) / step * step
+	return roundUp(max(d, longest*9/10))
 }
 
+func roundUp(d time.Duration) time.Duration { return (d + windowStep - 1) / windowStep * windowStep }
+
 // windowOf returns the longest window with which all targets switch within the
 // budget, or the longest switch known if that is longer: the share that may be
 // away goes before the budget.
 func windowOf(longest time.Duration, waves int) time.Duration {
-	longest = (longest + windowStep - 1) / windowStep * windowStep
-	return max(longest, (switchBudget-lead)/time.Duration(waves))
+	return max(roundUp(longest+startTolerance), (switchBudget-lead)/time.Duration(waves))
 }
--- /dev/null
+++ b/ladder/converger/turn_test.go
@@ -0,0 +1,56 @@
+package converger
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+)
+
+// TestMain fixes the seed of the properties: the same verdict every run.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	m.Run()
+}
+
+// However late each target has loaded its weights, the targets that switch at
+// one time are never more than the share, and one that has loaded in time has
+// switched within the budget.
+func TestSwitchTurn_ShareAndBudgetHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		peers := rapid.IntRange(2, 40).Draw(t, "peers")
+		percent := rapid.IntRange(10, 99).Draw(t, "percent")
+		share := max(1, peers*percent/100)
+		waves := (peers + share - 1) / share
+		took := time.Duration(rapid.IntRange(1, 3000).Draw(t, "took")) * time.Millisecond
+		since := time.Unix(1_800_000_000, 0)
+		latest := max(switchBudget, lead+time.Duration(waves)*(took+startTolerance+2*windowStep))
+		starts := make([]time.Time, peers)
+		for rank := range peers {
+			m := messenger.Configuration{AwayPercent: percent, Peers: peers, Rank: rank, SwitchTime: Learn(0, took)}
+			loaded := time.Duration(rapid.IntRange(0, 12000).Draw(t, "loaded")) * time.Millisecond
+			now := since.Add(loaded)
+			starts[rank] = now.Add(SwitchTurn(m, since, now))
+			if d := SwitchTurn(m, since, starts[rank]); d != 0 {
+				t.Fatalf("rank %d waits %s more at its own turn", rank, d)
+			}
+			if loaded <= lead && starts[rank].Add(took).Sub(since) > latest {
+				t.Fatalf("rank %d loaded after %s and switched after %s", rank, loaded, starts[rank].Add(took).Sub(since))
+			}
+		}
+		for _, at := range starts {
+			away := 0
+			for _, s := range starts {
+				if !s.After(at) && at.Before(s.Add(took)) {
+					away++
+				}
+			}
+			if away > share {
+				t.Fatalf("%d of %d away at once, share is %d", away, peers, share)
+			}
+		}
+	})
+}
