Test that only a silent call that may run twice is hedged

In virtual time, the real dispatcher over in-process links to two sidecars, the first of which stays silent. Seen to fail with every call hedged (also one that may not run twice), with none hedged, and without the budget.

--- /dev/null
+++ b/ladder/dispatcher/race_test.go
@@ -0,0 +1,123 @@
+package dispatcher
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lycheeladder/lycheeladder/ladder/accumulator"
+	"github.com/lycheeladder/lycheeladder/ladder/heartbeater"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/limiter"
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/router"
+)
+
+type noGoals struct{}
+
+func (noGoals) Learn([]messenger.WeightGoal) {}
+func (noGoals) All() []messenger.WeightGoal  { return nil }
+
+type noConfigurations struct{}
+
+func (noConfigurations) For(identifier.ServiceName, int, int) (messenger.Configuration, bool) {
+	return messenger.Configuration{}, false
+}
+
+// sidecars answers for two targets: the first asked stays silent, the other
+// answers whole. It records what each target was sent.
+type sidecars struct{ sent chan string }
+
+func (s *sidecars) serve(ctx context.Context, l messenger.Link, name string) {
+	_ = l.Send(ctx, messenger.Hello{Name: name, Incarnation: identifier.Incarnation(name), Service: "lookup"})
+	beats := heartbeater.New(clockwork.NewRealClock(), heartbeater.DefaultOptions())
+	_ = beats.Run(ctx, l, func() messenger.Heartbeat { return messenger.Heartbeat{} }, func(m messenger.Message) error {
+		switch m := m.(type) {
+		case messenger.Start:
+			s.sent <- "start"
+			if m.Attempt == 1 {
+				return nil
+			}
+			output := accumulator.New()
+			output.Append([]byte("whole"))
+			_ = l.Send(ctx, messenger.Chunk{Request: m.Request, Attempt: m.Attempt, Incarnation: m.Incarnation, Data: output.Bytes()})
+			return l.Send(ctx, messenger.End{
+				Request: m.Request, Attempt: m.Attempt, Incarnation: m.Incarnation, Reason: messenger.EndWhole,
+				Status: 200, Length: output.Length(), Checksum: output.Checksum(),
+			})
+		case messenger.Cancel:
+			s.sent <- "cancel"
+		}
+		return nil
+	})
+}
+
+// outcomeOf dispatches one request to two sidecars, of which the first asked is
+// silent, and returns what became of it and what the sidecars were sent.
+func outcomeOf(t *testing.T, r Request, budget *limiter.Budget) (string, []string) {
+	var got string
+	var sent []string
+	synctest.Test(t, func(*testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		clock := clockwork.NewRealClock()
+		beats := heartbeater.New(clock, heartbeater.DefaultOptions())
+		d := New(clock, router.New(clock, router.NewRandom(1), router.Expected{}), beats, budget, noGoals{}, noConfigurations{}, DefaultOptions())
+		s := &sidecars{sent: make(chan string, 16)}
+		for _, name := range []string{"worker-1", "worker-2"} {
+			near, far := messenger.NewPipe()
+			go func() { _ = d.Serve(ctx, near) }()
+			go s.serve(ctx, far, name)
+		}
+		synctest.Wait()
+		r.ID, r.Service, r.Call, r.Deadline = identifier.NewRequestID(), "lookup", "lookup", clock.Now().Add(10*time.Second)
+		switch o := d.Dispatch(ctx, r).(type) {
+		case Completed:
+			got = string(o.Body)
+		case NotRun:
+			got = "not run: " + string(o.Code)
+		case Unknown:
+			got = "unknown: " + string(o.Code)
+		}
+		time.Sleep(time.Second)
+		cancel()
+		synctest.Wait()
+		time.Sleep(10 * time.Second)
+		close(s.sent)
+		for m := range s.sent {
+			sent = append(sent, m)
+		}
+	})
+	return got, sent
+}
+
+func TestDispatch_SilentCallIsHedgedOnlyIfItMayRunTwice(t *testing.T) {
+	stream := func([]byte) error { return nil }
+	cases := []struct {
+		name    string
+		request Request
+		budget  float64
+		want    string
+		sent    []string
+	}{
+		{"idempotent", Request{Idempotent: true}, 1, "whole", []string{"start", "start", "cancel"}},
+		{"not idempotent", Request{}, 1, "unknown: timeout", []string{"start", "cancel"}},
+		{"no budget", Request{Idempotent: true}, 0, "unknown: timeout", []string{"start", "cancel"}},
+		{"streamed", Request{Idempotent: true, Stream: stream}, 1, "unknown: timeout", []string{"start", "cancel"}},
+		{"sample", Request{Idempotent: true, Sample: "group/0"}, 1, "unknown: timeout", []string{"start", "cancel"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got, sent := outcomeOf(t, c.request, limiter.NewBudget(0.1, c.budget))
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("outcome (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(c.sent, sent); diff != "" {
+				t.Errorf("sent to the sidecars (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
