Measure trainers' idle time and staleness; begin a step's longest samples first

The deliverer starts samples by expected length, longest first; at a sidecar rollout work keeps its order.

--- /dev/null
+++ b/ladder/deliverer/order.go
@@ -0,0 +1,24 @@
+package deliverer
+
+import (
+	"slices"
+
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+)
+
+// A step is whole when its last sample is: what takes longest has to begin
+// first. The order is by what the trainer expects, and where it expects nothing
+// as submitted. `measurer training` compares with the order of submission.
+
+// LongestFirst orders work that is still to be started, by its expected tokens.
+func LongestFirst[W any](wanted []W, expected func(W) identifier.TokenCount) {
+	slices.SortStableFunc(wanted, func(a, b W) int {
+		switch ea, eb := expected(a), expected(b); {
+		case ea > eb:
+			return -1
+		case ea < eb:
+			return 1
+		}
+		return 0
+	})
+}
--- a/ladder/deliverer/session.go
+++ b/ladder/deliverer/session.go
@@ -112,6 +112,7 @@
 	if s.takeover && len(wanted) > 0 {
 		s.locate(wanted)
 	}
+	LongestFirst(wanted, func(w work) identifier.TokenCount { return w.group.Expected })
 	for _, w := range wanted {
 		select {
 		case s.slots <- struct{}{}:
--- a/ladder/queuer/order.go
+++ b/ladder/queuer/order.go
@@ -14,9 +14,11 @@
 // first, then the one that has waited longest. It is a baseline.
 type PlainPriority struct{}
 
-// ShortFirst takes live before rollout, within a class the more urgent first,
-// then the one with the fewest expected tokens, less what it has gained by
-// waiting. While rollout work waits, it always gets a slot.
+// ShortFirst takes live before rollout, within a class the more urgent first.
+// Of live work the one with the fewest expected tokens then goes first, less
+// what it has gained by waiting; rollout work keeps its order, since a step is
+// whole only with its longest sample. While rollout work waits, it always gets
+// a slot.
 type ShortFirst struct {
 	// Pauses says that the target pauses work of a lower priority when it is
 	// given more than its slots, as model engines do. Short live work then goes
@@ -76,7 +78,7 @@
 		if a.Urgency != b.Urgency {
 			return a.Urgency > b.Urgency
 		}
-		return aged(a, b) < float64(b.Expected)
+		return a.Class == identifier.ClassLive && aged(a, b) < float64(b.Expected)
 	}
 	return false
 }
--- a/measurer/driver/entry.go
+++ b/measurer/driver/entry.go
@@ -16,6 +16,8 @@
 	maxAttempts = 4
 	retryShare  = 0.1
 	retryMost   = 20
+	// rolloutPiece is how many tokens of rollout work come in a piece.
+	rolloutPiece = 8
 )
 
 // service is what all workers belong to.
@@ -28,6 +30,9 @@
 	// Expected is what the caller says of Tokens, 0 if nothing.
 	Expected identifier.TokenCount
 	Prompt   int
+	// Model and Urgency are for rollout work.
+	Model   identifier.ModelName
+	Urgency int
 	// Team and Bounds limit the call; without Bounds there is no limit.
 	Team   identifier.TeamName
 	Bounds *limiter.Bounds
@@ -46,6 +51,8 @@
 	// arrival at the entry until an engine took it.
 	Total time.Duration
 	Wait  time.Duration
+	// Oldest is the oldest version that made a token.
+	Oldest identifier.WeightVersion
 }
 
 // Entry is one entry's choice of targets.
@@ -146,7 +153,7 @@
 // long.
 func (o *open) watch(n identifier.Attempt, a *attempt) {
 	e := o.entry
-	if !e.system.options.Hedge || n > 1 {
+	if !e.system.options.Hedge || n > 1 || o.call.Class == identifier.ClassRollout {
 		return
 	}
 	patience := e.router.Patience(service, a.begun)
@@ -174,15 +181,23 @@
 	if o.attempts[n] != a {
 		return
 	}
-	work := &engine.Job{Tokens: o.call.Tokens, Prompt: o.call.Prompt}
+	work := &engine.Job{Tokens: o.call.Tokens, Prompt: o.call.Prompt, Model: o.call.Model}
 	work.Started = func() {
 		if o.started.IsZero() {
 			o.started = t.Now()
 		}
 	}
-	work.Token = func() { t.After(back, func() { o.heard(n, a) }) }
-	work.Ended = func() { t.After(back, func() { o.answered(n, a) }) }
-	i := queuer.Item{Request: o.request, Attempt: n, Class: o.call.Class, Expected: o.call.Expected, Patience: o.call.Timeout}
+	piece := 1
+	if o.call.Class == identifier.ClassRollout {
+		piece = rolloutPiece
+	}
+	work.Token = func() {
+		if work.Made()%piece == 0 {
+			t.After(back, func() { o.heard(n, a) })
+		}
+	}
+	work.Ended = func() { t.After(back, func() { o.answered(n, a, work.Oldest()) }) }
+	i := queuer.Item{Request: o.request, Attempt: n, Class: o.call.Class, Expected: o.call.Expected, Patience: o.call.Timeout, Urgency: o.call.Urgency}
 	if err := a.worker.start(i, work); err != nil {
 		t.After(back, func() { o.refused(n, a, time.Second) })
 	}
@@ -198,7 +213,7 @@
 	a.heard, a.begun = now, true
 }
 
-func (o *open) answered(n identifier.Attempt, a *attempt) {
+func (o *open) answered(n identifier.Attempt, a *attempt, oldest identifier.WeightVersion) {
 	if o.attempts[n] != a {
 		return
 	}
@@ -208,7 +223,7 @@
 	e.router.Done(a.worker.Name)
 	e.budget.Earn()
 	o.end(Result{
-		Completed: true, Wait: o.started.Sub(o.cameAt),
+		Completed: true, Oldest: oldest, Wait: o.started.Sub(o.cameAt),
 		Total: now.Sub(o.sentAt) + e.system.options.Deployment.ToClients,
 	})
 }
--- a/measurer/engine/engine.go
+++ b/measurer/engine/engine.go
@@ -35,6 +35,8 @@
 type Job struct {
 	Tokens int
 	Prompt int
+	// Model is which of the engine's models makes the tokens.
+	Model identifier.ModelName
 	// Priority is smaller for work to be served sooner.
 	Priority int
 	// Started, Token and Ended are called as it happens; each may be nil.
@@ -72,14 +74,17 @@
 	slow    float64
 	ticking bool
 	paused  bool
-	version identifier.WeightVersion
+	// version of each model in use.
+	version map[identifier.ModelName]identifier.WeightVersion
 	// made counts every token.
 	made int
+	// lost counts the tokens of work that was removed or begun again.
+	lost int
 }
 
 // New returns an idle engine.
 func New(t *timer.Timer, random *rand.Rand, options Options) *Engine {
-	return &Engine{timer: t, random: random, options: options, slow: 1, version: 1}
+	return &Engine{timer: t, random: random, options: options, slow: 1, version: make(map[identifier.ModelName]identifier.WeightVersion)}
 }
 
 // SetSlow makes later ticks last factor times as long.
@@ -91,15 +96,26 @@
 // Running returns how much work is in the batch.
 func (e *Engine) Running() int { return len(e.running) + len(e.joining) }
 
-// Version returns the weights in use.
-func (e *Engine) Version() identifier.WeightVersion { return e.version }
+// Lost returns how many tokens of work that was removed or begun again there
+// were.
+func (e *Engine) Lost() int { return e.lost }
+
+// Restart begins all work of a model again.
+func (e *Engine) Restart(model identifier.ModelName) {
+	for _, j := range e.running {
+		if j.Model == model {
+			e.lost += j.made
+			j.made, j.versions = 0, nil
+		}
+	}
+}
 
 // Switch makes no tokens for d, then uses version.
-func (e *Engine) Switch(version identifier.WeightVersion, d time.Duration, done func()) {
+func (e *Engine) Switch(model identifier.ModelName, version identifier.WeightVersion, d time.Duration, done func()) {
 	e.paused = true
 	e.timer.After(d, func() {
 		e.paused = false
-		e.version = version
+		e.version[model] = version
 		e.next()
 		done()
 	})
@@ -113,6 +129,11 @@
 
 // Remove takes a job out, whether it has begun or not.
 func (e *Engine) Remove(j *Job) {
+	e.lost += j.made
+	e.remove(j)
+}
+
+func (e *Engine) remove(j *Job) {
 	is := func(other *Job) bool { return other == j }
 	e.running = slices.DeleteFunc(e.running, is)
 	e.joining = slices.DeleteFunc(e.joining, is)
@@ -178,8 +199,8 @@
 		}
 		j.made++
 		e.made++
-		if len(j.versions) == 0 || j.versions[len(j.versions)-1] != e.version {
-			j.versions = append(j.versions, e.version)
+		if v := e.version[j.Model]; len(j.versions) == 0 || j.versions[len(j.versions)-1] != v {
+			j.versions = append(j.versions, v)
 		}
 		if j.Token != nil {
 			j.Token()
@@ -189,7 +210,7 @@
 		}
 	}
 	for _, j := range ended {
-		e.Remove(j)
+		e.remove(j)
 		if j.Ended != nil {
 			j.Ended()
 		}
--- a/measurer/verb/verb.go
+++ b/measurer/verb/verb.go
@@ -34,6 +34,7 @@
 var table = []line{
 	{"tail", "Tail latency while some targets are slow for moments.", tail{}},
 	{"blocking", "Wait of short work behind long work.", blocking{}},
+	{"training", "Trainers' idle time and the staleness of samples.", training{}},
 	{"overload", "Goodput of live work at one and a half times the capacity.", overload{}},
 	{"fairness", "Tail latency of teams beside one far above its limit.", fairness{}},
 	{"switching", "Capacity away while weights are switched.", switching{}},
