--- a/ladder/dispatcher/race_test.go
+++ b/ladder/dispatcher/race_test.go
@@ -51,6 +51,8 @@
 			})
 		case messenger.Cancel:
 			s.sent <- "cancel"
+		case messenger.Hello, messenger.Heartbeat, messenger.Resume, messenger.Release, messenger.Configuration, messenger.Locate,
+			messenger.Chunk, messenger.End, messenger.Refused, messenger.Crashed, messenger.Located:
 		}
 		return nil
 	})
--- a/sidecar/runner/runner.go
+++ b/sidecar/runner/runner.go
@@ -122,7 +122,7 @@
 func newSupervisor(s Settings, l *linker.Linker) *supervisor.Supervisor {
 	engine := s.Kind == "model-engine"
 	options := supervisor.Options{
-		Executor: executor.DefaultOptions(), Heartbeats: s.Settings.Options(),
+		Executor: executor.DefaultOptions(), Heartbeats: s.Options(),
 		Address: string(s.Address), Links: s.Links, ListInterval: 2 * time.Second,
 	}
 	options.Executor.Linger = s.LeaveDelay
