--- /dev/null
+++ b/ladder/accumulator/example_test.go
@@ -0,0 +1,25 @@
+package accumulator_test
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/lycheeladder/lycheeladder/ladder/accumulator"
+)
+
+// A stream is resumed after a broken connection: overlaps are passed over, a
+// gap is refused so that its start can be asked for.
+func Example() {
+	a := accumulator.New()
+	fmt.Println(a.WriteAt(0, []byte("hanging ")))
+	fmt.Println(a.WriteAt(11, []byte("in")), "ask from", a.Length())
+	fmt.Println(a.WriteAt(4, []byte("ing chain")))
+	a.End()
+	data, _, _ := a.Next(context.Background(), 0)
+	fmt.Println(string(data))
+	// Output:
+	// true
+	// false ask from 8
+	// true
+	// hanging chain
+}
--- /dev/null
+++ b/ladder/labeler/example_test.go
@@ -0,0 +1,26 @@
+package labeler_test
+
+import (
+	"fmt"
+
+	"github.com/lycheeladder/lycheeladder/ladder/caller"
+	"github.com/lycheeladder/lycheeladder/ladder/labeler"
+)
+
+// Weights changed in the middle of an answer: its stamps say where.
+func Example() {
+	l := labeler.New(caller.State{BootID: "boot", Version: 7, SwitchCount: 1})
+	l.Add(caller.Piece{Tokens: 3, Version: 7})
+	l.Add(caller.Piece{Tokens: 2, Version: 8})
+	spans, known := l.Finish(caller.State{BootID: "boot", Version: 8, SwitchCount: 2})
+	fmt.Println(spans, known, "oldest", labeler.Oldest(spans))
+
+	// Without stamps a switch in between leaves the versions unknown.
+	l = labeler.New(caller.State{BootID: "boot", Version: 7, SwitchCount: 1})
+	l.Add(caller.Piece{Tokens: 5})
+	_, known = l.Finish(caller.State{BootID: "boot", Version: 8, SwitchCount: 2})
+	fmt.Println(known)
+	// Output:
+	// [{7 0 3} {8 3 5}] true oldest 7
+	// false
+}
--- /dev/null
+++ b/ladder/limiter/example_test.go
@@ -0,0 +1,35 @@
+package limiter_test
+
+import (
+	"fmt"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lycheeladder/lycheeladder/ladder/limiter"
+)
+
+// A team above its limit is refused at once and told when to come back.
+func ExampleLimiter() {
+	l := limiter.New(clockwork.NewFakeClock())
+	bounds := limiter.Bounds{RequestsPerSecond: 2, Burst: 1, InFlight: 10}
+	for range 2 {
+		retryAfter, ok := l.Enter("franchisees", bounds)
+		fmt.Println(ok, retryAfter)
+	}
+	// Output:
+	// true 0s
+	// false 500ms
+}
+
+// Retries come from a share of the successes, so that they can't add much to
+// an overload.
+func ExampleBudget() {
+	b := limiter.NewBudget(0.5, 1)
+	fmt.Println(b.Spend(), b.Spend())
+	b.Earn()
+	b.Earn()
+	fmt.Println(b.Spend())
+	// Output:
+	// true false
+	// true
+}
--- /dev/null
+++ b/ladder/router/example_test.go
@@ -0,0 +1,31 @@
+package router_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/router"
+)
+
+// A sender's own counts decide; what it hears of answers teaches it the pace.
+func Example() {
+	r := router.New(clockwork.NewRealClock(), router.NewRandom(1), router.LeastInFlight{})
+	candidates := []router.Candidate{{Target: "engine-1", Service: "advice"}, {Target: "engine-2", Service: "advice"}}
+	var open []identifier.TargetName
+	for range 3 {
+		target, _ := r.Choose(candidates)
+		open = append(open, target)
+		fmt.Println("to", target)
+	}
+	r.Heard(open[0], 30*time.Millisecond, true)
+	r.Done(open[0])
+	fmt.Println("open at engine-1:", r.InFlight("engine-1"))
+	// Output:
+	// to engine-1
+	// to engine-2
+	// to engine-1
+	// open at engine-1: 1
+}
--- a/ladder/validator/document.go
+++ b/ladder/validator/document.go
@@ -81,7 +81,7 @@
 	IdempotentCalls []identifier.CallName `json:"idempotent-calls,omitempty"`
 	// Slots is how many requests a sidecar has at its target at once.
 	Slots int `json:"slots"`
-	// QueueLimit is how many requests wait at a sidecar at most.
+	// QueueLimit is how many requests of each class wait at a sidecar at most.
 	QueueLimit int `json:"queue-limit"`
 	// AwayPercent is the share of targets that may switch weights at once.
 	AwayPercent int `json:"away-percent,omitempty"`
