--- a/ladder/quarantiner/quarantiner_test.go
+++ b/ladder/quarantiner/quarantiner_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"github.com/jonboulle/clockwork"
 	"pgregory.net/rapid"
 
@@ -78,7 +79,7 @@
 	q.Leave(1, first)
 	second, _ := q.Enter(t.Context(), 1)
 	got := []any{first, waiting, second}
-	if diff := cmp.Diff([]any{quarantiner.Alone{}, context.Canceled, quarantiner.Free{}}, got, cmp.Comparer(func(a, b error) bool { return a == b })); diff != "" {
+	if diff := cmp.Diff([]any{quarantiner.Alone{}, context.Canceled, quarantiner.Free{}}, got, cmpopts.EquateErrors()); diff != "" {
 		t.Errorf("first, while it runs, once it is cleared (-want +got):\n%s", diff)
 	}
 }
