--- a/ladder/prover/world.go
+++ b/ladder/prover/world.go
@@ -182,7 +182,7 @@
 	w.tasks.Go(func() {
 		switch {
 		case e != nil && e.process == p:
-			w.network.Listen(p.Name(), nil)
+			w.network.Close(p.Name())
 			e.stop()
 			if w.sleep(restartTime); w.ctx.Err() == nil {
 				w.startEntry(p.Name())
--- a/ladder/queuer/order.go
+++ b/ladder/queuer/order.go
@@ -14,9 +14,11 @@
 // first, then the one that has waited longest. It is a baseline.
 type PlainPriority struct{}
 
-// ShortFirst takes live before rollout, within a class the more urgent first,
-// then the one with the fewest expected tokens, less what it has gained by
-// waiting. While rollout work waits, it always gets a slot.
+// ShortFirst takes live before rollout, within a class the more urgent first.
+// Of live work the one with the fewest expected tokens then goes first, less
+// what it has gained by waiting; rollout work keeps its order, since a step is
+// whole only with its longest sample. While rollout work waits, it always gets
+// a slot.
 type ShortFirst struct {
 	// Pauses says that the target pauses work of a lower priority when it is
 	// given more than its slots, as model engines do. Short live work then goes
@@ -33,9 +35,6 @@
 	// with n expected tokens is overtaken only by items that come at most
 	// n/ageingRate seconds after it.
 	ageingRate = 100
-	// aboveShare is one more slot for so many that short live work may take
-	// above them.
-	aboveShare = 4
 	// rolloutSlots is what rollout work gets while it waits, whatever live
 	// work there is.
 	rolloutSlots = 1
@@ -79,7 +78,7 @@
 		if a.Urgency != b.Urgency {
 			return a.Urgency > b.Urgency
 		}
-		return aged(a, b) < float64(b.Expected)
+		return a.Class == identifier.ClassLive && aged(a, b) < float64(b.Expected)
 	}
 	return false
 }
@@ -107,7 +106,8 @@
 
 // aboveAllowed says whether a short live item may run although all slots are
 // taken: an engine that honours priorities pauses long work for it, and one
-// that doesn't lets it wait no longer than here.
+// that doesn't lets it wait no longer than here. Some of the long work always
+// goes on, and no more is ever paused than the engine has slots.
 func (q *Queuer) aboveAllowed() bool {
 	now := q.clock.Now()
 	short := 0
@@ -116,7 +116,24 @@
 			short++
 		}
 	}
-	return short < q.slots && len(q.running) < q.slots+max(1, q.slots/aboveShare)
+	return short < q.slots-rolloutSlots && len(q.running) < 2*q.slots
+}
+
+// tooLate says whether the live work before an item would likely take more than
+// half of its caller's patience; the other half is for the work itself. Work
+// that is given up half-way is worse than a refusal.
+func (q *Queuer) tooLate(i Item) bool {
+	if _, ok := q.order.(ShortFirst); !ok || i.Patience <= 0 || i.Class != identifier.ClassLive || !q.lengths.runTime.known() {
+		return false
+	}
+	before := 0
+	for _, e := range q.waiting {
+		if q.priority(e.Item) == prioritySoon {
+			before++
+		}
+	}
+	wait := float64(before) * q.lengths.runTime.value() / float64(max(1, q.slots))
+	return wait > i.Patience.Seconds()/2
 }
 
 // The priorities that an engine is told.
--- a/measurer/driver/entry.go
+++ b/measurer/driver/entry.go
@@ -16,6 +16,8 @@
 	maxAttempts = 4
 	retryShare  = 0.1
 	retryMost   = 20
+	// rolloutPiece is how many tokens of rollout work come in a piece.
+	rolloutPiece = 8
 )
 
 // service is what all workers belong to.
@@ -28,6 +30,12 @@
 	// Expected is what the caller says of Tokens, 0 if nothing.
 	Expected identifier.TokenCount
 	Prompt   int
+	// Model and Urgency are for rollout work.
+	Model   identifier.ModelName
+	Urgency int
+	// Team and Bounds limit the call; without Bounds there is no limit.
+	Team   identifier.TeamName
+	Bounds *limiter.Bounds
 	// Timeout is how long the caller waits; 0 is for ever.
 	Timeout time.Duration
 	Done    func(Result)
@@ -43,6 +51,8 @@
 	// arrival at the entry until an engine took it.
 	Total time.Duration
 	Wait  time.Duration
+	// Oldest is the oldest version that made a token.
+	Oldest identifier.WeightVersion
 }
 
 // Entry is one entry's choice of targets.
@@ -51,13 +61,14 @@
 	zone   identifier.ZoneName
 	router *router.Router
 	budget *limiter.Budget
+	limits *limiter.Limiter
 	calls  int
 }
 
 func (s *System) newEntry(zone identifier.ZoneName, seed uint64) *Entry {
 	return &Entry{
 		system: s, zone: zone, router: router.New(s.Timer.Clock(), router.NewRandom(seed), s.options.Policy),
-		budget: limiter.NewBudget(retryShare, retryMost),
+		budget: limiter.NewBudget(retryShare, retryMost), limits: limiter.New(s.Timer.Clock()),
 	}
 }
 
@@ -95,6 +106,9 @@
 	}
 	t.After(e.system.options.Deployment.ToClients, func() {
 		o.cameAt = t.Now()
+		if !o.enter() {
+			return
+		}
 		o.try()
 		if c.Timeout > 0 {
 			t.After(c.Timeout, func() { o.end(Result{}) })
@@ -102,6 +116,20 @@
 	})
 }
 
+// enter asks the team's limits; a call that is refused there is ended.
+func (o *open) enter() bool {
+	e := o.entry
+	if o.call.Bounds == nil {
+		return true
+	}
+	retryAfter, ok := e.limits.Enter(o.call.Team, *o.call.Bounds)
+	if !ok {
+		o.call.Bounds = nil
+		o.end(Result{Refused: true, RetryAfter: retryAfter, Total: e.system.Timer.Now().Sub(o.sentAt)})
+	}
+	return ok
+}
+
 // try gives the call to a target that wasn't tried yet; it returns false if
 // there is none.
 func (o *open) try() bool {
@@ -125,7 +153,7 @@
 // long.
 func (o *open) watch(n identifier.Attempt, a *attempt) {
 	e := o.entry
-	if !e.system.options.Hedge || n > 1 {
+	if !e.system.options.Hedge || n > 1 || o.call.Class == identifier.ClassRollout {
 		return
 	}
 	patience := e.router.Patience(service, a.begun)
@@ -153,15 +181,23 @@
 	if o.attempts[n] != a {
 		return
 	}
-	work := &engine.Job{Tokens: o.call.Tokens, Prompt: o.call.Prompt}
+	work := &engine.Job{Tokens: o.call.Tokens, Prompt: o.call.Prompt, Model: o.call.Model}
 	work.Started = func() {
 		if o.started.IsZero() {
 			o.started = t.Now()
 		}
 	}
-	work.Token = func() { t.After(back, func() { o.heard(n, a) }) }
-	work.Ended = func() { t.After(back, func() { o.answered(n, a) }) }
-	i := queuer.Item{Request: o.request, Attempt: n, Class: o.call.Class, Expected: o.call.Expected}
+	piece := 1
+	if o.call.Class == identifier.ClassRollout {
+		piece = rolloutPiece
+	}
+	work.Token = func() {
+		if work.Made()%piece == 0 {
+			t.After(back, func() { o.heard(n, a) })
+		}
+	}
+	work.Ended = func() { t.After(back, func() { o.answered(n, a, work.Oldest()) }) }
+	i := queuer.Item{Request: o.request, Attempt: n, Class: o.call.Class, Expected: o.call.Expected, Patience: o.call.Timeout, Urgency: o.call.Urgency}
 	if err := a.worker.start(i, work); err != nil {
 		t.After(back, func() { o.refused(n, a, time.Second) })
 	}
@@ -177,7 +213,7 @@
 	a.heard, a.begun = now, true
 }
 
-func (o *open) answered(n identifier.Attempt, a *attempt) {
+func (o *open) answered(n identifier.Attempt, a *attempt, oldest identifier.WeightVersion) {
 	if o.attempts[n] != a {
 		return
 	}
@@ -187,7 +223,7 @@
 	e.router.Done(a.worker.Name)
 	e.budget.Earn()
 	o.end(Result{
-		Completed: true, Wait: o.started.Sub(o.cameAt),
+		Completed: true, Oldest: oldest, Wait: o.started.Sub(o.cameAt),
 		Total: now.Sub(o.sentAt) + e.system.options.Deployment.ToClients,
 	})
 }
@@ -215,6 +251,9 @@
 		return
 	}
 	o.ended = true
+	if o.call.Bounds != nil {
+		o.entry.limits.Leave(o.call.Team)
+	}
 	for n, a := range o.attempts {
 		delete(o.attempts, n)
 		o.entry.router.Done(a.worker.Name)
