--- a/measurer/verb/training.go
+++ b/measurer/verb/training.go
@@ -34,6 +34,9 @@
 	tokenSpread     = 0.4
 	stragglerShare  = 1.0 / 16
 	stragglerFactor = 5
+	// parallelShare is a trainer's bound of samples in progress, as a share of
+	// all slots.
+	parallelShare = 0.5
 	// guessSpread is how wrong a trainer's guess of a length is.
 	guessSpread    = 0.5
 	stalenessBound = 2
@@ -111,6 +114,11 @@
 	step    int
 	// missing counts the samples not made yet of the step asked for.
 	missing int
+	// pending samples wait until fewer than parallel are in progress, as in
+	// the deliverer's session.
+	pending    []wanted
+	inProgress int
+	parallel   int
 	// waiting is set while the trainer has nothing to train on.
 	waiting bool
 	since   time.Time
@@ -131,6 +139,10 @@
 		t := &trainer{
 			system: s, variant: variant, model: identifier.ModelName(fmt.Sprint("model-", n)),
 			groups: int(samples / groupSize), version: 1, result: o, waiting: true, since: s.Timer.Now(),
+			parallel: unbounded,
+		}
+		if variant == ours || variant == knowing {
+			t.parallel = int(parallelShare * float64(d.Workers*d.Engine.Slots))
 		}
 		s.Timer.After(time.Duration(n)*trainTime/trainers, func() {
 			t.since = s.Timer.Now()
@@ -178,7 +190,16 @@
 		deliverer.LongestFirst(all, func(w wanted) identifier.TokenCount { return w.guess })
 	}
 	t.missing, t.oldest = len(all), nil
-	for _, w := range all {
+	t.pending = append(t.pending, all...)
+	t.fill()
+}
+
+// fill starts samples while there is room.
+func (t *trainer) fill() {
+	for len(t.pending) > 0 && t.inProgress < t.parallel {
+		w := t.pending[0]
+		t.pending = t.pending[1:]
+		t.inProgress++
 		t.send(w)
 	}
 }
@@ -191,6 +212,8 @@
 				t.system.Timer.After(r.RetryAfter, func() { t.send(w) })
 				return
 			}
+			t.inProgress--
+			t.fill()
 			t.oldest = append(t.oldest, r.Oldest)
 			t.missing--
 			if t.missing == 0 && t.waiting {
