--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -13,16 +13,18 @@
 	"github.com/sourcegraph/conc"
 	"k8s.io/klog/v2"
 
+	"github.com/lycheeladder/lycheeladder/entry/console"
 	"github.com/lycheeladder/lycheeladder/entry/publisher"
-	"github.com/lycheeladder/lycheeladder/entry/receiver"
+	"github.com/lycheeladder/lycheeladder/ladder/accepter"
 	"github.com/lycheeladder/lycheeladder/ladder/appender"
 	"github.com/lycheeladder/lycheeladder/ladder/coordinator"
 	"github.com/lycheeladder/lycheeladder/ladder/dispatcher"
 	"github.com/lycheeladder/lycheeladder/ladder/encoder"
 	"github.com/lycheeladder/lycheeladder/ladder/heartbeater"
+	"github.com/lycheeladder/lycheeladder/ladder/historian"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/linker"
-	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/proposer"
 	"github.com/lycheeladder/lycheeladder/ladder/recorder"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
 	"github.com/lycheeladder/lycheeladder/ladder/server"
@@ -33,31 +35,41 @@
 
 Callers and trainers use --listen, sidecars --peer-listen, operators
 --operator-listen. What is in force comes from the platform's log; a log that is
-down is waited for. On SIGTERM the entry stops accepting and finishes what it
-has, at most for --drain-timeout. Each flag can be set by the environment
+down is waited for. On SIGTERM the entry says that it leaves, takes calls for
+--leave-delay more, and finishes what it has, at most for --drain-timeout; what
+is left then, or at a second SIGTERM, gets a final answer. Each flag can be set by the environment
 variable shown.`
 
 // Settings are an entry's flags and environment variables.
 type Settings struct {
 	starter.Common
-	Name           string          `help:"This entry's name." required:""`
-	Zone           string          `help:"The availability zone of this host." required:""`
-	Listen         starter.Address `help:"Where callers and trainers come in, IP:port." required:""`
-	PeerListen     starter.Address `help:"Where sidecars come in, IP:port." required:""`
-	OperatorListen starter.Address `help:"Where operators come in, IP:port." required:""`
-	Log            starter.Address `help:"The platform's log service, IP:port." required:""`
-	DrainTimeout   time.Duration   `help:"How long a stop waits for requests in progress." default:"30s"`
-	KeyMaxAge      time.Duration   `help:"The oldest idempotency key taken; shorter than the log keeps records." default:"15m"`
-	SampleTimeout  time.Duration   `help:"The longest attempt at one sample." default:"10m"`
+	heartbeater.Settings
+	Name           string            `help:"This entry's name." required:""`
+	Zone           string            `help:"The availability zone of this host." required:""`
+	Listen         starter.Address   `help:"Where callers and trainers come in, IP:port." required:""`
+	PeerListen     starter.Address   `help:"Where sidecars come in, IP:port." required:""`
+	OperatorListen starter.Address   `help:"Where operators come in, IP:port." required:""`
+	Log            starter.Address   `help:"The platform's log service, IP:port." required:""`
+	LogRetention   time.Duration     `help:"How long the log keeps records; what is in force is written again well before." default:"24h"`
+	Peer           []starter.Address `help:"Another entry's peer listener, IP:port, asked for what is in force where the log can't tell; may be repeated." placeholder:"IP:PORT"`
+	Hosts          starter.Address   `help:"The platform's host list, IP:port, for entries not named by --peer."`
+	LeaveDelay     time.Duration     `help:"How long a stop still takes calls, for the balancer to notice." default:"2s"`
+	DrainTimeout   time.Duration     `help:"How long a stop waits for requests in progress." default:"30s"`
+	KeyMaxAge      time.Duration     `help:"The oldest idempotency key taken; shorter than the log keeps records." default:"15m"`
+	SampleTimeout  time.Duration     `help:"The longest attempt at one sample." default:"10m"`
 }
 
 // Validate checks what the flags' types don't.
 func (s Settings) Validate() error {
 	switch {
+	case s.LeaveDelay < 0:
+		return fmt.Errorf("--leave-delay: %s is below 0", s.LeaveDelay)
 	case s.DrainTimeout < 0:
 		return fmt.Errorf("--drain-timeout: %s is below 0", s.DrainTimeout)
 	case s.KeyMaxAge <= 0:
 		return fmt.Errorf("--key-max-age: %s is not above 0", s.KeyMaxAge)
+	case s.LogRetention <= s.KeyMaxAge:
+		return fmt.Errorf("--log-retention: %s is not above --key-max-age", s.LogRetention)
 	case s.SampleTimeout <= 0:
 		return fmt.Errorf("--sample-timeout: %s is not above 0", s.SampleTimeout)
 	}
@@ -99,22 +111,21 @@
 	r := recorder.New()
 	r.Publish("lycheeladder")
 	c := newCoordinator(s, r)
-	stopping, release := starter.UntilSignal()
+	operators, err := operatorApp(s, c)
+	if err != nil {
+		return err
+	}
+	stop, release := starter.UntilSignal()
 	defer release()
 	working, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var tasks conc.WaitGroup
 	tasks.Go(func() { c.Run(working) })
-	peers := peerApp(working, c, linker.New(e))
+	peers := peerApp(working, c, linker.New(e), r)
 	tasks.Go(func() { serve(working, "peers", peers, listeners[1], 0) })
-	tasks.Go(func() { serve(working, "operators", publisher.New(c), listeners[2], time.Second) })
+	tasks.Go(func() { serve(working, "operators", operators, listeners[2], time.Second) })
 	klog.InfoS("entry started", "entry", s.Name, "zone", s.Zone, "listen", listeners[0].Addr().String())
-	callers := receiver.New(c, bodyLimit)
-	go func() {
-		<-stopping.Done()
-		callers.Leave()
-	}()
-	serve(stopping, "callers", callers.App(), listeners[0], s.DrainTimeout)
+	serveCallers(stop, s, c, listeners[0])
 	cancel()
 	tasks.Wait()
 	klog.InfoS("entry stopped", "entry", s.Name)
@@ -141,24 +152,27 @@
 
 func newCoordinator(s Settings, r *recorder.Recorder) *coordinator.Coordinator {
 	options := coordinator.Options{
-		Dispatch: dispatcher.DefaultOptions(), Heartbeats: heartbeater.DefaultOptions(),
+		Dispatch: dispatcher.DefaultOptions(), Heartbeats: s.Settings.Options(),
 		Policy: router.Expected{}, KeyMaxAge: s.KeyMaxAge, SampleTimeout: s.SampleTimeout,
+		LogRetention: s.LogRetention,
 	}
 	options.Dispatch.Entry = identifier.EntryName(s.Name)
 	options.Dispatch.Zone = identifier.ZoneName(s.Zone)
 	options.Dispatch.Incarnation = identifier.NewIncarnation()
 	seed := uint64(time.Now().UnixNano())
+	options.Peers = accepter.NewHTTPPeers(newAddresses(s), router.NewRandom(seed))
 	return coordinator.New(clockwork.NewRealClock(), appender.NewHTTP(string(s.Log)), router.NewRandom(seed), r, options)
 }
 
-func peerApp(ctx context.Context, c *coordinator.Coordinator, l *linker.Linker) *fiber.App {
-	app := server.NewApp("peers", peerBodyLimit)
-	app.Get(linker.Path, func(x fiber.Ctx) error {
-		return l.Upgrade(x.RequestCtx(), func(link messenger.Link) {
-			if err := c.ServeLink(ctx, link); err != nil {
-				klog.V(1).InfoS("link ended", "err", err)
-			}
-		})
-	})
-	return app
+// operatorApp serves operators' programs and their console on one listener.
+func operatorApp(s Settings, c *coordinator.Coordinator) (*fiber.App, error) {
+	history := historian.New(appender.NewHTTP(string(s.Log)), c.Follower())
+	p := proposer.New(c.Follower(), history)
+	app := publisher.New(c, p, history)
+	pages, err := console.New(clockwork.NewRealClock(), c, p, history)
+	if err != nil {
+		return nil, err
+	}
+	pages.Mount(app)
+	return app, nil
 }
--- a/ladder/approver/approver.go
+++ b/ladder/approver/approver.go
@@ -18,7 +18,7 @@
 // expiry, so that a copied or altered approval fails. Names are kebab-case,
 // so line ends separate them without doubt.
 func canonical(team identifier.TeamName, service identifier.ServiceName, owner identifier.OwnerName, expires time.Time) []byte {
-	return fmt.Appendf(nil, "lycheeladder-grant-1\n%s\n%s\n%s\n%s\n", team, service, owner, expires.UTC().Format(time.RFC3339))
+	return fmt.Appendf(nil, "lycheeladder-grant-1\n%s\n%s\n%s\n%s\n", team, service, owner, expires.UTC().Format(time.RFC3339Nano))
 }
 
 // Approve returns owner's approval of team for service until expires, which
@@ -36,28 +36,45 @@
 // Check returns nil if the grant carries a valid approval of the service's
 // owner in d at the time now.
 func Check(d *validator.Document, g validator.Grant, now time.Time) (err error) {
+	if err := CheckSignature(d, g); err != nil {
+		return err
+	}
+	if !now.Before(g.Approval.Expires) {
+		return errors.Errorf("grant of %s to %s: approval expired at %s", g.Service, g.Team, g.Approval.Expires.UTC().Format(time.RFC3339))
+	}
+	return nil
+}
+
+// CheckSignature is Check but for the expiry. Its verdict depends on the
+// grant, the service's owner and the owner's key alone, so it can be kept.
+func CheckSignature(d *validator.Document, g validator.Grant) (err error) {
 	defer annotator.Annotate(&err, "grant of %s to %s", g.Service, g.Team)
 	s, ok := d.ServiceByName(g.Service)
 	if !ok {
 		return errors.New("unknown service")
 	}
+	if g.Approval == (validator.Approval{}) {
+		return errors.New("not approved yet")
+	}
 	if g.Approval.Owner != s.Owner {
 		return errors.Errorf("approved by %q, owner is %q", g.Approval.Owner, s.Owner)
 	}
-	if !now.Before(g.Approval.Expires) {
-		return errors.Errorf("approval expired at %s", g.Approval.Expires.UTC().Format(time.RFC3339))
-	}
 	o, ok := d.OwnerByName(s.Owner)
 	if !ok {
 		return errors.Errorf("unknown owner %q", s.Owner)
 	}
-	key, err := base64.StdEncoding.DecodeString(o.PublicKey)
-	if err != nil || len(key) != ed25519.PublicKeySize {
-		return errors.Errorf("owner %q has no usable key", o.Name)
-	}
-	signature, err := base64.StdEncoding.DecodeString(g.Approval.Signature)
-	if err != nil || !ed25519.Verify(key, canonical(g.Team, g.Service, g.Approval.Owner, g.Approval.Expires), signature) {
+	if !verify(o, canonical(g.Team, g.Service, g.Approval.Owner, g.Approval.Expires), g.Approval.Signature) {
 		return errors.New("signature doesn't match")
 	}
 	return nil
 }
+
+// Waiting returns the places in d.Grants that have no valid approval at now.
+func Waiting(d *validator.Document, now time.Time) (places []int) {
+	for i, g := range d.Grants {
+		if Check(d, g, now) != nil {
+			places = append(places, i)
+		}
+	}
+	return places
+}
--- a/ladder/dispatcher/dispatch.go
+++ b/ladder/dispatcher/dispatch.go
@@ -5,11 +5,13 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
 	"github.com/lycheeladder/lycheeladder/ladder/accumulator"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/quarantiner"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
 )
 
@@ -45,7 +47,7 @@
 		if n > 1 && !d.budget.Spend() {
 			break
 		}
-		p := d.choose(r.Service, s.tried)
+		p := d.choose(r, s.tried)
 		if p == nil {
 			break
 		}
@@ -71,19 +73,19 @@
 }
 
 // choose picks a linked, staying target of the service that wasn't tried.
-func (d *Dispatcher) choose(service identifier.ServiceName, tried map[identifier.TargetName]bool) *peer {
+func (d *Dispatcher) choose(r Request, tried map[identifier.TargetName]bool) *peer {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	var candidates []router.Candidate
 	for _, p := range d.peers {
-		if p.service != service || p.link == nil || p.leaving || tried[p.target] {
+		if p.service != r.Service || !p.usable() || tried[p.target] {
 			continue
 		}
 		candidates = append(candidates, router.Candidate{
-			Target: p.target, Service: service, Zone: p.zone, Reported: p.load.InFlight + p.load.Queued, ReportedAt: p.loadAt,
+			Target: p.target, Service: r.Service, Zone: p.zone, Reported: p.load.InFlight + p.load.Queued, ReportedAt: p.loadAt,
 		})
 	}
-	target, ok := d.router.Choose(candidates)
+	target, ok := d.router.Choose(d.narrow(r, candidates))
 	if !ok {
 		return nil
 	}
@@ -91,9 +93,15 @@
 }
 
 // try runs one attempt. It returns nil if another target may be tried.
-func (d *Dispatcher) try(ctx context.Context, r Request, p *peer, n identifier.Attempt, s *progress) Outcome {
-	a := d.open(p, key{r.ID, n})
-	sent := d.start(ctx, r, p, n)
+func (d *Dispatcher) try(ctx context.Context, r Request, p *peer, n identifier.Attempt, s *progress) (o Outcome) {
+	v, refused := d.enter(ctx, r, s)
+	if refused != nil {
+		d.router.Done(p.target)
+		return refused
+	}
+	defer func() { d.leave(ctx, r, v, o) }()
+	a := d.open(p, key{r.ID, n}, r.followed())
+	sent := d.start(ctx, r, p, n, v)
 	defer d.close(a)
 	if !sent {
 		d.router.Done(p.target)
@@ -103,11 +111,13 @@
 	answer := d.answerOf(a)
 	if answer == nil && err != nil {
 		d.router.Done(p.target)
-		d.abandon(a)
+		if r.Sample == "" || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			d.abandon(a)
+		}
 		return gaveUp(ctx, d.options.RetryAfter)
 	}
 	d.router.Done(p.target)
-	o := d.judge(r, a, answer, s)
+	o = d.judge(r, a, answer, s)
 	if _, ok := o.(Completed); ok {
 		d.budget.Earn()
 	}
@@ -116,6 +126,9 @@
 
 // gaveUp is the outcome when the caller's time is over before an answer came.
 func gaveUp(ctx context.Context, retryAfter time.Duration) Outcome {
+	if errors.Is(context.Cause(ctx), ErrStopping) {
+		return Unknown{Code: CodeStopping, RetryAfter: retryAfter}
+	}
 	if ctx.Err() == context.Canceled {
 		return Unknown{Code: CodeCallerGone, RetryAfter: retryAfter}
 	}
@@ -176,27 +189,37 @@
 	return NotRun{Code: refusalByReason[m.Reason], RetryAfter: max(m.RetryAfter, least)}
 }
 
-func (d *Dispatcher) open(p *peer, k key) *attempt {
+// open returns the attempt's record, which a call that follows it already may
+// have opened.
+func (d *Dispatcher) open(p *peer, k key, streamed bool) *attempt {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	a := &attempt{key: k, peer: p, output: accumulator.New(), heard: d.clock.Now()}
-	p.attempts[k] = a
+	a, ok := p.attempts[k]
+	if !ok {
+		a = &attempt{key: k, peer: p, streamed: streamed, output: accumulator.New(), heard: d.clock.Now()}
+		p.attempts[k] = a
+	}
+	a.users++
 	return a
 }
 
 func (d *Dispatcher) close(a *attempt) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	delete(a.peer.attempts, a.key)
+	a.users--
+	if a.users == 0 {
+		delete(a.peer.attempts, a.key)
+	}
 }
 
 // start sends the request. It returns false only if it surely never left. An
 // error of the link leaves that open; the answer to a Resume will tell.
-func (d *Dispatcher) start(ctx context.Context, r Request, p *peer, n identifier.Attempt) bool {
+func (d *Dispatcher) start(ctx context.Context, r Request, p *peer, n identifier.Attempt, v quarantiner.Verdict) bool {
+	_, alone := v.(quarantiner.Alone)
 	d.mutex.Lock()
-	l := p.link
+	l, usable := p.link, p.usable()
 	d.mutex.Unlock()
-	if l == nil || ctx.Err() != nil {
+	if !usable || ctx.Err() != nil {
 		return false
 	}
 	m := messenger.Start{
@@ -204,7 +227,7 @@
 		Call: r.Call, Body: r.Body, Idempotent: r.Idempotent,
 		Timeout: r.Deadline.Sub(d.clock.Now()), Expected: r.Expected, Sample: r.Sample,
 		Fingerprint: identifier.NewFingerprint(r.Service, r.Call, r.Body),
-		Urgency:     r.Urgency, Oldest: r.Oldest,
+		Urgency:     r.Urgency, Oldest: r.Oldest, Streamed: r.followed(), Alone: alone,
 	}
 	if d.beats.SendWithin(ctx, l, m) != nil {
 		_ = l.Close()
@@ -237,8 +260,10 @@
 	return a.answer
 }
 
-// abandon tells the sidecar that nobody waits any longer. The caller of
-// Dispatch doesn't wait for it.
+// abandon is for work that nobody takes over: a sample whose session ends here
+// goes on at its sidecar, where the trainer's next entry finds it. abandon tells
+// the sidecar that nobody waits any longer. The caller of Dispatch doesn't wait
+// for it.
 func (d *Dispatcher) abandon(a *attempt) {
 	d.mutex.Lock()
 	l := a.peer.link
@@ -257,14 +282,7 @@
 // Locate asks every sidecar of the service which of the samples it holds, and
 // waits for the answers until ctx ends.
 func (d *Dispatcher) Locate(ctx context.Context, service identifier.ServiceName, samples []identifier.SampleID) map[identifier.SampleID]HeldAt {
-	d.mutex.Lock()
-	var peers []*peer
-	for _, p := range d.peers {
-		if p.service == service && p.link != nil {
-			peers = append(peers, p)
-		}
-	}
-	d.mutex.Unlock()
+	peers := d.linked(service)
 	found := make(chan map[identifier.SampleID]HeldAt, len(peers))
 	var tasks conc.WaitGroup
 	for _, p := range peers {
@@ -328,7 +346,7 @@
 // join follows an attempt that is already known at the peer, and judges its
 // answer. An error says that ctx has ended.
 func (d *Dispatcher) join(ctx context.Context, r Request, p *peer, k key, s *progress) (Outcome, error) {
-	a := d.open(p, k)
+	a := d.open(p, k, r.followed())
 	defer d.close(a)
 	d.mutex.Lock()
 	l := p.link
--- a/ladder/dispatcher/dispatcher.go
+++ b/ladder/dispatcher/dispatcher.go
@@ -15,6 +15,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/limiter"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/quarantiner"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
 )
 
@@ -41,6 +42,10 @@
 	Stream func([]byte) error
 }
 
+// followed says whether pieces of the answer matter before its end: to the
+// caller, or to tell a target that has turned slow. A sample has no such hurry.
+func (r Request) followed() bool { return r.Sample == "" }
+
 // Options are a Dispatcher's settings.
 type Options struct {
 	Entry       identifier.EntryName
@@ -79,6 +84,7 @@
 	goals          Goals
 	configurations Configurations
 	options        Options
+	quarantine     *quarantiner.Quarantiner
 
 	mutex sync.Mutex
 	// peers has one entry per target, the newest incarnation heard of.
@@ -91,7 +97,7 @@
 func New(clock clockwork.Clock, r *router.Router, beats *heartbeater.Heartbeater, budget *limiter.Budget, goals Goals, configurations Configurations, options Options) *Dispatcher {
 	return &Dispatcher{
 		clock: clock, router: r, beats: beats, budget: budget, goals: goals,
-		configurations: configurations, options: options,
+		configurations: configurations, options: options, quarantine: quarantiner.New(clock),
 		peers: make(map[identifier.TargetName]*peer),
 	}
 }
@@ -111,9 +117,11 @@
 	Incarnation identifier.Incarnation `json:"incarnation"`
 	Linked      bool                   `json:"linked"`
 	Leaving     bool                   `json:"leaving"`
-	Revision    identifier.Revision    `json:"revision"`
-	Load        messenger.Load         `json:"load"`
-	InFlight    int                    `json:"in-flight"`
+	// Usable says that the target may be given work.
+	Usable   bool                `json:"usable"`
+	Revision identifier.Revision `json:"revision"`
+	Load     messenger.Load      `json:"load"`
+	InFlight int                 `json:"in-flight"`
 }
 
 // Targets returns the status of every target known.
@@ -124,50 +132,82 @@
 	for _, p := range d.peers {
 		list = append(list, TargetStatus{
 			Target: p.target, Service: p.service, Zone: p.zone, Incarnation: p.incarnation,
-			Linked: p.link != nil, Leaving: p.leaving, Revision: p.revision, Load: p.load,
+			Linked: p.link != nil, Leaving: p.leaving, Usable: p.usable(), Revision: p.revision, Load: p.load,
 			InFlight: len(p.attempts),
 		})
 	}
 	return list
 }
 
-// Announce sends a heartbeat to every sidecar at once: new weight goals can't
-// wait for the next one.
+// Announce sends a heartbeat at once to every sidecar whose model has new
+// weights: they can't wait for the next one.
 func (d *Dispatcher) Announce(ctx context.Context) {
-	h := d.heartbeat()
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
-	for _, l := range d.links("") {
-		tasks.Go(func() { _ = d.beats.SendWithin(ctx, l, h) })
+	for _, p := range d.linked("") {
+		tasks.Go(func() { d.announce(ctx, p) })
 	}
 }
 
-// Configure sends every sidecar its part of the accepted document.
-func (d *Dispatcher) Configure(ctx context.Context) { d.configure(ctx, "") }
-
-// configure does so for one service, or for all. A service's targets are told
-// anew when one has come or gone, or the time of a switch has changed: their
-// turns to switch weights depend on it.
-func (d *Dispatcher) configure(ctx context.Context, service identifier.ServiceName) {
-	type part struct {
-		link messenger.Link
-		m    messenger.Configuration
-	}
-	var parts []part
+func (d *Dispatcher) announce(ctx context.Context, p *peer) {
+	m := d.heartbeat(p)
 	d.mutex.Lock()
-	for _, p := range d.peers {
-		if service != "" && p.service != service {
-			continue
-		}
-		if m, ok := d.configurationOf(p); ok && p.link != nil {
-			parts = append(parts, part{p.link, m})
-		}
+	news := len(m.Goals) > 0 && !m.Goals[0].Same(p.announced)
+	if news {
+		p.announced = m.Goals[0]
 	}
 	d.mutex.Unlock()
+	if news {
+		d.send(ctx, p, m)
+	}
+}
+
+// Configure sends every sidecar its part of the accepted document. Most changes
+// leave a sidecar's part as it was: then the next heartbeat's revision says so,
+// and nothing else is sent.
+func (d *Dispatcher) Configure(ctx context.Context) { d.configureService(ctx, "") }
+
+// configureService does so for one service, or for all. A service's targets are
+// told anew when one has come or gone, or the time of a switch has changed:
+// their turns to switch weights depend on it.
+func (d *Dispatcher) configureService(ctx context.Context, service identifier.ServiceName) {
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
-	for _, p := range parts {
-		tasks.Go(func() { _ = d.beats.SendWithin(ctx, p.link, p.m) })
+	for _, p := range d.linked(service) {
+		tasks.Go(func() { d.configure(ctx, p) })
+	}
+}
+
+func (d *Dispatcher) configure(ctx context.Context, p *peer) {
+	d.mutex.Lock()
+	m, ok := d.configurationOf(p)
+	d.quarantine.SetPeriod(m.CrashQuarantine)
+	unchanged := m
+	unchanged.Revision = p.configured.Revision
+	if !ok || unchanged == p.configured {
+		p.configured.Revision = max(p.configured.Revision, m.Revision)
+		d.mutex.Unlock()
+		return
+	}
+	l := p.link
+	d.mutex.Unlock()
+	if l == nil || d.beats.SendWithin(ctx, l, m) != nil {
+		return
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if p.link == l && m.Revision >= p.configured.Revision {
+		p.configured = m
+	}
+}
+
+// send gives a message to a peer whose link may have gone meanwhile.
+func (d *Dispatcher) send(ctx context.Context, p *peer, m messenger.Message) {
+	d.mutex.Lock()
+	l := p.link
+	d.mutex.Unlock()
+	if l != nil {
+		_ = d.beats.SendWithin(ctx, l, m)
 	}
 }
 
@@ -199,19 +239,29 @@
 	return longest
 }
 
-// links returns the open links, of one service or of all.
-func (d *Dispatcher) links(service identifier.ServiceName) []messenger.Link {
+// linked returns the peers with a link, of one service or of all.
+func (d *Dispatcher) linked(service identifier.ServiceName) []*peer {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	var links []messenger.Link
+	var peers []*peer
 	for _, p := range d.peers {
 		if p.link != nil && (service == "" || p.service == service) {
-			links = append(links, p.link)
+			peers = append(peers, p)
 		}
 	}
-	return links
+	return peers
 }
 
-func (d *Dispatcher) heartbeat() messenger.Heartbeat {
-	return messenger.Heartbeat{Goals: d.goals.All()}
+// heartbeat carries the goal of the sidecar's own model alone: with 32 models,
+// all of them on every link would take half of what a node may spend.
+func (d *Dispatcher) heartbeat(p *peer) messenger.Heartbeat {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	m := messenger.Heartbeat{Revision: p.configured.Revision}
+	for _, g := range d.goals.All() {
+		if g.Model == p.configured.Model {
+			m.Goals = append(m.Goals, g)
+		}
+	}
+	return m
 }
--- a/ladder/dispatcher/peer.go
+++ b/ladder/dispatcher/peer.go
@@ -19,6 +19,7 @@
 var (
 	errUnexpected = errors.New("message not for an entry")
 	errNoHello    = errors.New("first message is not a hello")
+	errReplaced   = errors.New("a later sidecar of the target is linked")
 )
 
 type key struct {
@@ -33,11 +34,18 @@
 	service     identifier.ServiceName
 	zone        identifier.ZoneName
 	// link is nil while no link is up.
-	link     messenger.Link
-	leaving  bool
-	revision identifier.Revision
-	load     messenger.Load
-	loadAt   time.Time
+	link messenger.Link
+	// announced is the goal last sent at once.
+	announced messenger.WeightGoal
+	leaving   bool
+	revision  identifier.Revision
+	load      messenger.Load
+	loadAt    time.Time
+	// configured is what this link's sidecar has: the Configuration sent last,
+	// at the newest revision under which it is the same.
+	configured messenger.Configuration
+	// detached counts the links that have failed.
+	detached int
 	// attempts are those open at this incarnation.
 	attempts map[key]*attempt
 	// gone is closed when the incarnation will not be heard of again.
@@ -46,13 +54,25 @@
 	located chan messenger.Located
 }
 
+// usable says whether the peer may be given work: before its configuration it
+// has no queue. The caller holds the dispatcher's mutex.
+func (p *peer) usable() bool {
+	return p.link != nil && p.configured.Revision > 0 && !p.leaving
+}
+
 // attempt is one open dispatch of a request.
 type attempt struct {
 	key    key
 	peer   *peer
 	output *accumulator.Accumulator
+	// streamed says that pieces come as they are made; else, after the first,
+	// their times tell how much they hold and not how fast the target is.
+	streamed bool
 	// heard is when a piece of the answer came last, or the dispatch.
 	heard time.Time
+	// users is how many calls follow the attempt: a caller may send a keyed
+	// call again through the same entry.
+	users int
 	// answer is an End or a Refused that fits the output, set before output
 	// ends; nil if the sidecar is lost.
 	answer messenger.Answer
@@ -62,7 +82,7 @@
 func (d *Dispatcher) Serve(ctx context.Context, l messenger.Link) error {
 	hello := messenger.Hello{
 		Name: string(d.options.Entry), Incarnation: d.options.Incarnation,
-		Zone: d.options.Zone, Goals: d.goals.All(),
+		Zone: d.options.Zone,
 	}
 	if err := d.beats.SendWithin(ctx, l, hello); err != nil {
 		return err
@@ -74,8 +94,9 @@
 	}
 	klog.InfoS("sidecar linked", "target", p.target, "incarnation", p.incarnation, "zone", p.zone)
 	d.resume(ctx, p, l)
-	d.configure(ctx, p.service)
-	err = d.beats.Run(ctx, l, d.heartbeat, func(m messenger.Message) error { return d.handle(ctx, p, l, m) })
+	d.configureService(ctx, p.service)
+	beat := func() messenger.Heartbeat { return d.heartbeat(p) }
+	err = d.beats.Run(ctx, l, beat, func(m messenger.Message) error { return d.handle(ctx, p, l, m) })
 	klog.InfoS("sidecar link ended", "target", p.target, "incarnation", p.incarnation, "err", err)
 	d.detach(p, l)
 	return err
@@ -97,6 +118,11 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	p := d.peers[identifier.TargetName(hello.Name)]
+	// Incarnations are UUIDv7, so the later one is larger. A sidecar that was
+	// paused and replaced would else take turns with its successor for ever.
+	if p != nil && p.link != nil && hello.Incarnation < p.incarnation {
+		return nil, errReplaced
+	}
 	if p == nil || p.incarnation != hello.Incarnation {
 		if p != nil {
 			d.lose(p)
@@ -113,21 +139,23 @@
 		_ = p.link.Close()
 	}
 	p.link, p.leaving, p.revision = l, hello.Leaving, hello.Revision
+	p.configured, p.announced = messenger.Configuration{}, messenger.WeightGoal{}
 	return p, nil
 }
 
 // resume sends the sidecar its configuration and asks for every open answer
 // from where it broke off.
 func (d *Dispatcher) resume(ctx context.Context, p *peer, l messenger.Link) {
+	d.configure(ctx, p)
 	d.mutex.Lock()
 	var messages []messenger.Message
-	if m, ok := d.configurationOf(p); ok {
-		messages = append(messages, m)
-	}
 	for _, a := range p.attempts {
 		messages = append(messages, a.resumption())
 	}
 	d.mutex.Unlock()
+	for _, m := range d.quarantine.All() {
+		messages = append(messages, m)
+	}
 	for _, m := range messages {
 		if d.beats.SendWithin(ctx, l, m) != nil {
 			_ = l.Close()
@@ -148,10 +176,12 @@
 		return
 	}
 	p.link = nil
+	p.detached++
+	detached := p.detached
 	d.clock.AfterFunc(d.options.Reconnect, func() {
 		d.mutex.Lock()
 		defer d.mutex.Unlock()
-		if p.link == nil {
+		if p.link == nil && p.detached == detached {
 			d.lose(p)
 		}
 	})
@@ -176,7 +206,7 @@
 	if d.peers[p.target] == p {
 		delete(d.peers, p.target)
 		d.router.Forget(p.target)
-		go d.configure(context.Background(), p.service)
+		go d.configureService(context.Background(), p.service)
 	}
 }
 
@@ -192,7 +222,7 @@
 		changed := before != d.longestSwitch(p.service)
 		d.mutex.Unlock()
 		if changed {
-			d.configure(ctx, p.service)
+			go d.configureService(ctx, p.service)
 		}
 		return nil
 	case messenger.Chunk:
@@ -209,6 +239,9 @@
 		}
 		return nil
 	case messenger.Crashed:
+		if d.quarantine.Learn(m) {
+			go d.spreadCrashes(ctx, p, m)
+		}
 		return nil
 	case messenger.Start, messenger.Cancel, messenger.Resume, messenger.Release, messenger.Configuration, messenger.Locate:
 		return errUnexpected
@@ -234,7 +267,9 @@
 	if a == nil {
 		return nil
 	}
-	d.heard(a, m.Offset == 0)
+	if first := m.Offset == 0; first || a.streamed {
+		d.heard(a, first)
+	}
 	if a.output.WriteAt(m.Offset, m.Data) {
 		return nil
 	}
--- a/ladder/executor/connection.go
+++ b/ladder/executor/connection.go
@@ -7,7 +7,9 @@
 	"github.com/google/uuid"
 	"github.com/sourcegraph/conc"
 
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/quarantiner"
 )
 
 const (
@@ -26,6 +28,9 @@
 	pumps    *conc.WaitGroup
 	// ctx ends with the link.
 	ctx context.Context
+	// last is the newest Configuration that came on this link; a heartbeat's
+	// revision speaks of it, and not of what another entry has sent since.
+	last messenger.Configuration
 }
 
 func (c *connection) handle(m messenger.Message) error {
@@ -35,6 +40,7 @@
 		e.goals.Learn(m.Goals)
 	case messenger.Heartbeat:
 		e.goals.Learn(m.Goals)
+		c.confirm(m.Revision)
 	case messenger.Start:
 		c.start(m)
 	case messenger.Cancel:
@@ -46,10 +52,15 @@
 		e.release(key{m.Request, m.Attempt})
 		e.mutex.Unlock()
 	case messenger.Configuration:
+		c.last = m
 		e.configure(m)
 	case messenger.Locate:
 		c.send(e.locate(m))
-	case messenger.Chunk, messenger.End, messenger.Refused, messenger.Crashed, messenger.Located:
+	case messenger.Crashed:
+		if e.quarantine.Learn(m) {
+			c.pumps.Go(func() { e.broadcast(c.ctx, c.link, m) })
+		}
+	case messenger.Chunk, messenger.End, messenger.Refused, messenger.Located:
 		return errUnexpected
 	}
 	return nil
@@ -71,6 +82,7 @@
 	}
 	j, ok := e.jobs[k]
 	if !ok {
+		m.Alone = m.Alone || e.suspected(m)
 		if refused := e.admit(m); refused != nil {
 			e.traces[k] = trace{since: e.clock.Now(), answer: *refused}
 			c.send(*refused)
@@ -91,6 +103,9 @@
 	if e.leaving {
 		return e.refused(m, messenger.RefusedLeaving, retryAfterLeaving)
 	}
+	if v, ok := e.quarantine.Judge(m.Fingerprint).(quarantiner.Refused); ok {
+		return e.refused(m, messenger.RefusedQuarantined, v.RetryAfter)
+	}
 	i := itemOf(m)
 	if err := e.queue.Put(i); err != nil {
 		return e.refused(m, messenger.RefusedQueueFull, retryAfterFull)
@@ -105,7 +120,8 @@
 	}
 }
 
-// cancel takes waiting work out of the queue, or stops running work.
+// cancel takes waiting work out of the queue, or stops running work, unless
+// another entry follows it.
 func (c *connection) cancel(m messenger.Cancel) {
 	e := c.executor
 	k := key{m.Request, m.Attempt}
@@ -116,6 +132,11 @@
 		c.send(e.traceOrTombstone(k))
 		return
 	}
+	if _, up := e.links[j.owner]; up && j.owner != c.link {
+		// Another entry has taken the work over.
+		return
+	}
+	j.abandoned = true
 	if e.queue.Remove(m.Request, m.Attempt) {
 		e.finish(j, *e.refused(j.start, messenger.RefusedNeverStarted, 0))
 		return
@@ -172,9 +193,19 @@
 		return
 	}
 	e.configuration = m
+	e.quarantine.SetPeriod(m.CrashQuarantine)
 	e.queue.Resize(m.Slots, m.QueueLimit)
 }
 
+// confirm takes a later revision under which the entry's last Configuration is
+// in force again or still.
+func (c *connection) confirm(r identifier.Revision) {
+	if r > c.last.Revision && c.last.Revision > 0 {
+		c.last.Revision = r
+		c.executor.configure(c.last)
+	}
+}
+
 func (e *Executor) locate(m messenger.Locate) messenger.Located {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
--- a/ladder/executor/executor.go
+++ b/ladder/executor/executor.go
@@ -17,6 +17,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/heartbeater"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/quarantiner"
 	"github.com/lycheeladder/lycheeladder/ladder/queuer"
 )
 
@@ -39,11 +40,15 @@
 	Retention time.Duration
 	// OrphanTimeout is how long live work goes on after its link failed.
 	OrphanTimeout time.Duration
+	// Linger is how long a leaving sidecar stays at least, to refuse what was
+	// sent before its entries knew. It is longer than a silent link goes
+	// unnoticed.
+	Linger time.Duration
 }
 
 // DefaultOptions returns the usual times.
 func DefaultOptions() Options {
-	return Options{Memory: 20 * time.Minute, Retention: 5 * time.Minute, OrphanTimeout: 10 * time.Second}
+	return Options{Memory: 20 * time.Minute, Retention: 5 * time.Minute, OrphanTimeout: 10 * time.Second, Linger: 4500 * time.Millisecond}
 }
 
 // Goals is where weight goals are kept and spread from.
@@ -62,6 +67,10 @@
 	beats   *heartbeater.Heartbeater
 	goals   Goals
 	options Options
+	// quarantine knows which requests may not run, or only alone.
+	quarantine *quarantiner.Quarantiner
+	// crashes is held while a crash is being reported.
+	crashes sync.Mutex
 
 	mutex sync.Mutex
 	// jobs has every attempt whose answer is still held.
@@ -69,11 +78,13 @@
 	// traces has every attempt that was refused or has ended, until it is
 	// older than Memory. An attempt is never in jobs and traces at once.
 	traces map[key]trace
-	// links are those that heartbeats go out on.
-	links map[messenger.Link]struct{}
+	// links are those that heartbeats go out on; true for one that retires.
+	links map[messenger.Link]bool
 	// configuration is the newest received.
 	configuration messenger.Configuration
 	leaving       bool
+	// leftAt is when leaving was set.
+	leftAt time.Time
 	// version is the weight version last read from the engine.
 	version identifier.WeightVersion
 	// switchTime is how long the engine's last switch took.
@@ -96,9 +107,10 @@
 func New(clock clockwork.Clock, target caller.Target, q *queuer.Queuer, beats *heartbeater.Heartbeater, goals Goals, options Options) *Executor {
 	return &Executor{
 		clock: clock, target: target, queue: q, beats: beats, goals: goals, options: options,
-		jobs:   make(map[key]*job),
-		traces: make(map[key]trace),
-		links:  make(map[messenger.Link]struct{}),
+		quarantine: quarantiner.New(clock),
+		jobs:       make(map[key]*job),
+		traces:     make(map[key]trace),
+		links:      make(map[messenger.Link]bool),
 	}
 }
 
@@ -107,6 +119,11 @@
 	if err := e.beats.SendWithin(ctx, l, e.hello()); err != nil {
 		return err
 	}
+	for _, m := range e.quarantine.All() {
+		if err := e.beats.SendWithin(ctx, l, m); err != nil {
+			return err
+		}
+	}
 	e.setLink(l, true)
 	defer e.orphan(l)
 	defer e.setLink(l, false)
@@ -115,7 +132,7 @@
 	defer pumps.Wait()
 	defer cancel()
 	c := &connection{executor: e, link: l, pumps: &pumps, ctx: ctx}
-	return e.beats.Run(ctx, l, e.heartbeat, c.handle)
+	return e.beats.Run(ctx, l, func() messenger.Heartbeat { return e.heartbeat(l) }, c.handle)
 }
 
 func (e *Executor) hello() messenger.Hello {
@@ -128,12 +145,12 @@
 	}
 }
 
-func (e *Executor) heartbeat() messenger.Heartbeat {
+func (e *Executor) heartbeat(l messenger.Link) messenger.Heartbeat {
 	running, waiting, slots := e.queue.Lengths()
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	return messenger.Heartbeat{
-		Revision: e.configuration.Revision, Leaving: e.leaving, Goals: e.goals.All(),
+		Revision: e.configuration.Revision, Leaving: e.leaving || e.links[l], Goals: e.goals.All(),
 		Load: messenger.Load{InFlight: running, Queued: waiting, Slots: slots, Version: e.version, SwitchTime: e.switchTime},
 	}
 }
@@ -168,48 +185,96 @@
 
 // Announce sends a heartbeat on every link at once, for news that can't wait.
 func (e *Executor) Announce(ctx context.Context) {
-	h := e.heartbeat()
+	e.eachLink(ctx, nil, func(l messenger.Link) messenger.Message { return e.heartbeat(l) })
+}
+
+// broadcast sends a message on every link but one.
+func (e *Executor) broadcast(ctx context.Context, except messenger.Link, m messenger.Message) {
+	e.eachLink(ctx, except, func(messenger.Link) messenger.Message { return m })
+}
+
+// eachLink sends each link but one its message, all at once, and returns when
+// they have gone out.
+func (e *Executor) eachLink(ctx context.Context, except messenger.Link, messageFor func(messenger.Link) messenger.Message) {
 	e.mutex.Lock()
 	links := make([]messenger.Link, 0, len(e.links))
 	for l := range e.links {
-		links = append(links, l)
+		if l != except {
+			links = append(links, l)
+		}
 	}
 	e.mutex.Unlock()
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
 	for _, l := range links {
-		tasks.Go(func() { _ = e.beats.SendWithin(ctx, l, h) })
+		tasks.Go(func() { _ = e.beats.SendWithin(ctx, l, messageFor(l)) })
 	}
 }
 
-// Leave makes every later Start refused and tells all entries.
+// Leave makes every later Start refused and tells all entries. Leaving again
+// changes nothing.
 func (e *Executor) Leave(ctx context.Context) {
 	e.mutex.Lock()
-	e.leaving = true
+	again := e.leaving
+	if !again {
+		e.leaving, e.leftAt = true, e.clock.Now()
+	}
 	e.mutex.Unlock()
-	e.Announce(ctx)
+	if !again {
+		e.Announce(ctx)
+	}
 }
 
-// Drain waits until every answer has been taken, or ctx ends. It returns how
-// many were left.
+// GiveUp ends all work that has no answer yet: what waits is refused and never
+// runs, what runs is cancelled.
+func (e *Executor) GiveUp() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for k, j := range e.jobs {
+		if e.queue.Remove(k.request, k.attempt) {
+			e.finish(j, *e.refused(j.start, messenger.RefusedLeaving, retryAfterLeaving))
+			continue
+		}
+		j.cancel()
+	}
+}
+
+// drainPoll is the time between two looks at what is left.
+const drainPoll = 20 * time.Millisecond
+
+// Drain waits until every answer has been taken and Linger is over, or ctx
+// ends. It returns how many answers were left.
 func (e *Executor) Drain(ctx context.Context) int {
-	const poll = 20 * time.Millisecond
 	for {
-		e.mutex.Lock()
-		left := len(e.jobs)
-		e.mutex.Unlock()
-		if left == 0 {
+		left, lingered := e.left()
+		if left == 0 && lingered {
 			return 0
 		}
 		select {
 		case <-ctx.Done():
 			return left
-		case <-e.clock.After(poll):
+		case <-e.clock.After(drainPoll):
+		}
+	}
+}
+
+// left counts the answers that somebody may still take, and says whether
+// Linger is over. An answer whose entry is gone is waited for as long as a link
+// may take to come back.
+func (e *Executor) left() (left int, lingered bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	now := e.clock.Now()
+	for _, j := range e.jobs {
+		_, linked := e.links[j.owner]
+		if j.answer == nil || linked || now.Sub(j.endedAt) < e.options.Linger {
+			left++
 		}
 	}
+	return left, now.Sub(e.leftAt) >= e.options.Linger
 }
 
-// Forget drops traces and untaken answers that have grown too old. Run calls
+// forget drops traces and untaken answers that have grown too old. Run calls
 // it now and then.
 func (e *Executor) forget() {
 	e.mutex.Lock()
@@ -248,7 +313,7 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if up {
-		e.links[l] = struct{}{}
+		e.links[l] = false
 	} else {
 		delete(e.links, l)
 	}
--- a/ladder/executor/job.go
+++ b/ladder/executor/job.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/lycheeladder/lycheeladder/ladder/accumulator"
@@ -23,12 +22,15 @@
 	// set before output ends.
 	answer  messenger.Answer
 	endedAt time.Time
+	// bootID names the target's process that the work was handed to; empty
+	// while it waits.
+	bootID string
+	// abandoned says that nobody will take the answer.
+	abandoned bool
 	// owner is the link that the answer goes to.
 	owner messenger.Link
 	// stopPump ends the task that sends to owner.
 	stopPump context.CancelFunc
-	// pumping is held while a task sends the answer.
-	pumping sync.Mutex
 }
 
 func newJob(m messenger.Start, now time.Time) *job {
@@ -41,7 +43,7 @@
 
 func itemOf(m messenger.Start) queuer.Item {
 	return queuer.Item{
-		Request: m.Request, Attempt: m.Attempt, Class: m.Class, Urgency: m.Urgency, Expected: m.Expected,
+		Request: m.Request, Attempt: m.Attempt, Class: m.Class, Urgency: m.Urgency, Expected: m.Expected, Alone: m.Alone,
 		Patience: m.Timeout,
 	}
 }
@@ -67,12 +69,23 @@
 	})
 }
 
-// follow sends chunks as they come, then the answer.
+// leastOf is how many bytes beyond offset are worth a frame: the first at once,
+// since the entry judges targets by when they begin, then, for a caller who
+// doesn't follow it, a full chunk. An engine makes a token at a time, and
+// a frame for each would cost more than the token.
+func (j *job) leastOf(offset uint64) uint64 {
+	if j.start.Streamed || offset == 0 {
+		return 1
+	}
+	return chunkBytes
+}
+
+// follow sends chunks as they come, then the answer. It doesn't wait for an
+// earlier task that may be stuck on a silent link: offsets make it harmless
+// that both send for a moment.
 func (c *connection) follow(ctx context.Context, j *job, offset uint64) {
-	j.pumping.Lock()
-	defer j.pumping.Unlock()
 	for {
-		data, ended, err := j.output.Next(ctx, offset)
+		data, ended, err := j.output.NextAtLeast(ctx, offset, j.leastOf(offset))
 		if err != nil {
 			return
 		}
@@ -99,7 +112,7 @@
 }
 
 // finish sets the answer of a job and lets its pump send it. A refusal leaves
-// a tombstone. The caller holds the mutex.
+// a tombstone; an answer that nobody will take isn't kept. The caller holds the mutex.
 func (e *Executor) finish(j *job, answer messenger.Answer) {
 	if j.answer != nil {
 		return
@@ -108,7 +121,7 @@
 	j.endedAt = e.clock.Now()
 	j.cancel()
 	j.output.End()
-	if _, ok := answer.(messenger.Refused); ok {
+	if _, ok := answer.(messenger.Refused); ok || j.abandoned {
 		e.release(key{j.start.Request, j.start.Attempt})
 	}
 }
--- /dev/null
+++ b/ladder/faker/network.go
@@ -0,0 +1,91 @@
+package faker
+
+import (
+	"context"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/lycheeladder/lycheeladder/ladder/lister"
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+)
+
+// Serve serves a link that was dialled by from.
+type Serve func(from string, l messenger.Link)
+
+// Network joins dialers to listeners within one process.
+type Network struct {
+	mutex     sync.Mutex
+	listeners map[string]Serve
+	tasks     sync.WaitGroup
+}
+
+// NewNetwork returns a Network without listeners.
+func NewNetwork() *Network { return &Network{listeners: make(map[string]Serve)} }
+
+// Listen has serve run on every link that is dialled to address from now on.
+func (n *Network) Listen(address string, serve Serve) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.listeners[address] = serve
+}
+
+// Close has dials to address refused from now on.
+func (n *Network) Close(address string) { n.Listen(address, nil) }
+
+// Dial implements supervisor.Dialer for a process without a name.
+func (n *Network) Dial(ctx context.Context, address string) (messenger.Link, error) {
+	return n.Dialer("").Dial(ctx, address)
+}
+
+// Dialer returns the network as the process from sees it.
+func (n *Network) Dialer(from string) *Dialer { return &Dialer{network: n, from: from} }
+
+// Dialer dials on behalf of one process.
+type Dialer struct {
+	network *Network
+	from    string
+}
+
+// Dial implements supervisor.Dialer.
+func (d *Dialer) Dial(ctx context.Context, address string) (messenger.Link, error) {
+	n := d.network
+	n.mutex.Lock()
+	serve := n.listeners[address]
+	n.mutex.Unlock()
+	if serve == nil {
+		return nil, errors.Errorf("dial %s: connection refused", address)
+	}
+	near, far := messenger.NewPipe()
+	n.tasks.Go(func() {
+		defer far.Close()
+		serve(d.from, far)
+	})
+	return near, ctx.Err()
+}
+
+// Wait returns when no link is served any longer.
+func (n *Network) Wait() { n.tasks.Wait() }
+
+// HostList is a list that shows what was last set.
+type HostList struct {
+	mutex sync.Mutex
+	hosts []lister.Host
+}
+
+// NewHostList returns a list of hosts.
+func NewHostList(hosts ...lister.Host) *HostList { return &HostList{hosts: hosts} }
+
+// Set replaces the list.
+func (l *HostList) Set(hosts ...lister.Host) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.hosts = hosts
+}
+
+// Hosts implements lister.HostList.
+func (l *HostList) Hosts(ctx context.Context) ([]lister.Host, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return append([]lister.Host(nil), l.hosts...), ctx.Err()
+}
--- a/ladder/queuer/queuer.go
+++ b/ladder/queuer/queuer.go
@@ -25,6 +25,8 @@
 	Urgency int
 	// Expected is the expected number of tokens, 0 if unknown.
 	Expected identifier.TokenCount
+	// Alone says that nothing may run beside it.
+	Alone bool
 	// Patience is how long the caller still waits, 0 if that isn't known.
 	Patience time.Duration
 	// Priority is set when the item is taken: what to tell an engine that
@@ -116,7 +118,7 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	best := q.best()
-	if best < 0 {
+	if best < 0 || !q.fitsBeside(q.waiting[best].Item) {
 		return q.changed, Item{}, false
 	}
 	e := q.waiting[best]
@@ -127,6 +129,11 @@
 	return nil, e.Item, true
 }
 
+// fitsBeside says whether the item may run beside what runs now.
+func (q *Queuer) fitsBeside(i Item) bool {
+	return len(q.running) == 0 || (!i.Alone && !q.running[0].Alone)
+}
+
 // Done gives the slot of a taken item back.
 func (q *Queuer) Done(i Item) {
 	q.mutex.Lock()
