Count silence only where answers are followed piece by piece

The router now tells the two apart and learns only from followed answers. Seen to fail when silence counts for all open requests ("workers chosen while worker-1 is silent, followed false").

--- a/ladder/dispatcher/dispatch.go
+++ b/ladder/dispatcher/dispatch.go
@@ -85,7 +85,7 @@
 			Target: p.target, Service: r.Service, Zone: p.zone, Reported: p.load.InFlight + p.load.Queued, ReportedAt: p.loadAt,
 		})
 	}
-	target, ok := d.router.Choose(d.narrow(r, candidates))
+	target, ok := d.router.Choose(d.narrow(r, candidates), r.followed())
 	if !ok {
 		return nil
 	}
@@ -96,27 +96,27 @@
 func (d *Dispatcher) try(ctx context.Context, r Request, p *peer, n identifier.Attempt, s *progress) (o Outcome) {
 	v, refused := d.enter(ctx, r, s)
 	if refused != nil {
-		d.router.Done(p.target)
+		d.router.Done(p.target, r.followed())
 		return refused
 	}
 	defer func() { d.leave(ctx, r, v, o) }()
-	a := d.open(p, key{r.ID, n}, r.followed())
+	a := d.open(p, key{r.ID, n}, bool(r.followed()))
 	sent := d.start(ctx, r, p, n, v)
 	defer d.close(a)
 	if !sent {
-		d.router.Done(p.target)
+		d.router.Done(p.target, r.followed())
 		return nil
 	}
 	err := d.follow(ctx, r, a, s)
 	answer := d.answerOf(a)
 	if answer == nil && err != nil {
-		d.router.Done(p.target)
+		d.router.Done(p.target, r.followed())
 		if r.Sample == "" || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			d.abandon(a)
 		}
 		return gaveUp(ctx, d.options.RetryAfter)
 	}
-	d.router.Done(p.target)
+	d.router.Done(p.target, r.followed())
 	o = d.judge(r, a, answer, s)
 	if _, ok := o.(Completed); ok {
 		d.budget.Earn()
@@ -227,7 +227,7 @@
 		Call: r.Call, Body: r.Body, Idempotent: r.Idempotent,
 		Timeout: r.Deadline.Sub(d.clock.Now()), Expected: r.Expected, Sample: r.Sample,
 		Fingerprint: identifier.NewFingerprint(r.Service, r.Call, r.Body),
-		Urgency:     r.Urgency, Oldest: r.Oldest, Streamed: r.followed(), Alone: alone,
+		Urgency:     r.Urgency, Oldest: r.Oldest, Streamed: bool(r.followed()), Alone: alone,
 	}
 	if d.beats.SendWithin(ctx, l, m) != nil {
 		_ = l.Close()
@@ -346,7 +346,7 @@
 // join follows an attempt that is already known at the peer, and judges its
 // answer. An error says that ctx has ended.
 func (d *Dispatcher) join(ctx context.Context, r Request, p *peer, k key, s *progress) (Outcome, error) {
-	a := d.open(p, k, r.followed())
+	a := d.open(p, k, bool(r.followed()))
 	defer d.close(a)
 	d.mutex.Lock()
 	l := p.link
--- a/ladder/dispatcher/once.go
+++ b/ladder/dispatcher/once.go
@@ -50,11 +50,11 @@
 			o = d.try(ctx, r, p, claim.Attempt, s)
 			generation++
 		case claimer.Lost:
-			d.router.Done(p.target)
+			d.router.Done(p.target, r.followed())
 			o = d.followHolder(ctx, r, claim, v.Holder, s)
 			generation = v.Holder.Generation + 1
 		case claimer.Undecided:
-			d.router.Done(p.target)
+			d.router.Done(p.target, r.followed())
 			return NotRun{Code: CodeLogDown, RetryAfter: d.options.RetryAfter}
 		}
 		if o != nil {
--- a/ladder/dispatcher/peer.go
+++ b/ladder/dispatcher/peer.go
@@ -65,8 +65,8 @@
 	key    key
 	peer   *peer
 	output *accumulator.Accumulator
-	// streamed says that pieces come as they are made; else, after the first,
-	// their times tell how much they hold and not how fast the target is.
+	// streamed says that pieces come as they are made; else their times tell how
+	// long it waited and how much they hold, and not how fast the target is.
 	streamed bool
 	// heard is when a piece of the answer came last, or the dispatch.
 	heard time.Time
@@ -267,8 +267,8 @@
 	if a == nil {
 		return nil
 	}
-	if first := m.Offset == 0; first || a.streamed {
-		d.heard(a, first)
+	if a.streamed {
+		d.heard(a, m.Offset == 0)
 	}
 	if a.output.WriteAt(m.Offset, m.Data) {
 		return nil
--- a/ladder/router/policy.go
+++ b/ladder/router/policy.go
@@ -91,7 +91,7 @@
 	now := r.clock.Now()
 	age := now.Sub(o.heard)
 	slowness := math.Max(1, 1+(o.slowness-1)*math.Exp2(-float64(age)/float64(avoidanceHalfLife)))
-	if o.inFlight > 0 {
+	if o.followed > 0 {
 		slowness = math.Max(slowness, o.silence(age))
 	}
 	return float64(1+o.inFlight) * slowness
--- a/ladder/router/router.go
+++ b/ladder/router/router.go
@@ -55,8 +55,10 @@
 	service *usual
 	// inFlight is the router's own open requests there; never negative.
 	inFlight int
-	// heard is when a piece came last, or when the first open request was
-	// sent there if that is later.
+	// followed is how many of them are followed; never negative.
+	followed int
+	// heard is when a piece came last, or when the first open followed request
+	// was sent there if that is later.
 	heard time.Time
 	// flowing says that a piece has come since heard was last set by sending.
 	flowing bool
@@ -80,9 +82,19 @@
 // NewRandom returns a seeded source for New.
 func NewRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, seed)) }
 
+// Following says whether the pieces of an answer are told to Heard. Of a target
+// with no followed request, silence says nothing.
+type Following bool
+
+// The two ways.
+const (
+	Followed   Following = true
+	Unfollowed Following = false
+)
+
 // Choose picks one of the candidates and counts the request as open there;
 // Done closes it. It returns false if there are none.
-func (r *Router) Choose(candidates []Candidate) (identifier.TargetName, bool) {
+func (r *Router) Choose(candidates []Candidate, f Following) (identifier.TargetName, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if len(candidates) == 0 {
@@ -90,20 +102,23 @@
 	}
 	c := candidates[r.pick(candidates)]
 	o := r.observationOf(c)
-	if o.inFlight == 0 {
+	if f == Followed && o.followed == 0 {
 		o.heard, o.flowing = r.clock.Now(), false
 	}
+	if f == Followed {
+		o.followed++
+	}
 	o.inFlight++
 	return c.Target, true
 }
 
-// Heard notes that a piece of an answer has come, gap after the one before it
+// Heard notes that a piece of a followed answer has come, gap after the one before it
 // or, if it is the first, after the request was sent.
 func (r *Router) Heard(target identifier.TargetName, gap time.Duration, first bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	o, ok := r.seen[target]
-	if !ok || o.inFlight == 0 {
+	if !ok || o.followed == 0 {
 		return
 	}
 	p := &o.service.next
@@ -133,12 +148,17 @@
 	return seconds(u.next.limit())
 }
 
-// Done closes a request.
-func (r *Router) Done(target identifier.TargetName) {
+// Done closes a request that Choose has opened in the same way.
+func (r *Router) Done(target identifier.TargetName, f Following) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if o, ok := r.seen[target]; ok && o.inFlight > 0 {
-		o.inFlight--
+	o, ok := r.seen[target]
+	if !ok {
+		return
+	}
+	o.inFlight = max(0, o.inFlight-1)
+	if f == Followed {
+		o.followed = max(0, o.followed-1)
 	}
 }
 
