--- a/ladder/router/router_test.go
+++ b/ladder/router/router_test.go
@@ -132,18 +132,25 @@
 }
 
 func TestChoose_SilentTargetIsAvoidedWhileAFollowedRequestIsOpen(t *testing.T) {
-	for following, want := range map[Following]string{Followed: "false true true", Unfollowed: "true true true"} {
+	wants := map[Following][]string{
+		Followed:   {"true true true", "false true true"},
+		Unfollowed: {"true true true", "true true true"},
+	}
+	for following, want := range wants {
 		clock := clockwork.NewFakeClock()
 		r, candidates := settled(clock)
 		for n := range candidates {
 			_, _ = r.Choose(candidates[n:n+1], Unfollowed)
 		}
+		clock.Advance(time.Minute)
 		_, _ = r.Choose(candidates[:1], following)
 		_, _ = r.Choose(candidates[1:2], Unfollowed)
 		_, _ = r.Choose(candidates[2:], Unfollowed)
+		got := []string{chosenTimes(r, candidates)}
 		clock.Advance(20 * usualFirst)
-		if diff := cmp.Diff(want, chosenTimes(r, candidates)); diff != "" {
-			t.Errorf("workers chosen while worker-1 is silent, followed %v (-want +got):\n%s", following, diff)
+		got = append(got, chosenTimes(r, candidates))
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("workers chosen before and while worker-1 is silent, followed %v (-want +got):\n%s", following, diff)
 		}
 	}
 }
