--- a/sloper/rig/target.go
+++ b/sloper/rig/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/lycheeladder/lycheeladder/ladder/caller"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
@@ -13,6 +14,8 @@
 	// Pieces is how many pieces an answer has, each of PieceTokens tokens and
 	// PieceBytes bytes.
 	Pieces, PieceTokens, PieceBytes int
+	// Gap is the time between pieces.
+	Gap time.Duration
 }
 
 // Do implements caller.Target.
@@ -25,6 +28,7 @@
 		data[n] = 'w'
 	}
 	for range t.Pieces {
+		time.Sleep(t.Gap)
 		if err := sink(caller.Piece{Data: data, Tokens: identifier.TokenCount(t.PieceTokens), Version: 1}); err != nil {
 			return 0, err
 		}
--- /dev/null
+++ b/sloper/verb/tokens.go
@@ -0,0 +1,66 @@
+package verb
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lycheeladder/lycheeladder/ladder/caller"
+	"github.com/lycheeladder/lycheeladder/ladder/coordinator"
+	"github.com/lycheeladder/lycheeladder/ladder/dispatcher"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/sloper/rig"
+)
+
+// tokensSlope: what a token costs that is streamed to a live caller as it
+// comes. Tokens of samples come in full chunks; see the samples slope.
+var tokensSlope = slope{
+	name: "tokens", grows: "tokens streamed one by one", sizes: []int{4000, 8000, 16_000, 32_000},
+	columns: []string{"processor ms", "bytes", "frames"},
+	measure: measureTokens,
+}
+
+const (
+	tokenStreams = 20
+	tokenGap     = time.Millisecond
+	tokenBytes   = 4
+)
+
+func measureTokens(size int) (reading, error) {
+	target := rig.Target{Pieces: size / tokenStreams, PieceTokens: 1, PieceBytes: tokenBytes, Gap: tokenGap}
+	r, err := rig.New(rig.NewDocument(1, 0), rig.ServiceEngine, requestLinks, func() caller.Target { return target })
+	if err != nil {
+		return nil, err
+	}
+	defer r.Stop()
+	failures := make(chan error, tokenStreams)
+	cost := r.Spend(func() {
+		var tasks sync.WaitGroup
+		for range tokenStreams {
+			tasks.Go(func() { failures <- stream(r) })
+		}
+		tasks.Wait()
+	})
+	for range tokenStreams {
+		if err := <-failures; err != nil {
+			return nil, err
+		}
+	}
+	return reading{
+		"processor ms": cost.Processor.Seconds() * 1000,
+		"bytes":        float64(cost.Bytes), "frames": float64(cost.Frames),
+	}, nil
+}
+
+func stream(r *rig.Rig) error {
+	o := r.Coordinator.Handle(context.Background(), coordinator.Call{
+		ID: identifier.NewRequestID(), Key: rig.Key(0), Service: rig.ServiceEngine, Call: "generate",
+		Body: []byte(`{"prompt":"p"}`), Timeout: time.Minute, Stream: func([]byte) error { return nil },
+	})
+	if _, ok := o.(dispatcher.Completed); !ok {
+		return errors.Errorf("stream not completed: %+v", o)
+	}
+	return nil
+}
--- a/sloper/verb/verb.go
+++ b/sloper/verb/verb.go
@@ -35,7 +35,7 @@
 }
 
 // table lists every slope once.
-var table = []slope{linksSlope, teamsSlope, changesSlope, targetsSlope, requestsSlope, samplesSlope}
+var table = []slope{linksSlope, teamsSlope, changesSlope, targetsSlope, requestsSlope, tokensSlope, samplesSlope}
 
 // settings of every verb.
 type settings struct {
