--- a/ladder/dispatcher/race_test.go
+++ b/ladder/dispatcher/race_test.go
@@ -36,23 +36,28 @@
 	_ = l.Send(ctx, messenger.Hello{Name: name, Incarnation: identifier.Incarnation(name), Service: "lookup"})
 	beats := heartbeater.New(clockwork.NewRealClock(), heartbeater.DefaultOptions())
 	_ = beats.Run(ctx, l, func() messenger.Heartbeat { return messenger.Heartbeat{} }, func(m messenger.Message) error {
-		switch m := m.(type) {
-		case messenger.Start:
-			s.sent <- "start"
-			if m.Attempt == 1 {
-				return nil
-			}
-			output := accumulator.New()
-			output.Append([]byte("whole"))
-			_ = l.Send(ctx, messenger.Chunk{Request: m.Request, Attempt: m.Attempt, Incarnation: m.Incarnation, Data: output.Bytes()})
-			return l.Send(ctx, messenger.End{
-				Request: m.Request, Attempt: m.Attempt, Incarnation: m.Incarnation, Reason: messenger.EndWhole,
-				Status: 200, Length: output.Length(), Checksum: output.Checksum(),
-			})
-		case messenger.Cancel:
+		if _, ok := m.(messenger.Cancel); ok {
 			s.sent <- "cancel"
 		}
-		return nil
+		start, ok := m.(messenger.Start)
+		if !ok {
+			return nil
+		}
+		s.sent <- "start"
+		if start.Attempt == 1 {
+			return nil
+		}
+		return answerWhole(ctx, l, start)
+	})
+}
+
+func answerWhole(ctx context.Context, l messenger.Link, m messenger.Start) error {
+	output := accumulator.New()
+	output.Append([]byte("whole"))
+	_ = l.Send(ctx, messenger.Chunk{Request: m.Request, Attempt: m.Attempt, Incarnation: m.Incarnation, Data: output.Bytes()})
+	return l.Send(ctx, messenger.End{
+		Request: m.Request, Attempt: m.Attempt, Incarnation: m.Incarnation, Reason: messenger.EndWhole,
+		Status: 200, Length: output.Length(), Checksum: output.Checksum(),
 	})
 }
 
