--- a/ladder/dispatcher/dispatch.go
+++ b/ladder/dispatcher/dispatch.go
@@ -6,21 +6,14 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
-	"github.com/sourcegraph/conc"
 
-	"github.com/lycheeladder/lycheeladder/ladder/accumulator"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
-	"github.com/lycheeladder/lycheeladder/ladder/quarantiner"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
 )
 
-const (
-	// maxAttempts bounds the targets tried for one request.
-	maxAttempts = 4
-	// cancelTimeout bounds the sending of a Cancel that nobody waits for.
-	cancelTimeout = time.Second
-)
+// maxAttempts bounds the targets tried for one request.
+const maxAttempts = 4
 
 // progress is what earlier attempts have left behind.
 type progress struct {
@@ -52,19 +45,13 @@
 			break
 		}
 		s.tried[p.target] = true
-		if r.hedgeable() {
-			o, hedged := d.race(ctx, r, p, n, s)
-			if o != nil {
-				return o
-			}
-			if hedged {
-				n++
-			}
-			continue
-		}
-		if o := d.try(ctx, r, p, n, s); o != nil {
+		o, hedged := d.tryOrRace(ctx, r, p, n, s)
+		if o != nil {
 			return o
 		}
+		if hedged {
+			n++
+		}
 	}
 	if s.mayHaveRun {
 		return Unknown{Code: CodeTargetLost, RetryAfter: d.options.RetryAfter}
@@ -188,174 +175,3 @@
 func notRunOf(m messenger.Refused, least time.Duration) NotRun {
 	return NotRun{Code: refusalByReason[m.Reason], RetryAfter: max(m.RetryAfter, least)}
 }
-
-// open returns the attempt's record, which a call that follows it already may
-// have opened.
-func (d *Dispatcher) open(p *peer, k key, streamed bool) *attempt {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	a, ok := p.attempts[k]
-	if !ok {
-		a = &attempt{key: k, peer: p, streamed: streamed, output: accumulator.New(), heard: d.clock.Now()}
-		p.attempts[k] = a
-	}
-	a.users++
-	return a
-}
-
-func (d *Dispatcher) close(a *attempt) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	a.users--
-	if a.users == 0 {
-		delete(a.peer.attempts, a.key)
-	}
-}
-
-// start sends the request. It returns false only if it surely never left. An
-// error of the link leaves that open; the answer to a Resume will tell.
-func (d *Dispatcher) start(ctx context.Context, r Request, p *peer, n identifier.Attempt, v quarantiner.Verdict) bool {
-	_, alone := v.(quarantiner.Alone)
-	d.mutex.Lock()
-	l, usable := p.link, p.usable()
-	d.mutex.Unlock()
-	if !usable || ctx.Err() != nil {
-		return false
-	}
-	m := messenger.Start{
-		Request: r.ID, Attempt: n, Incarnation: p.incarnation, Class: r.Class, Team: r.Team,
-		Call: r.Call, Body: r.Body, Idempotent: r.Idempotent,
-		Timeout: r.Deadline.Sub(d.clock.Now()), Expected: r.Expected, Sample: r.Sample,
-		Fingerprint: identifier.NewFingerprint(r.Service, r.Call, r.Body),
-		Urgency:     r.Urgency, Oldest: r.Oldest, Streamed: bool(r.followed()), Alone: alone, Keep: r.keep,
-	}
-	if d.beats.SendWithin(ctx, l, m) != nil {
-		_ = l.Close()
-	}
-	return true
-}
-
-// follow gives the answer's bytes to the caller until the attempt has ended.
-func (d *Dispatcher) follow(ctx context.Context, r Request, a *attempt, s *progress) error {
-	var from uint64
-	for {
-		data, ended, err := a.output.Next(ctx, from)
-		if err != nil || ended {
-			return err
-		}
-		from += uint64(len(data))
-		if r.Stream == nil {
-			continue
-		}
-		s.streamed = true
-		if err := r.Stream(data); err != nil {
-			return err
-		}
-	}
-}
-
-func (d *Dispatcher) answerOf(a *attempt) messenger.Answer {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	return a.answer
-}
-
-// abandon is for work that nobody takes over: a sample whose session ends here
-// goes on at its sidecar, where the trainer's next entry finds it. abandon tells
-// the sidecar that nobody waits any longer. The caller of Dispatch doesn't wait
-// for it.
-func (d *Dispatcher) abandon(a *attempt) {
-	d.mutex.Lock()
-	l := a.peer.link
-	d.mutex.Unlock()
-	if l == nil {
-		return
-	}
-	m := messenger.Cancel{Request: a.key.request, Attempt: a.key.attempt}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
-		defer cancel()
-		_ = d.beats.SendWithin(ctx, l, m)
-	}()
-}
-
-// Locate asks every sidecar of the service which of the samples it holds, and
-// waits for the answers until ctx ends.
-func (d *Dispatcher) Locate(ctx context.Context, service identifier.ServiceName, samples []identifier.SampleID) map[identifier.SampleID]HeldAt {
-	peers := d.linked(service)
-	found := make(chan map[identifier.SampleID]HeldAt, len(peers))
-	var tasks conc.WaitGroup
-	for _, p := range peers {
-		tasks.Go(func() { found <- d.locateAt(ctx, p, samples) })
-	}
-	tasks.Wait()
-	close(found)
-	all := make(map[identifier.SampleID]HeldAt)
-	for held := range found {
-		for sample, at := range held {
-			all[sample] = at
-		}
-	}
-	return all
-}
-
-// HeldAt says where a sample is held.
-type HeldAt struct {
-	Target  identifier.TargetName
-	Request identifier.RequestID
-	Attempt identifier.Attempt
-}
-
-func (d *Dispatcher) locateAt(ctx context.Context, p *peer, samples []identifier.SampleID) map[identifier.SampleID]HeldAt {
-	d.mutex.Lock()
-	l := p.link
-	d.mutex.Unlock()
-	if l == nil || d.beats.SendWithin(ctx, l, messenger.Locate{Samples: samples}) != nil {
-		return nil
-	}
-	held := make(map[identifier.SampleID]HeldAt)
-	select {
-	case m := <-p.located:
-		for _, h := range m.Held {
-			held[h.Sample] = HeldAt{Target: p.target, Request: h.Request, Attempt: h.Attempt}
-		}
-	case <-p.gone:
-	case <-ctx.Done():
-	}
-	return held
-}
-
-// TakeOver follows an attempt that another entry has started, and returns its
-// outcome, or nil if it can't be had.
-func (d *Dispatcher) TakeOver(ctx context.Context, r Request, at HeldAt) Outcome {
-	ctx, cancel := clockwork.WithDeadline(ctx, d.clock, r.Deadline)
-	defer cancel()
-	d.mutex.Lock()
-	p := d.peers[at.Target]
-	d.mutex.Unlock()
-	if p == nil {
-		return nil
-	}
-	o, err := d.join(ctx, r, p, key{at.Request, at.Attempt}, &progress{})
-	if err != nil {
-		return nil
-	}
-	return o
-}
-
-// join follows an attempt that is already known at the peer, and judges its
-// answer. An error says that ctx has ended.
-func (d *Dispatcher) join(ctx context.Context, r Request, p *peer, k key, s *progress) (Outcome, error) {
-	a := d.open(p, k, bool(r.followed()))
-	defer d.close(a)
-	d.mutex.Lock()
-	l := p.link
-	d.mutex.Unlock()
-	if l != nil && d.beats.SendWithin(ctx, l, a.resumption()) != nil {
-		_ = l.Close()
-	}
-	if err := d.follow(ctx, r, a, s); err != nil {
-		return nil, err
-	}
-	return d.judge(r, a, d.answerOf(a), s), nil
-}
--- a/ladder/dispatcher/hedge.go
+++ b/ladder/dispatcher/hedge.go
@@ -22,6 +22,15 @@
 // hedgeable says whether a second attempt may run beside the first.
 func (r Request) hedgeable() bool { return r.Idempotent && r.Stream == nil && r.Sample == "" }
 
+// tryOrRace runs an attempt, hedged where that is allowed. It says whether it has
+// used two attempts.
+func (d *Dispatcher) tryOrRace(ctx context.Context, r Request, p *peer, n identifier.Attempt, s *progress) (o Outcome, hedged bool) {
+	if !r.hedgeable() {
+		return d.try(ctx, r, p, n, s), false
+	}
+	return d.race(ctx, r, p, n, s)
+}
+
 // raced is what one of two attempts gave.
 type raced struct {
 	outcome  Outcome
--- a/ladder/dispatcher/peer.go
+++ b/ladder/dispatcher/peer.go
@@ -8,7 +8,6 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
-	"github.com/lycheeladder/lycheeladder/ladder/accumulator"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 )
@@ -60,24 +59,6 @@
 	return p.link != nil && p.configured.Revision > 0 && !p.leaving
 }
 
-// attempt is one open dispatch of a request.
-type attempt struct {
-	key    key
-	peer   *peer
-	output *accumulator.Accumulator
-	// streamed says that pieces come as they are made; else their times tell how
-	// long it waited and how much they hold, and not how fast the target is.
-	streamed bool
-	// heard is when a piece of the answer came last, or the dispatch.
-	heard time.Time
-	// users is how many calls follow the attempt: a caller may send a keyed
-	// call again through the same entry.
-	users int
-	// answer is an End or a Refused that fits the output, set before output
-	// ends; nil if the sidecar is lost.
-	answer messenger.Answer
-}
-
 // Serve talks to one sidecar over link until it fails or ctx ends.
 func (d *Dispatcher) Serve(ctx context.Context, l messenger.Link) error {
 	hello := messenger.Hello{
@@ -164,10 +145,6 @@
 	}
 }
 
-func (a *attempt) resumption() messenger.Resume {
-	return messenger.Resume{Request: a.key.request, Attempt: a.key.attempt, Offset: a.output.Length()}
-}
-
 // detach marks the link as down, and after a while the peer as lost.
 func (d *Dispatcher) detach(p *peer, l messenger.Link) {
 	d.mutex.Lock()
@@ -248,67 +225,3 @@
 	}
 	return errUnexpected
 }
-
-// attemptOf finds the open attempt that an answer belongs to. An answer must
-// match on request, attempt and incarnation, or it is dropped and counted.
-func (d *Dispatcher) attemptOf(p *peer, k key, incarnation identifier.Incarnation) *attempt {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	a, ok := p.attempts[k]
-	if !ok || incarnation != p.incarnation || a.answer != nil {
-		d.dropped++
-		return nil
-	}
-	return a
-}
-
-func (d *Dispatcher) chunk(ctx context.Context, p *peer, l messenger.Link, m messenger.Chunk) error {
-	a := d.attemptOf(p, key{m.Request, m.Attempt}, m.Incarnation)
-	if a == nil {
-		return nil
-	}
-	if a.streamed {
-		d.heard(a, m.Offset == 0)
-	}
-	if a.output.WriteAt(m.Offset, m.Data) {
-		return nil
-	}
-	return d.beats.SendWithin(ctx, l, a.resumption())
-}
-
-// heard lets the router learn from the time a piece took.
-func (d *Dispatcher) heard(a *attempt, first bool) {
-	d.mutex.Lock()
-	now := d.clock.Now()
-	gap := now.Sub(a.heard)
-	a.heard = now
-	d.mutex.Unlock()
-	d.router.Heard(a.peer.target, gap, first)
-}
-
-func (d *Dispatcher) end(ctx context.Context, p *peer, l messenger.Link, m messenger.End) error {
-	k := key{m.Request, m.Attempt}
-	a := d.attemptOf(p, k, m.Incarnation)
-	if a == nil {
-		return nil
-	}
-	if m.Reason == messenger.EndWhole && a.output.Length() != m.Length {
-		return d.beats.SendWithin(ctx, l, a.resumption())
-	}
-	if m.Reason == messenger.EndWhole && a.output.Checksum() != m.Checksum {
-		return errors.Errorf("checksum of request %s attempt %d differs", m.Request, m.Attempt)
-	}
-	d.answer(p, k, m.Incarnation, m)
-	return d.beats.SendWithin(ctx, l, messenger.Release{Request: m.Request, Attempt: m.Attempt})
-}
-
-func (d *Dispatcher) answer(p *peer, k key, incarnation identifier.Incarnation, m messenger.Answer) {
-	a := d.attemptOf(p, k, incarnation)
-	if a == nil {
-		return
-	}
-	d.mutex.Lock()
-	a.answer = m
-	d.mutex.Unlock()
-	a.output.End()
-}
--- a/ladder/executor/connection.go
+++ b/ladder/executor/connection.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/sourcegraph/conc"
 
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
@@ -155,35 +154,6 @@
 	c.send(e.traceOrTombstone(k))
 }
 
-// traceOrTombstone answers for an attempt that isn't held. One without a
-// trace never started here, if it is young enough to have left one; the
-// answer makes sure that it never will. The caller holds the mutex.
-func (e *Executor) traceOrTombstone(k key) messenger.Answer {
-	if t, ok := e.traces[k]; ok {
-		return t.answer
-	}
-	if e.clock.Now().Sub(issuedAt(k)) > e.options.Memory/2 {
-		return messenger.End{Request: k.request, Attempt: k.attempt, Incarnation: e.options.Incarnation, Reason: messenger.EndDropped}
-	}
-	answer := messenger.Refused{
-		Request: k.request, Attempt: k.attempt, Incarnation: e.options.Incarnation,
-		Reason: messenger.RefusedNeverStarted,
-	}
-	e.traces[k] = trace{since: e.clock.Now(), answer: answer}
-	return answer
-}
-
-// issuedAt reads the time in the request's UUIDv7; the zero time if it has
-// none.
-func issuedAt(k key) time.Time {
-	id, err := uuid.Parse(string(k.request))
-	if err != nil || id.Version() != 7 {
-		return time.Time{}
-	}
-	seconds, nanoseconds := id.Time().UnixTime()
-	return time.Unix(seconds, nanoseconds)
-}
-
 func (e *Executor) configure(m messenger.Configuration) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
--- a/ladder/executor/executor.go
+++ b/ladder/executor/executor.go
@@ -11,7 +11,6 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
-	"k8s.io/klog/v2"
 
 	"github.com/lycheeladder/lycheeladder/ladder/caller"
 	"github.com/lycheeladder/lycheeladder/ladder/heartbeater"
@@ -99,13 +98,6 @@
 	attempt identifier.Attempt
 }
 
-// trace is what is remembered of an attempt.
-type trace struct {
-	since time.Time
-	// answer is a Refused or an End, sent again to whoever asks.
-	answer messenger.Answer
-}
-
 // New returns an Executor for target.
 func New(clock clockwork.Clock, target caller.Target, q *queuer.Queuer, beats *heartbeater.Heartbeater, goals Goals, options Options) *Executor {
 	return &Executor{
@@ -214,107 +206,6 @@
 	}
 }
 
-// Leave makes every later Start refused and tells all entries. Leaving again
-// changes nothing.
-func (e *Executor) Leave(ctx context.Context) {
-	e.mutex.Lock()
-	again := e.leaving
-	if !again {
-		e.leaving, e.leftAt = true, e.clock.Now()
-	}
-	e.mutex.Unlock()
-	if !again {
-		e.Announce(ctx)
-	}
-}
-
-// GiveUp ends all work that has no answer yet: what waits is refused and never
-// runs, what runs is cancelled.
-func (e *Executor) GiveUp() {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	for k, j := range e.jobs {
-		if e.queue.Remove(k.request, k.attempt) {
-			e.finish(j, *e.refused(j.start, messenger.RefusedLeaving, retryAfterLeaving))
-			continue
-		}
-		j.cancel()
-	}
-}
-
-// drainPoll is the time between two looks at what is left.
-const drainPoll = 20 * time.Millisecond
-
-// Drain waits until every answer has been taken and Linger is over, or ctx
-// ends. It returns how many answers were left.
-func (e *Executor) Drain(ctx context.Context) int {
-	for {
-		left, lingered := e.left()
-		if left == 0 && lingered {
-			return 0
-		}
-		select {
-		case <-ctx.Done():
-			return left
-		case <-e.clock.After(drainPoll):
-		}
-	}
-}
-
-// left counts the answers that somebody may still take, and says whether
-// Linger is over. An answer whose entry is gone is waited for as long as a link
-// may take to come back.
-func (e *Executor) left() (left int, lingered bool) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	now := e.clock.Now()
-	for _, j := range e.jobs {
-		if j.taken {
-			continue
-		}
-		_, linked := e.links[j.owner]
-		if j.answer == nil || linked || now.Sub(j.endedAt) < e.options.Linger {
-			left++
-		}
-	}
-	return left, now.Sub(e.leftAt) >= e.options.Linger
-}
-
-// forget drops traces and untaken answers that have grown too old. Run calls
-// it now and then.
-func (e *Executor) forget() {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	now := e.clock.Now()
-	for k, t := range e.traces {
-		if now.Sub(t.since) > e.options.Memory {
-			delete(e.traces, k)
-		}
-	}
-	for k, j := range e.jobs {
-		if j.answer != nil && now.Sub(j.endedAt) > e.options.Retention {
-			klog.InfoS("answer dropped, nobody took it", "request", k.request, "attempt", k.attempt)
-			e.release(k)
-		}
-	}
-}
-
-// release drops an ended job's answer and keeps a trace. The caller holds the
-// mutex.
-func (e *Executor) release(k key) {
-	j, ok := e.jobs[k]
-	if !ok || j.answer == nil {
-		return
-	}
-	delete(e.jobs, k)
-	answer := j.answer
-	if end, ok := answer.(messenger.End); ok {
-		end.Reason = messenger.EndDropped
-		answer = end
-	}
-	e.traces[k] = trace{since: e.clock.Now(), answer: answer}
-}
-
 func (e *Executor) setLink(l messenger.Link, up bool) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
--- a/ladder/executor/job.go
+++ b/ladder/executor/job.go
@@ -36,13 +36,6 @@
 	stopPump context.CancelFunc
 }
 
-const (
-	// maxKept bounds the answers kept after they were taken.
-	maxKept = 256
-	// maxKeptBytes bounds each of them.
-	maxKeptBytes = 16 << 10
-)
-
 func newJob(m messenger.Start, now time.Time) *job {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &job{
@@ -162,30 +155,3 @@
 	}
 	j.cancel()
 }
-
-// keepable says whether the job's answer is to be kept after it was taken.
-func (j *job) keepable() bool {
-	end, ok := j.answer.(messenger.End)
-	return ok && end.Reason == messenger.EndWhole && j.start.Keep && j.output.Length() <= maxKeptBytes
-}
-
-// taken notes that an entry has the whole answer, and drops it unless the
-// request may come again. Of those that are kept, the oldest make way.
-func (e *Executor) taken(k key) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	j, ok := e.jobs[k]
-	if !ok || !j.keepable() {
-		e.release(k)
-		return
-	}
-	if j.taken {
-		return
-	}
-	j.taken = true
-	e.kept = append(e.kept, k)
-	if len(e.kept) > maxKept {
-		e.release(e.kept[0])
-		e.kept = e.kept[1:]
-	}
-}
