--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -80,16 +80,7 @@
 func Main(arguments []string, stdout, stderr io.Writer) int {
 	var s Settings
 	d := starter.Description{Name: "entry", Text: manual}
-	if _, code, ok := starter.Parse(d, &s, arguments, stdout, stderr); !ok {
-		return code
-	}
-	starter.SetUpLogs(s.LogVerbosity)
-	defer klog.Flush()
-	if err := run(s); err != nil {
-		fmt.Fprintf(stderr, "entry: %s\n", err)
-		return starter.ExitFailed
-	}
-	return starter.ExitOK
+	return starter.Main(d, &s, &s.Common, arguments, stdout, stderr, func() error { return run(s) })
 }
 
 const (
--- a/ladder/accepter/record.go
+++ b/ladder/accepter/record.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/lycheeladder/lycheeladder/ladder/annotator"
+	"github.com/lycheeladder/lycheeladder/ladder/encoder"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/validator"
 )
@@ -81,20 +82,10 @@
 	maxRecordBytes = 16 << 20
 	// maxElements bounds the lists in a record.
 	maxElements = 4096
-	// maxNesting bounds a record's depth.
-	maxNesting = 4
 )
 
 var recordDecoding = func() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		IndefLength:       cbor.IndefLengthForbidden,
-		TagsMd:            cbor.TagsForbidden,
-		MaxNestedLevels:   maxNesting,
-		MaxArrayElements:  maxElements,
-		MaxMapPairs:       maxElements,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-	}.DecMode()
+	mode, err := encoder.StrictDecoding(maxElements)
 	if err != nil {
 		panic(err)
 	}
--- a/ladder/deliverer/session.go
+++ b/ladder/deliverer/session.go
@@ -150,7 +150,7 @@
 		}
 		go func() {
 			defer func() { <-s.slots }()
-			s.make(w)
+			s.generate(w)
 		}()
 	}
 }
@@ -170,8 +170,8 @@
 	}
 }
 
-// make tries until the sample is generated, labelled, fresh and scored.
-func (s *session) make(w work) {
+// generate tries until the sample is generated, labelled, fresh and scored.
+func (s *session) generate(w work) {
 	for s.ctx.Err() == nil {
 		sample, wait := s.attempt(w)
 		if sample != nil {
--- a/ladder/encoder/encoder.go
+++ b/ladder/encoder/encoder.go
@@ -62,15 +62,7 @@
 	if e.encoding, err = cbor.CoreDetEncOptions().EncMode(); err != nil {
 		return nil, err
 	}
-	e.decoding, err = cbor.DecOptions{
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		IndefLength:       cbor.IndefLengthForbidden,
-		TagsMd:            cbor.TagsForbidden,
-		MaxNestedLevels:   maxNesting,
-		MaxArrayElements:  maxElements,
-		MaxMapPairs:       maxElements,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-	}.DecMode()
+	e.decoding, err = StrictDecoding(maxElements)
 	return e, err
 }
 
@@ -106,3 +98,18 @@
 	}
 	return v.Elem().Interface().(messenger.Message), nil
 }
+
+// StrictDecoding returns a mode for CBOR that takes no tags, no indefinite
+// lengths, no repeated keys and no unknown fields, lists and maps of at most
+// elements entries, and little nesting.
+func StrictDecoding(elements int) (cbor.DecMode, error) {
+	return cbor.DecOptions{
+		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
+		IndefLength:       cbor.IndefLengthForbidden,
+		TagsMd:            cbor.TagsForbidden,
+		MaxNestedLevels:   maxNesting,
+		MaxArrayElements:  elements,
+		MaxMapPairs:       elements,
+		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+	}.DecMode()
+}
--- a/ladder/starter/starter.go
+++ b/ladder/starter/starter.go
@@ -138,3 +138,18 @@
 	}()
 	return Stop{Begun: begun, Hurried: hurried}, hurry
 }
+
+// Main parses the settings of a daemon, runs it and returns its exit code.
+// common are the settings' own Common.
+func Main(d Description, settings any, common *Common, arguments []string, stdout, stderr io.Writer, run func() error) int {
+	if _, code, ok := Parse(d, settings, arguments, stdout, stderr); !ok {
+		return code
+	}
+	SetUpLogs(common.LogVerbosity)
+	defer klog.Flush()
+	if err := run(); err != nil {
+		fmt.Fprintf(stderr, "%s: %s\n", d.Name, err)
+		return ExitFailed
+	}
+	return ExitOK
+}
