Record how long requests wait, by team and class

The histograms asked for are wait, first byte and total; wait was named and never recorded. The sidecar says in each end how long the work waited.

--- a/ladder/coordinator/call.go
+++ b/ladder/coordinator/call.go
@@ -69,10 +69,18 @@
 	} else {
 		o = c.dispatcher.Dispatch(ctx, r)
 	}
-	c.recorder.Time(recorder.Series{Team: t.Name, Class: t.Class, Measure: recorder.MeasureTotal}, c.clock.Since(began))
+	c.time(t.Name, t.Class, began, o)
 	return c.counted(o)
 }
 
+// time notes how long a request took, and how long it waited for its target.
+func (c *Coordinator) time(t identifier.TeamName, class identifier.Class, began time.Time, o dispatcher.Outcome) {
+	c.recorder.Time(recorder.Series{Team: t, Class: class, Measure: recorder.MeasureTotal}, c.clock.Since(began))
+	if completed, ok := o.(dispatcher.Completed); ok {
+		c.recorder.Time(recorder.Series{Team: t, Class: class, Measure: recorder.MeasureWait}, completed.Waited)
+	}
+}
+
 func (c *Coordinator) revision() identifier.Revision {
 	s, _ := c.follower.State()
 	return s.Revision
--- a/ladder/coordinator/train.go
+++ b/ladder/coordinator/train.go
@@ -12,7 +12,6 @@
 	"github.com/lycheeladder/lycheeladder/ladder/dispatcher"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
-	"github.com/lycheeladder/lycheeladder/ladder/recorder"
 	"github.com/lycheeladder/lycheeladder/ladder/validator"
 )
 
@@ -68,7 +67,7 @@
 	c := g.coordinator
 	began := c.clock.Now()
 	o := c.dispatcher.Dispatch(ctx, r)
-	c.recorder.Time(recorder.Series{Team: r.Team, Class: r.Class, Measure: recorder.MeasureTotal}, c.clock.Since(began))
+	c.time(r.Team, r.Class, began, o)
 	return c.counted(o)
 }
 
--- a/ladder/dispatcher/dispatch.go
+++ b/ladder/dispatcher/dispatch.go
@@ -155,7 +155,7 @@
 		if m.Reason == messenger.EndWhole {
 			return Completed{
 				Status: m.Status, Body: a.output.Bytes(), Checksum: m.Checksum,
-				Spans: m.Spans, Target: a.peer.target,
+				Spans: m.Spans, Target: a.peer.target, Waited: m.Waited,
 			}
 		}
 		return d.mayHaveRun(r, s, codeByEnd[m.Reason])
--- a/ladder/dispatcher/outcome.go
+++ b/ladder/dispatcher/outcome.go
@@ -49,6 +49,8 @@
 	// Spans name the weight versions of the tokens, if they are known.
 	Spans  []messenger.Span
 	Target identifier.TargetName
+	// Waited is how long the request waited at its sidecar.
+	Waited time.Duration
 }
 
 // NotRun says that the request truly did not run and never will.
--- a/ladder/executor/job.go
+++ b/ladder/executor/job.go
@@ -18,6 +18,8 @@
 	// ctx ends when the work is given up.
 	ctx    context.Context
 	cancel context.CancelFunc
+	// waited is how long the work was in the queue.
+	waited time.Duration
 	// answer is a Refused or an End, nil until the attempt has ended. It is
 	// set before output ends.
 	answer  messenger.Answer
--- a/ladder/executor/runner.go
+++ b/ladder/executor/runner.go
@@ -66,6 +66,7 @@
 	if j == nil || e.putBack(j) {
 		return
 	}
+	j.waited = e.clock.Since(j.deadline.Add(-j.start.Timeout))
 	workCtx, cancel := clockwork.WithDeadline(j.ctx, e.clock, j.deadline)
 	defer cancel()
 	defer context.AfterFunc(ctx, cancel)()
@@ -159,6 +160,6 @@
 func (e *Executor) endOf(j *job, reason messenger.EndReason) messenger.End {
 	return messenger.End{
 		Request: j.start.Request, Attempt: j.start.Attempt, Incarnation: e.options.Incarnation,
-		Reason: reason, Length: j.output.Length(), Checksum: j.output.Checksum(),
+		Reason: reason, Length: j.output.Length(), Checksum: j.output.Checksum(), Waited: j.waited,
 	}
 }
--- a/ladder/messenger/messenger.go
+++ b/ladder/messenger/messenger.go
@@ -225,6 +225,8 @@
 	// Length and Checksum (xxhash64) are of all the chunks' data together.
 	Length   uint64 `cbor:"6,keyasint"`
 	Checksum uint64 `cbor:"7,keyasint"`
+	// Waited is how long the attempt waited at the sidecar.
+	Waited time.Duration `cbor:"9,keyasint,omitempty"`
 	// Spans cover all tokens, in order and without a gap.
 	Spans []Span `cbor:"8,keyasint,omitempty"`
 }
--- a/ladder/recorder/recorder.go
+++ b/ladder/recorder/recorder.go
@@ -20,7 +20,7 @@
 
 // The measures.
 const (
-	// MeasureWait is from acceptance to the first attempt's start.
+	// MeasureWait is the wait at the sidecar before the target was asked.
 	MeasureWait Measure = "wait"
 	// MeasureFirst is from acceptance to the first byte of the answer.
 	MeasureFirst Measure = "first-byte"
