Serve batch jobs, live calls and weights on the users' platform

Cause: lycheeladder had no way onto the platform: no settings, no store, no targets that are called directly. Ruled out for now: a process beside each target.

--- /dev/null
+++ b/ladder/cataloger/cataloger.go
@@ -0,0 +1,221 @@
+package cataloger
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"k8s.io/klog/v2"
+
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/storer"
+)
+
+// Published is what an operator's or a trainer's record holds: a
+// *Configuration or a NamedVersion.
+//
+//sumtype:decl
+type Published interface{ published() }
+
+// NamedVersion says which version of a model the targets are to have.
+type NamedVersion struct {
+	Model   identifier.ModelName
+	Version identifier.WeightVersion
+}
+
+func (*Configuration) published() {}
+func (NamedVersion) published()   {}
+
+// Decoder reads the platform's records.
+type Decoder interface {
+	// Published returns nil for a record that doesn't concern the system.
+	Published(key string, value []byte) (Published, error)
+	// Target reads a target's entry.
+	Target(key string, value []byte) (Target, error)
+}
+
+// Cataloger holds the newest of what was published and listed.
+type Cataloger struct {
+	decoder Decoder
+	// configuration is nil until one was read; its version never falls.
+	configuration atomic.Pointer[Configuration]
+
+	mutex   sync.Mutex
+	targets map[identifier.TargetName]Target
+	// named never falls.
+	named map[identifier.ModelName]identifier.WeightVersion
+	// changed is closed at each change.
+	changed chan struct{}
+}
+
+// New returns a Cataloger that knows nothing.
+func New(d Decoder) *Cataloger {
+	return &Cataloger{
+		decoder: d,
+		targets: make(map[identifier.TargetName]Target),
+		named:   make(map[identifier.ModelName]identifier.WeightVersion),
+		changed: make(chan struct{}),
+	}
+}
+
+// Configuration returns the one in force, or nil.
+func (c *Cataloger) Configuration() *Configuration { return c.configuration.Load() }
+
+// Named returns the newest named version of each model.
+func (c *Cataloger) Named() map[identifier.ModelName]identifier.WeightVersion {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return maps.Clone(c.named)
+}
+
+// Target returns a listed target.
+func (c *Cataloger) Target(name identifier.TargetName) (Target, bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	t, ok := c.targets[name]
+	return t, ok
+}
+
+// Targets returns the listed targets of a service that take work, ordered by
+// name.
+func (c *Cataloger) Targets(s identifier.ServiceName) []Target {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var list []Target
+	for _, t := range c.targets {
+		if t.Service == s && t.State == StateReady {
+			list = append(list, t)
+		}
+	}
+	slices.SortFunc(list, func(a, b Target) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	return list
+}
+
+// Changed is closed at the next change.
+func (c *Cataloger) Changed() <-chan struct{} {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.changed
+}
+
+// LearnWeights notes a version that a target's answer has shown. Lists lag.
+func (c *Cataloger) LearnWeights(name identifier.TargetName, m identifier.ModelName, v identifier.WeightVersion) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	t, ok := c.targets[name]
+	if !ok || t.Weights[m] >= v {
+		return
+	}
+	t.Weights = maps.Clone(t.Weights)
+	if t.Weights == nil {
+		t.Weights = make(map[identifier.ModelName]identifier.WeightVersion)
+	}
+	t.Weights[m] = v
+	c.targets[name] = t
+	c.notify()
+}
+
+func (c *Cataloger) notify() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// PublishedSink takes the partition of operators and trainers.
+func (c *Cataloger) PublishedSink() storer.Sink { return publishedSink{c} }
+
+// TargetSink takes the partition of targets.
+func (c *Cataloger) TargetSink() storer.Sink { return targetSink{c} }
+
+type publishedSink struct{ *Cataloger }
+
+// Reset implements storer.Sink. What was published is never withdrawn.
+func (s publishedSink) Reset(records []storer.Record) { s.Apply(records) }
+
+// Apply implements storer.Sink.
+func (s publishedSink) Apply(records []storer.Record) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, r := range records {
+		if len(r.Value) > 0 {
+			s.publish(r)
+		}
+	}
+	s.notify()
+}
+
+func (c *Cataloger) publish(r storer.Record) {
+	p, err := c.decoder.Published(r.Key, r.Value)
+	if err != nil {
+		klog.InfoS("unreadable record of the operator left out", "key", r.Key, "offset", r.Offset, "err", err)
+		return
+	}
+	switch p := p.(type) {
+	case nil:
+	case *Configuration:
+		before := c.configuration.Load()
+		if before != nil && p.Version <= before.Version {
+			return
+		}
+		c.configuration.Store(p)
+		klog.InfoS("configuration in force", "version", p.Version, "offset", r.Offset, "routes", len(p.Routes))
+	case NamedVersion:
+		if p.Version > c.named[p.Model] {
+			c.named[p.Model] = p.Version
+			klog.InfoS("weights named", "model", p.Model, "version", p.Version, "offset", r.Offset)
+		}
+	}
+}
+
+type targetSink struct{ *Cataloger }
+
+// Reset implements storer.Sink.
+func (s targetSink) Reset(records []storer.Record) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	before := s.targets
+	s.targets = make(map[identifier.TargetName]Target, len(records))
+	for _, r := range records {
+		s.list(r, before)
+	}
+	for name := range before {
+		if _, ok := s.targets[name]; !ok {
+			klog.InfoS("target gone", "target", name)
+		}
+	}
+	s.notify()
+}
+
+// Apply implements storer.Sink.
+func (s targetSink) Apply(records []storer.Record) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, r := range records {
+		s.list(r, s.targets)
+	}
+	s.notify()
+}
+
+// list takes one entry; before has what was known of the targets.
+func (s targetSink) list(r storer.Record, before map[identifier.TargetName]Target) {
+	name := identifier.TargetName(r.Key)
+	old, known := before[name]
+	if len(r.Value) == 0 {
+		if known {
+			klog.InfoS("target gone", "target", name, "offset", r.Offset)
+		}
+		delete(s.targets, name)
+		return
+	}
+	t, err := s.decoder.Target(r.Key, r.Value)
+	if err != nil {
+		klog.InfoS("unreadable entry of a target left out", "target", name, "offset", r.Offset, "err", err)
+		delete(s.targets, name)
+		return
+	}
+	if !known || old.State != t.State || old.Start != t.Start {
+		klog.InfoS("target listed", "target", name, "service", t.Service, "address", t.Address, "state", t.State, "offset", r.Offset)
+	}
+	s.targets[name] = t
+}
--- /dev/null
+++ b/ladder/forwarder/stream.go
@@ -0,0 +1,191 @@
+package forwarder
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/router"
+	"github.com/lycheeladder/lycheeladder/ladder/sender"
+)
+
+// Stream is a target's streamed answer. A resumable one goes on at another
+// target when the first breaks off, under the header of the first.
+type Stream struct {
+	forwarder *Forwarder
+	// ctx ends with the request's time.
+	ctx      context.Context
+	cancel   context.CancelFunc
+	request  Request
+	route    cataloger.Route
+	deadline time.Time
+	service  identifier.ServiceName
+
+	answer *sender.Answer
+	target cataloger.Target
+	events sender.Events
+	begun  time.Time
+	// resumed counts how often it has gone on elsewhere.
+	resumed int
+	tried   map[identifier.TargetName]bool
+}
+
+// Status and Header are the first target's.
+func (s *Stream) Status() int { return s.answer.Status }
+
+// Answer returns the answer under whose header the stream goes on.
+func (s *Stream) Answer() *sender.Answer { return s.answer }
+
+// ForwardStream begins a streamed answer. A Stream that it returns must be
+// closed. ctx must last as long as the stream.
+func (f *Forwarder) ForwardStream(ctx context.Context, route cataloger.Route, r Request) Outcome {
+	limit := timeLimit(route, r)
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	s := &Stream{
+		forwarder: f, ctx: ctx, cancel: cancel, request: r, route: route,
+		deadline: f.clock.Now().Add(limit), service: f.serviceOf(route), tried: make(map[identifier.TargetName]bool),
+	}
+	o := s.begin()
+	if o != Outcome(s) {
+		s.Close()
+	}
+	return o
+}
+
+// begin asks targets until one answers.
+func (s *Stream) begin() Outcome {
+	for {
+		answer, err := s.ask(s.request.ResumeAfter)
+		switch {
+		case errors.Is(err, errNoTarget):
+			return NotRun{RetryAfter: fullRetryAfter, Why: "no target takes it"}
+		case errors.Is(err, sender.ErrNotSent):
+			if s.ctx.Err() != nil {
+				return NotRun{RetryAfter: fullRetryAfter, Why: "time is over"}
+			}
+			continue
+		case err != nil:
+			if s.route.Resumable && s.ctx.Err() == nil && s.mayGoOn() {
+				continue
+			}
+			return Unknown{TimedOut: s.ctx.Err() != nil, Why: err.Error()}
+		case answer.NotRun:
+			answer.Body.Close()
+			s.done()
+			continue
+		case !answer.Succeeded():
+			return s.failure(answer)
+		}
+		s.answer = answer
+		s.events = s.forwarder.sender.Events(answer)
+		return s
+	}
+}
+
+func (s *Stream) failure(a *sender.Answer) Outcome {
+	defer a.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes))
+	if err != nil {
+		return Unknown{Why: err.Error()}
+	}
+	return Whole{Status: a.Status, Header: a.Header, Body: body, Signature: a.Signature}
+}
+
+var errNoTarget = errors.New("no target is left")
+
+func (s *Stream) mayGoOn() bool {
+	s.resumed++
+	return s.resumed < max(1, s.route.MaxAttempts)
+}
+
+func (s *Stream) ask(after identifier.EventNumber) (*sender.Answer, error) {
+	f := s.forwarder
+	left := s.deadline.Sub(f.clock.Now())
+	name, ok := f.router.Choose(candidatesOf(f.catalog.Targets(s.service), s.tried), router.Unfollowed)
+	if !ok || left < leastTimeLeft {
+		if ok {
+			f.router.Done(name, router.Unfollowed)
+		}
+		return nil, errNoTarget
+	}
+	s.tried[name] = true
+	t, ok := f.catalog.Target(name)
+	if !ok {
+		f.router.Done(name, router.Unfollowed)
+		return nil, sender.ErrNotSent
+	}
+	s.target = t
+	call := s.request.call(left)
+	call.ResumeAfter = after
+	answer, err := f.sender.Send(s.ctx, t, call)
+	if err != nil {
+		f.router.Failed(name)
+		s.done()
+	}
+	return answer, err
+}
+
+func (s *Stream) done() {
+	if s.target.Name != "" {
+		s.forwarder.router.Done(s.target.Name, router.Unfollowed)
+		s.target = cataloger.Target{}
+	}
+}
+
+// Next returns the next event. io.EOF follows the last one of a whole answer;
+// after any other error the answer is broken off.
+func (s *Stream) Next() (sender.Event, error) {
+	for {
+		e, err := s.events.Next()
+		if err == nil {
+			s.request.ResumeAfter = e.Number
+			return e, nil
+		}
+		if errors.Is(err, io.EOF) || !s.route.Resumable || s.ctx.Err() != nil {
+			return e, err
+		}
+		if !s.resume(err) {
+			return e, err
+		}
+	}
+}
+
+// resume goes on at another target after the last event that came.
+func (s *Stream) resume(cause error) bool {
+	s.done()
+	for s.mayGoOn() {
+		answer, err := s.ask(s.request.ResumeAfter)
+		if errors.Is(err, errNoTarget) {
+			return false
+		}
+		if err != nil {
+			continue
+		}
+		if !answer.Succeeded() {
+			answer.Body.Close()
+			s.done()
+			continue
+		}
+		klog.InfoS("stream goes on at another target", "request", s.request.ID, "target", s.target.Name, "after", s.request.ResumeAfter, "cause", cause)
+		s.events = s.forwarder.sender.Events(answer)
+		s.answer.Body.Close()
+		answer.Header, answer.Signature = s.answer.Header, s.answer.Signature
+		s.answer = answer
+		return true
+	}
+	return false
+}
+
+// Close breaks off what is still under way.
+func (s *Stream) Close() {
+	if s.answer != nil {
+		s.answer.Body.Close()
+	}
+	s.done()
+	s.cancel()
+}
--- /dev/null
+++ b/ladder/grouper/grouper.go
@@ -0,0 +1,125 @@
+// Package grouper says which partitions of the batch jobs this process works
+// on, as a group of the platform's store deals them out.
+package grouper
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"k8s.io/klog/v2"
+
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+)
+
+// Two processes may hold a partition for a moment. That costs doubled work and
+// nothing else, since results are written under a condition.
+
+// Generation numbers the changes of a group.
+type Generation uint64
+
+// Membership is what the store says of this member.
+type Membership struct {
+	Generation Generation
+	Partitions []identifier.PartitionNumber
+}
+
+// Group is the platform's group.
+type Group interface {
+	// Join joins the group or keeps the member in it for another ttl.
+	Join(ctx context.Context, ttl time.Duration, last Generation) (Membership, error)
+	Leave(ctx context.Context) error
+}
+
+const (
+	// ttl is how long the store waits for a silent member: three joins and a
+	// lost answer. It is above the least that the users' store takes (1 s).
+	ttl = 2 * time.Second
+	// joinPause is between two joins.
+	joinPause = 500 * time.Millisecond
+	// joinTimeout bounds one join.
+	joinTimeout = 700 * time.Millisecond
+	// keepFor is how long partitions are kept without an answer of the store.
+	// While the whole store is away nobody else takes them; a process that is
+	// cut off alone wastes some work until then.
+	keepFor = 8 * time.Second
+)
+
+// Grouper keeps this process in the group.
+type Grouper struct {
+	clock clockwork.Clock
+	group Group
+	// changed is called after each change.
+	changed func()
+
+	mutex      sync.Mutex
+	membership Membership
+	// answered is when the last successful join was sent.
+	answered time.Time
+}
+
+// New returns a Grouper that isn't in the group until Run.
+func New(clock clockwork.Clock, g Group, changed func()) *Grouper {
+	return &Grouper{clock: clock, group: g, changed: changed}
+}
+
+// Run stays in the group until ctx ends, and leaves it then.
+func (g *Grouper) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		g.join(ctx)
+		select {
+		case <-g.clock.After(joinPause):
+		case <-ctx.Done():
+		}
+	}
+	g.set(Membership{}, time.Time{})
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), joinTimeout)
+	defer cancel()
+	if err := g.group.Leave(bounded); err != nil {
+		klog.InfoS("group not left, the store will notice by itself", "err", err)
+	}
+}
+
+func (g *Grouper) join(ctx context.Context) {
+	bounded, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	g.mutex.Lock()
+	last := g.membership.Generation
+	g.mutex.Unlock()
+	sent := g.clock.Now()
+	m, err := g.group.Join(bounded, ttl, last)
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		klog.V(1).InfoS("group not joined", "err", err)
+		return
+	}
+	g.set(m, sent)
+}
+
+func (g *Grouper) set(m Membership, sent time.Time) {
+	g.mutex.Lock()
+	same := slices.Equal(m.Partitions, g.membership.Partitions)
+	g.membership, g.answered = m, sent
+	g.mutex.Unlock()
+	if !same {
+		klog.InfoS("partitions of batch jobs dealt", "generation", m.Generation, "partitions", m.Partitions)
+		g.changed()
+	}
+}
+
+// Owned returns the partitions that this process works on.
+func (g *Grouper) Owned() []identifier.PartitionNumber {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.clock.Since(g.answered) > keepFor {
+		return nil
+	}
+	return g.membership.Partitions
+}
+
+// Owns says whether a partition is among them.
+func (g *Grouper) Owns(n identifier.PartitionNumber) bool { return slices.Contains(g.Owned(), n) }
--- a/ladder/identifier/identifier.go
+++ b/ladder/identifier/identifier.go
@@ -59,6 +59,18 @@
 	FencingNumber uint64
 	// TokenCount counts generated tokens.
 	TokenCount uint64
+	// TopicName names a topic of the platform's store.
+	TopicName string
+	// PartitionNumber numbers a topic's partitions, from 0.
+	PartitionNumber int
+	// RouteName names one route of a published configuration.
+	RouteName string
+	// JobID names a batch job; its submitter draws it.
+	JobID string
+	// ItemID names one item of a batch job. Items of different jobs may share it.
+	ItemID string
+	// EventNumber numbers the events of a streamed answer, from 1; 0 is none.
+	EventNumber uint64
 	// Fingerprint is the xxhash64 of a request's service, call and body.
 	Fingerprint uint64
 )
--- a/ladder/router/policy.go
+++ b/ladder/router/policy.go
@@ -88,13 +88,17 @@
 // expectedWait is in requests of a target at the usual pace.
 func (r *Router) expectedWait(c Candidate) float64 {
 	o := r.observationOf(c)
-	now := r.clock.Now()
-	age := now.Sub(o.heard)
+	return float64(1+o.inFlight) * r.slownessOf(o)
+}
+
+// slownessOf is at least 1. The caller holds the mutex.
+func (r *Router) slownessOf(o *observation) float64 {
+	age := r.clock.Since(o.heard)
 	slowness := math.Max(1, 1+(o.slowness-1)*math.Exp2(-float64(age)/float64(avoidanceHalfLife)))
 	if o.followed > 0 {
 		slowness = math.Max(slowness, o.silence(age))
 	}
-	return float64(1+o.inFlight) * slowness
+	return slowness
 }
 
 // silence returns how many times longer than usual nothing has come, 0 if it
--- a/ladder/router/router.go
+++ b/ladder/router/router.go
@@ -132,6 +132,32 @@
 	o.heard, o.flowing = r.clock.Now(), true
 }
 
+// failureSlowness is what a failed attempt adds to a target's slowness; with
+// avoidanceHalfLife it keeps others away for a few seconds.
+const failureSlowness = 8
+
+// Failed notes that an attempt at the target has failed for a reason of the
+// target's.
+func (r *Router) Failed(target identifier.TargetName) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if o, ok := r.seen[target]; ok {
+		o.slowness += failureSlowness
+		o.heard = r.clock.Now()
+	}
+}
+
+// Slowness is how many times longer than usual the target's answers take now.
+func (r *Router) Slowness(target identifier.TargetName) float64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	o, ok := r.seen[target]
+	if !ok {
+		return 1
+	}
+	return r.slownessOf(o)
+}
+
 // Patience is how long an attempt at the service may be silent, before or
 // after its first piece, until another target would likely be sooner. It is 0
 // while nothing is known.
--- /dev/null
+++ b/ladder/scheduler/place.go
@@ -0,0 +1,110 @@
+package scheduler
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/router"
+)
+
+// queue returns the tasks that wait for a target, in the order in which they
+// are to start. The caller holds the mutex.
+func (s *Scheduler) queue() (list []*task) {
+	for _, t := range s.tasks {
+		if t.wanted && !t.busy && !t.texted {
+			list = append(list, t)
+		}
+	}
+	slices.SortFunc(list, func(a, b *task) int {
+		return cmp.Or(
+			cmp.Compare(b.last, a.last),
+			a.job.accepted.Compare(b.job.accepted),
+			cmp.Compare(a.job.ID, b.job.ID),
+			cmp.Compare(b.expected(), a.expected()),
+			cmp.Compare(a.order, b.order),
+		)
+	})
+	return list
+}
+
+// expected is how many tokens the item is likely to generate.
+func (t *task) expected() identifier.TokenCount {
+	if t.item.ExpectedTokens > 0 {
+		return t.item.ExpectedTokens
+	}
+	return t.item.Tokens
+}
+
+// place starts the task at a target with a free slot, if there is one. The
+// caller holds the mutex.
+func (s *Scheduler) place(ctx context.Context, t *task, c *cataloger.Configuration, tasks *conc.WaitGroup) {
+	route, ok := c.Match(t.job.Host, t.item.Path)
+	if !ok {
+		return
+	}
+	name, ok := s.router.Choose(s.candidates(t, route, c), router.Followed)
+	if !ok {
+		return
+	}
+	target, ok := s.catalog.Target(name)
+	if !ok {
+		s.router.Done(name, router.Followed)
+		return
+	}
+	bounded, cancel := context.WithCancel(ctx)
+	t.busy, t.cancel, t.route = true, cancel, route
+	tasks.Go(func() { t.run(bounded, target) })
+}
+
+// candidates returns the targets that may run the task now.
+func (s *Scheduler) candidates(t *task, route cataloger.Route, c *cataloger.Configuration) (list []router.Candidate) {
+	now := s.clock.Now()
+	for _, share := range route.Shares {
+		for _, target := range s.catalog.Targets(share.Service) {
+			switch {
+			case !t.fits(target), s.avoided[target.Name].After(now):
+			case t.left == target.Name && len(s.catalog.Targets(share.Service)) > 1:
+			case s.router.InFlight(target.Name) >= slotsOf(target, c):
+			default:
+				list = append(list, router.Candidate{Target: target.Name, Service: target.Service, Zone: target.Zone})
+			}
+		}
+	}
+	return list
+}
+
+// slotsOf is how many requests a target runs at once.
+func slotsOf(t cataloger.Target, c *cataloger.Configuration) int {
+	if t.Slots > 0 {
+		return t.Slots
+	}
+	if s, ok := c.Services[t.Service]; ok && s.Engine != nil && s.Engine.Slots > 0 {
+		return s.Engine.Slots
+	}
+	return 1
+}
+
+// fits says whether the target has weights that may go on with the text.
+func (t *task) fits(target cataloger.Target) bool {
+	if t.job.Model == "" {
+		return true
+	}
+	version := target.Weights[t.job.Model]
+	if version < t.job.OldestVersion {
+		return false
+	}
+	return !t.route.SingleVersion || len(t.versions) == 0 || t.versions[0] == version
+}
+
+// avoid keeps items from a target for a while.
+func (s *Scheduler) avoid(name identifier.TargetName, d time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.avoided[name] = s.clock.Now().Add(d)
+}
--- /dev/null
+++ b/ladder/spooler/spooler.go
@@ -0,0 +1,60 @@
+// Package spooler writes logs without ever holding up who logs.
+package spooler
+
+import (
+	"fmt"
+	"io"
+	"sync"
+
+	"github.com/lycheeladder/lycheeladder/ladder/recorder"
+)
+
+// Spooler is a writer with a bounded buffer. What doesn't fit is dropped, and
+// the number of dropped lines is told as soon as there is room.
+type Spooler struct {
+	recorder *recorder.Recorder
+	lines    chan []byte
+
+	mutex sync.Mutex
+	// dropped counts the lines left out since the last one that was taken.
+	dropped int
+}
+
+// CounterDropped counts the lines that were left out.
+const CounterDropped = "log-lines-dropped"
+
+// New returns a Spooler that keeps up to lines lines for out. Its task ends
+// with the process.
+func New(out io.Writer, lines int, r *recorder.Recorder) *Spooler {
+	s := &Spooler{recorder: r, lines: make(chan []byte, lines)}
+	go func() {
+		for line := range s.lines {
+			// A log that can't be written has no other place to say so.
+			_, _ = out.Write(line)
+		}
+	}()
+	return s
+}
+
+// Write implements io.Writer. It never blocks and never fails.
+func (s *Spooler) Write(line []byte) (int, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.dropped > 0 && s.offer([]byte(fmt.Sprintf("log lines dropped count=%d\n", s.dropped))) {
+		s.dropped = 0
+	}
+	if !s.offer(append([]byte(nil), line...)) {
+		s.dropped++
+		s.recorder.Count(CounterDropped)
+	}
+	return len(line), nil
+}
+
+func (s *Spooler) offer(line []byte) bool {
+	select {
+	case s.lines <- line:
+		return true
+	default:
+		return false
+	}
+}
--- a/ladder/starter/starter.go
+++ b/ladder/starter/starter.go
@@ -110,6 +110,18 @@
 	_ = flags.Set("v", fmt.Sprint(verbosity))
 }
 
+// SetUpLogsTo sends logs to out, one event a line.
+func SetUpLogsTo(out io.Writer, verbosity int) {
+	var flags flag.FlagSet
+	klog.InitFlags(&flags)
+	_ = flags.Set("logtostderr", "false")
+	_ = flags.Set("alsologtostderr", "false")
+	_ = flags.Set("stderrthreshold", "FATAL")
+	_ = flags.Set("one_output", "true")
+	_ = flags.Set("v", fmt.Sprint(verbosity))
+	klog.SetOutput(out)
+}
+
 // Stop tells a program when and how to end.
 type Stop struct {
 	// Begun ends at the first SIGTERM or SIGINT: finish what there is.
--- /dev/null
+++ b/ladder/storer/storer.go
@@ -0,0 +1,80 @@
+// Package storer is the port to the platform's store of keyed partitions: a log
+// whose newest record of each key is kept for ever.
+package storer
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+)
+
+// Partition names one partition of a keyed topic.
+type Partition struct {
+	Topic  identifier.TopicName
+	Number identifier.PartitionNumber
+}
+
+// String implements fmt.Stringer.
+func (p Partition) String() string { return fmt.Sprintf("%s/%d", p.Topic, p.Number) }
+
+// Record is one change of a key.
+type Record struct {
+	Key string
+	// Value is empty where the key is dropped.
+	Value []byte
+	// Offset is the store's; it is not read by Append.
+	Offset identifier.LogOffset
+}
+
+// Page is what one read of the log returns.
+type Page struct {
+	// Records follow each other without a gap from the offset asked for.
+	Records []Record
+	// End is the offset after the newest record of the partition.
+	End identifier.LogOffset
+}
+
+// Snapshot has the newest record of each key.
+type Snapshot struct {
+	Records []Record
+	// End is an offset from which reading on misses nothing that the
+	// snapshot lacks. Some records may be seen twice.
+	End identifier.LogOffset
+}
+
+// ErrForgotten says that the records asked for have expired.
+var ErrForgotten = errors.New("records have expired")
+
+// MovedError says that a conditional append had no effect, since the partition
+// ends elsewhere.
+type MovedError struct{ End identifier.LogOffset }
+
+// Error implements error.
+func (e *MovedError) Error() string { return fmt.Sprintf("the partition ends at %d", e.End) }
+
+// Log is the platform's store. Errors are appender.ErrUnavailable where nothing
+// was done, appender.ErrAnswerLost where it isn't known, ErrForgotten or a
+// MovedError.
+type Log interface {
+	// Newest returns the newest record of each key.
+	Newest(ctx context.Context, p Partition) (Snapshot, error)
+	// Read returns the records from offset from on. It waits up to wait for a
+	// first one.
+	Read(ctx context.Context, p Partition, from identifier.LogOffset, wait time.Duration) (Page, error)
+	// Append adds the records, all or none, if the partition ends at at. It
+	// returns where it ends then.
+	Append(ctx context.Context, p Partition, at identifier.LogOffset, records []Record) (identifier.LogOffset, error)
+}
+
+// Sink is told the records of a partition, in their order. Its calls don't
+// overlap.
+type Sink interface {
+	// Reset replaces everything that was told before.
+	Reset(records []Record)
+	// Apply adds records.
+	Apply(records []Record)
+}
--- /dev/null
+++ b/ladder/tracker/tracker.go
@@ -0,0 +1,276 @@
+// Package tracker keeps a copy of one keyed partition of the platform's store,
+// and changes the partition only from a copy that is complete.
+package tracker
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/lycheeladder/lycheeladder/ladder/annotator"
+	"github.com/lycheeladder/lycheeladder/ladder/appender"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/storer"
+)
+
+// Every append names the offset at which the partition must end. A writer that
+// was paused, cut off or replaced can't write what it decided from an old copy,
+// and a lost answer is settled by reading on. No second fence is needed.
+
+const (
+	// readWait is how long a read waits for a record. The tightest bound on
+	// news is 2 s (configuration in force), which a connection that has gone
+	// silent must leave room for.
+	readWait = time.Second
+	// readTimeout is when a read is given up: readWait and a slow answer.
+	readTimeout = readWait + 500*time.Millisecond
+	// snapshotTimeout bounds the reading of a whole partition.
+	snapshotTimeout = 4 * time.Second
+	// appendTimeout bounds one append. The store answers in some ms; by then
+	// its answer is taken for lost.
+	appendTimeout = 1200 * time.Millisecond
+	// firstPause and longestPause bound the pause after a failed read.
+	firstPause, longestPause = 50 * time.Millisecond, 400 * time.Millisecond
+)
+
+// Tracker follows one partition.
+type Tracker struct {
+	clock     clockwork.Clock
+	log       storer.Log
+	partition storer.Partition
+	sink      storer.Sink
+
+	// appending is held by one append at a time.
+	appending chan struct{}
+
+	mutex sync.Mutex
+	// next is the offset after the last record told to sink; it never falls.
+	next identifier.LogOffset
+	// known says that sink was told a first snapshot.
+	known bool
+	// contact is when the store answered last.
+	contact time.Time
+}
+
+// New returns a Tracker that knows nothing until Run.
+func New(clock clockwork.Clock, log storer.Log, p storer.Partition, sink storer.Sink) *Tracker {
+	return &Tracker{
+		clock: clock, log: log, partition: p, sink: sink,
+		appending: make(chan struct{}, 1),
+	}
+}
+
+// Run follows the partition until ctx ends.
+func (t *Tracker) Run(ctx context.Context) {
+	pause, failing := firstPause, false
+	for ctx.Err() == nil {
+		err := t.step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			if failing {
+				klog.InfoS("store answers again", "partition", t.partition.String(), "offset", t.position())
+			}
+			pause, failing = firstPause, false
+			continue
+		}
+		if !failing {
+			klog.InfoS("store lost", "partition", t.partition.String(), "offset", t.position(), "err", err)
+		}
+		failing = true
+		select {
+		case <-t.clock.After(pause):
+		case <-ctx.Done():
+		}
+		pause = min(2*pause, longestPause)
+	}
+}
+
+func (t *Tracker) step(ctx context.Context) error {
+	t.mutex.Lock()
+	known, from := t.known, t.next
+	t.mutex.Unlock()
+	if !known {
+		return t.load(ctx)
+	}
+	err := t.read(ctx, from, readWait)
+	if errors.Is(err, storer.ErrForgotten) {
+		klog.InfoS("history has expired, reading the whole partition", "partition", t.partition.String(), "offset", from)
+		return t.load(ctx)
+	}
+	return err
+}
+
+func (t *Tracker) read(ctx context.Context, from identifier.LogOffset, wait time.Duration) error {
+	bounded, cancel := context.WithTimeout(ctx, wait+readTimeout-readWait)
+	defer cancel()
+	page, err := t.log.Read(bounded, t.partition, from, wait)
+	if err != nil {
+		return err
+	}
+	t.take(page.Records)
+	return nil
+}
+
+func (t *Tracker) load(ctx context.Context) (err error) {
+	defer annotator.Annotate(&err, "load %s", t.partition)
+	bounded, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	s, err := t.log.Newest(bounded, t.partition)
+	if err != nil {
+		return err
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.known && s.End < t.next {
+		return errors.Errorf("a snapshot up to %d is older than what is known up to %d", s.End, t.next)
+	}
+	t.sink.Reset(s.Records)
+	t.known, t.next = true, s.End
+	t.noteContact()
+	return nil
+}
+
+// take tells sink the records that it doesn't have yet.
+func (t *Tracker) take(records []storer.Record) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for len(records) > 0 && records[0].Offset < t.next {
+		records = records[1:]
+	}
+	if len(records) > 0 && records[0].Offset == t.next {
+		t.sink.Apply(records)
+		t.next = records[len(records)-1].Offset + 1
+	}
+	t.noteContact()
+}
+
+// noteContact notes that the copy is complete now. The caller holds the mutex.
+func (t *Tracker) noteContact() {
+	t.contact = t.clock.Now()
+}
+
+func (t *Tracker) position() identifier.LogOffset {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.next
+}
+
+// Known says whether a first snapshot was read.
+func (t *Tracker) Known() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.known
+}
+
+// Age is how long ago the copy was known to be complete.
+func (t *Tracker) Age() time.Duration {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if !t.known {
+		return time.Hour
+	}
+	return t.clock.Since(t.contact)
+}
+
+// Refresh reads everything that the store had acknowledged before the call.
+func (t *Tracker) Refresh(ctx context.Context) (err error) {
+	defer annotator.Annotate(&err, "refresh %s", t.partition)
+	if !t.Known() {
+		return appender.ErrUnavailable
+	}
+	return t.read(ctx, t.position(), 0)
+}
+
+// Append adds what build makes of the complete copy. build is called again
+// after others have written, and returns nothing if nothing is left to do. It
+// must not call the Tracker. Append returns appender.ErrUnavailable if surely
+// nothing was written, and another error if that isn't known.
+func (t *Tracker) Append(ctx context.Context, build func() []storer.Record) (err error) {
+	defer annotator.Annotate(&err, "append to %s", t.partition)
+	select {
+	case t.appending <- struct{}{}:
+		defer func() { <-t.appending }()
+	case <-ctx.Done():
+		return appender.ErrUnavailable
+	}
+	uncertain := false
+	for {
+		err = t.tryAppend(ctx, build)
+		var moved *storer.MovedError
+		switch {
+		case err == nil:
+			return nil
+		case errors.As(err, &moved):
+			// What wasn't answered before may be among the new records;
+			// build sees it once the copy has them.
+			if err = t.reach(ctx, moved.End); err == nil {
+				uncertain = false
+			}
+		case !errors.Is(err, appender.ErrUnavailable):
+			uncertain = true
+			err = t.Refresh(ctx)
+		}
+		if err == nil {
+			continue
+		}
+		if uncertain {
+			err = appender.ErrAnswerLost
+		}
+		if ctx.Err() != nil || !uncertain {
+			return err
+		}
+		select {
+		case <-t.clock.After(firstPause):
+		case <-ctx.Done():
+			return err
+		}
+	}
+}
+
+func (t *Tracker) tryAppend(ctx context.Context, build func() []storer.Record) error {
+	t.mutex.Lock()
+	if !t.known {
+		t.mutex.Unlock()
+		return appender.ErrUnavailable
+	}
+	at := t.next
+	records := build()
+	t.mutex.Unlock()
+	if len(records) == 0 {
+		return nil
+	}
+	bounded, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	if _, err := t.log.Append(bounded, t.partition, at, records); err != nil {
+		return err
+	}
+	for n := range records {
+		records[n].Offset = at + identifier.LogOffset(n)
+	}
+	t.take(records)
+	return nil
+}
+
+// reach waits until the copy goes up to end.
+func (t *Tracker) reach(ctx context.Context, end identifier.LogOffset) error {
+	for t.position() < end {
+		from := t.position()
+		err := t.read(ctx, from, 0)
+		if errors.Is(err, storer.ErrForgotten) {
+			err = t.load(ctx)
+		}
+		if err != nil {
+			return appender.ErrUnavailable
+		}
+		if t.position() == from {
+			return appender.ErrUnavailable
+		}
+	}
+	return nil
+}
