Ask the owner of a batch job in place of copying all jobs everywhere

Cause: every entry followed every partition.

What: a partition is followed by its owner and by whoever had to answer without it; others ask the owner over a link (WebSocket, CBOR). Ruled out: longer time-outs alone, since what each entry reads would still grow with the number of entries.

--- a/ladder/bookkeeper/bookkeeper.go
+++ b/ladder/bookkeeper/bookkeeper.go
@@ -38,6 +38,14 @@
 	staleAfter = 2500 * time.Millisecond
 	// dropPause is between two looks for jobs to drop.
 	dropPause = 15 * time.Second
+	// followFor is how long the copy of a partition is kept that others work
+	// on, after it was asked for.
+	followFor = 8 * time.Second
+	// followPause is between two looks at which partitions to follow.
+	followPause = 300 * time.Millisecond
+	// readyTimeout bounds the wait for a copy; readyPause is between two
+	// looks.
+	readyTimeout, readyPause = time.Second, 10 * time.Millisecond
 )
 
 // ErrUnknownJob says that the job was never accepted, or is forgotten.
@@ -71,6 +79,8 @@
 
 	mutex   sync.Mutex
 	changed chan struct{}
+	// follow wakes the task that begins and ends the following of partitions.
+	follow chan struct{}
 }
 
 // part is one partition of the jobs.
@@ -81,11 +91,15 @@
 	mutex   sync.Mutex
 	pending []Outcome
 	wake    chan struct{}
+	// usedAt is when the copy was asked for last.
+	usedAt time.Time
+	// stop ends the following of the partition; nil while it isn't followed.
+	stop func()
 }
 
 // New returns a Bookkeeper that knows no job until Run.
 func New(clock clockwork.Clock, log storer.Log, o Options) *Bookkeeper {
-	k := &Bookkeeper{clock: clock, options: o, changed: make(chan struct{})}
+	k := &Bookkeeper{clock: clock, options: o, changed: make(chan struct{}), follow: make(chan struct{}, 1)}
 	for n := range o.Partitions {
 		b := newBook(clock, k.notify)
 		p := storer.Partition{Topic: o.Topic, Number: identifier.PartitionNumber(n)}
@@ -96,16 +110,81 @@
 	return k
 }
 
-// Run follows the jobs and writes results until ctx ends.
-func (k *Bookkeeper) Run(ctx context.Context) {
+// Run writes results until ctx ends, and follows the partitions that owns
+// reports as the own ones or that are asked for.
+func (k *Bookkeeper) Run(ctx context.Context, owns func(identifier.PartitionNumber) bool) {
 	var tasks conc.WaitGroup
+	defer tasks.Wait()
 	for _, p := range k.parts {
-		tasks.Go(func() { p.tracker.Run(ctx) })
 		tasks.Go(func() { k.writeResults(ctx, p) })
 	}
-	tasks.Wait()
+	for ctx.Err() == nil {
+		for n, p := range k.parts {
+			if owns(identifier.PartitionNumber(n)) {
+				p.use(k.clock.Now())
+			}
+			k.followOrStop(ctx, p, &tasks)
+		}
+		select {
+		case <-k.follow:
+		case <-k.clock.After(followPause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// use notes that the copy is wanted. It returns true if it isn't followed.
+func (p *part) use(now time.Time) (idle bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.usedAt = now
+	return p.stop == nil
+}
+
+func (k *Bookkeeper) followOrStop(ctx context.Context, p *part, tasks *conc.WaitGroup) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	wanted := len(p.pending) > 0 || (!p.usedAt.IsZero() && k.clock.Since(p.usedAt) < followFor)
+	switch {
+	case wanted && p.stop == nil:
+		following, cancel := context.WithCancel(ctx)
+		ended := make(chan struct{})
+		p.stop = func() { cancel(); <-ended }
+		tasks.Go(func() {
+			defer close(ended)
+			p.tracker.Run(following)
+		})
+	case !wanted && p.stop != nil:
+		p.stop()
+		p.stop = nil
+		p.tracker.Forget()
+	}
+}
+
+// ready follows the job's partition and waits until its copy is complete.
+func (k *Bookkeeper) ready(ctx context.Context, id identifier.JobID) (*part, error) {
+	p := k.partOf(id)
+	if p.use(k.clock.Now()) {
+		select {
+		case k.follow <- struct{}{}:
+		default:
+		}
+	}
+	bounded, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for !p.tracker.Known() {
+		select {
+		case <-k.clock.After(readyPause):
+		case <-bounded.Done():
+			return nil, ErrNotSure
+		}
+	}
+	return p, nil
 }
 
+// Age is how long ago the copy of a partition was known to be complete.
+func (k *Bookkeeper) Age(n identifier.PartitionNumber) time.Duration { return k.parts[n].tracker.Age() }
+
 func (k *Bookkeeper) notify() {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
@@ -120,16 +199,6 @@
 	return k.changed
 }
 
-// Known says whether all partitions were read.
-func (k *Bookkeeper) Known() bool {
-	for _, p := range k.parts {
-		if !p.tracker.Known() {
-			return false
-		}
-	}
-	return true
-}
-
 // PartitionOf returns the partition that a job lives in.
 func (k *Bookkeeper) PartitionOf(id identifier.JobID) identifier.PartitionNumber {
 	return identifier.PartitionNumber(xxhash.Sum64String(string(id)) % uint64(len(k.parts)))
@@ -146,7 +215,10 @@
 	if err != nil {
 		return err
 	}
-	p := k.partOf(s.ID)
+	p, err := k.ready(ctx, s.ID)
+	if err != nil {
+		return errors.Wrap(appender.ErrUnavailable, err.Error())
+	}
 	pieceBytes := max(leastPieceBytes, k.options.RecordBytes-recordOverhead)
 	if len(data)+recordOverhead*(len(data)/pieceBytes+2) > k.options.CallBytes {
 		return k.acceptLarge(ctx, p, s, data, pieceBytes)
@@ -189,7 +261,10 @@
 // find returns the job, and reads the store anew before it says that there is
 // none.
 func (k *Bookkeeper) find(ctx context.Context, id identifier.JobID) (*entry, error) {
-	p := k.partOf(id)
+	p, err := k.ready(ctx, id)
+	if err != nil {
+		return nil, err
+	}
 	for range 2 {
 		p.book.mutex.Lock()
 		e, ok := p.book.jobs[id]
@@ -207,9 +282,9 @@
 // View is a part of a job's results.
 type View struct {
 	// Total is the number of the job's items.
-	Total int
+	Total int `cbor:"1,keyasint"`
 	// Results stand at the positions from the one asked for on.
-	Results []Result
+	Results []Result `cbor:"2,keyasint"`
 }
 
 // Results returns the results from position after on, at most maxBytes of text,
@@ -357,18 +432,3 @@
 		}
 	}
 }
-
-// Demand returns how many tokens the items of all known jobs may take, by model.
-func (k *Bookkeeper) Demand() map[identifier.ModelName]identifier.TokenCount {
-	demand := make(map[identifier.ModelName]identifier.TokenCount)
-	for _, p := range k.parts {
-		p.book.mutex.Lock()
-		for _, e := range p.book.jobs {
-			for n := range e.submission.Items {
-				demand[e.submission.Model] += e.submission.Items[n].Tokens
-			}
-		}
-		p.book.mutex.Unlock()
-	}
-	return demand
-}
--- a/ladder/dispatcher/peer.go
+++ b/ladder/dispatcher/peer.go
@@ -218,7 +218,8 @@
 			go d.spreadCrashes(ctx, p, m)
 		}
 		return nil
-	case messenger.Start, messenger.Cancel, messenger.Resume, messenger.Release, messenger.Configuration, messenger.Locate:
+	case messenger.Start, messenger.Cancel, messenger.Resume, messenger.Release, messenger.Configuration, messenger.Locate,
+		messenger.JobCall, messenger.JobAnswer:
 		return errUnexpected
 	}
 	return errUnexpected
--- a/ladder/encoder/encoder.go
+++ b/ladder/encoder/encoder.go
@@ -40,6 +40,8 @@
 	messenger.Crashed{},
 	messenger.Locate{},
 	messenger.Located{},
+	messenger.JobCall{},
+	messenger.JobAnswer{},
 }
 
 // Encoder encodes and decodes frames.
--- a/ladder/executor/connection.go
+++ b/ladder/executor/connection.go
@@ -57,7 +57,7 @@
 		if e.quarantine.Learn(m) {
 			c.pumps.Go(func() { e.broadcast(c.ctx, c.link, m) })
 		}
-	case messenger.Chunk, messenger.End, messenger.Refused, messenger.Located:
+	case messenger.Chunk, messenger.End, messenger.Refused, messenger.Located, messenger.JobCall, messenger.JobAnswer:
 		return errUnexpected
 	}
 	return nil
--- a/ladder/grouper/grouper.go
+++ b/ladder/grouper/grouper.go
@@ -26,8 +26,17 @@
 	Partitions []identifier.PartitionNumber
 }
 
+// Owner is the member of the group that works on a partition.
+type Owner struct {
+	Incarnation identifier.Incarnation
+	// Address is where its peers reach it, IP:port.
+	Address string
+}
+
 // Group is the platform's group.
 type Group interface {
+	// Owners returns the members that hold the partitions.
+	Owners(ctx context.Context) (map[identifier.PartitionNumber]Owner, error)
 	// Join joins the group or keeps the member in it for another ttl.
 	Join(ctx context.Context, ttl time.Duration, last Generation) (Membership, error)
 	Leave(ctx context.Context) error
@@ -45,12 +54,27 @@
 	// While the whole store is away nobody else takes them; a process that is
 	// cut off alone wastes some work until then.
 	keepFor = 8 * time.Second
+	// ownersAge is the age from which the list of owners is read anew when it
+	// is asked for.
+	ownersAge = 700 * time.Millisecond
+)
+
+// Zeal says whether a process seeks work that others could do.
+type Zeal bool
+
+// The two kinds.
+const (
+	Eager Zeal = true
+	// Reluctant processes run on hosts too weak for the work of others. They
+	// take it on only where nobody else does.
+	Reluctant Zeal = false
 )
 
 // Grouper keeps this process in the group.
 type Grouper struct {
 	clock clockwork.Clock
 	group Group
+	zeal  Zeal
 	// changed is called after each change.
 	changed func()
 
@@ -58,17 +82,24 @@
 	membership Membership
 	// answered is when the last successful join was sent.
 	answered time.Time
+	// owners is what the store said at ownersAt.
+	owners   map[identifier.PartitionNumber]Owner
+	ownersAt time.Time
+	// asking says that the list is being read.
+	asking bool
 }
 
 // New returns a Grouper that isn't in the group until Run.
-func New(clock clockwork.Clock, g Group, changed func()) *Grouper {
-	return &Grouper{clock: clock, group: g, changed: changed}
+func New(clock clockwork.Clock, g Group, z Zeal, changed func()) *Grouper {
+	return &Grouper{clock: clock, group: g, zeal: z, changed: changed}
 }
 
 // Run stays in the group until ctx ends, and leaves it then.
 func (g *Grouper) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		g.join(ctx)
+		if g.zeal == Eager || !g.othersWork(ctx) {
+			g.join(ctx)
+		}
 		select {
 		case <-g.clock.After(joinPause):
 		case <-ctx.Done():
@@ -123,3 +154,42 @@
 
 // Owns says whether a partition is among them.
 func (g *Grouper) Owns(n identifier.PartitionNumber) bool { return slices.Contains(g.Owned(), n) }
+
+// othersWork says whether somebody else holds partitions.
+func (g *Grouper) othersWork(ctx context.Context) bool {
+	g.readOwners(ctx)
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return len(g.owners) > 0 && len(g.membership.Partitions) == 0
+}
+
+// OwnerOf returns who works on a partition, as far as is known. A list that has
+// aged is read anew in the background.
+func (g *Grouper) OwnerOf(n identifier.PartitionNumber) (Owner, bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.clock.Since(g.ownersAt) > ownersAge && !g.asking {
+		g.asking = true
+		go func() {
+			g.readOwners(context.Background())
+			g.mutex.Lock()
+			defer g.mutex.Unlock()
+			g.asking = false
+		}()
+	}
+	o, ok := g.owners[n]
+	return o, ok
+}
+
+func (g *Grouper) readOwners(ctx context.Context) {
+	bounded, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	owners, err := g.group.Owners(bounded)
+	if err != nil {
+		klog.V(1).InfoS("owners of batch jobs not read", "err", err)
+		return
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.owners, g.ownersAt = owners, g.clock.Now()
+}
--- /dev/null
+++ b/ladder/messenger/job.go
@@ -0,0 +1,59 @@
+package messenger
+
+import (
+	"time"
+
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+)
+
+// JobVerb is what is asked of the entry that works on a batch job.
+type JobVerb string
+
+// The verbs.
+const (
+	// JobAccept hands in a job.
+	JobAccept JobVerb = "accept"
+	// JobEnd ends a job.
+	JobEnd JobVerb = "end"
+	// JobResults reads results.
+	JobResults JobVerb = "results"
+	// JobBody reads the body of an item.
+	JobBody JobVerb = "body"
+)
+
+// JobVerdict is how a JobCall ended.
+type JobVerdict string
+
+// The verdicts.
+const (
+	JobDone JobVerdict = "done"
+	// JobUnknown says that there is no such job, or no such item.
+	JobUnknown JobVerdict = "unknown"
+	// JobElsewhere says that the asked entry can't answer; nothing was done.
+	JobElsewhere JobVerdict = "elsewhere"
+	// JobUncertain says that a change may or may not have been made.
+	JobUncertain JobVerdict = "uncertain"
+)
+
+// JobCall asks another entry about a batch job.
+type JobCall struct {
+	// Number tells the calls of one link apart.
+	Number uint64            `cbor:"1,keyasint"`
+	Verb   JobVerb           `cbor:"2,keyasint"`
+	Job    identifier.JobID  `cbor:"3,keyasint"`
+	Item   identifier.ItemID `cbor:"4,keyasint,omitempty"`
+	// After, Wait and MaxBytes are those of a read of results.
+	After    int           `cbor:"5,keyasint,omitempty"`
+	Wait     time.Duration `cbor:"6,keyasint,omitempty"`
+	MaxBytes int           `cbor:"7,keyasint,omitempty"`
+	// Data is an encoded submission.
+	Data []byte `cbor:"8,keyasint,omitempty"`
+}
+
+// JobAnswer answers the JobCall with its Number.
+type JobAnswer struct {
+	Number  uint64     `cbor:"1,keyasint"`
+	Verdict JobVerdict `cbor:"2,keyasint"`
+	// Data is an encoded part of the results, or a body.
+	Data []byte `cbor:"3,keyasint,omitempty"`
+}
--- a/ladder/messenger/messenger.go
+++ b/ladder/messenger/messenger.go
@@ -1,5 +1,5 @@
 // Package messenger defines the messages between entries and sidecars, and
-// the link that carries them.
+// between entries, and the link that carries them.
 package messenger
 
 import (
@@ -11,7 +11,8 @@
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 )
 
-// Both ends of a link say Hello first. After it an entry sends Start, Cancel,
+// Between entries one end sends JobCall and the other JobAnswer. On a link of a
+// sidecar both ends say Hello first. After it an entry sends Start, Cancel,
 // Resume, Release, Locate and Configuration; a sidecar sends Chunk, End,
 // Refused and Located. Both send Heartbeat and Crashed. An answer always names
 // request, attempt and incarnation, so that a late or crossed one is told apart.
@@ -283,3 +284,5 @@
 func (Crashed) message()       {}
 func (Locate) message()        {}
 func (Located) message()       {}
+func (JobCall) message()       {}
+func (JobAnswer) message()     {}
--- /dev/null
+++ b/ladder/relayer/relayer.go
@@ -0,0 +1,144 @@
+// Package relayer answers for batch jobs at any entry: it asks the entry that
+// works on the job, and the store where that entry doesn't answer.
+package relayer
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/lycheeladder/lycheeladder/ladder/appender"
+	"github.com/lycheeladder/lycheeladder/ladder/bookkeeper"
+	"github.com/lycheeladder/lycheeladder/ladder/grouper"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+)
+
+// The entry that works on a partition has its copy; any other would have to read
+// the partition whole. Asking it keeps what an entry reads independent of how
+// many entries there are. The copy in the store stays the truth: writes through
+// either way are conditional, so that asking a former owner breaks nothing.
+
+const (
+	// answerTimeout is how long a peer's answer may take beyond the wait that
+	// it was asked for: an append to the store and a slow host.
+	answerTimeout = 600 * time.Millisecond
+	// avoidFor is how long a peer isn't asked that hasn't answered. The store
+	// gives a silent owner's partitions away after 2 s.
+	avoidFor = 2 * time.Second
+)
+
+// Books keeps the jobs; *bookkeeper.Bookkeeper does.
+type Books interface {
+	Accept(ctx context.Context, s bookkeeper.Submission) error
+	End(ctx context.Context, id identifier.JobID) error
+	Results(ctx context.Context, id identifier.JobID, after int, wait time.Duration, maxBytes int) (bookkeeper.View, error)
+	Body(ctx context.Context, id identifier.JobID, item identifier.ItemID) ([]byte, error)
+	PartitionOf(id identifier.JobID) identifier.PartitionNumber
+}
+
+// Owners says who works on which partition; *grouper.Grouper does.
+type Owners interface {
+	Owns(n identifier.PartitionNumber) bool
+	OwnerOf(n identifier.PartitionNumber) (grouper.Owner, bool)
+}
+
+// Dialer opens links to peers; *linker.Linker does.
+type Dialer interface {
+	Dial(ctx context.Context, address string) (messenger.Link, error)
+}
+
+// Relayer implements Books through peers.
+type Relayer struct {
+	clock  clockwork.Clock
+	books  Books
+	owners Owners
+	self   identifier.Incarnation
+	peers  *peers
+}
+
+// New returns a Relayer for the process self.
+func New(clock clockwork.Clock, b Books, o Owners, d Dialer, self identifier.Incarnation) *Relayer {
+	return &Relayer{clock: clock, books: b, owners: o, self: self, peers: newPeers(clock, d)}
+}
+
+// errElsewhere says that a peer can't answer, and that nothing was done.
+var errElsewhere = errors.New("the peer can't answer")
+
+// ask asks the owner of the job. It returns errElsewhere where the own books
+// must answer.
+func (r *Relayer) ask(ctx context.Context, c messenger.JobCall) (data []byte, err error) {
+	n := r.books.PartitionOf(c.Job)
+	owner, ok := r.owners.OwnerOf(n)
+	if !ok || r.owners.Owns(n) || owner.Incarnation == r.self {
+		return nil, errElsewhere
+	}
+	bounded, cancel := context.WithTimeout(ctx, c.Wait+answerTimeout)
+	defer cancel()
+	answer, err := r.peers.call(bounded, owner.Address, c)
+	if err != nil {
+		klog.InfoS("owner of a batch job doesn't answer, the store is asked", "job", c.Job, "verb", c.Verb, "owner", owner.Address, "err", err)
+		return nil, errElsewhere
+	}
+	switch answer.Verdict {
+	case messenger.JobDone:
+		return answer.Data, nil
+	case messenger.JobUnknown:
+		return nil, bookkeeper.ErrUnknownJob
+	case messenger.JobUncertain:
+		return nil, appender.ErrAnswerLost
+	case messenger.JobElsewhere:
+	}
+	return nil, errElsewhere
+}
+
+// Accept implements Books. A call that the owner may have carried out is made
+// once more here: a job is accepted once, whoever writes it.
+func (r *Relayer) Accept(ctx context.Context, s bookkeeper.Submission) error {
+	data, err := cbor.Marshal(s)
+	if err != nil {
+		return err
+	}
+	if _, err = r.ask(ctx, messenger.JobCall{Verb: messenger.JobAccept, Job: s.ID, Data: data}); !errors.Is(err, errElsewhere) {
+		return err
+	}
+	return r.books.Accept(ctx, s)
+}
+
+// End implements Books.
+func (r *Relayer) End(ctx context.Context, id identifier.JobID) error {
+	if _, err := r.ask(ctx, messenger.JobCall{Verb: messenger.JobEnd, Job: id}); !errors.Is(err, errElsewhere) {
+		return err
+	}
+	return r.books.End(ctx, id)
+}
+
+// Results implements Books.
+func (r *Relayer) Results(ctx context.Context, id identifier.JobID, after int, wait time.Duration, maxBytes int) (v bookkeeper.View, err error) {
+	data, err := r.ask(ctx, messenger.JobCall{Verb: messenger.JobResults, Job: id, After: after, Wait: wait, MaxBytes: maxBytes})
+	if errors.Is(err, errElsewhere) {
+		return r.books.Results(ctx, id, after, wait, maxBytes)
+	}
+	if err != nil {
+		return v, err
+	}
+	return v, cbor.Unmarshal(data, &v)
+}
+
+// Body implements Books.
+func (r *Relayer) Body(ctx context.Context, id identifier.JobID, item identifier.ItemID) ([]byte, error) {
+	data, err := r.ask(ctx, messenger.JobCall{Verb: messenger.JobBody, Job: id, Item: item})
+	if errors.Is(err, errElsewhere) {
+		return r.books.Body(ctx, id, item)
+	}
+	return data, err
+}
+
+// PartitionOf implements Books.
+func (r *Relayer) PartitionOf(id identifier.JobID) identifier.PartitionNumber {
+	return r.books.PartitionOf(id)
+}
--- a/ladder/scheduler/scheduler.go
+++ b/ladder/scheduler/scheduler.go
@@ -36,6 +36,9 @@
 	// failedPause keeps items from a target that can't be reached or has
 	// broken off.
 	failedPause = 500 * time.Millisecond
+	// staleAge is the age of the copy of a job from which its items aren't
+	// sent: it may have been ended, and no item may start 3 s after that.
+	staleAge = 2500 * time.Millisecond
 )
 
 // job is one open job that this process works on.
@@ -114,6 +117,9 @@
 	}
 	s.endUnwanted()
 	for _, t := range s.queue() {
+		if s.books.Age(s.books.PartitionOf(t.key.job)) > staleAge {
+			continue
+		}
 		s.place(ctx, t, configuration, tasks)
 	}
 }
@@ -121,6 +127,9 @@
 func (s *Scheduler) openJobs(c *cataloger.Configuration) (jobs []*job) {
 	now := s.clock.Now()
 	for _, n := range s.owner.Owned() {
+		if s.books.Age(n) > staleAge {
+			continue
+		}
 		for _, open := range s.books.Open(n) {
 			route, ok := c.Match(open.Host, open.Path)
 			j := &job{Job: open, accepted: now.Add(-open.Age), route: route}
--- a/ladder/tracker/tracker.go
+++ b/ladder/tracker/tracker.go
@@ -28,8 +28,9 @@
 	readWait = time.Second
 	// readTimeout is when a read is given up: readWait and a slow answer.
 	readTimeout = readWait + 500*time.Millisecond
-	// snapshotTimeout bounds the reading of a whole partition.
-	snapshotTimeout = 4 * time.Second
+	// snapshotTimeout bounds the reading of a whole partition of up to 200 MB
+	// at the 20 MB a second that a partition of the users' stores gives.
+	snapshotTimeout = 10 * time.Second
 	// appendTimeout bounds one append. The store answers in some ms; by then
 	// its answer is taken for lost.
 	appendTimeout = 1200 * time.Millisecond
@@ -50,8 +51,9 @@
 	mutex sync.Mutex
 	// next is the offset after the last record told to sink; it never falls.
 	next identifier.LogOffset
-	// known says that sink was told a first snapshot.
-	known bool
+	// loaded says that sink was told a first snapshot, and known that it was
+	// told everything up to the end that a later read has named.
+	loaded, known bool
 	// contact is when the store answered last.
 	contact time.Time
 }
@@ -93,12 +95,16 @@
 
 func (t *Tracker) step(ctx context.Context) error {
 	t.mutex.Lock()
-	known, from := t.known, t.next
+	loaded, known, from := t.loaded, t.known, t.next
 	t.mutex.Unlock()
-	if !known {
+	if !loaded {
 		return t.load(ctx)
 	}
-	err := t.read(ctx, from, readWait)
+	wait := readWait
+	if !known {
+		wait = 0
+	}
+	err := t.read(ctx, from, wait)
 	if errors.Is(err, storer.ErrForgotten) {
 		klog.InfoS("history has expired, reading the whole partition", "partition", t.partition.String(), "offset", from)
 		return t.load(ctx)
@@ -114,9 +120,22 @@
 		return err
 	}
 	t.take(page.Records)
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.next >= page.End {
+		t.known = t.loaded
+	}
 	return nil
 }
 
+// Forget drops the copy, so that Run begins anew. Run must not be under way.
+func (t *Tracker) Forget() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.loaded, t.known, t.next = false, false, 0
+	t.sink.Reset(nil)
+}
+
 func (t *Tracker) load(ctx context.Context) (err error) {
 	defer annotator.Annotate(&err, "load %s", t.partition)
 	bounded, cancel := context.WithTimeout(ctx, snapshotTimeout)
@@ -127,12 +146,11 @@
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if t.known && s.End < t.next {
+	if t.loaded && s.End < t.next {
 		return errors.Errorf("a snapshot up to %d is older than what is known up to %d", s.End, t.next)
 	}
 	t.sink.Reset(s.Records)
-	t.known, t.next = true, s.End
-	t.noteContact()
+	t.loaded, t.next = true, s.End
 	return nil
 }
 
@@ -161,7 +179,7 @@
 	return t.next
 }
 
-// Known says whether a first snapshot was read.
+// Known says whether the copy was complete once.
 func (t *Tracker) Known() bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -181,10 +199,13 @@
 // Refresh reads everything that the store had acknowledged before the call.
 func (t *Tracker) Refresh(ctx context.Context) (err error) {
 	defer annotator.Annotate(&err, "refresh %s", t.partition)
-	if !t.Known() {
+	t.mutex.Lock()
+	loaded, from := t.loaded, t.next
+	t.mutex.Unlock()
+	if !loaded {
 		return appender.ErrUnavailable
 	}
-	return t.read(ctx, t.position(), 0)
+	return t.read(ctx, from, 0)
 }
 
 // Append adds what build makes of the complete copy. build is called again
@@ -235,7 +256,7 @@
 
 func (t *Tracker) tryAppend(ctx context.Context, build func() []storer.Record) error {
 	t.mutex.Lock()
-	if !t.known {
+	if !t.loaded {
 		t.mutex.Unlock()
 		return appender.ErrUnavailable
 	}
--- a/ladder/updater/updater.go
+++ b/ladder/updater/updater.go
@@ -90,11 +90,6 @@
 	Token() (identifier.FencingNumber, bool)
 }
 
-// Demand tells how much work each model has.
-type Demand interface {
-	Demand() map[identifier.ModelName]identifier.TokenCount
-}
-
 // load is an order under way.
 type load struct {
 	model   identifier.ModelName
@@ -110,7 +105,6 @@
 	catalog *cataloger.Cataloger
 	targets Targets
 	lease   Lease
-	demand  Demand
 	holder  identifier.Incarnation
 
 	// What follows belongs to Run.
@@ -127,9 +121,9 @@
 }
 
 // New returns an Updater that orders nothing until Run.
-func New(clock clockwork.Clock, c *cataloger.Cataloger, t Targets, l Lease, d Demand, holder identifier.Incarnation) *Updater {
+func New(clock clockwork.Clock, c *cataloger.Cataloger, t Targets, l Lease, holder identifier.Incarnation) *Updater {
 	return &Updater{
-		clock: clock, catalog: c, targets: t, lease: l, demand: d, holder: holder,
+		clock: clock, catalog: c, targets: t, lease: l, holder: holder,
 		homes: make(map[identifier.TargetName]identifier.ModelName),
 		loads: make(map[identifier.TargetName]load), ended: make(chan ended, 1),
 	}
@@ -179,11 +173,11 @@
 	for m, s := range c.Models() {
 		byService[s] = append(byService[s], m)
 	}
-	named, demand := u.catalog.Named(), u.demand.Demand()
+	named := u.catalog.Named()
 	for service, models := range byService {
 		slices.Sort(models)
 		targets := u.catalog.Targets(service)
-		u.assign(targets, models, demand)
+		u.assign(targets, models)
 		free := max(leastLoads, len(targets)/loadShare) - u.settle(targets)
 		for _, t := range u.behind(targets, named) {
 			if free <= 0 {
@@ -281,8 +275,8 @@
 }
 
 // assign gives each target a home model.
-func (u *Updater) assign(targets []cataloger.Target, models []identifier.ModelName, demand map[identifier.ModelName]identifier.TokenCount) {
-	quotas := Quotas(len(targets), models, demand)
+func (u *Updater) assign(targets []cataloger.Target, models []identifier.ModelName) {
+	quotas := Quotas(len(targets), models)
 	count := make(map[identifier.ModelName]int)
 	var homeless []cataloger.Target
 	for _, t := range targets {
@@ -316,36 +310,11 @@
 // of them changes its home, which costs a load.
 const homeSlack = 1
 
-// evenShare is the part of the targets that is dealt out evenly, whatever the
-// models' demand is.
-const evenShare = 0.5
-
-// Quotas deals n targets out among models: half evenly, half by demand.
-func Quotas(n int, models []identifier.ModelName, demand map[identifier.ModelName]identifier.TokenCount) map[identifier.ModelName]int {
-	total := 0.0
-	for _, m := range models {
-		total += float64(demand[m])
-	}
+// Quotas deals n targets out among models evenly; the first models get the rest.
+func Quotas(n int, models []identifier.ModelName) map[identifier.ModelName]int {
 	quotas := make(map[identifier.ModelName]int, len(models))
-	type remainder struct {
-		model identifier.ModelName
-		rest  float64
-	}
-	var rests []remainder
-	left := n
-	for _, m := range models {
-		share := 1 / float64(len(models))
-		if total > 0 {
-			share = evenShare*share + (1-evenShare)*float64(demand[m])/total
-		}
-		exact := share * float64(n)
-		quotas[m] = int(exact)
-		left -= quotas[m]
-		rests = append(rests, remainder{m, exact - float64(int(exact))})
-	}
-	slices.SortStableFunc(rests, func(a, b remainder) int { return cmp.Compare(b.rest, a.rest) })
-	for k := 0; k < left; k++ {
-		quotas[rests[k%len(rests)].model]++
+	for k, m := range models {
+		quotas[m] = (n + len(models) - 1 - k) / len(models)
 	}
 	return quotas
 }
