--- a/ladder/bookkeeper/bookkeeper.go
+++ b/ladder/bookkeeper/bookkeeper.go
@@ -38,6 +38,9 @@
 	staleAfter = 2500 * time.Millisecond
 	// dropPause is between two looks for jobs to drop.
 	dropPause = 15 * time.Second
+	// lostAfter is the age of the store's last answer from which callers are
+	// refused at once: a read of a second without an answer.
+	lostAfter = 1700 * time.Millisecond
 	// followFor is how long the copy of a partition is kept that others work
 	// on, after it was asked for.
 	followFor = 8 * time.Second
@@ -69,6 +72,8 @@
 	RecordBytes, CallBytes int
 	// KeepFor is how long a settled job stays readable after its acceptance.
 	KeepFor time.Duration
+	// StoreAge is how long ago the store has answered anything.
+	StoreAge func() time.Duration
 }
 
 // Bookkeeper has a copy of all jobs.
@@ -170,6 +175,9 @@
 		default:
 		}
 	}
+	if k.options.StoreAge() > lostAfter && p.tracker.Age() > lostAfter {
+		return nil, ErrNotSure
+	}
 	bounded, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for !p.tracker.Known() {
--- a/ladder/cataloger/cataloger.go
+++ b/ladder/cataloger/cataloger.go
@@ -93,6 +93,20 @@
 	return list
 }
 
+// EngineCount returns how many targets take work that are model engines.
+func (c *Cataloger) EngineCount() (count int) {
+	configuration := c.Configuration()
+	if configuration == nil {
+		return 0
+	}
+	for _, s := range configuration.Services {
+		if s.Engine != nil {
+			count += len(c.Targets(s.Name))
+		}
+	}
+	return count
+}
+
 // Changed is closed at the next change.
 func (c *Cataloger) Changed() <-chan struct{} {
 	c.mutex.Lock()
--- a/ladder/grouper/grouper.go
+++ b/ladder/grouper/grouper.go
@@ -43,11 +43,11 @@
 }
 
 const (
-	// ttl is how long the store waits for a silent member: three joins and a
-	// lost answer. It is above the least that the users' store takes (1 s).
-	ttl = 2 * time.Second
+	// ttl is how long the store waits for a silent member: three joins, one of
+	// them slow. It is above the least that the users' store takes (1 s).
+	ttl = 1500 * time.Millisecond
 	// joinPause is between two joins.
-	joinPause = 500 * time.Millisecond
+	joinPause = 400 * time.Millisecond
 	// joinTimeout bounds one join.
 	joinTimeout = 700 * time.Millisecond
 	// keepFor is how long partitions are kept without an answer of the store.
@@ -70,11 +70,27 @@
 	Reluctant Zeal = false
 )
 
-// Grouper keeps this process in the group.
+// Random gives random numbers below n.
+type Random interface{ IntN(n int) int }
+
+// Options are a Grouper's settings.
+type Options struct {
+	Self identifier.Incarnation
+	Zeal Zeal
+	// Wanted says how many members the group needs.
+	Wanted func() int
+	Random Random
+}
+
+// Grouper keeps this process in the group while it is needed there.
 type Grouper struct {
 	clock clockwork.Clock
 	group Group
+	self  identifier.Incarnation
 	zeal  Zeal
+	// wanted says how many members the group needs.
+	wanted func() int
+	random Random
 	// changed is called after each change.
 	changed func()
 
@@ -90,21 +106,26 @@
 }
 
 // New returns a Grouper that isn't in the group until Run.
-func New(clock clockwork.Clock, g Group, z Zeal, changed func()) *Grouper {
-	return &Grouper{clock: clock, group: g, zeal: z, changed: changed}
+func New(clock clockwork.Clock, g Group, o Options, changed func()) *Grouper {
+	return &Grouper{
+		clock: clock, group: g, self: o.Self, zeal: o.Zeal, wanted: o.Wanted, random: o.Random, changed: changed,
+	}
 }
 
 // Run stays in the group until ctx ends, and leaves it then.
 func (g *Grouper) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if g.zeal == Eager || !g.othersWork(ctx) {
-			g.join(ctx)
-		}
+		g.joinOrLeave(ctx)
 		select {
 		case <-g.clock.After(joinPause):
 		case <-ctx.Done():
 		}
 	}
+	g.leave(ctx)
+}
+
+// leave gives the partitions up.
+func (g *Grouper) leave(ctx context.Context) {
 	g.set(Membership{}, time.Time{})
 	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), joinTimeout)
 	defer cancel()
@@ -155,12 +176,73 @@
 // Owns says whether a partition is among them.
 func (g *Grouper) Owns(n identifier.PartitionNumber) bool { return slices.Contains(g.Owned(), n) }
 
-// othersWork says whether somebody else holds partitions.
-func (g *Grouper) othersWork(ctx context.Context) bool {
-	g.readOwners(ctx)
+// A few members do the work of all: they keep their connections to the targets
+// in use, and each sees more of the load that it places. The others stand by.
+
+// joinOrLeave joins if a member is missing, and leaves if there are too many.
+func (g *Grouper) joinOrLeave(ctx context.Context) {
+	err := g.readOwners(ctx)
+	members, member := g.members()
+	switch {
+	case member && err == nil && g.surplus(members):
+		klog.InfoS("group left, others do its work", "members", len(members), "wanted", g.wanted())
+		g.leave(ctx)
+	case member:
+		g.join(ctx)
+	case err == nil && g.missing(members):
+		// All who stand by see the gap at once; the first to come fills it.
+		select {
+		case <-g.clock.After(time.Duration(g.random.IntN(int(joinSpread(members))))):
+		case <-ctx.Done():
+			return
+		}
+		if err := g.readOwners(ctx); err != nil {
+			return
+		}
+		if members, _ := g.members(); g.missing(members) {
+			g.join(ctx)
+		}
+	}
+}
+
+// joinSpread is the time over which those who stand by spread their joins. While
+// somebody works on everything it is as long as the store takes to show a new
+// member to the others, twice over.
+func joinSpread(members []identifier.Incarnation) time.Duration {
+	if len(members) == 0 {
+		return joinPause
+	}
+	return 4 * joinPause
+}
+
+// members returns the incarnations that hold partitions, in order, and whether
+// this process is in the group.
+func (g *Grouper) members() (list []identifier.Incarnation, member bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return len(g.owners) > 0 && len(g.membership.Partitions) == 0
+	for _, o := range g.owners {
+		if !slices.Contains(list, o.Incarnation) {
+			list = append(list, o.Incarnation)
+		}
+	}
+	slices.Sort(list)
+	return list, !g.answered.IsZero()
+}
+
+func (g *Grouper) missing(members []identifier.Incarnation) bool {
+	if g.zeal == Reluctant {
+		return len(members) == 0
+	}
+	return len(members) < g.wanted()
+}
+
+// surplus says whether this process is one of those that should leave. The
+// eldest members stay: incarnations rise with the time of their start.
+func (g *Grouper) surplus(members []identifier.Incarnation) bool {
+	if g.zeal == Reluctant {
+		return len(members) > 1
+	}
+	return slices.Index(members, g.self) >= g.wanted()
 }
 
 // OwnerOf returns who works on a partition, as far as is known. A list that has
@@ -171,7 +253,7 @@
 	if g.clock.Since(g.ownersAt) > ownersAge && !g.asking {
 		g.asking = true
 		go func() {
-			g.readOwners(context.Background())
+			_ = g.readOwners(context.Background()) // it is logged there
 			g.mutex.Lock()
 			defer g.mutex.Unlock()
 			g.asking = false
@@ -181,15 +263,16 @@
 	return o, ok
 }
 
-func (g *Grouper) readOwners(ctx context.Context) {
+func (g *Grouper) readOwners(ctx context.Context) error {
 	bounded, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	owners, err := g.group.Owners(bounded)
 	if err != nil {
 		klog.V(1).InfoS("owners of batch jobs not read", "err", err)
-		return
+		return err
 	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.owners, g.ownersAt = owners, g.clock.Now()
+	return nil
 }
--- a/ladder/storer/storer.go
+++ b/ladder/storer/storer.go
@@ -38,11 +38,13 @@
 	End identifier.LogOffset
 }
 
-// Snapshot has the newest record of each key.
-type Snapshot struct {
+// KeyPage has the newest record of some keys, in the order of the keys.
+type KeyPage struct {
 	Records []Record
-	// End is an offset from which reading on misses nothing that the
-	// snapshot lacks. Some records may be seen twice.
+	// More says that keys follow after the last one.
+	More bool
+	// End is the offset after the newest record of the partition when the page
+	// was read.
 	End identifier.LogOffset
 }
 
@@ -60,8 +62,9 @@
 // was done, appender.ErrAnswerLost where it isn't known, ErrForgotten or a
 // MovedError.
 type Log interface {
-	// Newest returns the newest record of each key.
-	Newest(ctx context.Context, p Partition) (Snapshot, error)
+	// Newest returns the newest record of the keys after a key, or of the
+	// first ones. The pages are of different moments.
+	Newest(ctx context.Context, p Partition, after string) (KeyPage, error)
 	// Read returns the records from offset from on. It waits up to wait for a
 	// first one.
 	Read(ctx context.Context, p Partition, from identifier.LogOffset, wait time.Duration) (Page, error)
--- a/ladder/tracker/tracker.go
+++ b/ladder/tracker/tracker.go
@@ -28,9 +28,10 @@
 	readWait = time.Second
 	// readTimeout is when a read is given up: readWait and a slow answer.
 	readTimeout = readWait + 500*time.Millisecond
-	// snapshotTimeout bounds the reading of a whole partition of up to 200 MB
-	// at the 20 MB a second that a partition of the users' stores gives.
-	snapshotTimeout = 10 * time.Second
+	// firstPageTimeout and longestPageTimeout bound the reading of one page of
+	// a partition. A page has 1 MB, which the users' stores give in 50 ms; the
+	// time doubles when many hosts read at once.
+	firstPageTimeout, longestPageTimeout = time.Second, 8 * time.Second
 	// appendTimeout bounds one append. The store answers in some ms; by then
 	// its answer is taken for lost.
 	appendTimeout = 1200 * time.Millisecond
@@ -54,6 +55,8 @@
 	// loaded says that sink was told a first snapshot, and known that it was
 	// told everything up to the end that a later read has named.
 	loaded, known bool
+	// pageTimeout belongs to Run.
+	pageTimeout time.Duration
 	// contact is when the store answered last.
 	contact time.Time
 }
@@ -61,7 +64,7 @@
 // New returns a Tracker that knows nothing until Run.
 func New(clock clockwork.Clock, log storer.Log, p storer.Partition, sink storer.Sink) *Tracker {
 	return &Tracker{
-		clock: clock, log: log, partition: p, sink: sink,
+		clock: clock, log: log, partition: p, sink: sink, pageTimeout: firstPageTimeout,
 		appending: make(chan struct{}, 1),
 	}
 }
@@ -138,22 +141,47 @@
 
 func (t *Tracker) load(ctx context.Context) (err error) {
 	defer annotator.Annotate(&err, "load %s", t.partition)
-	bounded, cancel := context.WithTimeout(ctx, snapshotTimeout)
-	defer cancel()
-	s, err := t.log.Newest(bounded, t.partition)
+	records, end, err := t.readAll(ctx)
 	if err != nil {
+		t.pageTimeout = min(2*t.pageTimeout, longestPageTimeout)
 		return err
 	}
+	t.pageTimeout = firstPageTimeout
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if t.loaded && s.End < t.next {
-		return errors.Errorf("a snapshot up to %d is older than what is known up to %d", s.End, t.next)
+	if t.loaded && end < t.next {
+		return errors.Errorf("a snapshot up to %d is older than what is known up to %d", end, t.next)
 	}
-	t.sink.Reset(s.Records)
-	t.loaded, t.next = true, s.End
+	t.sink.Reset(records)
+	t.loaded, t.next = true, end
 	return nil
 }
 
+// readAll returns the newest record of each key, and an offset from which
+// reading on misses nothing that they lack: the end at the first page.
+func (t *Tracker) readAll(ctx context.Context) (records []storer.Record, end identifier.LogOffset, err error) {
+	for after := ""; ; {
+		page, err := t.readPage(ctx, after)
+		if err != nil {
+			return nil, 0, err
+		}
+		if after == "" {
+			end = page.End
+		}
+		records = append(records, page.Records...)
+		if !page.More || len(page.Records) == 0 {
+			return records, end, nil
+		}
+		after = page.Records[len(page.Records)-1].Key
+	}
+}
+
+func (t *Tracker) readPage(ctx context.Context, after string) (storer.KeyPage, error) {
+	bounded, cancel := context.WithTimeout(ctx, t.pageTimeout)
+	defer cancel()
+	return t.log.Newest(bounded, t.partition, after)
+}
+
 // take tells sink the records that it doesn't have yet.
 func (t *Tracker) take(records []storer.Record) {
 	t.mutex.Lock()
