Move long items away from slow targets, load idle targets first

Cause: a step waits for its longest items: 141 events of 43 ms are 6 s alone, and took 8.6 s since a busy neighbour (2.5 times slower for 0.6 s) and loads of weights (0.9 s of silence) held them up; 512 of 2832 sends met a target that was loading. What: an item goes on elsewhere after two events 1.6 times over the usual pace or after five usual gaps of silence; refusals keep items away for 0.4 s; a target that runs requests isn't loaded for 2 s while others are idle.

--- a/ladder/router/router.go
+++ b/ladder/router/router.go
@@ -158,6 +158,17 @@
 	return r.slownessOf(o)
 }
 
+// UsualGap is the mean time between two pieces of the service's answers, 0 while
+// nothing is known.
+func (r *Router) UsualGap(service identifier.ServiceName) time.Duration {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if u, ok := r.services[service]; ok {
+		return seconds(u.next.mean)
+	}
+	return 0
+}
+
 // Patience is how long an attempt at the service may be silent, before or
 // after its first piece, until another target would likely be sooner. It is 0
 // while nothing is known.
--- a/ladder/scheduler/place.go
+++ b/ladder/scheduler/place.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"k8s.io/klog/v2"
 
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
@@ -48,7 +49,8 @@
 	if !ok {
 		return
 	}
-	name, ok := s.router.Choose(s.candidates(t, route, c), router.Followed)
+	candidates := s.candidates(t, route, c)
+	name, ok := s.router.Choose(candidates, router.Followed)
 	if !ok {
 		return
 	}
@@ -57,6 +59,8 @@
 		s.router.Done(name, router.Followed)
 		return
 	}
+	klog.InfoS("item placed", "job", t.key.job, "item", t.key.item, "target", name, "after", t.last, "waited", s.clock.Since(t.waiting),
+		"candidates", len(candidates), "in-flight", s.router.InFlight(name), "slowness", s.router.Slowness(name))
 	bounded, cancel := context.WithCancel(ctx)
 	t.busy, t.cancel, t.route = true, cancel, route
 	tasks.Go(func() { t.run(bounded, target) })
@@ -79,6 +83,19 @@
 	return list
 }
 
+// fasterTarget says whether a target with a free slot keeps the usual pace.
+func (s *Scheduler) fasterTarget(t *task) bool {
+	c := s.catalog.Configuration()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, candidate := range s.candidates(t, t.route, c) {
+		if s.router.Slowness(candidate.Target) < slowGaps {
+			return true
+		}
+	}
+	return false
+}
+
 // slotsOf is how many requests a target runs at once.
 func slotsOf(t cataloger.Target, c *cataloger.Configuration) int {
 	if t.Slots > 0 {
--- a/ladder/scheduler/scheduler.go
+++ b/ladder/scheduler/scheduler.go
@@ -32,7 +32,7 @@
 	lookPause = 100 * time.Millisecond
 	// refusedPause keeps items from a target that has refused one, since it is
 	// full or loads weights.
-	refusedPause = 120 * time.Millisecond
+	refusedPause = 400 * time.Millisecond
 	// failedPause keeps items from a target that can't be reached or has
 	// broken off.
 	failedPause = 500 * time.Millisecond
@@ -162,7 +162,7 @@
 			continue
 		}
 		if _, ok := s.tasks[key]; !ok {
-			s.tasks[key] = &task{scheduler: s, key: key, job: j, item: i, order: n, wanted: true}
+			s.tasks[key] = &task{scheduler: s, key: key, job: j, item: i, order: n, wanted: true, waiting: s.clock.Now()}
 		}
 	}
 }
--- a/ladder/scheduler/task.go
+++ b/ladder/scheduler/task.go
@@ -20,10 +20,21 @@
 )
 
 const (
-	// stallTimeout is the silence after which an item goes on elsewhere. The
-	// events of the users' engines come some 30 ms apart, and moments of a
-	// busy neighbour make them 2.5 times slower.
+	// stallTimeout is the silence after which an item goes on elsewhere while
+	// the usual pace isn't known.
 	stallTimeout = 700 * time.Millisecond
+	// leastStall and stallGaps bound the same where the pace is known: more
+	// than the 2.5 times that a busy neighbour makes of it, less than the 0.9 s
+	// of a load of weights.
+	leastStall, stallGaps = 200 * time.Millisecond, 5
+	// slowGaps is from how many times the usual gap on an event counts as slow,
+	// and slowEvents after how many in a row an item looks for another target.
+	slowGaps, slowEvents = 1.6, 2
+	// moveEvents is how many events a moved item must have or expect: a move
+	// costs about as much time as one event.
+	moveEvents = 8
+	// moveLimit bounds the moves of one item for the sake of speed.
+	moveLimit = 16
 	// firstTimeout is the same before the first event, where a full engine
 	// lets the item wait for a slot.
 	firstTimeout = 1500 * time.Millisecond
@@ -57,6 +68,8 @@
 	// texted says that the text is whole.
 	texted bool
 	cancel context.CancelFunc
+	// waiting is since when it has waited for a target.
+	waiting time.Time
 
 	// What follows belongs to run, and to the scheduler while it isn't busy.
 
@@ -69,6 +82,8 @@
 	failures int
 	// left is the target that the item has gone away from.
 	left identifier.TargetName
+	// moves counts the times that it left a slow target.
+	moves int
 }
 
 // end says that the item isn't wanted any more. The caller holds the
@@ -98,7 +113,7 @@
 		klog.InfoS("item goes on elsewhere", "job", t.key.job, "item", t.key.item, "target", target.Name, "after", t.last, "cause", err)
 	}
 	s.mutex.Lock()
-	t.busy = false
+	t.busy, t.waiting = false, s.clock.Now()
 	t.cancel()
 	s.mutex.Unlock()
 	s.Wake()
@@ -150,10 +165,10 @@
 			return false, errors.Errorf("weights are at version %d", answer.Version)
 		}
 	}
-	done, err = t.read(s.sender.Events(answer), answer.Version, target.Name, begun, watch)
+	done, err = t.read(s.sender.Events(answer), answer.Version, target, begun, watch)
 	if err != nil {
 		t.left = target.Name
-		if !errors.Is(err, errWrongVersions) {
+		if !errors.Is(err, errWrongVersions) && !errors.Is(err, errSlow) {
 			t.fail(target, 0)
 		}
 	}
@@ -175,15 +190,18 @@
 	}
 }
 
+// errSlow says that the item would go on faster elsewhere.
+var errSlow = errors.New("target is slow")
+
 var errWrongVersions = errors.New("the text would have several versions")
 
 // resetter is the watch's timer.
 type resetter interface{ Reset(d time.Duration) bool }
 
 // read adds the events to the text until the answer ends.
-func (t *task) read(events sender.Events, version identifier.WeightVersion, target identifier.TargetName, before time.Time, watch resetter) (done bool, err error) {
+func (t *task) read(events sender.Events, version identifier.WeightVersion, target cataloger.Target, before time.Time, watch resetter) (done bool, err error) {
 	s := t.scheduler
-	first := true
+	first, slow := true, 0
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -193,12 +211,18 @@
 			return false, err
 		}
 		now := s.clock.Now()
-		s.router.Heard(target, now.Sub(before), first)
+		usual := s.router.UsualGap(target.Service)
+		if gap := now.Sub(before); !first && usual > 0 && float64(gap) > slowGaps*float64(usual) {
+			slow++
+		} else {
+			slow = 0
+		}
+		s.router.Heard(target.Name, now.Sub(before), first)
 		before, first = now, false
-		watch.Reset(stallTimeout)
+		watch.Reset(stallAfter(usual))
 		if e.Version > 0 {
 			version = e.Version
-			s.catalog.LearnWeights(target, t.job.Model, version)
+			s.catalog.LearnWeights(target.Name, t.job.Model, version)
 		}
 		if e.Number != t.last+1 {
 			return false, errors.Errorf("event %d came after %d", e.Number, t.last)
@@ -207,7 +231,26 @@
 			t.text, t.last, t.versions = nil, 0, nil
 			return false, errWrongVersions
 		}
+		if slow >= slowEvents && t.shouldMove() {
+			t.moves++
+			return false, errSlow
+		}
+	}
+}
+
+// stallAfter is the silence after which an item goes on elsewhere.
+func stallAfter(usual time.Duration) time.Duration {
+	if usual == 0 {
+		return stallTimeout
 	}
+	return max(leastStall, stallGaps*usual)
+}
+
+// shouldMove says whether the item is long enough for a move, and has a faster
+// target to go to.
+func (t *task) shouldMove() bool {
+	long := int(t.last) >= moveEvents || t.item.ExpectedTokens == 0
+	return long && t.moves < moveLimit && t.scheduler.fasterTarget(t)
 }
 
 // add returns false if the text would have several versions and must not.
@@ -261,6 +304,8 @@
 		}
 		r.Score = signature
 	}
+	klog.InfoS("item done", "job", t.key.job, "item", t.key.item, "state", r.State, "events", t.last, "expected-tokens", t.item.ExpectedTokens,
+		"versions", t.versions, "job-age", t.scheduler.clock.Since(t.job.accepted))
 	t.list(r)
 }
 
--- a/ladder/updater/updater.go
+++ b/ladder/updater/updater.go
@@ -41,6 +41,10 @@
 	askTimeout = 800 * time.Millisecond
 	// failedPause is the pause after an order that wasn't accepted.
 	failedPause = 500 * time.Millisecond
+	// idleWait is how long a target that runs requests is passed over for idle
+	// ones. A named version is needed when the next but one step is asked for,
+	// at least 4 s later on the users' sheets.
+	idleWait = 2 * time.Second
 )
 
 // Mode says what becomes of the requests that run while weights change.
@@ -60,7 +64,9 @@
 	Busy bool
 	// OrdersAccepted counts since the target's start.
 	OrdersAccepted int
-	Weights        map[identifier.ModelName]identifier.WeightVersion
+	// Running counts the requests that it runs, as of some hundred ms ago.
+	Running int
+	Weights map[identifier.ModelName]identifier.WeightVersion
 }
 
 // Order tells a target to load weights.
@@ -112,6 +118,8 @@
 	homes map[identifier.TargetName]identifier.ModelName
 	loads map[identifier.TargetName]load
 	ended chan ended
+	// behindSince is when each target first lacked a version.
+	behindSince map[identifier.TargetName]time.Time
 }
 
 // ended is the news that an order was answered.
@@ -126,6 +134,7 @@
 		clock: clock, catalog: c, targets: t, lease: l, holder: holder,
 		homes: make(map[identifier.TargetName]identifier.ModelName),
 		loads: make(map[identifier.TargetName]load), ended: make(chan ended, 1),
+		behindSince: make(map[identifier.TargetName]time.Time),
 	}
 }
 
@@ -228,7 +237,14 @@
 		return int(named[m]) - int(t.Weights[m])
 	}
 	for _, t := range targets {
-		if _, loading := u.loads[t.Name]; !loading && lag(t) > 0 && u.homes[t.Name] != "" {
+		if lag(t) <= 0 || u.homes[t.Name] == "" {
+			delete(u.behindSince, t.Name)
+			continue
+		}
+		if _, known := u.behindSince[t.Name]; !known {
+			u.behindSince[t.Name] = u.clock.Now()
+		}
+		if _, loading := u.loads[t.Name]; !loading {
 			list = append(list, t)
 		}
 	}
@@ -239,8 +255,9 @@
 func (u *Updater) order(ctx context.Context, t cataloger.Target, m identifier.ModelName, named map[identifier.ModelName]identifier.WeightVersion, mode Mode, tasks *conc.WaitGroup) {
 	u.loads[t.Name] = load{model: m, version: named[m], since: u.clock.Now()}
 	o := Order{Model: m, Version: named[m], Mode: mode, Holder: u.holder}
+	patient := u.clock.Since(u.behindSince[t.Name]) < idleWait
 	tasks.Go(func() {
-		e := ended{t.Name, u.give(ctx, t, o)}
+		e := ended{t.Name, u.give(ctx, t, o, patient)}
 		select {
 		case u.ended <- e:
 		case <-ctx.Done():
@@ -249,7 +266,7 @@
 }
 
 // give reads the target's state and orders the load.
-func (u *Updater) give(ctx context.Context, t cataloger.Target, o Order) error {
+func (u *Updater) give(ctx context.Context, t cataloger.Target, o Order, patient bool) error {
 	bounded, cancel := context.WithTimeout(ctx, 2*askTimeout)
 	defer cancel()
 	r, err := u.targets.Report(bounded, t)
@@ -263,6 +280,9 @@
 	if r.Busy {
 		return errors.Wrap(ErrRefused, "another order is being carried out")
 	}
+	if patient && r.Running > 0 {
+		return errors.Wrapf(ErrRefused, "it runs %d requests", r.Running)
+	}
 	var holds bool
 	if o.Token, holds = u.lease.Token(); !holds {
 		return errors.Wrap(ErrRefused, "the lease is over")
