Reach the store through another entry while this host is turned away

What: calls to the store go through a peer while the direct way fails; peers are known from a group that everyone joins. Writes stay conditional, so the way makes no difference. Links between entries carry one envelope for both kinds of question. Ruled out: a shorter term of the lease, since successors must wait 3 s anyway.

--- /dev/null
+++ b/ladder/detourer/detourer.go
@@ -0,0 +1,218 @@
+// Package detourer makes calls to the platform's store, through another entry
+// while the store turns this host away or can't be reached from here.
+package detourer
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/lycheeladder/lycheeladder/ladder/appender"
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+)
+
+// The store may serve some hosts and not others for many seconds. Writes are
+// conditional and reads say where they end, so that it makes no difference which
+// way a call takes. A peer makes the call itself and never passes it on.
+
+const (
+	// probePause is between two tries of the direct way while it is lost.
+	probePause = 500 * time.Millisecond
+	// probeTimeout bounds such a try; the store answers in some ms.
+	probeTimeout = 400 * time.Millisecond
+	// turnPause is how long a peer that couldn't help isn't asked again.
+	turnPause = 2 * time.Second
+)
+
+// Call is a call to the store, opaque to the product.
+type Call struct {
+	Method string
+	// Target is the path and query.
+	Target string
+	Body   []byte
+}
+
+// Answer is the store's answer.
+type Answer struct {
+	Status int
+	Body   []byte
+}
+
+// Direct makes calls from this host. Its errors are appender.ErrUnavailable and
+// appender.ErrAnswerLost.
+type Direct interface {
+	Call(ctx context.Context, c Call) (Answer, error)
+	// Probe makes a small read.
+	Probe(ctx context.Context) error
+}
+
+// Peers asks other entries; *consulter.Consulter does.
+type Peers interface {
+	Ask(ctx context.Context, address string, q messenger.Question) (messenger.Reply, error)
+}
+
+// Random gives random numbers below n.
+type Random interface{ IntN(n int) int }
+
+// Detourer makes calls to the store.
+type Detourer struct {
+	clock  clockwork.Clock
+	direct Direct
+	peers  Peers
+	random Random
+
+	mutex sync.Mutex
+	// addresses are the peers that may help.
+	addresses []string
+	// lost says that the direct way has failed and hasn't worked since.
+	lost bool
+	// helper is the peer that helped last, or empty.
+	helper string
+	// avoided says until when a peer isn't asked.
+	avoided map[string]time.Time
+}
+
+// New returns a Detourer that takes the direct way until it fails. It knows no
+// peers until SetPeers.
+func New(clock clockwork.Clock, d Direct, p Peers, random Random) *Detourer {
+	return &Detourer{clock: clock, direct: d, peers: p, random: random, avoided: make(map[string]time.Time)}
+}
+
+// SetPeers names the peers that may help.
+func (d *Detourer) SetPeers(addresses []string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if len(addresses) > 0 {
+		d.addresses = addresses
+	}
+}
+
+// Call makes a call, directly or through a peer.
+func (d *Detourer) Call(ctx context.Context, c Call) (Answer, error) {
+	if d.isLost() {
+		return d.throughPeer(ctx, c)
+	}
+	a, err := d.direct.Call(ctx, c)
+	if err == nil {
+		return a, nil
+	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return a, err
+	}
+	d.lose(err)
+	if errors.Is(err, appender.ErrUnavailable) && ctx.Err() == nil {
+		return d.throughPeer(ctx, c)
+	}
+	return a, err
+}
+
+// Answer makes a peer's call, directly or not at all.
+func (d *Detourer) Answer(ctx context.Context, c messenger.StoreCall) messenger.StoreAnswer {
+	if d.isLost() {
+		return messenger.StoreAnswer{Verdict: messenger.StoreUnavailable}
+	}
+	a, err := d.direct.Call(ctx, Call{Method: c.Method, Target: c.Target, Body: c.Body})
+	switch {
+	case err == nil:
+		return messenger.StoreAnswer{Verdict: messenger.StoreAnswered, Status: a.Status, Body: a.Body}
+	case errors.Is(err, appender.ErrUnavailable):
+		return messenger.StoreAnswer{Verdict: messenger.StoreUnavailable}
+	default:
+		return messenger.StoreAnswer{Verdict: messenger.StoreAnswerLost}
+	}
+}
+
+func (d *Detourer) isLost() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.lost
+}
+
+// lose begins the search for a way back.
+func (d *Detourer) lose(cause error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.lost {
+		return
+	}
+	d.lost = true
+	klog.InfoS("direct way to the store lost", "peers", len(d.addresses), "err", cause)
+	go d.findBack()
+}
+
+// findBack tries the direct way until it works.
+func (d *Detourer) findBack() {
+	begun := d.clock.Now()
+	for {
+		<-d.clock.After(probePause)
+		bounded, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		err := d.direct.Probe(bounded)
+		cancel()
+		if err == nil {
+			break
+		}
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.lost = false
+	klog.InfoS("direct way to the store works again", "after", d.clock.Since(begun))
+}
+
+func (d *Detourer) throughPeer(ctx context.Context, c Call) (a Answer, err error) {
+	address, ok := d.pick()
+	if !ok {
+		return a, errors.Wrap(appender.ErrUnavailable, "the store and peers can't be reached")
+	}
+	r, err := d.peers.Ask(ctx, address, messenger.Question{Store: &messenger.StoreCall{Method: c.Method, Target: c.Target, Body: c.Body}})
+	if err != nil || r.Store == nil {
+		d.setHelper(address, ctx.Err() == nil || !errors.Is(ctx.Err(), context.Canceled))
+		return a, errors.Wrapf(appender.ErrAnswerLost, "peer %s: %v", address, err)
+	}
+	switch r.Store.Verdict {
+	case messenger.StoreAnswered:
+		d.setHelper(address, false)
+		return Answer{Status: r.Store.Status, Body: r.Store.Body}, nil
+	case messenger.StoreAnswerLost:
+		return a, errors.Wrapf(appender.ErrAnswerLost, "through peer %s", address)
+	case messenger.StoreUnavailable:
+	}
+	d.setHelper(address, true)
+	return a, errors.Wrapf(appender.ErrUnavailable, "through peer %s", address)
+}
+
+// pick returns the peer that helped last, or another at random.
+func (d *Detourer) pick() (string, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.helper != "" {
+		return d.helper, true
+	}
+	now := d.clock.Now()
+	open := slices.DeleteFunc(slices.Clone(d.addresses), func(a string) bool { return d.avoided[a].After(now) })
+	if len(open) == 0 {
+		return "", false
+	}
+	return open[d.random.IntN(len(open))], true
+}
+
+func (d *Detourer) setHelper(address string, failed bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	switch {
+	case failed:
+		d.avoided[address] = d.clock.Now().Add(turnPause)
+		if d.helper == address {
+			d.helper = ""
+		}
+	default:
+		if d.helper != address {
+			klog.InfoS("store reached through a peer", "peer", address)
+		}
+		d.helper = address
+	}
+}
--- a/ladder/dispatcher/peer.go
+++ b/ladder/dispatcher/peer.go
@@ -219,7 +219,7 @@
 		}
 		return nil
 	case messenger.Start, messenger.Cancel, messenger.Resume, messenger.Release, messenger.Configuration, messenger.Locate,
-		messenger.JobCall, messenger.JobAnswer:
+		messenger.Question, messenger.Reply:
 		return errUnexpected
 	}
 	return errUnexpected
--- a/ladder/encoder/encoder.go
+++ b/ladder/encoder/encoder.go
@@ -40,8 +40,8 @@
 	messenger.Crashed{},
 	messenger.Locate{},
 	messenger.Located{},
-	messenger.JobCall{},
-	messenger.JobAnswer{},
+	messenger.Question{},
+	messenger.Reply{},
 }
 
 // Encoder encodes and decodes frames.
--- a/ladder/executor/connection.go
+++ b/ladder/executor/connection.go
@@ -57,7 +57,7 @@
 		if e.quarantine.Learn(m) {
 			c.pumps.Go(func() { e.broadcast(c.ctx, c.link, m) })
 		}
-	case messenger.Chunk, messenger.End, messenger.Refused, messenger.Located, messenger.JobCall, messenger.JobAnswer:
+	case messenger.Chunk, messenger.End, messenger.Refused, messenger.Located, messenger.Question, messenger.Reply:
 		return errUnexpected
 	}
 	return nil
--- a/ladder/grouper/grouper.go
+++ b/ladder/grouper/grouper.go
@@ -43,11 +43,14 @@
 }
 
 const (
-	// ttl is how long the store waits for a silent member: three joins, one of
-	// them slow. It is above the least that the users' store takes (1 s).
-	ttl = 1500 * time.Millisecond
-	// joinPause is between two joins.
-	joinPause = 400 * time.Millisecond
+	// workTTL is how long the store waits for a silent owner: three joins, one
+	// of them slow. It is above the least that the users' store takes (1 s).
+	workTTL = 1500 * time.Millisecond
+	// workPause is between two joins of an owner.
+	workPause = 400 * time.Millisecond
+	// presenceTTL and presencePause are the same for a group that only tells
+	// who is there.
+	presenceTTL, presencePause = 10 * time.Second, 3 * time.Second
 	// joinTimeout bounds one join.
 	joinTimeout = 700 * time.Millisecond
 	// keepFor is how long partitions are kept without an answer of the store.
@@ -73,13 +76,28 @@
 // Random gives random numbers below n.
 type Random interface{ IntN(n int) int }
 
+// Pace is how often a member shows that it lives.
+type Pace struct {
+	// TTL is how long the store waits for a silent member.
+	TTL time.Duration
+	// Pause is between two joins.
+	Pause time.Duration
+}
+
+// The paces of the two kinds of group.
+var (
+	WorkPace     = Pace{TTL: workTTL, Pause: workPause}
+	PresencePace = Pace{TTL: presenceTTL, Pause: presencePause}
+)
+
 // Options are a Grouper's settings.
 type Options struct {
 	Self identifier.Incarnation
 	Zeal Zeal
-	// Wanted says how many members the group needs.
+	// Wanted says how many members the group needs; nil stands for everyone.
 	Wanted func() int
 	Random Random
+	Pace   Pace
 }
 
 // Grouper keeps this process in the group while it is needed there.
@@ -91,6 +109,7 @@
 	// wanted says how many members the group needs.
 	wanted func() int
 	random Random
+	pace   Pace
 	// changed is called after each change.
 	changed func()
 
@@ -108,7 +127,7 @@
 // New returns a Grouper that isn't in the group until Run.
 func New(clock clockwork.Clock, g Group, o Options, changed func()) *Grouper {
 	return &Grouper{
-		clock: clock, group: g, self: o.Self, zeal: o.Zeal, wanted: o.Wanted, random: o.Random, changed: changed,
+		clock: clock, group: g, self: o.Self, zeal: o.Zeal, wanted: o.Wanted, random: o.Random, pace: o.Pace, changed: changed,
 	}
 }
 
@@ -117,7 +136,7 @@
 	for ctx.Err() == nil {
 		g.joinOrLeave(ctx)
 		select {
-		case <-g.clock.After(joinPause):
+		case <-g.clock.After(g.pace.Pause):
 		case <-ctx.Done():
 		}
 	}
@@ -141,7 +160,7 @@
 	last := g.membership.Generation
 	g.mutex.Unlock()
 	sent := g.clock.Now()
-	m, err := g.group.Join(bounded, ttl, last)
+	m, err := g.group.Join(bounded, g.pace.TTL, last)
 	if ctx.Err() != nil {
 		return
 	}
@@ -184,6 +203,8 @@
 	err := g.readOwners(ctx)
 	members, member := g.members()
 	switch {
+	case g.wanted == nil:
+		g.join(ctx)
 	case member && err == nil && g.surplus(members):
 		klog.InfoS("group left, others do its work", "members", len(members), "wanted", g.wanted())
 		g.leave(ctx)
@@ -192,7 +213,7 @@
 	case err == nil && g.missing(members):
 		// All who stand by see the gap at once; the first to come fills it.
 		select {
-		case <-g.clock.After(time.Duration(g.random.IntN(int(joinSpread(members))))):
+		case <-g.clock.After(time.Duration(g.random.IntN(int(g.joinSpread(members))))):
 		case <-ctx.Done():
 			return
 		}
@@ -208,11 +229,11 @@
 // joinSpread is the time over which those who stand by spread their joins. While
 // somebody works on everything it is as long as the store takes to show a new
 // member to the others, twice over.
-func joinSpread(members []identifier.Incarnation) time.Duration {
+func (g *Grouper) joinSpread(members []identifier.Incarnation) time.Duration {
 	if len(members) == 0 {
-		return joinPause
+		return g.pace.Pause
 	}
-	return 4 * joinPause
+	return 4 * g.pace.Pause
 }
 
 // members returns the incarnations that hold partitions, in order, and whether
@@ -276,3 +297,15 @@
 	g.owners, g.ownersAt = owners, g.clock.Now()
 	return nil
 }
+
+// Addresses returns where the other members are reached that hold a partition.
+func (g *Grouper) Addresses() (list []string) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for _, o := range g.owners {
+		if o.Incarnation != g.self && !slices.Contains(list, o.Address) {
+			list = append(list, o.Address)
+		}
+	}
+	return list
+}
--- a/ladder/messenger/job.go
+++ b/ladder/messenger/job.go
@@ -37,11 +37,9 @@
 
 // JobCall asks another entry about a batch job.
 type JobCall struct {
-	// Number tells the calls of one link apart.
-	Number uint64            `cbor:"1,keyasint"`
-	Verb   JobVerb           `cbor:"2,keyasint"`
-	Job    identifier.JobID  `cbor:"3,keyasint"`
-	Item   identifier.ItemID `cbor:"4,keyasint,omitempty"`
+	Verb JobVerb           `cbor:"2,keyasint"`
+	Job  identifier.JobID  `cbor:"3,keyasint"`
+	Item identifier.ItemID `cbor:"4,keyasint,omitempty"`
 	// After, Wait and MaxBytes are those of a read of results.
 	After    int           `cbor:"5,keyasint,omitempty"`
 	Wait     time.Duration `cbor:"6,keyasint,omitempty"`
@@ -50,9 +48,8 @@
 	Data []byte `cbor:"8,keyasint,omitempty"`
 }
 
-// JobAnswer answers the JobCall with its Number.
+// JobAnswer answers a JobCall.
 type JobAnswer struct {
-	Number  uint64     `cbor:"1,keyasint"`
 	Verdict JobVerdict `cbor:"2,keyasint"`
 	// Data is an encoded part of the results, or a body.
 	Data []byte `cbor:"3,keyasint,omitempty"`
--- a/ladder/messenger/messenger.go
+++ b/ladder/messenger/messenger.go
@@ -11,7 +11,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 )
 
-// Between entries one end sends JobCall and the other JobAnswer. On a link of a
+// Between entries one end sends Question and the other Reply. On a link of a
 // sidecar both ends say Hello first. After it an entry sends Start, Cancel,
 // Resume, Release, Locate and Configuration; a sidecar sends Chunk, End,
 // Refused and Located. Both send Heartbeat and Crashed. An answer always names
@@ -284,5 +284,5 @@
 func (Crashed) message()       {}
 func (Locate) message()        {}
 func (Located) message()       {}
-func (JobCall) message()       {}
-func (JobAnswer) message()     {}
+func (Question) message()      {}
+func (Reply) message()         {}
--- /dev/null
+++ b/ladder/messenger/question.go
@@ -0,0 +1,46 @@
+package messenger
+
+// StoreCall asks a peer to make a call to the platform's store. It is opaque to
+// the product.
+type StoreCall struct {
+	Method string `cbor:"1,keyasint"`
+	// Target is the path and query.
+	Target string `cbor:"2,keyasint"`
+	Body   []byte `cbor:"3,keyasint,omitempty"`
+}
+
+// StoreVerdict is how a StoreCall ended.
+type StoreVerdict string
+
+// The verdicts.
+const (
+	// StoreAnswered has the store's own answer.
+	StoreAnswered StoreVerdict = "answered"
+	// StoreUnavailable says that nothing was done.
+	StoreUnavailable StoreVerdict = "unavailable"
+	// StoreAnswerLost says that the call may take effect.
+	StoreAnswerLost StoreVerdict = "answer-lost"
+)
+
+// StoreAnswer answers a StoreCall.
+type StoreAnswer struct {
+	Verdict StoreVerdict `cbor:"1,keyasint"`
+	Status  int          `cbor:"2,keyasint,omitempty"`
+	Body    []byte       `cbor:"3,keyasint,omitempty"`
+}
+
+// Question is what one entry asks another; one of its parts is there.
+type Question struct {
+	// Number tells the questions of one link apart.
+	Number uint64     `cbor:"1,keyasint"`
+	Job    *JobCall   `cbor:"2,keyasint,omitempty"`
+	Store  *StoreCall `cbor:"3,keyasint,omitempty"`
+}
+
+// Reply answers the Question with its Number. Neither part is there if the
+// peer doesn't know the question.
+type Reply struct {
+	Number uint64       `cbor:"1,keyasint"`
+	Job    *JobAnswer   `cbor:"2,keyasint,omitempty"`
+	Store  *StoreAnswer `cbor:"3,keyasint,omitempty"`
+}
--- a/ladder/relayer/serve.go
+++ b/ladder/relayer/answer.go
@@ -5,41 +5,15 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
-	"github.com/sourcegraph/conc"
-	"k8s.io/klog/v2"
 
 	"github.com/lycheeladder/lycheeladder/ladder/appender"
 	"github.com/lycheeladder/lycheeladder/ladder/bookkeeper"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 )
 
-// Serve answers a peer's calls until the link or ctx ends.
-func (r *Relayer) Serve(ctx context.Context, l messenger.Link) {
-	ctx, cancel := context.WithCancel(ctx)
-	var calls conc.WaitGroup
-	defer calls.Wait()
-	defer cancel()
-	for {
-		m, err := l.Receive(ctx)
-		if err != nil {
-			return
-		}
-		c, ok := m.(messenger.JobCall)
-		if !ok {
-			klog.InfoS("unexpected message of a peer, link closed", "message", m)
-			return
-		}
-		calls.Go(func() {
-			if err := l.Send(ctx, r.answer(ctx, c)); err != nil && ctx.Err() == nil {
-				klog.V(1).InfoS("answer to a peer not sent", "job", c.Job, "err", err)
-			}
-		})
-	}
-}
-
-// answer carries a call out if this process owns the job's partition.
-func (r *Relayer) answer(ctx context.Context, c messenger.JobCall) messenger.JobAnswer {
-	a := messenger.JobAnswer{Number: c.Number, Verdict: messenger.JobElsewhere}
+// Answer carries a peer's call out if this process owns the job's partition.
+func (r *Relayer) Answer(ctx context.Context, c messenger.JobCall) messenger.JobAnswer {
+	a := messenger.JobAnswer{Verdict: messenger.JobElsewhere}
 	if !r.owners.Owns(r.books.PartitionOf(c.Job)) {
 		return a
 	}
--- a/ladder/relayer/relayer.go
+++ b/ladder/relayer/relayer.go
@@ -23,14 +23,9 @@
 // many entries there are. The copy in the store stays the truth: writes through
 // either way are conditional, so that asking a former owner breaks nothing.
 
-const (
-	// answerTimeout is how long a peer's answer may take beyond the wait that
-	// it was asked for: an append to the store and a slow host.
-	answerTimeout = 600 * time.Millisecond
-	// avoidFor is how long a peer isn't asked that hasn't answered. The store
-	// gives a silent owner's partitions away after 2 s.
-	avoidFor = 2 * time.Second
-)
+// answerTimeout is how long a peer's answer may take beyond the wait that it was
+// asked for: an append to the store and a slow host.
+const answerTimeout = 600 * time.Millisecond
 
 // Books keeps the jobs; *bookkeeper.Bookkeeper does.
 type Books interface {
@@ -47,9 +42,9 @@
 	OwnerOf(n identifier.PartitionNumber) (grouper.Owner, bool)
 }
 
-// Dialer opens links to peers; *linker.Linker does.
-type Dialer interface {
-	Dial(ctx context.Context, address string) (messenger.Link, error)
+// Peers asks other entries; *consulter.Consulter does.
+type Peers interface {
+	Ask(ctx context.Context, address string, q messenger.Question) (messenger.Reply, error)
 }
 
 // Relayer implements Books through peers.
@@ -58,12 +53,12 @@
 	books  Books
 	owners Owners
 	self   identifier.Incarnation
-	peers  *peers
+	peers  Peers
 }
 
 // New returns a Relayer for the process self.
-func New(clock clockwork.Clock, b Books, o Owners, d Dialer, self identifier.Incarnation) *Relayer {
-	return &Relayer{clock: clock, books: b, owners: o, self: self, peers: newPeers(clock, d)}
+func New(clock clockwork.Clock, b Books, o Owners, p Peers, self identifier.Incarnation) *Relayer {
+	return &Relayer{clock: clock, books: b, owners: o, self: self, peers: p}
 }
 
 // errElsewhere says that a peer can't answer, and that nothing was done.
@@ -79,14 +74,14 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, c.Wait+answerTimeout)
 	defer cancel()
-	answer, err := r.peers.call(bounded, owner.Address, c)
-	if err != nil {
+	reply, err := r.peers.Ask(bounded, owner.Address, messenger.Question{Job: &c})
+	if err != nil || reply.Job == nil {
 		klog.InfoS("owner of a batch job doesn't answer, the store is asked", "job", c.Job, "verb", c.Verb, "owner", owner.Address, "err", err)
 		return nil, errElsewhere
 	}
-	switch answer.Verdict {
+	switch reply.Job.Verdict {
 	case messenger.JobDone:
-		return answer.Data, nil
+		return reply.Job.Data, nil
 	case messenger.JobUnknown:
 		return nil, bookkeeper.ErrUnknownJob
 	case messenger.JobUncertain:
