Load each version on a share of the targets, the most outdated first

Cause: loads are the scarce resource: two at a time, 0.92 s each, are 8.7 in the 4 s of a step for two models and nine engines. Homes had the same four or five engines of a model load every version, and items of 80 waited 1 to 4 s for one of their 32 slots. After a lost lease the patience for idle engines added 2 s. What: any engine may serve any model; per version as many load as the model's share of the demand is, the most outdated ones; engines that can't serve the next step load at once. Owners tell the holder of the lease their demand. A process takes over the lease of its predecessor on the same host at once. Ruled out: loading more than two at a time, which makes each load longer.

--- a/ladder/bookkeeper/book.go
+++ b/ladder/bookkeeper/book.go
@@ -311,3 +311,16 @@
 	_, listed := e.listed[item]
 	return !listed
 }
+
+func (b *book) addDemand(demand map[identifier.ModelName]identifier.TokenCount) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for _, e := range b.jobs {
+		if e.submission.Model == "" || b.clock.Since(e.received) > demandAge {
+			continue
+		}
+		for n := range e.submission.Items {
+			demand[e.submission.Model] += e.submission.Items[n].Tokens
+		}
+	}
+}
--- a/ladder/bookkeeper/bookkeeper.go
+++ b/ladder/bookkeeper/bookkeeper.go
@@ -440,3 +440,16 @@
 		}
 	}
 }
+
+// demandAge is the age up to which a job counts as demand: some steps of the
+// users' trainers, one every 4 s.
+const demandAge = 20 * time.Second
+
+// Demand counts the tokens of the recent jobs of some partitions, by model.
+func (k *Bookkeeper) Demand(partitions []identifier.PartitionNumber) map[identifier.ModelName]identifier.TokenCount {
+	demand := make(map[identifier.ModelName]identifier.TokenCount)
+	for _, n := range partitions {
+		k.parts[n].book.addDemand(demand)
+	}
+	return demand
+}
--- a/ladder/leaser/leaser.go
+++ b/ladder/leaser/leaser.go
@@ -22,10 +22,10 @@
 // holder that wakes up finds its term over. Clocks are never compared.
 
 const (
-	// term is how long one renewal lasts: three renewals and a lost answer.
-	term = 1500 * time.Millisecond
+	// term is how long one renewal lasts: three renewals.
+	term = 1100 * time.Millisecond
 	// renewPause is between two renewals.
-	renewPause = 400 * time.Millisecond
+	renewPause = 300 * time.Millisecond
 	// renewTimeout bounds one renewal.
 	renewTimeout = 600 * time.Millisecond
 	// margin covers the difference in speed of two watches and the way of an
@@ -33,6 +33,10 @@
 	margin = 300 * time.Millisecond
 )
 
+// Holder names a host that may hold a lease. A process takes its predecessor's
+// place on the same host at once: it couldn't listen there while the other lived.
+type Holder string
+
 // Watch tells the time since some moment. It runs on while the host is
 // suspended.
 type Watch interface{ Elapsed() time.Duration }
@@ -40,7 +44,7 @@
 // record is what the lease's key holds.
 type record struct {
 	// Holder is empty if the lease was given back.
-	Holder identifier.Incarnation `cbor:"1,keyasint"`
+	Holder Holder `cbor:"1,keyasint"`
 	// Token is the offset of the holder's first record, 0 in that record.
 	Token identifier.FencingNumber `cbor:"2,keyasint"`
 }
@@ -50,8 +54,8 @@
 	Partition storer.Partition
 	// Key names the lease in the partition.
 	Key string
-	// Holder is this process.
-	Holder identifier.Incarnation
+	// Holder is this host.
+	Holder Holder
 	// Gap is the least time between the acts of two holders.
 	Gap time.Duration
 }
--- a/ladder/messenger/question.go
+++ b/ladder/messenger/question.go
@@ -1,5 +1,7 @@
 package messenger
 
+import "github.com/lycheeladder/lycheeladder/ladder/identifier"
+
 // StoreCall asks a peer to make a call to the platform's store. It is opaque to
 // the product.
 type StoreCall struct {
@@ -35,6 +37,8 @@
 	Number uint64     `cbor:"1,keyasint"`
 	Job    *JobCall   `cbor:"2,keyasint,omitempty"`
 	Store  *StoreCall `cbor:"3,keyasint,omitempty"`
+	// Demand asks how much work the peer has.
+	Demand bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Reply answers the Question with its Number. Neither part is there if the
@@ -43,4 +47,6 @@
 	Number uint64       `cbor:"1,keyasint"`
 	Job    *JobAnswer   `cbor:"2,keyasint,omitempty"`
 	Store  *StoreAnswer `cbor:"3,keyasint,omitempty"`
+	// Demand counts the tokens of the jobs that the peer works on, by model.
+	Demand map[identifier.ModelName]identifier.TokenCount `cbor:"4,keyasint,omitempty"`
 }
--- /dev/null
+++ b/ladder/relayer/demand.go
@@ -0,0 +1,83 @@
+package relayer
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
+
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+)
+
+const (
+	// demandPause is between two questions about the owners' work. Trainers
+	// ask for a step every few seconds.
+	demandPause = 2 * time.Second
+	// demandTimeout bounds a peer's answer.
+	demandTimeout = 500 * time.Millisecond
+)
+
+// Tally adds up the work of all owners. It is asked for by whoever orders loads
+// of weights.
+type Tally struct {
+	clock clockwork.Clock
+	own   func() map[identifier.ModelName]identifier.TokenCount
+	// owners returns the addresses of the other owners.
+	owners func() []string
+	peers  Peers
+
+	mutex sync.Mutex
+	sum   map[identifier.ModelName]identifier.TokenCount
+	// askedAt is when the owners were asked last.
+	askedAt time.Time
+}
+
+// NewTally returns a Tally that has asked nobody.
+func NewTally(clock clockwork.Clock, own func() map[identifier.ModelName]identifier.TokenCount, owners func() []string, p Peers) *Tally {
+	return &Tally{clock: clock, own: own, owners: owners, peers: p}
+}
+
+// Demand returns the last sum, and asks anew in the background if it is old.
+func (t *Tally) Demand() map[identifier.ModelName]identifier.TokenCount {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.clock.Since(t.askedAt) > demandPause {
+		t.askedAt = t.clock.Now()
+		go t.ask()
+	}
+	return t.sum
+}
+
+func (t *Tally) ask() {
+	ctx, cancel := context.WithTimeout(context.Background(), demandTimeout)
+	defer cancel()
+	sum := maps.Clone(t.own())
+	if sum == nil {
+		sum = make(map[identifier.ModelName]identifier.TokenCount)
+	}
+	var mutex sync.Mutex
+	var questions conc.WaitGroup
+	for _, address := range t.owners() {
+		questions.Go(func() {
+			// An owner that doesn't answer is left out: the shares of the
+			// others are a fair sample.
+			r, err := t.peers.Ask(ctx, address, messenger.Question{Demand: true})
+			if err != nil {
+				return
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			for m, n := range r.Demand {
+				sum[m] += n
+			}
+		})
+	}
+	questions.Wait()
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.sum = sum
+}
--- a/ladder/updater/updater.go
+++ b/ladder/updater/updater.go
@@ -5,7 +5,6 @@
 	"cmp"
 	"context"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -15,15 +14,16 @@
 
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/leaser"
 )
 
-// The holder of the lease orders loads, a few at a time. Each target keeps the
-// weights of one model fresh, its home model: a load takes its target away from
-// the model for about a second, and if every target followed every model, two
-// trainers would keep each target loading for half of the time. A target goes
-// straight to the newest version, so that a slow sweep skips versions. Orders
-// carry what was read from the target just before, so that one that is carried
-// out late has no effect after a newer one.
+// The holder of the lease orders loads, a few at a time. A load takes its target
+// away from the model for about a second, and only few may load at once, so that
+// not every target can follow every model. Each version goes to a share of the
+// targets, the most outdated ones first. The others still serve: a step may use
+// the version before its own. A target goes straight to the newest version.
+// Orders carry what was read from the target just before, so that one that is
+// carried out late has no effect after a newer one.
 
 const (
 	// lookPause is between two looks without news.
@@ -74,7 +74,7 @@
 	Model   identifier.ModelName
 	Version identifier.WeightVersion
 	Mode    Mode
-	Holder  identifier.Incarnation
+	Holder  leaser.Holder
 	Token   identifier.FencingNumber
 	// OrdersAccepted is what the target must have accepted before; otherwise
 	// the order has no effect.
@@ -91,6 +91,11 @@
 	Load(ctx context.Context, t cataloger.Target, o Order) error
 }
 
+// Demand tells how much work each model has. The answer may be some seconds old.
+type Demand interface {
+	Demand() map[identifier.ModelName]identifier.TokenCount
+}
+
 // Lease says whether this process may give orders now.
 type Lease interface {
 	Token() (identifier.FencingNumber, bool)
@@ -111,15 +116,21 @@
 	catalog *cataloger.Cataloger
 	targets Targets
 	lease   Lease
-	holder  identifier.Incarnation
+	demand  Demand
+	holder  leaser.Holder
 
 	// What follows belongs to Run.
 
-	homes map[identifier.TargetName]identifier.ModelName
 	loads map[identifier.TargetName]load
 	ended chan ended
-	// behindSince is when each target first lacked a version.
-	behindSince map[identifier.TargetName]time.Time
+	// newest has the newest named version of each model and when it was seen.
+	newest map[identifier.ModelName]sighting
+}
+
+// sighting is when a version was first seen.
+type sighting struct {
+	version identifier.WeightVersion
+	at      time.Time
 }
 
 // ended is the news that an order was answered.
@@ -129,12 +140,11 @@
 }
 
 // New returns an Updater that orders nothing until Run.
-func New(clock clockwork.Clock, c *cataloger.Cataloger, t Targets, l Lease, holder identifier.Incarnation) *Updater {
+func New(clock clockwork.Clock, c *cataloger.Cataloger, t Targets, l Lease, d Demand, holder leaser.Holder) *Updater {
 	return &Updater{
-		clock: clock, catalog: c, targets: t, lease: l, holder: holder,
-		homes: make(map[identifier.TargetName]identifier.ModelName),
+		clock: clock, catalog: c, targets: t, lease: l, demand: d, holder: holder,
 		loads: make(map[identifier.TargetName]load), ended: make(chan ended, 1),
-		behindSince: make(map[identifier.TargetName]time.Time),
+		newest: make(map[identifier.ModelName]sighting),
 	}
 }
 
@@ -147,7 +157,6 @@
 		if _, holds := u.lease.Token(); holds {
 			u.look(ctx, &tasks)
 		} else {
-			clear(u.homes)
 			clear(u.loads)
 		}
 		select {
@@ -182,22 +191,93 @@
 	for m, s := range c.Models() {
 		byService[s] = append(byService[s], m)
 	}
-	named := u.catalog.Named()
+	named, demand := u.catalog.Named(), u.demand.Demand()
+	u.sight(named)
 	for service, models := range byService {
 		slices.Sort(models)
 		targets := u.catalog.Targets(service)
-		u.assign(targets, models)
 		free := max(leastLoads, len(targets)/loadShare) - u.settle(targets)
-		for _, t := range u.behind(targets, named) {
-			if free <= 0 {
+		wishes := u.wishes(targets, models, Quotas(len(targets), models, demand))
+		for free > 0 {
+			w, t, ok := next(wishes, u.loads)
+			if !ok {
 				break
 			}
 			free--
-			u.order(ctx, t, u.homes[t.Name], named, modeOf(c), tasks)
+			u.order(ctx, t, w, modeOf(c), tasks)
 		}
 	}
 }
 
+func (u *Updater) sight(named map[identifier.ModelName]identifier.WeightVersion) {
+	for m, v := range named {
+		if u.newest[m].version < v {
+			u.newest[m] = sighting{version: v, at: u.clock.Now()}
+		}
+	}
+}
+
+// wish is what a model still wants.
+type wish struct {
+	model   identifier.ModelName
+	version identifier.WeightVersion
+	// missing is how many targets still have to load the version.
+	missing int
+	// lacking is the part of the quota, in targets, that can't serve the next
+	// step.
+	lacking int
+	// behind are the targets without the version, the most outdated first.
+	behind []cataloger.Target
+}
+
+// usableLag is how many versions behind the newest a target may be for the next
+// step of a trainer that asks for a step once its version is named.
+const usableLag = 1
+
+// wishes returns what the models want.
+func (u *Updater) wishes(targets []cataloger.Target, models []identifier.ModelName, quotas map[identifier.ModelName]int) (list []*wish) {
+	for _, m := range models {
+		w := &wish{model: m, version: u.newest[m].version, missing: quotas[m], lacking: quotas[m]}
+		for _, t := range targets {
+			l, loading := u.loads[t.Name]
+			if t.Weights[m] >= w.version || (loading && !l.refused && l.model == m && l.version == w.version) {
+				w.missing--
+				w.lacking--
+				continue
+			}
+			if t.Weights[m]+usableLag >= w.version {
+				w.lacking--
+			}
+			w.behind = append(w.behind, t)
+		}
+		slices.SortStableFunc(w.behind, func(a, b cataloger.Target) int { return cmp.Compare(a.Weights[m], b.Weights[m]) })
+		list = append(list, w)
+	}
+	return list
+}
+
+// next takes the first target of the model that lacks most.
+func next(wishes []*wish, loads map[identifier.TargetName]load) (w *wish, t cataloger.Target, ok bool) {
+	for _, candidate := range wishes {
+		candidate.behind = slices.DeleteFunc(candidate.behind, func(t cataloger.Target) bool {
+			_, loading := loads[t.Name]
+			return loading
+		})
+		if candidate.missing <= 0 || len(candidate.behind) == 0 {
+			continue
+		}
+		if w == nil || cmp.Or(cmp.Compare(candidate.lacking, w.lacking), cmp.Compare(candidate.missing, w.missing)) > 0 {
+			w = candidate
+		}
+	}
+	if w == nil {
+		return nil, t, false
+	}
+	t = w.behind[0]
+	w.missing--
+	return w, t, true
+}
+
 func modeOf(c *cataloger.Configuration) Mode {
 	for _, r := range c.Routes {
 		if r.Kind == cataloger.KindBatch && r.SingleVersion {
@@ -210,6 +290,11 @@
 // settle drops the loads that have ended and returns how many haven't.
 func (u *Updater) settle(targets []cataloger.Target) (underWay int) {
 	now := u.clock.Now()
+	for name := range u.loads {
+		if _, ok := u.catalog.Target(name); !ok {
+			delete(u.loads, name)
+		}
+	}
 	for _, t := range targets {
 		l, ok := u.loads[t.Name]
 		if !ok {
@@ -229,33 +314,11 @@
 	return underWay
 }
 
-// behind returns the targets whose home model has a newer version, the oldest
-// weights first.
-func (u *Updater) behind(targets []cataloger.Target, named map[identifier.ModelName]identifier.WeightVersion) (list []cataloger.Target) {
-	lag := func(t cataloger.Target) int {
-		m := u.homes[t.Name]
-		return int(named[m]) - int(t.Weights[m])
-	}
-	for _, t := range targets {
-		if lag(t) <= 0 || u.homes[t.Name] == "" {
-			delete(u.behindSince, t.Name)
-			continue
-		}
-		if _, known := u.behindSince[t.Name]; !known {
-			u.behindSince[t.Name] = u.clock.Now()
-		}
-		if _, loading := u.loads[t.Name]; !loading {
-			list = append(list, t)
-		}
-	}
-	slices.SortStableFunc(list, func(a, b cataloger.Target) int { return cmp.Compare(lag(b), lag(a)) })
-	return list
-}
-
-func (u *Updater) order(ctx context.Context, t cataloger.Target, m identifier.ModelName, named map[identifier.ModelName]identifier.WeightVersion, mode Mode, tasks *conc.WaitGroup) {
-	u.loads[t.Name] = load{model: m, version: named[m], since: u.clock.Now()}
-	o := Order{Model: m, Version: named[m], Mode: mode, Holder: u.holder}
-	patient := u.clock.Since(u.behindSince[t.Name]) < idleWait
+// order orders a load. Unless the model lacks targets, idle ones are waited for.
+func (u *Updater) order(ctx context.Context, t cataloger.Target, w *wish, mode Mode, tasks *conc.WaitGroup) {
+	u.loads[t.Name] = load{model: w.model, version: w.version, since: u.clock.Now()}
+	o := Order{Model: w.model, Version: w.version, Mode: mode, Holder: u.holder}
+	patient := w.lacking <= 0 && u.clock.Since(u.newest[w.model].at) < idleWait
 	tasks.Go(func() {
 		e := ended{t.Name, u.give(ctx, t, o, patient)}
 		select {
@@ -294,47 +357,34 @@
 	return err
 }
 
-// assign gives each target a home model.
-func (u *Updater) assign(targets []cataloger.Target, models []identifier.ModelName) {
-	quotas := Quotas(len(targets), models)
-	count := make(map[identifier.ModelName]int)
-	var homeless []cataloger.Target
-	for _, t := range targets {
-		m, ok := u.homes[t.Name]
-		if !ok || count[m] >= quotas[m]+homeSlack {
-			homeless = append(homeless, t)
-			continue
-		}
-		count[m]++
+// evenShare is the part of the targets that is dealt out evenly, whatever the
+// models' demand is, so that a model that had no work for a while can begin.
+const evenShare = 0.3
+
+// Quotas deals n targets out among models: evenShare of them evenly, the others
+// by demand.
+func Quotas(n int, models []identifier.ModelName, demand map[identifier.ModelName]identifier.TokenCount) map[identifier.ModelName]int {
+	total := 0.0
+	for _, m := range models {
+		total += float64(demand[m])
 	}
-	for name := range u.homes {
-		if _, ok := u.catalog.Target(name); !ok {
-			delete(u.homes, name)
-			delete(u.loads, name)
+	quotas := make(map[identifier.ModelName]int, len(models))
+	exact := make(map[identifier.ModelName]float64, len(models))
+	left := n
+	for _, m := range models {
+		share := 1 / float64(len(models))
+		if total > 0 {
+			share = evenShare*share + (1-evenShare)*float64(demand[m])/total
 		}
+		exact[m] = share * float64(n)
+		quotas[m] = int(exact[m])
+		left -= quotas[m]
 	}
-	for _, t := range homeless {
-		m := slices.MinFunc(models, func(a, b identifier.ModelName) int {
-			return cmp.Or(
-				cmp.Compare(count[a]-quotas[a], count[b]-quotas[b]),
-				cmp.Compare(t.Weights[b], t.Weights[a]),
-				strings.Compare(string(a), string(b)),
-			)
-		})
-		count[m]++
-		u.homes[t.Name] = m
-	}
-}
-
-// homeSlack is by how many targets a model may be over its quota before one
-// of them changes its home, which costs a load.
-const homeSlack = 1
-
-// Quotas deals n targets out among models evenly; the first models get the rest.
-func Quotas(n int, models []identifier.ModelName) map[identifier.ModelName]int {
-	quotas := make(map[identifier.ModelName]int, len(models))
-	for k, m := range models {
-		quotas[m] = (n + len(models) - 1 - k) / len(models)
+	byRest := slices.SortedStableFunc(slices.Values(models), func(a, b identifier.ModelName) int {
+		return cmp.Compare(exact[b]-float64(quotas[b]), exact[a]-float64(quotas[a]))
+	})
+	for _, m := range byRest[:min(left, len(byRest))] {
+		quotas[m]++
 	}
 	return quotas
 }
