--- a/ladder/bookkeeper/bookkeeper.go
+++ b/ladder/bookkeeper/bookkeeper.go
@@ -109,7 +109,7 @@
 		b := newBook(clock, k.notify)
 		p := storer.Partition{Topic: o.Topic, Number: identifier.PartitionNumber(n)}
 		k.parts = append(k.parts, &part{
-			book: b, tracker: tracker.New(clock, log, p, b), wake: make(chan struct{}, 1),
+			book: b, tracker: tracker.New(clock, log, p, b, func() {}), wake: make(chan struct{}, 1),
 		})
 	}
 	return k
--- /dev/null
+++ b/ladder/bookkeeper/bookkeeper_test.go
@@ -0,0 +1,249 @@
+package bookkeeper
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/lycheeladder/lycheeladder/ladder/appender"
+	"github.com/lycheeladder/lycheeladder/ladder/faker"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/storer"
+)
+
+const topic = "keyed.jobs"
+
+// entry host of a test: a Bookkeeper that follows everything.
+type host struct {
+	*Bookkeeper
+	stop func()
+}
+
+func newHost(store storer.Log) *host {
+	k := New(clockwork.NewRealClock(), store, Options{
+		Topic: topic, Partitions: 2, RecordBytes: 256 << 10, CallBytes: 2 << 20, KeepFor: time.Minute,
+		StoreAge: func() time.Duration { return 0 },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var tasks conc.WaitGroup
+	tasks.Go(func() { k.Run(ctx, func(identifier.PartitionNumber) bool { return true }) })
+	return &host{Bookkeeper: k, stop: func() { cancel(); tasks.Wait() }}
+}
+
+func submission(id identifier.JobID, items, bodyBytes int) Submission {
+	s := Submission{ID: id, Host: "h", Path: "/p/", Model: "m", OldestVersion: 1}
+	for n := range items {
+		s.Items = append(s.Items, Item{
+			ID: identifier.ItemID(fmt.Sprintf("%s-%d", id, n)), Path: "/p/x", Body: make([]byte, bodyBytes),
+			Headers: map[string]string{"A": "b"}, Scorer: &Scorer{ID: "s", Host: "h", Path: "/s/"},
+		})
+	}
+	return s
+}
+
+func inBubble(t *testing.T, f func(ctx context.Context, store *faker.Store)) {
+	synctest.Test(t, func(*testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		f(ctx, faker.NewStore(clockwork.NewRealClock()))
+	})
+}
+
+func completed(item identifier.ItemID, text string) Result {
+	return Result{Item: item, State: ResultCompleted, Text: []byte(text), Versions: []identifier.WeightVersion{2}, Score: "sig"}
+}
+
+func resultsOf(t *testing.T, h *host, id identifier.JobID) []Result {
+	t.Helper()
+	v, err := h.Results(context.Background(), id, 0, 0, 1<<30)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v.Results
+}
+
+func TestAccept_AJobIsWholeAfterAllHostsLostPower(t *testing.T) {
+	for name, size := range map[string]int{"one append": 600, "many appends": 100 << 10} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(ctx context.Context, store *faker.Store) {
+				want := submission("j", 60, size)
+				first := newHost(store)
+				store.Fail(faker.LoseAnswer{})
+				if err := first.Accept(ctx, want); err != nil {
+					t.Fatal(err)
+				}
+				first.stop()
+				store.Forget()
+				second := newHost(store)
+				defer second.stop()
+				for n, item := range want.Items {
+					body, err := second.Body(ctx, "j", item.ID)
+					if err != nil || len(body) != size {
+						t.Fatalf("item %d: %d bytes, %v", n, len(body), err)
+					}
+				}
+				if err := second.Accept(ctx, want); err != nil {
+					t.Errorf("submitted again: %v", err)
+				}
+				jobs := second.Open(second.PartitionOf("j"))
+				if len(jobs) != 1 {
+					t.Fatalf("%d jobs", len(jobs))
+				}
+				want.AcceptedAt = jobs[0].AcceptedAt
+				if diff := cmp.Diff(want, jobs[0].Submission, cmp.Comparer(bytes.Equal)); diff != "" {
+					t.Error(diff)
+				}
+			})
+		})
+	}
+}
+
+func TestAccept_RefusedOnlyIfSurelyNotKept(t *testing.T) {
+	inBubble(t, func(ctx context.Context, store *faker.Store) {
+		h := newHost(store)
+		defer h.stop()
+		time.Sleep(time.Second)
+		store.SetDown(true)
+		if err := h.Accept(ctx, submission("j", 1, 10)); !errors.Is(err, appender.ErrUnavailable) {
+			t.Errorf("got %v", err)
+		}
+		store.SetDown(false)
+		time.Sleep(5 * time.Second)
+		if _, err := h.Results(ctx, "j", 0, 0, 1); !errors.Is(err, ErrUnknownJob) {
+			t.Errorf("the refused job: %v", err)
+		}
+	})
+}
+
+func TestList_TwoOwnersAgreeOnPositionsAndContent(t *testing.T) {
+	inBubble(t, func(ctx context.Context, store *faker.Store) {
+		hosts := []*host{newHost(store), newHost(store)}
+		s := submission("j", 20, 10)
+		if err := hosts[0].Accept(ctx, s); err != nil {
+			t.Fatal(err)
+		}
+		store.Fail(faker.LoseAnswer{}, nil, faker.DelayAppend{By: 3 * time.Second})
+		for n, item := range s.Items {
+			for k, h := range hosts {
+				h.List(Outcome{Job: "j", Result: completed(item.ID, fmt.Sprintf("by %d", k))})
+			}
+			if n%5 == 0 {
+				time.Sleep(40 * time.Millisecond)
+			}
+		}
+		time.Sleep(10 * time.Second)
+		before := resultsOf(t, hosts[0], "j")
+		if len(before) != len(s.Items) {
+			t.Fatalf("%d results", len(before))
+		}
+		seen := make(map[identifier.ItemID]bool)
+		for _, r := range before {
+			if seen[r.Item] {
+				t.Errorf("item %s stands twice", r.Item)
+			}
+			seen[r.Item] = true
+		}
+		for _, h := range hosts {
+			h.stop()
+		}
+		store.Forget()
+		third := newHost(store)
+		defer third.stop()
+		if diff := cmp.Diff(before, resultsOf(t, third, "j")); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestEnd_KnownAtOtherHostsAndAfterwards(t *testing.T) {
+	inBubble(t, func(ctx context.Context, store *faker.Store) {
+		a, b := newHost(store), newHost(store)
+		defer a.stop()
+		defer b.stop()
+		if err := a.Accept(ctx, submission("j", 2, 10)); err != nil {
+			t.Fatal(err)
+		}
+		for range 2 {
+			if err := b.End(ctx, "j"); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(time.Second)
+		if a.Wanted("j", "j-0") {
+			t.Error("an item of an ended job is still wanted")
+		}
+		if err := b.End(ctx, "other"); !errors.Is(err, ErrUnknownJob) {
+			t.Errorf("end of an unknown job: %v", err)
+		}
+	})
+}
+
+func TestResults_WaitsForTheFirst(t *testing.T) {
+	inBubble(t, func(ctx context.Context, store *faker.Store) {
+		h := newHost(store)
+		defer h.stop()
+		if err := h.Accept(ctx, submission("j", 2, 10)); err != nil {
+			t.Fatal(err)
+		}
+		begun := time.Now()
+		time.AfterFunc(400*time.Millisecond, func() { h.List(Outcome{Job: "j", Result: completed("j-1", "x")}) })
+		v, err := h.Results(ctx, "j", 0, time.Second, 1<<20)
+		if err != nil || len(v.Results) != 1 || v.Total != 2 {
+			t.Errorf("%+v, %v", v, err)
+		}
+		if took := time.Since(begun); took < 400*time.Millisecond || took > 600*time.Millisecond {
+			t.Errorf("took %s", took)
+		}
+	})
+}
+
+func TestResults_RefusesWhileTheStoreIsAway(t *testing.T) {
+	inBubble(t, func(ctx context.Context, store *faker.Store) {
+		h := newHost(store)
+		defer h.stop()
+		if err := h.Accept(ctx, submission("j", 2, 10)); err != nil {
+			t.Fatal(err)
+		}
+		store.SetDown(true)
+		time.Sleep(2 * staleAfter)
+		if _, err := h.Results(ctx, "j", 0, 0, 1); !errors.Is(err, ErrNotSure) {
+			t.Errorf("a known job without news: %v", err)
+		}
+		if _, err := h.Results(ctx, "other", 0, 0, 1); !errors.Is(err, ErrNotSure) {
+			t.Errorf("an unknown job: %v", err)
+		}
+	})
+}
+
+func TestDropSettled_LeavesNothingBehind(t *testing.T) {
+	inBubble(t, func(ctx context.Context, store *faker.Store) {
+		h := newHost(store)
+		defer h.stop()
+		owns := func(identifier.PartitionNumber) bool { return true }
+		go h.DropSettled(ctx, owns)
+		if err := h.Accept(ctx, submission("j", 3, 200<<10)); err != nil {
+			t.Fatal(err)
+		}
+		h.List(Outcome{Job: "j", Result: completed("j-1", "x")})
+		time.Sleep(time.Second)
+		if err := h.End(ctx, "j"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Minute)
+		for n := range 2 {
+			p := storer.Partition{Topic: topic, Number: identifier.PartitionNumber(n)}
+			page, err := store.Newest(ctx, p, "")
+			if err != nil || len(page.Records) > 0 {
+				t.Errorf("partition %d keeps %d records, %v", n, len(page.Records), err)
+			}
+		}
+	})
+}
--- a/ladder/cataloger/cataloger.go
+++ b/ladder/cataloger/cataloger.go
@@ -6,7 +6,9 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
+	"github.com/jonboulle/clockwork"
 	"k8s.io/klog/v2"
 
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
@@ -36,14 +38,24 @@
 	Target(key string, value []byte) (Target, error)
 }
 
+// lapseTime is how long after an outage of the store entries may be missing of
+// targets that live: they write anew within about 2 s of its return.
+const lapseTime = 2500 * time.Millisecond
+
 // Cataloger holds the newest of what was published and listed.
 type Cataloger struct {
+	clock   clockwork.Clock
 	decoder Decoder
 	// configuration is nil until one was read; its version never falls.
 	configuration atomic.Pointer[Configuration]
 
 	mutex   sync.Mutex
 	targets map[identifier.TargetName]Target
+	// lapsed has the targets whose entry went in or after an outage of the
+	// store, and when they are taken as gone unless they are back.
+	lapsed map[identifier.TargetName]time.Time
+	// failedAt is when the store didn't answer last.
+	failedAt time.Time
 	// named never falls.
 	named map[identifier.ModelName]identifier.WeightVersion
 	// changed is closed at each change.
@@ -51,10 +63,11 @@
 }
 
 // New returns a Cataloger that knows nothing.
-func New(d Decoder) *Cataloger {
+func New(clock clockwork.Clock, d Decoder) *Cataloger {
 	return &Cataloger{
-		decoder: d,
+		clock: clock, decoder: d,
 		targets: make(map[identifier.TargetName]Target),
+		lapsed:  make(map[identifier.TargetName]time.Time),
 		named:   make(map[identifier.ModelName]identifier.WeightVersion),
 		changed: make(chan struct{}),
 	}
@@ -74,15 +87,51 @@
 func (c *Cataloger) Target(name identifier.TargetName) (Target, bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.dropLapsed()
 	t, ok := c.targets[name]
 	return t, ok
 }
 
+// StoreFailed notes that the list of targets couldn't be read.
+func (c *Cataloger) StoreFailed() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.failedAt = c.clock.Now()
+}
+
+// dropLapsed drops the targets that aren't back in time. The caller holds the
+// mutex.
+func (c *Cataloger) dropLapsed() {
+	now := c.clock.Now()
+	for name, until := range c.lapsed {
+		if now.After(until) {
+			klog.InfoS("target gone, its entry isn't back", "target", name)
+			delete(c.targets, name)
+			delete(c.lapsed, name)
+		}
+	}
+}
+
+// remove takes note that a target's entry is gone. The caller holds the mutex.
+func (c *Cataloger) remove(name identifier.TargetName, offset identifier.LogOffset) {
+	if _, known := c.targets[name]; !known {
+		return
+	}
+	if until := c.failedAt.Add(lapseTime); !c.failedAt.IsZero() && until.After(c.clock.Now()) {
+		klog.InfoS("entry of a target lapsed around an outage of the store", "target", name, "offset", offset, "kept-for", until.Sub(c.clock.Now()))
+		c.lapsed[name] = until
+		return
+	}
+	klog.InfoS("target gone", "target", name, "offset", offset)
+	delete(c.targets, name)
+}
+
 // Targets returns the listed targets of a service that take work, ordered by
 // name.
 func (c *Cataloger) Targets(s identifier.ServiceName) []Target {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.dropLapsed()
 	var list []Target
 	for _, t := range c.targets {
 		if t.Service == s && t.State == StateReady {
@@ -188,14 +237,14 @@
 func (s targetSink) Reset(records []storer.Record) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	before := s.targets
-	s.targets = make(map[identifier.TargetName]Target, len(records))
+	listed := make(map[identifier.TargetName]bool, len(records))
 	for _, r := range records {
-		s.list(r, before)
+		s.list(r)
+		listed[identifier.TargetName(r.Key)] = true
 	}
-	for name := range before {
-		if _, ok := s.targets[name]; !ok {
-			klog.InfoS("target gone", "target", name)
+	for name := range s.targets {
+		if _, lapsed := s.lapsed[name]; !listed[name] && !lapsed {
+			s.remove(name, 0)
 		}
 	}
 	s.notify()
@@ -206,22 +255,20 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for _, r := range records {
-		s.list(r, s.targets)
+		s.list(r)
 	}
 	s.notify()
 }
 
-// list takes one entry; before has what was known of the targets.
-func (s targetSink) list(r storer.Record, before map[identifier.TargetName]Target) {
+// list takes one entry.
+func (s targetSink) list(r storer.Record) {
 	name := identifier.TargetName(r.Key)
-	old, known := before[name]
+	old, known := s.targets[name]
 	if len(r.Value) == 0 {
-		if known {
-			klog.InfoS("target gone", "target", name, "offset", r.Offset)
-		}
-		delete(s.targets, name)
+		s.remove(name, r.Offset)
 		return
 	}
+	delete(s.lapsed, name)
 	t, err := s.decoder.Target(r.Key, r.Value)
 	if err != nil {
 		klog.InfoS("unreadable entry of a target left out", "target", name, "offset", r.Offset, "err", err)
--- /dev/null
+++ b/ladder/cataloger/cataloger_test.go
@@ -0,0 +1,103 @@
+package cataloger
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/storer"
+)
+
+// plainDecoder reads a configuration's version, or a target's state.
+type plainDecoder struct{}
+
+func (plainDecoder) Published(key string, value []byte) (Published, error) {
+	n, err := strconv.Atoi(string(value))
+	if err != nil {
+		return nil, err
+	}
+	if key == "config" {
+		return &Configuration{Version: ConfigurationVersion(n)}, nil
+	}
+	return NamedVersion{Model: identifier.ModelName(key), Version: identifier.WeightVersion(n)}, nil
+}
+
+func (plainDecoder) Target(key string, value []byte) (Target, error) {
+	if string(value) == "?" {
+		return Target{}, errors.New("unreadable")
+	}
+	return Target{Name: identifier.TargetName(key), Service: "s", State: TargetState(value)}, nil
+}
+
+func record(key, value string) storer.Record { return storer.Record{Key: key, Value: []byte(value)} }
+
+func namesOf(c *Cataloger) (names []identifier.TargetName) {
+	for _, t := range c.Targets("s") {
+		names = append(names, t.Name)
+	}
+	return names
+}
+
+func TestConfiguration_NeverGoesBack(t *testing.T) {
+	c := New(clockwork.NewFakeClock(), plainDecoder{})
+	sink := c.PublishedSink()
+	sink.Apply([]storer.Record{record("config", "7"), record("m", "3")})
+	sink.Reset([]storer.Record{record("config", "5"), record("m", "2"), record("config", "no number")})
+	sink.Apply([]storer.Record{record("config", "6")})
+	if v := c.Configuration().Version; v != 7 {
+		t.Errorf("version %d", v)
+	}
+	if diff := cmp.Diff(map[identifier.ModelName]identifier.WeightVersion{"m": 3}, c.Named()); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestTargets_AnUnreadableEntryNamesNoneAndHurtsNoOther(t *testing.T) {
+	c := New(clockwork.NewFakeClock(), plainDecoder{})
+	c.TargetSink().Reset([]storer.Record{record("a", "ready"), record("b", "?"), record("c", "leaving"), record("d", "ready")})
+	if diff := cmp.Diff([]identifier.TargetName{"a", "d"}, namesOf(c)); diff != "" {
+		t.Error(diff)
+	}
+	c.TargetSink().Apply([]storer.Record{record("a", "?")})
+	if diff := cmp.Diff([]identifier.TargetName{"d"}, namesOf(c)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestTargets_AnEntryThatLapsedInAnOutageIsKeptForAWhile(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	c := New(clock, plainDecoder{})
+	sink := c.TargetSink()
+	sink.Reset([]storer.Record{record("a", "ready"), record("b", "ready")})
+	c.StoreFailed()
+	sink.Reset(nil)
+	if diff := cmp.Diff([]identifier.TargetName{"a", "b"}, namesOf(c)); diff != "" {
+		t.Error(diff)
+	}
+	sink.Apply([]storer.Record{record("a", "ready")})
+	clock.Advance(lapseTime + time.Millisecond)
+	if diff := cmp.Diff([]identifier.TargetName{"a"}, namesOf(c)); diff != "" {
+		t.Error(diff)
+	}
+	sink.Apply([]storer.Record{record("a", "")})
+	if diff := cmp.Diff([]identifier.TargetName(nil), namesOf(c)); diff != "" {
+		t.Error("without an outage it is gone at once: " + diff)
+	}
+}
+
+func TestMatch_TheLongestPrefixOfTheHost(t *testing.T) {
+	c := &Configuration{Routes: []Route{
+		{Name: "short", Host: "h", Prefix: "/a/"}, {Name: "long", Host: "h", Prefix: "/a/b/"}, {Name: "other", Host: "o", Prefix: "/a/b/c/"},
+	}}
+	for path, want := range map[string]identifier.RouteName{"/a/x": "short", "/a/b/c/d": "long", "/a": "", "/a/bc/": "short"} {
+		r, ok := c.Match("h", path)
+		if r.Name != want || ok != (want != "") {
+			t.Errorf("%s: %q, %t", path, r.Name, ok)
+		}
+	}
+}
--- /dev/null
+++ b/ladder/faker/store.go
@@ -0,0 +1,233 @@
+package faker
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lycheeladder/lycheeladder/ladder/appender"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/storer"
+)
+
+// AppendFault is what happens to one append.
+//
+//sumtype:decl
+type AppendFault interface{ appendFault() }
+
+// LoseAnswer makes the append, and doesn't answer.
+type LoseAnswer struct{}
+
+// DelayAppend doesn't answer, and makes the append later if its condition still
+// holds.
+type DelayAppend struct{ By time.Duration }
+
+// RefuseAppend does nothing and says so.
+type RefuseAppend struct{}
+
+func (LoseAnswer) appendFault()   {}
+func (DelayAppend) appendFault()  {}
+func (RefuseAppend) appendFault() {}
+
+// Store is the platform's store of keyed partitions. It implements storer.Log.
+type Store struct {
+	clock clockwork.Clock
+
+	mutex      sync.Mutex
+	partitions map[storer.Partition]*keyedPartition
+	down       bool
+	// faults happen to the next appends, one each.
+	faults  []AppendFault
+	changed chan struct{}
+}
+
+type keyedPartition struct {
+	// first is the offset of the oldest kept record.
+	first   identifier.LogOffset
+	records []storer.Record
+	newest  map[string]storer.Record
+}
+
+// NewStore returns an empty Store.
+func NewStore(clock clockwork.Clock) *Store {
+	return &Store{clock: clock, partitions: make(map[storer.Partition]*keyedPartition), changed: make(chan struct{})}
+}
+
+// SetDown begins or ends an outage.
+func (s *Store) SetDown(down bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.down = down
+	s.notify()
+}
+
+// Fail lets faults happen to the next appends, one each.
+func (s *Store) Fail(faults ...AppendFault) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.faults = append(s.faults, faults...)
+}
+
+// Forget drops the history. The newest record of each key stays.
+func (s *Store) Forget() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, p := range s.partitions {
+		p.first += identifier.LogOffset(len(p.records))
+		p.records = nil
+	}
+}
+
+// Put appends records without a condition, as others than the system do.
+func (s *Store) Put(p storer.Partition, records ...storer.Record) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.partition(p).add(records)
+	s.notify()
+}
+
+// All returns every kept record of a partition.
+func (s *Store) All(p storer.Partition) []storer.Record {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.Clone(s.partition(p).records)
+}
+
+func (s *Store) partition(p storer.Partition) *keyedPartition {
+	k, ok := s.partitions[p]
+	if !ok {
+		k = &keyedPartition{newest: make(map[string]storer.Record)}
+		s.partitions[p] = k
+	}
+	return k
+}
+
+func (p *keyedPartition) end() identifier.LogOffset {
+	return p.first + identifier.LogOffset(len(p.records))
+}
+
+func (p *keyedPartition) add(records []storer.Record) {
+	for _, r := range records {
+		r.Offset = p.end()
+		r.Value = slices.Clone(r.Value)
+		p.records = append(p.records, r)
+		p.newest[r.Key] = r
+		if len(r.Value) == 0 {
+			delete(p.newest, r.Key)
+		}
+	}
+}
+
+func (s *Store) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// pageRecords is how many keys one page has.
+const pageRecords = 100
+
+// Newest implements storer.Log.
+func (s *Store) Newest(ctx context.Context, p storer.Partition, after string) (storer.KeyPage, error) {
+	if ctx.Err() != nil {
+		return storer.KeyPage{}, appender.ErrAnswerLost
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.down {
+		return storer.KeyPage{}, appender.ErrUnavailable
+	}
+	k := s.partition(p)
+	page := storer.KeyPage{End: k.end()}
+	for _, r := range k.newest {
+		if r.Key > after {
+			page.Records = append(page.Records, r)
+		}
+	}
+	slices.SortFunc(page.Records, func(a, b storer.Record) int { return cmp.Compare(a.Key, b.Key) })
+	if len(page.Records) > pageRecords {
+		page.Records, page.More = page.Records[:pageRecords], true
+	}
+	return page, nil
+}
+
+// Read implements storer.Log.
+func (s *Store) Read(ctx context.Context, p storer.Partition, from identifier.LogOffset, wait time.Duration) (storer.Page, error) {
+	timer := s.clock.After(wait)
+	for {
+		s.mutex.Lock()
+		k, down, changed := s.partition(p), s.down, s.changed
+		page := storer.Page{End: k.end()}
+		forgotten := from < k.first
+		if !forgotten && from < page.End {
+			page.Records = slices.Clone(k.records[from-k.first:])
+		}
+		s.mutex.Unlock()
+		switch {
+		case down:
+			return storer.Page{}, appender.ErrUnavailable
+		case forgotten:
+			return storer.Page{}, storer.ErrForgotten
+		case len(page.Records) > 0 || wait <= 0:
+			return page, nil
+		}
+		select {
+		case <-changed:
+		case <-timer:
+			return page, nil
+		case <-ctx.Done():
+			return storer.Page{}, appender.ErrAnswerLost
+		}
+	}
+}
+
+// Append implements storer.Log.
+func (s *Store) Append(ctx context.Context, p storer.Partition, at identifier.LogOffset, records []storer.Record) (identifier.LogOffset, error) {
+	s.mutex.Lock()
+	if s.down {
+		s.mutex.Unlock()
+		return 0, appender.ErrUnavailable
+	}
+	var fault AppendFault
+	if len(s.faults) > 0 {
+		fault, s.faults = s.faults[0], s.faults[1:]
+	}
+	defer s.mutex.Unlock()
+	switch f := fault.(type) {
+	case RefuseAppend:
+		return 0, appender.ErrUnavailable
+	case DelayAppend:
+		kept := slices.Clone(records)
+		s.clock.AfterFunc(f.By, func() {
+			s.mutex.Lock()
+			defer s.mutex.Unlock()
+			_, _ = s.appendAt(p, at, kept) // nobody waits for the answer
+		})
+		return 0, s.loseAnswer(ctx)
+	case LoseAnswer:
+		_, _ = s.appendAt(p, at, records) // nobody hears the answer
+		return 0, s.loseAnswer(ctx)
+	}
+	return s.appendAt(p, at, records)
+}
+
+// loseAnswer waits for the caller to give up. The caller holds the mutex.
+func (s *Store) loseAnswer(ctx context.Context) error {
+	s.mutex.Unlock()
+	defer s.mutex.Lock()
+	<-ctx.Done()
+	return appender.ErrAnswerLost
+}
+
+func (s *Store) appendAt(p storer.Partition, at identifier.LogOffset, records []storer.Record) (identifier.LogOffset, error) {
+	k := s.partition(p)
+	if k.end() != at {
+		return 0, &storer.MovedError{End: k.end()}
+	}
+	k.add(records)
+	s.notify()
+	return k.end(), nil
+}
--- a/ladder/leaser/leaser.go
+++ b/ladder/leaser/leaser.go
@@ -80,7 +80,7 @@
 // New returns a Leaser that doesn't compete until Run.
 func New(clock clockwork.Clock, watch Watch, log storer.Log, o Options) *Leaser {
 	l := &Leaser{clock: clock, watch: watch, options: o}
-	l.tracker = tracker.New(clock, log, o.Partition, l)
+	l.tracker = tracker.New(clock, log, o.Partition, l, func() {})
 	return l
 }
 
--- a/ladder/tracker/tracker.go
+++ b/ladder/tracker/tracker.go
@@ -45,6 +45,8 @@
 	log       storer.Log
 	partition storer.Partition
 	sink      storer.Sink
+	// failed is called when the store doesn't answer a read.
+	failed func()
 
 	// appending is held by one append at a time.
 	appending chan struct{}
@@ -61,10 +63,11 @@
 	contact time.Time
 }
 
-// New returns a Tracker that knows nothing until Run.
-func New(clock clockwork.Clock, log storer.Log, p storer.Partition, sink storer.Sink) *Tracker {
+// New returns a Tracker that knows nothing until Run. It calls failed whenever
+// the store doesn't answer a read.
+func New(clock clockwork.Clock, log storer.Log, p storer.Partition, sink storer.Sink, failed func()) *Tracker {
 	return &Tracker{
-		clock: clock, log: log, partition: p, sink: sink, pageTimeout: firstPageTimeout,
+		clock: clock, log: log, partition: p, sink: sink, failed: failed, pageTimeout: firstPageTimeout,
 		appending: make(chan struct{}, 1),
 	}
 }
@@ -84,6 +87,7 @@
 			pause, failing = firstPause, false
 			continue
 		}
+		t.failed()
 		if !failing {
 			klog.InfoS("store lost", "partition", t.partition.String(), "offset", t.position(), "err", err)
 		}
--- /dev/null
+++ b/ladder/tracker/tracker_test.go
@@ -0,0 +1,198 @@
+package tracker
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+	"pgregory.net/rapid"
+
+	"github.com/lycheeladder/lycheeladder/ladder/appender"
+	"github.com/lycheeladder/lycheeladder/ladder/faker"
+	"github.com/lycheeladder/lycheeladder/ladder/storer"
+)
+
+var partition = storer.Partition{Topic: "keyed.test"}
+
+// copySink keeps what it is told, guarded by the tracker.
+type copySink map[string]string
+
+func (s copySink) Reset(records []storer.Record) { clear(s); s.Apply(records) }
+
+func (s copySink) Apply(records []storer.Record) {
+	for _, r := range records {
+		if s[r.Key] = string(r.Value); len(r.Value) == 0 {
+			delete(s, r.Key)
+		}
+	}
+}
+
+// writer is one process with a copy.
+type writer struct {
+	*Tracker
+	copy copySink
+}
+
+func newWriter(ctx context.Context, tasks *conc.WaitGroup, log storer.Log) *writer {
+	w := &writer{copy: make(copySink)}
+	w.Tracker = New(clockwork.NewRealClock(), log, partition, w.copy, func() {})
+	tasks.Go(func() { w.Run(ctx) })
+	return w
+}
+
+// claim writes the next free position with the value, once.
+func (w *writer) claim(ctx context.Context, value string) error {
+	return w.Append(ctx, func() []storer.Record {
+		for _, v := range w.copy {
+			if v == value {
+				return nil
+			}
+		}
+		return []storer.Record{{Key: strconv.Itoa(len(w.copy)), Value: []byte(value)}}
+	})
+}
+
+// inBubble runs f in virtual time with a store; its tasks end with f.
+func inBubble(t *testing.T, f func(ctx context.Context, tasks *conc.WaitGroup, store *faker.Store)) {
+	synctest.Test(t, func(*testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		var tasks conc.WaitGroup
+		f(ctx, &tasks, faker.NewStore(clockwork.NewRealClock()))
+		cancel()
+		tasks.Wait()
+	})
+}
+
+func valuesOf(records []storer.Record) (values []string) {
+	for _, r := range records {
+		values = append(values, string(r.Value))
+	}
+	return values
+}
+
+func TestAppend_LostOrLateAnswerWritesOnce(t *testing.T) {
+	for name, fault := range map[string]faker.AppendFault{
+		"answer lost": faker.LoseAnswer{}, "made 3 s later": faker.DelayAppend{By: 3 * time.Second},
+		"made at once after the timeout": faker.DelayAppend{By: appendTimeout + time.Millisecond}, "refused": faker.RefuseAppend{},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(ctx context.Context, tasks *conc.WaitGroup, store *faker.Store) {
+				w := newWriter(ctx, tasks, store)
+				time.Sleep(time.Second)
+				store.Fail(fault)
+				err := w.claim(ctx, "a")
+				if errors.Is(err, appender.ErrUnavailable) {
+					err = w.claim(ctx, "a")
+				}
+				if err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(10 * time.Second)
+				if diff := cmp.Diff([]string{"a"}, valuesOf(store.All(partition))); diff != "" {
+					t.Error(diff)
+				}
+			})
+		})
+	}
+}
+
+func TestAppend_UnavailableOnlyIfNothingIsEverWritten(t *testing.T) {
+	inBubble(t, func(ctx context.Context, tasks *conc.WaitGroup, store *faker.Store) {
+		w := newWriter(ctx, tasks, store)
+		time.Sleep(time.Second)
+		// The first append is made late; all that follow are refused.
+		store.Fail(faker.DelayAppend{By: 20 * time.Second})
+		for range 200 {
+			store.Fail(faker.RefuseAppend{})
+		}
+		bounded, cancel := context.WithTimeout(ctx, 5*time.Second)
+		defer cancel()
+		if err := w.claim(bounded, "a"); !errors.Is(err, appender.ErrAnswerLost) {
+			t.Errorf("got %v, want an uncertain outcome", err)
+		}
+	})
+}
+
+func TestAppend_ManyWritersAgreeOnPositions(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		writers, claims := rapid.IntRange(2, 4).Draw(r, "writers"), rapid.IntRange(1, 6).Draw(r, "claims")
+		faults := rapid.SliceOfN(rapid.SampledFrom([]faker.AppendFault{
+			nil, faker.LoseAnswer{}, faker.RefuseAppend{}, faker.DelayAppend{By: 2 * time.Second},
+		}), 0, 12).Draw(r, "faults")
+		inBubble(t, func(ctx context.Context, tasks *conc.WaitGroup, store *faker.Store) {
+			var claiming conc.WaitGroup
+			store.Fail(faults...)
+			for n := range writers {
+				w := newWriter(ctx, tasks, store)
+				claiming.Go(func() {
+					for c := range claims {
+						for w.claim(ctx, fmt.Sprintf("%d/%d", n, c)) != nil {
+							time.Sleep(100 * time.Millisecond)
+						}
+					}
+				})
+			}
+			claiming.Wait()
+			time.Sleep(5 * time.Second)
+			seen := make(map[string]string)
+			for _, record := range store.All(partition) {
+				if other, twice := seen[record.Key]; twice {
+					r.Errorf("position %s was written twice: %q, %q", record.Key, other, record.Value)
+				}
+				seen[record.Key] = string(record.Value)
+			}
+			if len(seen) != writers*claims {
+				r.Errorf("%d positions, want %d", len(seen), writers*claims)
+			}
+		})
+	})
+}
+
+func TestRun_ReadsAnewAfterExpiredHistory(t *testing.T) {
+	inBubble(t, func(ctx context.Context, tasks *conc.WaitGroup, store *faker.Store) {
+		store.Put(partition, storer.Record{Key: "a", Value: []byte("1")}, storer.Record{Key: "b", Value: []byte("1")})
+		w := newWriter(ctx, tasks, store)
+		time.Sleep(time.Second)
+		store.SetDown(true)
+		time.Sleep(2 * time.Second)
+		store.Put(partition, storer.Record{Key: "a"}, storer.Record{Key: "c", Value: []byte("2")})
+		store.Forget()
+		store.SetDown(false)
+		time.Sleep(2 * time.Second)
+		if diff := cmp.Diff(copySink{"b": "1", "c": "2"}, w.copy); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+// slowPages writes a record between the snapshot and the read after it.
+type slowPages struct {
+	*faker.Store
+	between func()
+}
+
+func (s slowPages) Newest(ctx context.Context, p storer.Partition, after string) (storer.KeyPage, error) {
+	page, err := s.Store.Newest(ctx, p, after)
+	s.between()
+	return page, err
+}
+
+func TestKnown_OnlyWithWhatCameDuringTheSnapshot(t *testing.T) {
+	inBubble(t, func(ctx context.Context, tasks *conc.WaitGroup, store *faker.Store) {
+		log := slowPages{store, func() { store.Put(partition, storer.Record{Key: "late", Value: []byte("1")}) }}
+		w := newWriter(ctx, tasks, log)
+		for !w.Known() {
+			time.Sleep(time.Millisecond)
+		}
+		if diff := cmp.Diff(copySink{"late": "1"}, w.copy); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
