Accept batch jobs without a copy, and try the direct way before a detour

What: a job's records are the same whoever writes them and need no condition; a failed call is followed by a small read before the direct way counts as lost; an entry refuses before it follows more than 4 partitions.

--- a/ladder/bookkeeper/book.go
+++ b/ladder/bookkeeper/book.go
@@ -68,7 +68,7 @@
 
 // Reset implements storer.Sink.
 func (b *book) Reset(records []storer.Record) {
-	slices.SortFunc(records, func(a, b storer.Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	slices.SortFunc(records, byMeaning)
 	b.mutex.Lock()
 	before := b.jobs
 	b.pieces, b.jobs = make(map[string][]byte), make(map[identifier.JobID]*entry)
@@ -85,6 +85,19 @@
 	b.notify()
 }
 
+// ranks is the order in which records of a job give each other their meaning. A
+// job that was handed in twice has its newest records after its results.
+var ranks = map[string]int{prefixPiece: 0, prefixJob: 1, prefixResult: 2, prefixEnd: 3}
+
+func byMeaning(a, b storer.Record) int {
+	return cmp.Or(cmp.Compare(rankOf(a.Key), rankOf(b.Key)), cmp.Compare(a.Offset, b.Offset))
+}
+
+func rankOf(key string) int {
+	kind, _, _ := strings.Cut(key, "/")
+	return ranks[kind+"/"]
+}
+
 // Apply implements storer.Sink.
 func (b *book) Apply(records []storer.Record) {
 	b.mutex.Lock()
@@ -126,6 +139,7 @@
 		return
 	}
 	if _, known := b.jobs[id]; known {
+		b.dropPieces(id, r.Value)
 		return
 	}
 	s, err := b.assemble(id, r.Value)
@@ -142,6 +156,17 @@
 	klog.InfoS("batch job known", "job", id, "items", len(s.Items), "model", s.Model, "oldest-version", s.OldestVersion, "offset", r.Offset)
 }
 
+// dropPieces forgets the pieces of a job that was handed in again.
+func (b *book) dropPieces(id identifier.JobID, count []byte) {
+	pieces, err := strconv.Atoi(string(count))
+	if err != nil {
+		return
+	}
+	for n := range pieces {
+		delete(b.pieces, pieceName(id, n))
+	}
+}
+
 func (b *book) assemble(id identifier.JobID, count []byte) (s Submission, err error) {
 	pieces, err := strconv.Atoi(string(count))
 	if err != nil {
@@ -184,30 +209,14 @@
 
 func pieceName(id identifier.JobID, n int) string { return string(id) + "/" + strconv.Itoa(n) }
 
-// submissionRecords returns nothing if the job is known already.
-func (b *book) submissionRecords(s Submission, data []byte, pieceBytes int) (records []storer.Record) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	if _, known := b.jobs[s.ID]; known {
-		return nil
-	}
+func submissionRecords(id identifier.JobID, data []byte, pieceBytes int) (records []storer.Record) {
 	count := 0
 	for ; len(data) > 0; count++ {
 		size := min(pieceBytes, len(data))
-		records = append(records, storer.Record{Key: prefixPiece + pieceName(s.ID, count), Value: data[:size]})
+		records = append(records, storer.Record{Key: prefixPiece + pieceName(id, count), Value: data[:size]})
 		data = data[size:]
 	}
-	return append(records, storer.Record{Key: prefixJob + string(s.ID), Value: []byte(strconv.Itoa(count))})
-}
-
-// endRecords returns nothing if the job is ended or isn't known.
-func (b *book) endRecords(id identifier.JobID) []storer.Record {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	if e, ok := b.jobs[id]; !ok || e.ended {
-		return nil
-	}
-	return []storer.Record{{Key: prefixEnd + string(id), Value: []byte("1")}}
+	return append(records, storer.Record{Key: prefixJob + string(id), Value: []byte(strconv.Itoa(count))})
 }
 
 // resultRecords gives those results a position that have none yet, up to
--- a/ladder/bookkeeper/bookkeeper.go
+++ b/ladder/bookkeeper/bookkeeper.go
@@ -44,6 +44,12 @@
 	// followFor is how long the copy of a partition is kept that others work
 	// on, after it was asked for.
 	followFor = 8 * time.Second
+	// mostFollowed is how many partitions a process may follow before it
+	// refuses to answer for others' ones. After an outage all hosts at once
+	// look for what they need; the users' stores give 80 MB a second to all.
+	mostFollowed = 4
+	// writeTimeout bounds one append of a job or its end.
+	writeTimeout = 1200 * time.Millisecond
 	// followPause is between two looks at which partitions to follow.
 	followPause = 300 * time.Millisecond
 	// readyTimeout bounds the wait for a copy; readyPause is between two
@@ -79,6 +85,7 @@
 // Bookkeeper has a copy of all jobs.
 type Bookkeeper struct {
 	clock   clockwork.Clock
+	log     storer.Log
 	options Options
 	parts   []*part
 
@@ -104,7 +111,7 @@
 
 // New returns a Bookkeeper that knows no job until Run.
 func New(clock clockwork.Clock, log storer.Log, o Options) *Bookkeeper {
-	k := &Bookkeeper{clock: clock, options: o, changed: make(chan struct{}), follow: make(chan struct{}, 1)}
+	k := &Bookkeeper{clock: clock, log: log, options: o, changed: make(chan struct{}), follow: make(chan struct{}, 1)}
 	for n := range o.Partitions {
 		b := newBook(clock, k.notify)
 		p := storer.Partition{Topic: o.Topic, Number: identifier.PartitionNumber(n)}
@@ -169,15 +176,18 @@
 // ready follows the job's partition and waits until its copy is complete.
 func (k *Bookkeeper) ready(ctx context.Context, id identifier.JobID) (*part, error) {
 	p := k.partOf(id)
+	if k.options.StoreAge() > lostAfter && p.tracker.Age() > lostAfter {
+		return nil, ErrNotSure
+	}
+	if !p.followed() && k.followedCount() >= mostFollowed {
+		return nil, ErrNotSure
+	}
 	if p.use(k.clock.Now()) {
 		select {
 		case k.follow <- struct{}{}:
 		default:
 		}
 	}
-	if k.options.StoreAge() > lostAfter && p.tracker.Age() > lostAfter {
-		return nil, ErrNotSure
-	}
 	bounded, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for !p.tracker.Known() {
@@ -190,6 +200,21 @@
 	return p, nil
 }
 
+func (p *part) followed() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.stop != nil
+}
+
+func (k *Bookkeeper) followedCount() (count int) {
+	for _, p := range k.parts {
+		if p.followed() {
+			count++
+		}
+	}
+	return count
+}
+
 // Age is how long ago the copy of a partition was known to be complete.
 func (k *Bookkeeper) Age(n identifier.PartitionNumber) time.Duration { return k.parts[n].tracker.Age() }
 
@@ -215,7 +240,8 @@
 func (k *Bookkeeper) partOf(id identifier.JobID) *part { return k.parts[k.PartitionOf(id)] }
 
 // Accept keeps the job from when it returns nil, also if it was kept before.
-// appender.ErrUnavailable says that it surely isn't kept.
+// appender.ErrUnavailable says that it surely isn't kept. The records of a job
+// are the same whoever writes them, so that no copy and no condition is needed.
 func (k *Bookkeeper) Accept(ctx context.Context, s Submission) (err error) {
 	defer annotator.Annotate(&err, "accept batch job %s", s.ID)
 	s.AcceptedAt = k.clock.Now().UnixMilli()
@@ -223,47 +249,60 @@
 	if err != nil {
 		return err
 	}
-	p, err := k.ready(ctx, s.ID)
-	if err != nil {
-		return errors.Wrap(appender.ErrUnavailable, err.Error())
-	}
-	pieceBytes := max(leastPieceBytes, k.options.RecordBytes-recordOverhead)
-	if len(data)+recordOverhead*(len(data)/pieceBytes+2) > k.options.CallBytes {
-		return k.acceptLarge(ctx, p, s, data, pieceBytes)
-	}
-	return p.tracker.Append(ctx, func() []storer.Record { return p.book.submissionRecords(s, data, pieceBytes) })
+	records := submissionRecords(s.ID, data, max(leastPieceBytes, k.options.RecordBytes-recordOverhead))
+	return k.write(ctx, s.ID, records)
 }
 
-// acceptLarge writes the pieces in several appends; the job exists with the
-// last record of the last.
-func (k *Bookkeeper) acceptLarge(ctx context.Context, p *part, s Submission, data []byte, pieceBytes int) error {
-	records := p.book.submissionRecords(s, data, pieceBytes)
-	perCall := max(1, k.options.CallBytes/(pieceBytes+recordOverhead))
+// write appends records that may stand there already, or twice. The last one
+// gives the others their meaning.
+func (k *Bookkeeper) write(ctx context.Context, id identifier.JobID, records []storer.Record) error {
+	p := storer.Partition{Topic: k.options.Topic, Number: k.PartitionOf(id)}
+	uncertain := false
 	for len(records) > 0 {
-		size := min(perCall, len(records))
-		chunk := records[:size]
-		err := p.tracker.Append(ctx, func() []storer.Record {
-			if p.book.submissionRecords(s, nil, pieceBytes) == nil {
-				return nil
-			}
-			return chunk
-		})
-		if err != nil {
+		count := countUpTo(records, k.options.CallBytes)
+		bounded, cancel := context.WithTimeout(ctx, writeTimeout)
+		_, err := k.log.Append(bounded, p, storer.Anywhere, records[:count])
+		cancel()
+		switch {
+		case err == nil:
+			records = records[count:]
+			uncertain = false
+			continue
+		case !errors.Is(err, appender.ErrUnavailable):
+			uncertain = true
+		case !uncertain:
 			return err
 		}
-		records = records[size:]
+		// What may have been done is done again until it is sure.
+		select {
+		case <-k.clock.After(retryPause):
+		case <-ctx.Done():
+			return appender.ErrAnswerLost
+		}
 	}
 	return nil
 }
 
-// End ends a job. It returns ErrUnknownJob if there is none.
+// countUpTo returns how many of the first records fit in one append.
+func countUpTo(records []storer.Record, maxBytes int) (count int) {
+	for size := 0; count < len(records); count++ {
+		if size += len(records[count].Value) + recordOverhead; size > maxBytes && count > 0 {
+			break
+		}
+	}
+	return count
+}
+
+// End ends a job. The job may be unknown.
 func (k *Bookkeeper) End(ctx context.Context, id identifier.JobID) (err error) {
 	defer annotator.Annotate(&err, "end batch job %s", id)
-	if _, err := k.find(ctx, id); err != nil {
-		return err
-	}
-	p := k.partOf(id)
-	return p.tracker.Append(ctx, func() []storer.Record { return p.book.endRecords(id) })
+	return k.write(ctx, id, []storer.Record{{Key: prefixEnd + string(id), Value: []byte("1")}})
+}
+
+// Exists returns ErrUnknownJob if there is no such job.
+func (k *Bookkeeper) Exists(ctx context.Context, id identifier.JobID) error {
+	_, err := k.find(ctx, id)
+	return err
 }
 
 // find returns the job, and reads the store anew before it says that there is
--- a/ladder/detourer/detourer.go
+++ b/ladder/detourer/detourer.go
@@ -69,7 +69,9 @@
 	mutex sync.Mutex
 	// addresses are the peers that may help.
 	addresses []string
-	// lost says that the direct way has failed and hasn't worked since.
+	// suspected says that a call has failed and the direct way is being tried.
+	suspected bool
+	// lost says that the direct way has failed a try and hasn't worked since.
 	lost bool
 	// helper is the peer that helped last, or empty.
 	helper string
@@ -104,7 +106,7 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return a, err
 	}
-	d.lose(err)
+	d.suspect(err)
 	if errors.Is(err, appender.ErrUnavailable) && ctx.Err() == nil {
 		return d.throughPeer(ctx, c)
 	}
@@ -133,34 +135,41 @@
 	return d.lost
 }
 
-// lose begins the search for a way back.
-func (d *Detourer) lose(cause error) {
+// suspect has the direct way tried. One call may have failed for its size, or
+// since the store is asked too often.
+func (d *Detourer) suspect(cause error) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if d.lost {
-		return
+	if !d.suspected {
+		d.suspected = true
+		go d.findBack(cause)
 	}
-	d.lost = true
-	klog.InfoS("direct way to the store lost", "peers", len(d.addresses), "err", cause)
-	go d.findBack()
 }
 
 // findBack tries the direct way until it works.
-func (d *Detourer) findBack() {
+func (d *Detourer) findBack(cause error) {
 	begun := d.clock.Now()
-	for {
-		<-d.clock.After(probePause)
-		bounded, cancel := context.WithTimeout(context.Background(), probeTimeout)
-		err := d.direct.Probe(bounded)
-		cancel()
-		if err == nil {
-			break
+	for d.probe() != nil {
+		d.mutex.Lock()
+		if !d.lost {
+			klog.InfoS("direct way to the store lost", "peers", len(d.addresses), "err", cause)
 		}
+		d.lost = true
+		d.mutex.Unlock()
+		<-d.clock.After(probePause)
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.lost = false
-	klog.InfoS("direct way to the store works again", "after", d.clock.Since(begun))
+	if d.lost {
+		klog.InfoS("direct way to the store works again", "after", d.clock.Since(begun))
+	}
+	d.suspected, d.lost = false, false
+}
+
+func (d *Detourer) probe() error {
+	bounded, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	return d.direct.Probe(bounded)
 }
 
 func (d *Detourer) throughPeer(ctx context.Context, c Call) (a Answer, err error) {
--- a/ladder/encoder/encoder_test.go
+++ b/ladder/encoder/encoder_test.go
@@ -25,6 +25,7 @@
 	anyOf[messenger.Hello](), anyOf[messenger.Heartbeat](), anyOf[messenger.Start](), anyOf[messenger.Cancel](),
 	anyOf[messenger.Resume](), anyOf[messenger.Release](), anyOf[messenger.Configuration](), anyOf[messenger.Chunk](),
 	anyOf[messenger.End](), anyOf[messenger.Refused](), anyOf[messenger.Crashed](), anyOf[messenger.Locate](), anyOf[messenger.Located](),
+	anyOf[messenger.Question](), anyOf[messenger.Reply](),
 }
 
 func anyOf[M messenger.Message]() *rapid.Generator[messenger.Message] {
--- a/ladder/faker/store.go
+++ b/ladder/faker/store.go
@@ -224,7 +224,7 @@
 
 func (s *Store) appendAt(p storer.Partition, at identifier.LogOffset, records []storer.Record) (identifier.LogOffset, error) {
 	k := s.partition(p)
-	if k.end() != at {
+	if at != storer.Anywhere && k.end() != at {
 		return 0, &storer.MovedError{End: k.end()}
 	}
 	k.add(records)
--- a/ladder/messenger/job.go
+++ b/ladder/messenger/job.go
@@ -11,10 +11,8 @@
 
 // The verbs.
 const (
-	// JobAccept hands in a job.
-	JobAccept JobVerb = "accept"
-	// JobEnd ends a job.
-	JobEnd JobVerb = "end"
+	// JobExists asks whether there is such a job.
+	JobExists JobVerb = "exists"
 	// JobResults reads results.
 	JobResults JobVerb = "results"
 	// JobBody reads the body of an item.
@@ -31,8 +29,6 @@
 	JobUnknown JobVerdict = "unknown"
 	// JobElsewhere says that the asked entry can't answer; nothing was done.
 	JobElsewhere JobVerdict = "elsewhere"
-	// JobUncertain says that a change may or may not have been made.
-	JobUncertain JobVerdict = "uncertain"
 )
 
 // JobCall asks another entry about a batch job.
@@ -44,8 +40,6 @@
 	After    int           `cbor:"5,keyasint,omitempty"`
 	Wait     time.Duration `cbor:"6,keyasint,omitempty"`
 	MaxBytes int           `cbor:"7,keyasint,omitempty"`
-	// Data is an encoded submission.
-	Data []byte `cbor:"8,keyasint,omitempty"`
 }
 
 // JobAnswer answers a JobCall.
--- a/ladder/relayer/answer.go
+++ b/ladder/relayer/answer.go
@@ -6,7 +6,6 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
-	"github.com/lycheeladder/lycheeladder/ladder/appender"
 	"github.com/lycheeladder/lycheeladder/ladder/bookkeeper"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 )
@@ -23,22 +22,14 @@
 		a.Verdict, a.Data = messenger.JobDone, data
 	case errors.Is(err, bookkeeper.ErrUnknownJob):
 		a.Verdict = messenger.JobUnknown
-	case errors.Is(err, appender.ErrAnswerLost):
-		a.Verdict = messenger.JobUncertain
 	}
 	return a
 }
 
 func (r *Relayer) carryOut(ctx context.Context, c messenger.JobCall) (data []byte, err error) {
 	switch c.Verb {
-	case messenger.JobAccept:
-		var s bookkeeper.Submission
-		if err := cbor.Unmarshal(c.Data, &s); err != nil {
-			return nil, err
-		}
-		return nil, r.books.Accept(ctx, s)
-	case messenger.JobEnd:
-		return nil, r.books.End(ctx, c.Job)
+	case messenger.JobExists:
+		return nil, r.books.Exists(ctx, c.Job)
 	case messenger.JobResults:
 		v, err := r.books.Results(ctx, c.Job, c.After, c.Wait, c.MaxBytes)
 		if err != nil {
--- a/ladder/relayer/relayer.go
+++ b/ladder/relayer/relayer.go
@@ -11,7 +11,6 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
-	"github.com/lycheeladder/lycheeladder/ladder/appender"
 	"github.com/lycheeladder/lycheeladder/ladder/bookkeeper"
 	"github.com/lycheeladder/lycheeladder/ladder/grouper"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
@@ -31,6 +30,7 @@
 type Books interface {
 	Accept(ctx context.Context, s bookkeeper.Submission) error
 	End(ctx context.Context, id identifier.JobID) error
+	Exists(ctx context.Context, id identifier.JobID) error
 	Results(ctx context.Context, id identifier.JobID, after int, wait time.Duration, maxBytes int) (bookkeeper.View, error)
 	Body(ctx context.Context, id identifier.JobID, item identifier.ItemID) ([]byte, error)
 	PartitionOf(id identifier.JobID) identifier.PartitionNumber
@@ -47,7 +47,7 @@
 	Ask(ctx context.Context, address string, q messenger.Question) (messenger.Reply, error)
 }
 
-// Relayer implements Books through peers.
+// Relayer answers for jobs through peers.
 type Relayer struct {
 	clock  clockwork.Clock
 	books  Books
@@ -84,35 +84,25 @@
 		return reply.Job.Data, nil
 	case messenger.JobUnknown:
 		return nil, bookkeeper.ErrUnknownJob
-	case messenger.JobUncertain:
-		return nil, appender.ErrAnswerLost
 	case messenger.JobElsewhere:
 	}
 	return nil, errElsewhere
 }
 
-// Accept implements Books. A call that the owner may have carried out is made
-// once more here: a job is accepted once, whoever writes it.
+// Accept keeps a job.
 func (r *Relayer) Accept(ctx context.Context, s bookkeeper.Submission) error {
-	data, err := cbor.Marshal(s)
-	if err != nil {
-		return err
-	}
-	if _, err = r.ask(ctx, messenger.JobCall{Verb: messenger.JobAccept, Job: s.ID, Data: data}); !errors.Is(err, errElsewhere) {
-		return err
-	}
 	return r.books.Accept(ctx, s)
 }
 
-// End implements Books.
+// End ends a job. It returns bookkeeper.ErrUnknownJob if the owner knows none.
 func (r *Relayer) End(ctx context.Context, id identifier.JobID) error {
-	if _, err := r.ask(ctx, messenger.JobCall{Verb: messenger.JobEnd, Job: id}); !errors.Is(err, errElsewhere) {
+	if _, err := r.ask(ctx, messenger.JobCall{Verb: messenger.JobExists, Job: id}); errors.Is(err, bookkeeper.ErrUnknownJob) {
 		return err
 	}
 	return r.books.End(ctx, id)
 }
 
-// Results implements Books.
+// Results returns a part of a job's results, as bookkeeper.Bookkeeper does.
 func (r *Relayer) Results(ctx context.Context, id identifier.JobID, after int, wait time.Duration, maxBytes int) (v bookkeeper.View, err error) {
 	data, err := r.ask(ctx, messenger.JobCall{Verb: messenger.JobResults, Job: id, After: after, Wait: wait, MaxBytes: maxBytes})
 	if errors.Is(err, errElsewhere) {
@@ -124,7 +114,7 @@
 	return v, cbor.Unmarshal(data, &v)
 }
 
-// Body implements Books.
+// Body returns the body of an item.
 func (r *Relayer) Body(ctx context.Context, id identifier.JobID, item identifier.ItemID) ([]byte, error) {
 	data, err := r.ask(ctx, messenger.JobCall{Verb: messenger.JobBody, Job: id, Item: item})
 	if errors.Is(err, errElsewhere) {
@@ -132,8 +122,3 @@
 	}
 	return data, err
 }
-
-// PartitionOf implements Books.
-func (r *Relayer) PartitionOf(id identifier.JobID) identifier.PartitionNumber {
-	return r.books.PartitionOf(id)
-}
--- a/ladder/storer/storer.go
+++ b/ladder/storer/storer.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/pkg/errors"
@@ -48,6 +49,9 @@
 	End identifier.LogOffset
 }
 
+// Anywhere makes an append unconditional.
+const Anywhere = identifier.LogOffset(math.MaxUint64)
+
 // ErrForgotten says that the records asked for have expired.
 var ErrForgotten = errors.New("records have expired")
 
@@ -68,8 +72,8 @@
 	// Read returns the records from offset from on. It waits up to wait for a
 	// first one.
 	Read(ctx context.Context, p Partition, from identifier.LogOffset, wait time.Duration) (Page, error)
-	// Append adds the records, all or none, if the partition ends at at. It
-	// returns where it ends then.
+	// Append adds the records, all or none, if the partition ends at at or at
+	// is Anywhere. It returns where it ends then.
 	Append(ctx context.Context, p Partition, at identifier.LogOffset, records []Record) (identifier.LogOffset, error)
 }
 
