Prefer targets with an open connection; move only long items

What: of targets with equal waits one with an idle connection is taken; items move after 16 events in place of 8.

--- a/ladder/forwarder/forward.go
+++ b/ladder/forwarder/forward.go
@@ -146,7 +146,7 @@
 	if left < leastTimeLeft {
 		return false
 	}
-	name, ok := w.router.Choose(candidatesOf(w.catalog.Targets(service), w.tried), router.Followed)
+	name, ok := w.router.Choose(w.candidates(service, w.tried), router.Followed)
 	if !ok {
 		return false
 	}
--- a/ladder/forwarder/forwarder.go
+++ b/ladder/forwarder/forwarder.go
@@ -120,11 +120,13 @@
 	return r.Shares[len(r.Shares)-1].Service
 }
 
-func candidatesOf(targets []cataloger.Target, tried map[identifier.TargetName]bool) []router.Candidate {
+// candidates returns the service's targets but those that were tried.
+func (f *Forwarder) candidates(s identifier.ServiceName, tried map[identifier.TargetName]bool) []router.Candidate {
+	targets := f.catalog.Targets(s)
 	list := make([]router.Candidate, 0, len(targets))
 	for _, t := range targets {
 		if !tried[t.Name] {
-			list = append(list, router.Candidate{Target: t.Name, Service: t.Service, Zone: t.Zone})
+			list = append(list, router.Candidate{Target: t.Name, Service: t.Service, Zone: t.Zone, Warm: f.sender.Warm(t)})
 		}
 	}
 	return list
--- a/ladder/forwarder/stream.go
+++ b/ladder/forwarder/stream.go
@@ -106,7 +106,7 @@
 func (s *Stream) ask(after identifier.EventNumber) (*sender.Answer, error) {
 	f := s.forwarder
 	left := s.deadline.Sub(f.clock.Now())
-	name, ok := f.router.Choose(candidatesOf(f.catalog.Targets(s.service), s.tried), router.Unfollowed)
+	name, ok := f.router.Choose(f.candidates(s.service, s.tried), router.Unfollowed)
 	if !ok || left < leastTimeLeft {
 		if ok {
 			f.router.Done(name, router.Unfollowed)
--- a/ladder/router/policy.go
+++ b/ladder/router/policy.go
@@ -88,9 +88,17 @@
 // expectedWait is in requests of a target at the usual pace.
 func (r *Router) expectedWait(c Candidate) float64 {
 	o := r.observationOf(c)
-	return float64(1+o.inFlight) * r.slownessOf(o)
+	wait := float64(1+o.inFlight) * r.slownessOf(o)
+	if c.Warm {
+		wait *= warmFactor
+	}
+	return wait
 }
 
+// warmFactor lets an open connection decide between targets with equal waits,
+// and never against one request less at another, up to nine in flight.
+const warmFactor = 0.9
+
 // slownessOf is at least 1. The caller holds the mutex.
 func (r *Router) slownessOf(o *observation) float64 {
 	age := r.clock.Since(o.heard)
--- a/ladder/router/router.go
+++ b/ladder/router/router.go
@@ -26,6 +26,9 @@
 	Reported int
 	// ReportedAt is when that word came.
 	ReportedAt time.Time
+	// Warm says that a connection to it is open and idle. Opening one costs
+	// the target time.
+	Warm bool
 }
 
 // Random gives the random numbers of a choice; *rand.Rand is one.
--- a/ladder/scheduler/place.go
+++ b/ladder/scheduler/place.go
@@ -76,7 +76,9 @@
 			case t.left == target.Name && len(s.catalog.Targets(share.Service)) > 1:
 			case s.router.InFlight(target.Name) >= slotsOf(target, c):
 			default:
-				list = append(list, router.Candidate{Target: target.Name, Service: target.Service, Zone: target.Zone})
+				list = append(list, router.Candidate{
+					Target: target.Name, Service: target.Service, Zone: target.Zone, Warm: s.sender.Warm(target),
+				})
 			}
 		}
 	}
--- a/ladder/scheduler/task.go
+++ b/ladder/scheduler/task.go
@@ -30,9 +30,10 @@
 	// slowGaps is from how many times the usual gap on an event counts as slow,
 	// and slowEvents after how many in a row an item looks for another target.
 	slowGaps, slowEvents = 1.6, 2
-	// moveEvents is how many events a moved item must have or expect: a move
-	// costs about as much time as one event.
-	moveEvents = 8
+	// moveEvents is how many events an item must have before it is moved. Of
+	// items that are so long most have as many again before them; a move costs
+	// about as much time as one or two, and a connection.
+	moveEvents = 16
 	// moveLimit bounds the moves of one item for the sake of speed.
 	moveLimit = 16
 	// firstTimeout is the same before the first event, where a full engine
@@ -249,8 +250,7 @@
 // shouldMove says whether the item is long enough for a move, and has a faster
 // target to go to.
 func (t *task) shouldMove() bool {
-	long := int(t.last) >= moveEvents || t.item.ExpectedTokens == 0
-	return long && t.moves < moveLimit && t.scheduler.fasterTarget(t)
+	return int(t.last) >= moveEvents && t.moves < moveLimit && t.scheduler.fasterTarget(t)
 }
 
 // add returns false if the text would have several versions and must not.
--- a/ladder/sender/sender.go
+++ b/ladder/sender/sender.go
@@ -81,6 +81,8 @@
 // Sender reaches targets. Its errors are ErrNotSent and ErrNoAnswer.
 type Sender interface {
 	Send(ctx context.Context, t cataloger.Target, c Call) (*Answer, error)
+	// Warm says whether a connection to the target is open and idle.
+	Warm(t cataloger.Target) bool
 	// Events reads a's body as events.
 	Events(a *Answer) Events
 }
