--- /dev/null
+++ b/ladder/detourer/detourer_test.go
@@ -0,0 +1,129 @@
+package detourer
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"github.com/lycheeladder/lycheeladder/ladder/appender"
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/router"
+)
+
+// way is the direct way of one host.
+type way struct {
+	// fails is what a call and a probe return.
+	fails error
+	// probesFail says whether probes fail too.
+	probesFail bool
+	calls      atomic.Int32
+}
+
+func (w *way) Call(context.Context, Call) (Answer, error) {
+	w.calls.Add(1)
+	return Answer{Status: 200}, w.fails
+}
+
+func (w *way) Probe(context.Context) error {
+	if w.probesFail {
+		return w.fails
+	}
+	return nil
+}
+
+// network connects hosts by their names.
+type network map[string]*Detourer
+
+func (n network) Ask(ctx context.Context, address string, q messenger.Question) (messenger.Reply, error) {
+	d, ok := n[address]
+	if !ok {
+		return messenger.Reply{}, messenger.ErrClosed
+	}
+	a := d.Answer(ctx, *q.Store)
+	return messenger.Reply{Store: &a}, nil
+}
+
+// newHosts returns two hosts that know each other and a dead one.
+func newHosts(a, b *way) (*Detourer, *Detourer) {
+	n := make(network)
+	hosts := []*Detourer{}
+	for _, w := range []*way{a, b} {
+		hosts = append(hosts, New(clockwork.NewRealClock(), w, n, router.NewRandom(1)))
+	}
+	n["a"], n["b"] = hosts[0], hosts[1]
+	hosts[0].SetPeers([]string{"dead", "b"})
+	hosts[1].SetPeers([]string{"dead", "a"})
+	return hosts[0], hosts[1]
+}
+
+// callUntil calls until it works, and returns how long that took.
+func callUntil(d *Detourer, limit time.Duration) (took time.Duration, err error) {
+	for begun := time.Now(); ; time.Sleep(50 * time.Millisecond) {
+		if _, err = d.Call(context.Background(), Call{Method: "GET"}); err == nil || time.Since(begun) > limit {
+			return time.Since(begun), err
+		}
+	}
+}
+
+func TestCall_ThroughAPeerWhileThisHostIsTurnedAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		turnedAway, served := &way{fails: appender.ErrUnavailable, probesFail: true}, &way{}
+		a, _ := newHosts(turnedAway, served)
+		if took, err := callUntil(a, 5*time.Second); err != nil || took > time.Second {
+			t.Errorf("%v after %s", err, took)
+		}
+		before := turnedAway.calls.Load()
+		if _, err := callUntil(a, 0); err != nil || turnedAway.calls.Load() != before {
+			t.Errorf("the direct way was taken again: %v", err)
+		}
+		turnedAway.fails = nil
+		time.Sleep(2 * probePause)
+		if _, err := callUntil(a, 0); err != nil || turnedAway.calls.Load() == before {
+			t.Errorf("the direct way isn't taken again: %v", err)
+		}
+	})
+}
+
+func TestCall_OneFailureIsNoLoss(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tooLarge, other := &way{fails: appender.ErrAnswerLost}, &way{}
+		a, _ := newHosts(tooLarge, other)
+		if _, err := a.Call(context.Background(), Call{}); !errors.Is(err, appender.ErrAnswerLost) {
+			t.Errorf("got %v", err)
+		}
+		synctest.Wait()
+		if a.isLost() {
+			t.Error("the direct way counts as lost though a small read works")
+		}
+	})
+}
+
+func TestCall_UnavailableWhileTheWholeStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x, y := &way{fails: appender.ErrUnavailable, probesFail: true}, &way{fails: appender.ErrUnavailable, probesFail: true}
+		a, b := newHosts(x, y)
+		for range 20 {
+			for _, d := range []*Detourer{a, b} {
+				if _, err := d.Call(context.Background(), Call{}); err == nil {
+					t.Error("a call succeeded")
+				}
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if n := x.calls.Load() + y.calls.Load(); n > 10 {
+			t.Errorf("peers pass calls on to each other: %d calls", n)
+		}
+		x.fails, y.fails = nil, nil
+		time.Sleep(2 * probePause)
+		for _, d := range []*Detourer{a, b} {
+			if _, err := d.Call(context.Background(), Call{}); err != nil {
+				t.Errorf("after the outage: %v", err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/ladder/faker/group.go
@@ -0,0 +1,115 @@
+package faker
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lycheeladder/lycheeladder/ladder/appender"
+	"github.com/lycheeladder/lycheeladder/ladder/grouper"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+)
+
+// Group is the platform's group over some partitions.
+type Group struct {
+	clock      clockwork.Clock
+	partitions int
+
+	mutex      sync.Mutex
+	generation grouper.Generation
+	members    map[identifier.Incarnation]time.Time
+	down       bool
+}
+
+// NewGroup returns a Group without members.
+func NewGroup(clock clockwork.Clock, partitions int) *Group {
+	return &Group{clock: clock, partitions: partitions, members: make(map[identifier.Incarnation]time.Time)}
+}
+
+// SetDown begins or ends an outage.
+func (g *Group) SetDown(down bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.down = down
+}
+
+// Member returns the group as one member sees it.
+func (g *Group) Member(id identifier.Incarnation) grouper.Group { return member{g, id} }
+
+// Members returns the living members in order.
+func (g *Group) Members() []identifier.Incarnation {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.living()
+}
+
+func (g *Group) living() (list []identifier.Incarnation) {
+	for id, until := range g.members {
+		if until.Before(g.clock.Now()) {
+			delete(g.members, id)
+			g.generation++
+			continue
+		}
+		list = append(list, id)
+	}
+	slices.Sort(list)
+	return list
+}
+
+type member struct {
+	group *Group
+	id    identifier.Incarnation
+}
+
+// Join implements grouper.Group.
+func (m member) Join(_ context.Context, ttl time.Duration, _ grouper.Generation) (grouper.Membership, error) {
+	g := m.group
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.down {
+		return grouper.Membership{}, appender.ErrUnavailable
+	}
+	if _, known := g.members[m.id]; !known {
+		g.generation++
+	}
+	g.members[m.id] = g.clock.Now().Add(ttl)
+	living := g.living()
+	joined := grouper.Membership{Generation: g.generation}
+	for n := slices.Index(living, m.id); n < g.partitions; n += len(living) {
+		joined.Partitions = append(joined.Partitions, identifier.PartitionNumber(n))
+	}
+	return joined, nil
+}
+
+// Leave implements grouper.Group.
+func (m member) Leave(context.Context) error {
+	g := m.group
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.down {
+		return appender.ErrUnavailable
+	}
+	delete(g.members, m.id)
+	g.generation++
+	return nil
+}
+
+// Owners implements grouper.Group.
+func (m member) Owners(context.Context) (map[identifier.PartitionNumber]grouper.Owner, error) {
+	g := m.group
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.down {
+		return nil, appender.ErrUnavailable
+	}
+	owners := make(map[identifier.PartitionNumber]grouper.Owner)
+	living := g.living()
+	for n := 0; len(living) > 0 && n < g.partitions; n++ {
+		id := living[n%len(living)]
+		owners[identifier.PartitionNumber(n)] = grouper.Owner{Incarnation: id, Address: string(id)}
+	}
+	return owners, nil
+}
--- /dev/null
+++ b/ladder/forwarder/forwarder_test.go
@@ -0,0 +1,183 @@
+package forwarder
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
+	"github.com/lycheeladder/lycheeladder/ladder/faker"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/router"
+	"github.com/lycheeladder/lycheeladder/ladder/sender"
+	"github.com/lycheeladder/lycheeladder/ladder/storer"
+)
+
+// listed is a decoder of entries that names the target alone.
+type listed struct{}
+
+func (listed) Published(string, []byte) (cataloger.Published, error) { return nil, nil }
+
+func (listed) Target(key string, _ []byte) (cataloger.Target, error) {
+	return cataloger.Target{Name: identifier.TargetName(key), Service: "s", State: cataloger.StateReady}, nil
+}
+
+type behave = func(t cataloger.Target, c sender.Call, n int) faker.Behaviour
+
+// newForwarder has targets a, b and c.
+func newForwarder(b behave) (*Forwarder, *faker.Targets) {
+	clock := clockwork.NewRealClock()
+	c := cataloger.New(clock, listed{})
+	var records []storer.Record
+	for _, name := range []string{"a", "b", "c"} {
+		records = append(records, storer.Record{Key: name, Value: []byte("x")})
+	}
+	c.TargetSink().Reset(records)
+	targets := faker.NewTargets(clock, b)
+	return New(clock, c, targets, router.NewRandom(1)), targets
+}
+
+func route(kind cataloger.RouteKind, attempts int) cataloger.Route {
+	return cataloger.Route{Name: "r", Kind: kind, Shares: []cataloger.Share{{Service: "s", Weight: 1}}, Timeout: time.Second, MaxAttempts: attempts}
+}
+
+func TestForward_Outcomes(t *testing.T) {
+	first := func(b, then faker.Behaviour) behave {
+		return func(_ cataloger.Target, _ sender.Call, n int) faker.Behaviour {
+			if n == 0 {
+				return b
+			}
+			return then
+		}
+	}
+	good := faker.Behaviour{Delay: 5 * time.Millisecond}
+	cases := map[string]struct {
+		behave behave
+		route  cataloger.Route
+		want   string
+		calls  int
+	}{
+		"answered":                           {first(good, good), route(cataloger.KindOnce, 3), "whole 200", 1},
+		"refused, another takes it":          {first(faker.Behaviour{NotRun: true, Status: 503}, good), route(cataloger.KindOnce, 1), "whole 200", 2},
+		"no answer, may not be repeated":     {first(faker.Behaviour{Silent: true}, good), route(cataloger.KindOnce, 3), "unknown timed out", 1},
+		"no answer, may be repeated":         {first(faker.Behaviour{Silent: true}, good), route(cataloger.KindIdempotent, 2), "whole 200", 2},
+		"failed, may not be repeated":        {first(faker.Behaviour{Status: 500}, good), route(cataloger.KindOnce, 3), "whole 500", 1},
+		"failed, may be repeated":            {first(faker.Behaviour{Status: 500}, good), route(cataloger.KindIdempotent, 2), "whole 200", 2},
+		"failed, attempts used up":           {first(faker.Behaviour{Status: 500}, good), route(cataloger.KindIdempotent, 1), "whole 500", 1},
+		"refused by all":                     {first(faker.Behaviour{NotRun: true, Status: 503}, faker.Behaviour{NotRun: true, Status: 503}), route(cataloger.KindOnce, 3), "not run", -1},
+		"slower than the route allows":       {first(faker.Behaviour{Delay: 2 * time.Second}, faker.Behaviour{Delay: 2 * time.Second}), route(cataloger.KindOnce, 1), "unknown timed out", 1},
+		"a client's error isn't tried again": {first(faker.Behaviour{Status: 409}, good), route(cataloger.KindIdempotent, 3), "whole 409", 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, targets := newForwarder(c.behave)
+				begun := time.Now()
+				o := f.Forward(context.Background(), c.route, Request{ID: "x", Method: "POST", Path: "/p", TimeLeft: 3 * time.Second})
+				if diff := cmp.Diff(c.want, describe(o)); diff != "" {
+					t.Error(diff)
+				}
+				if took := time.Since(begun); took > time.Second+100*time.Millisecond {
+					t.Errorf("took %s", took)
+				}
+				if got := len(targets.Calls()); c.calls >= 0 && got != c.calls {
+					t.Errorf("%d targets were asked, want %d", got, c.calls)
+				}
+				for _, sent := range targets.Calls() {
+					if sent.Call.TimeLeft > time.Second {
+						t.Errorf("a target was given %s", sent.Call.TimeLeft)
+					}
+				}
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+func describe(o Outcome) string {
+	switch o := o.(type) {
+	case Whole:
+		return fmt.Sprintf("whole %d", o.Status)
+	case NotRun:
+		if o.RetryAfter <= 0 {
+			return "not run, without a time"
+		}
+		return "not run"
+	case Unknown:
+		if o.TimedOut {
+			return "unknown timed out"
+		}
+		return "unknown"
+	case *Stream:
+		return "stream"
+	}
+	return "?"
+}
+
+func TestForward_ACallerThatLeavesStopsTheWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, _ := newForwarder(func(cataloger.Target, sender.Call, int) faker.Behaviour { return faker.Behaviour{Silent: true} })
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(100*time.Millisecond, cancel)
+		begun := time.Now()
+		f.Forward(ctx, route(cataloger.KindIdempotent, 3), Request{ID: "x"})
+		if took := time.Since(begun); took > 110*time.Millisecond {
+			t.Errorf("took %s", took)
+		}
+		synctest.Wait()
+	})
+}
+
+func readAll(s *Stream) (numbers []identifier.EventNumber, err error) {
+	for {
+		e, err := s.Next()
+		if err != nil {
+			return numbers, err
+		}
+		numbers = append(numbers, e.Number)
+	}
+}
+
+func TestForwardStream_GoesOnWhereItBrokeOff(t *testing.T) {
+	for resumable, want := range map[bool]int{true: 5, false: 2} {
+		synctest.Test(t, func(t *testing.T) {
+			f, targets := newForwarder(func(_ cataloger.Target, _ sender.Call, n int) faker.Behaviour {
+				b := faker.Behaviour{Events: 5, Gap: 10 * time.Millisecond}
+				if n == 0 {
+					b.BreakAfter = 2
+				}
+				return b
+			})
+			r := route(cataloger.KindStream, 3)
+			r.Resumable = resumable
+			s, ok := f.ForwardStream(context.Background(), r, Request{ID: "x"}).(*Stream)
+			if !ok {
+				t.Fatal("no stream")
+			}
+			signature := s.Answer().Signature
+			numbers, err := readAll(s)
+			s.Close()
+			if len(numbers) != want || errors.Is(err, io.EOF) != resumable {
+				t.Errorf("resumable %t: %v, %v", resumable, numbers, err)
+			}
+			for n, number := range numbers {
+				if number != identifier.EventNumber(n+1) {
+					t.Errorf("event %d is %d", n, number)
+				}
+			}
+			if s.Answer().Signature != signature {
+				t.Error("the signature has changed")
+			}
+			if targets.Running() != 0 {
+				t.Errorf("%d streams are still open", targets.Running())
+			}
+		})
+	}
+}
--- /dev/null
+++ b/ladder/scheduler/scheduler_test.go
@@ -0,0 +1,297 @@
+package scheduler
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
+
+	"github.com/lycheeladder/lycheeladder/ladder/bookkeeper"
+	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
+	"github.com/lycheeladder/lycheeladder/ladder/faker"
+	"github.com/lycheeladder/lycheeladder/ladder/forwarder"
+	"github.com/lycheeladder/lycheeladder/ladder/grouper"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/router"
+	"github.com/lycheeladder/lycheeladder/ladder/sender"
+	"github.com/lycheeladder/lycheeladder/ladder/storer"
+)
+
+// plain decodes the records of the tests: a target's value is its service.
+type plain struct{ configuration *cataloger.Configuration }
+
+func (p plain) Published(string, []byte) (cataloger.Published, error) { return p.configuration, nil }
+
+func (plain) Target(key string, value []byte) (cataloger.Target, error) {
+	return cataloger.Target{
+		Name: identifier.TargetName(key), Service: identifier.ServiceName(value), State: cataloger.StateReady, Slots: 4,
+		Weights: map[identifier.ModelName]identifier.WeightVersion{"m": 2},
+	}, nil
+}
+
+const pace = 30 * time.Millisecond
+
+// world is one entry that works on every job, with its targets.
+type world struct {
+	*Scheduler
+	store   *faker.Store
+	group   *faker.Group
+	targets *faker.Targets
+	books   *bookkeeper.Bookkeeper
+	catalog *cataloger.Cataloger
+	stop    func()
+}
+
+type behave = func(t cataloger.Target, c sender.Call, n int) faker.Behaviour
+
+// newWorld has engines a, b and c and two scorers; b decides on the engines.
+func newWorld(single bool, b behave) *world {
+	clock := clockwork.NewRealClock()
+	configuration := &cataloger.Configuration{
+		Version: 1,
+		Routes: []cataloger.Route{
+			{Name: "jobs", Host: "h", Prefix: "/p/", Kind: cataloger.KindBatch, Shares: []cataloger.Share{{Service: "engines", Weight: 1}}, MaxAttempts: 3, SingleVersion: single, GiveUpAfter: 40 * time.Second},
+			{Name: "scores", Host: "h", Prefix: "/s/", Kind: cataloger.KindIdempotent, Shares: []cataloger.Share{{Service: "scorers", Weight: 1}}, MaxAttempts: 2, Timeout: 2 * time.Second},
+		},
+		Services: map[identifier.ServiceName]cataloger.Service{"engines": {Name: "engines", Engine: &cataloger.Engine{Slots: 4}}, "scorers": {Name: "scorers"}},
+	}
+	w := &world{store: faker.NewStore(clock), group: faker.NewGroup(clock, 2), catalog: cataloger.New(clock, plain{configuration})}
+	w.catalog.PublishedSink().Reset([]storer.Record{{Key: "config", Value: []byte("x")}})
+	w.catalog.TargetSink().Reset([]storer.Record{
+		{Key: "a", Value: []byte("engines")}, {Key: "b", Value: []byte("engines")}, {Key: "c", Value: []byte("engines")},
+		{Key: "x", Value: []byte("scorers")}, {Key: "y", Value: []byte("scorers")},
+	})
+	w.targets = faker.NewTargets(clock, func(t cataloger.Target, c sender.Call, n int) faker.Behaviour {
+		if t.Service == "scorers" {
+			return faker.Behaviour{Delay: 50 * time.Millisecond}
+		}
+		return b(t, c, n)
+	})
+	w.books = bookkeeper.New(clock, w.store, bookkeeper.Options{
+		Topic: "jobs", Partitions: 2, RecordBytes: 256 << 10, CallBytes: 2 << 20, KeepFor: time.Minute,
+		StoreAge: func() time.Duration { return 0 },
+	})
+	random := router.NewRandom(1)
+	f := forwarder.New(clock, w.catalog, w.targets, random)
+	w.Scheduler = New(clock, w.catalog, w.books, w.targets, f, random)
+	owner := grouper.New(clock, w.group.Member("self"), grouper.Options{
+		Self: "self", Zeal: grouper.Eager, Wanted: func() int { return 1 }, Random: random, Pace: grouper.WorkPace,
+	}, w.Wake)
+	ctx, cancel := context.WithCancel(context.Background())
+	var tasks conc.WaitGroup
+	tasks.Go(func() { owner.Run(ctx) })
+	tasks.Go(func() { w.books.Run(ctx, owner.Owns) })
+	tasks.Go(func() { w.Run(ctx, owner) })
+	w.stop = func() { cancel(); tasks.Wait() }
+	time.Sleep(2 * time.Second)
+	return w
+}
+
+// submit hands in a job of n items.
+func (w *world) submit(t *testing.T, n int) {
+	t.Helper()
+	s := bookkeeper.Submission{ID: "j", Host: "h", Path: "/p/", Model: "m", OldestVersion: 2}
+	for k := range n {
+		s.Items = append(s.Items, bookkeeper.Item{
+			ID: identifier.ItemID(fmt.Sprintf("i%02d", k)), Path: "/p/x", Tokens: 100,
+			Scorer: &bookkeeper.Scorer{ID: fmt.Sprintf("s%02d", k), Host: "h", Path: "/s/x"},
+		})
+	}
+	if err := w.books.Accept(context.Background(), s); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (w *world) results(t *testing.T) map[identifier.ItemID]bookkeeper.Result {
+	t.Helper()
+	v, err := w.books.Results(context.Background(), "j", 0, 0, 1<<30)
+	if err != nil {
+		t.Fatal(err)
+	}
+	results := make(map[identifier.ItemID]bookkeeper.Result)
+	for _, r := range v.Results {
+		results[r.Item] = r
+	}
+	return results
+}
+
+func wholeText(events int) []byte {
+	var pieces [][]byte
+	for n := range events {
+		pieces = append(pieces, faker.EventData(identifier.EventNumber(n+1)))
+	}
+	return bytes.Join(pieces, []byte("\n"))
+}
+
+func inWorld(t *testing.T, single bool, b behave, f func(t *testing.T, w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(single, b)
+		f(t, w)
+		w.stop()
+	})
+}
+
+func good() faker.Behaviour { return faker.Behaviour{Events: 20, Gap: pace, Version: 2} }
+
+func TestRun_WholeTextsWithScoresAndVersions(t *testing.T) {
+	cases := map[string]behave{
+		"all well": func(cataloger.Target, sender.Call, int) faker.Behaviour { return good() },
+		"every third stream breaks off": func(_ cataloger.Target, _ sender.Call, n int) faker.Behaviour {
+			b := good()
+			if n%3 == 0 {
+				b.BreakAfter = identifier.EventNumber(1 + n%17)
+			}
+			return b
+		},
+		"one engine is silent": func(target cataloger.Target, _ sender.Call, _ int) faker.Behaviour {
+			b := good()
+			b.Silent = target.Name == "a"
+			return b
+		},
+		"one engine stalls in the middle": func(target cataloger.Target, _ sender.Call, _ int) faker.Behaviour {
+			b := good()
+			if target.Name == "a" {
+				b.Gap = 20 * time.Second
+			}
+			return b
+		},
+		"one engine refuses, one can't be reached": func(target cataloger.Target, _ sender.Call, _ int) faker.Behaviour {
+			b := good()
+			b.NotRun, b.NotSent = target.Name == "a", target.Name == "b"
+			if b.NotRun {
+				b.Events, b.Status = 0, http.StatusServiceUnavailable
+			}
+			return b
+		},
+	}
+	for name, b := range cases {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, false, b, func(t *testing.T, w *world) {
+				w.submit(t, 24)
+				time.Sleep(15 * time.Second)
+				results := w.results(t)
+				for n := range 24 {
+					id := identifier.ItemID(fmt.Sprintf("i%02d", n))
+					r := results[id]
+					r.Score = ""
+					want := bookkeeper.Result{Item: id, State: bookkeeper.ResultCompleted, Text: wholeText(20), Versions: []identifier.WeightVersion{2}}
+					if diff := cmp.Diff(want, r); diff != "" {
+						t.Errorf("%s: %s", id, diff)
+					}
+					if results[id].Score == "" {
+						t.Errorf("%s has no score", id)
+					}
+				}
+				if w.targets.Running() != 0 {
+					t.Errorf("%d streams are still open", w.targets.Running())
+				}
+			})
+		})
+	}
+}
+
+func TestRun_ALongItemLeavesASlowEngine(t *testing.T) {
+	slow := func(target cataloger.Target, _ sender.Call, _ int) faker.Behaviour {
+		b := faker.Behaviour{Events: 100, Gap: pace, Version: 2}
+		if target.Name == "a" {
+			b.Gap = 4 * pace
+		}
+		return b
+	}
+	inWorld(t, false, slow, func(t *testing.T, w *world) {
+		w.submit(t, 6)
+		time.Sleep(5 * time.Second)
+		if n := len(w.results(t)); n != 6 {
+			t.Errorf("%d of 6 items are done after 5 s; a slow engine alone takes 12 s", n)
+		}
+	})
+}
+
+func TestRun_ItemsThatFailAreGivenUpInTime(t *testing.T) {
+	for status, most := range map[int]int{http.StatusInternalServerError: 3, http.StatusUnprocessableEntity: 1} {
+		inWorld(t, false, func(cataloger.Target, sender.Call, int) faker.Behaviour { return faker.Behaviour{Status: status} }, func(t *testing.T, w *world) {
+			w.submit(t, 1)
+			time.Sleep(10 * time.Second)
+			want := map[identifier.ItemID]bookkeeper.Result{"i00": {Item: "i00", State: bookkeeper.ResultFailed}}
+			if diff := cmp.Diff(want, w.results(t)); diff != "" {
+				t.Error(diff)
+			}
+			if n := len(w.targets.Calls()); n != most {
+				t.Errorf("status %d: run %d times, want %d", status, n, most)
+			}
+		})
+	}
+}
+
+func TestRun_ASingleVersionIsNeverMixed(t *testing.T) {
+	// The weights change under the first run of each item.
+	seen := make(map[string]bool)
+	b := func(_ cataloger.Target, c sender.Call, _ int) faker.Behaviour {
+		b := good()
+		b.Version = 3
+		if !seen[c.ID] {
+			seen[c.ID], b.Version, b.BreakAfter = true, 2, 5
+		}
+		return b
+	}
+	inWorld(t, true, b, func(t *testing.T, w *world) {
+		w.submit(t, 4)
+		time.Sleep(15 * time.Second)
+		for id, r := range w.results(t) {
+			if len(r.Versions) != 1 || !bytes.Equal(r.Text, wholeText(20)) {
+				t.Errorf("%s: versions %v, %d bytes", id, r.Versions, len(r.Text))
+			}
+		}
+		if n := len(w.results(t)); n != 4 {
+			t.Errorf("%d results", n)
+		}
+	})
+}
+
+func TestRun_NothingIsSentAfterTheEnd(t *testing.T) {
+	long := func(cataloger.Target, sender.Call, int) faker.Behaviour {
+		return faker.Behaviour{Events: 300, Gap: pace, Version: 2, BreakAfter: 40}
+	}
+	inWorld(t, false, long, func(t *testing.T, w *world) {
+		w.submit(t, 30)
+		time.Sleep(time.Second)
+		if err := w.books.End(context.Background(), "j"); err != nil {
+			t.Fatal(err)
+		}
+		ended := time.Now()
+		time.Sleep(10 * time.Second)
+		for _, c := range w.targets.Calls() {
+			if c.At.After(ended.Add(500 * time.Millisecond)) {
+				t.Errorf("item %s was sent %s after the end", c.Call.ID, c.At.Sub(ended))
+			}
+		}
+		if w.targets.Running() != 0 {
+			t.Errorf("%d streams are still open", w.targets.Running())
+		}
+	})
+}
+
+func TestRun_NothingIsSentFromAnOldCopy(t *testing.T) {
+	inWorld(t, false, func(cataloger.Target, sender.Call, int) faker.Behaviour {
+		return faker.Behaviour{Events: 100, Gap: pace, Version: 2, BreakAfter: 30}
+	}, func(t *testing.T, w *world) {
+		w.submit(t, 30)
+		time.Sleep(500 * time.Millisecond)
+		w.store.SetDown(true)
+		cut := time.Now()
+		time.Sleep(12 * time.Second)
+		for _, c := range w.targets.Calls() {
+			if age := c.At.Sub(cut); age > 3*time.Second {
+				t.Errorf("item %s was sent %s after the last news", c.Call.ID, age)
+			}
+		}
+	})
+}
