Let items that get nowhere back off, start a text anew whose version is gone; test more

Cause: the scheduler's tests: an engine that breaks off at once was asked again without a pause, for ever; a text that needs one version waited for ever when all engines had loaded a later one. Ending an unknown job at its owner said 200. What: a doubling pause from 20 ms to 1 s; the text is dropped; the owner looks.

--- a/ladder/relayer/relayer.go
+++ b/ladder/relayer/relayer.go
@@ -96,7 +96,11 @@
 
 // End ends a job. It returns bookkeeper.ErrUnknownJob if the owner knows none.
 func (r *Relayer) End(ctx context.Context, id identifier.JobID) error {
-	if _, err := r.ask(ctx, messenger.JobCall{Verb: messenger.JobExists, Job: id}); errors.Is(err, bookkeeper.ErrUnknownJob) {
+	_, err := r.ask(ctx, messenger.JobCall{Verb: messenger.JobExists, Job: id})
+	if errors.Is(err, errElsewhere) && r.owners.Owns(r.books.PartitionOf(id)) {
+		err = r.books.Exists(ctx, id)
+	}
+	if errors.Is(err, bookkeeper.ErrUnknownJob) {
 		return err
 	}
 	return r.books.End(ctx, id)
--- /dev/null
+++ b/ladder/relayer/relayer_test.go
@@ -0,0 +1,148 @@
+package relayer
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/lycheeladder/lycheeladder/ladder/bookkeeper"
+	"github.com/lycheeladder/lycheeladder/ladder/consulter"
+	"github.com/lycheeladder/lycheeladder/ladder/faker"
+	"github.com/lycheeladder/lycheeladder/ladder/grouper"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+)
+
+// entries connects entries in memory.
+type entries struct {
+	ctx   context.Context
+	tasks *conc.WaitGroup
+	hosts map[string]*entry
+	// silent entries take questions and don't answer.
+	silent map[string]bool
+}
+
+// entry is one entry; it owns every partition or none.
+type entry struct {
+	*Relayer
+	books *bookkeeper.Bookkeeper
+	owns  bool
+}
+
+func (e *entry) Owns(identifier.PartitionNumber) bool { return e.owns }
+
+func (e *entry) OwnerOf(identifier.PartitionNumber) (grouper.Owner, bool) {
+	return grouper.Owner{Incarnation: "owner", Address: "owner"}, true
+}
+
+func (n *entries) Dial(_ context.Context, address string) (messenger.Link, error) {
+	e, ok := n.hosts[address]
+	if !ok {
+		return nil, messenger.ErrClosed
+	}
+	here, there := messenger.NewPipe()
+	n.tasks.Go(func() {
+		consulter.Serve(n.ctx, there, func(ctx context.Context, q messenger.Question) messenger.Reply {
+			if n.silent[address] {
+				<-ctx.Done()
+			}
+			a := e.Answer(ctx, *q.Job)
+			return messenger.Reply{Job: &a}
+		})
+		there.Close()
+	})
+	return here, nil
+}
+
+// inBubble runs f with an entry that owns all jobs and another one.
+func inBubble(t *testing.T, f func(ctx context.Context, n *entries, owner, other *entry)) {
+	synctest.Test(t, func(*testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		var tasks conc.WaitGroup
+		clock := clockwork.NewRealClock()
+		store := faker.NewStore(clock)
+		n := &entries{ctx: ctx, tasks: &tasks, hosts: make(map[string]*entry), silent: make(map[string]bool)}
+		for _, name := range []string{"owner", "other"} {
+			e := &entry{owns: name == "owner"}
+			e.books = bookkeeper.New(clock, store, bookkeeper.Options{
+				Topic: "jobs", Partitions: 1, RecordBytes: 256 << 10, CallBytes: 2 << 20, KeepFor: time.Minute,
+				StoreAge: func() time.Duration { return 0 },
+			})
+			e.Relayer = New(clock, e.books, e, consulter.New(clock, n), identifier.Incarnation(name))
+			tasks.Go(func() { e.books.Run(ctx, e.Owns) })
+			n.hosts[name] = e
+		}
+		f(ctx, n, n.hosts["owner"], n.hosts["other"])
+		cancel()
+		tasks.Wait()
+		time.Sleep(time.Minute)
+	})
+}
+
+func submit(t *testing.T, ctx context.Context, e *entry) {
+	t.Helper()
+	if err := e.Accept(ctx, bookkeeper.Submission{ID: "j", Items: []bookkeeper.Item{{ID: "i", Body: []byte("body")}}}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestResults_AnyEntryAnswersAlike(t *testing.T) {
+	inBubble(t, func(ctx context.Context, _ *entries, owner, other *entry) {
+		submit(t, ctx, other)
+		time.Sleep(time.Second)
+		owner.books.List(bookkeeper.Outcome{Job: "j", Result: bookkeeper.Result{Item: "i", State: bookkeeper.ResultCompleted, Text: []byte("x")}})
+		time.Sleep(time.Second)
+		var views []bookkeeper.View
+		for _, e := range []*entry{owner, other} {
+			v, err := e.Results(ctx, "j", 0, 0, 1<<20)
+			if err != nil {
+				t.Fatal(err)
+			}
+			views = append(views, v)
+			body, err := e.Body(ctx, "j", "i")
+			if string(body) != "body" || err != nil {
+				t.Errorf("body %q, %v", body, err)
+			}
+			if _, err := e.Body(ctx, "j", "other"); !errors.Is(err, bookkeeper.ErrUnknownJob) {
+				t.Errorf("another item: %v", err)
+			}
+			if err := e.End(ctx, "unknown"); !errors.Is(err, bookkeeper.ErrUnknownJob) {
+				t.Errorf("end of an unknown job: %v", err)
+			}
+		}
+		if diff := cmp.Diff(views[0], views[1]); diff != "" || len(views[0].Results) != 1 {
+			t.Errorf("%d results, then %s", len(views[0].Results), diff)
+		}
+	})
+}
+
+func TestResults_FromTheStoreWhileTheOwnerIsSilent(t *testing.T) {
+	inBubble(t, func(ctx context.Context, n *entries, owner, other *entry) {
+		submit(t, ctx, owner)
+		time.Sleep(time.Second)
+		n.silent["owner"] = true
+		for range 3 {
+			begun := time.Now()
+			v, err := other.Results(ctx, "j", 0, 0, 1<<20)
+			if err != nil || v.Total != 1 {
+				t.Errorf("%+v, %v", v, err)
+			}
+			if took := time.Since(begun); took > answerTimeout+time.Second {
+				t.Errorf("took %s", took)
+			}
+		}
+		if err := other.End(ctx, "j"); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(time.Second)
+		if owner.books.Wanted("j", "i") {
+			t.Error("the owner doesn't know of the end")
+		}
+	})
+}
--- a/ladder/scheduler/place.go
+++ b/ladder/scheduler/place.go
@@ -17,8 +17,9 @@
 // queue returns the tasks that wait for a target, in the order in which they
 // are to start. The caller holds the mutex.
 func (s *Scheduler) queue() (list []*task) {
+	now := s.clock.Now()
 	for _, t := range s.tasks {
-		if t.wanted && !t.busy && !t.texted {
+		if t.wanted && !t.busy && !t.texted && !t.notBefore.After(now) {
 			list = append(list, t)
 		}
 	}
@@ -49,6 +50,7 @@
 	if !ok {
 		return
 	}
+	t.startAnew(s.catalog, route)
 	candidates := s.candidates(t, route, c)
 	name, ok := s.router.Choose(candidates, router.Followed)
 	if !ok {
@@ -121,6 +123,23 @@
 	return !t.route.SingleVersion || len(t.versions) == 0 || t.versions[0] == version
 }
 
+// startAnew drops the text of an item that needs a single version if no target
+// has that version any more.
+func (t *task) startAnew(c *cataloger.Cataloger, route cataloger.Route) {
+	if !route.SingleVersion || len(t.versions) == 0 {
+		return
+	}
+	for _, share := range route.Shares {
+		for _, target := range c.Targets(share.Service) {
+			if target.Weights[t.job.Model] == t.versions[0] {
+				return
+			}
+		}
+	}
+	klog.InfoS("item starts anew, its version is gone", "job", t.key.job, "item", t.key.item, "version", t.versions[0], "after", t.last)
+	t.text, t.last, t.versions = nil, 0, nil
+}
+
 // avoid keeps items from a target for a while.
 func (s *Scheduler) avoid(name identifier.TargetName, d time.Duration) {
 	s.mutex.Lock()
--- a/ladder/scheduler/task.go
+++ b/ladder/scheduler/task.go
@@ -34,6 +34,9 @@
 	// items that are so long most have as many again before them; a move costs
 	// about as much time as one or two, and a connection.
 	moveEvents = 16
+	// firstBackoff and longestBackoff bound the pause of an item that has got
+	// nowhere in its last attempt; it doubles.
+	firstBackoff, longestBackoff = 20 * time.Millisecond, time.Second
 	// moveLimit bounds the moves of one item for the sake of speed.
 	moveLimit = 16
 	// firstTimeout is the same before the first event, where a full engine
@@ -71,6 +74,10 @@
 	cancel context.CancelFunc
 	// waiting is since when it has waited for a target.
 	waiting time.Time
+	// notBefore is when it may be placed again; backoff grows while it gets
+	// nowhere.
+	notBefore time.Time
+	backoff   time.Duration
 
 	// What follows belongs to run, and to the scheduler while it isn't busy.
 
@@ -100,6 +107,7 @@
 // is whole.
 func (t *task) run(ctx context.Context, target cataloger.Target) {
 	s := t.scheduler
+	before := t.last
 	done, err := t.generate(ctx, target)
 	s.router.Done(target.Name, router.Followed)
 	s.Wake()
@@ -115,11 +123,23 @@
 	}
 	s.mutex.Lock()
 	t.busy, t.waiting = false, s.clock.Now()
+	t.backOff(err != nil && t.last <= before)
 	t.cancel()
 	s.mutex.Unlock()
 	s.Wake()
 }
 
+// backOff lets an item wait that got nowhere. The caller holds the scheduler's
+// mutex.
+func (t *task) backOff(nowhere bool) {
+	if !nowhere {
+		t.backoff = 0
+		return
+	}
+	t.backoff = min(max(firstBackoff, 2*t.backoff), longestBackoff)
+	t.notBefore = t.waiting.Add(t.backoff)
+}
+
 func (t *task) call(version identifier.WeightVersion) sender.Call {
 	header := make(http.Header, len(t.item.Headers))
 	for name, value := range t.item.Headers {
