--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets a newcomer needs: `make demo`, then `make test`.
-PROGRAMS := entry sidecar ladderctl standin
+PROGRAMS := entry sidecar ladderctl standin platform
 MODULES := ladder $(PROGRAMS) sloper measurer
 VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo dev)
 
