--- a/ladder/forwarder/stream.go
+++ b/ladder/forwarder/stream.go
@@ -29,7 +29,6 @@
 	answer *sender.Answer
 	target cataloger.Target
 	events sender.Events
-	begun  time.Time
 	// resumed counts how often it has gone on elsewhere.
 	resumed int
 	tried   map[identifier.TargetName]bool
--- a/ladder/scheduler/scheduler_test.go
+++ b/ladder/scheduler/scheduler_test.go
@@ -65,8 +65,11 @@
 	w := &world{store: faker.NewStore(clock), group: faker.NewGroup(clock, 2), catalog: cataloger.New(clock, plain{configuration})}
 	w.catalog.PublishedSink().Reset([]storer.Record{{Key: "config", Value: []byte("x")}})
 	w.catalog.TargetSink().Reset([]storer.Record{
-		{Key: "a", Value: []byte("engines")}, {Key: "b", Value: []byte("engines")}, {Key: "c", Value: []byte("engines")},
-		{Key: "x", Value: []byte("scorers")}, {Key: "y", Value: []byte("scorers")},
+		{Key: "a", Value: []byte("engines")},
+		{Key: "b", Value: []byte("engines")},
+		{Key: "c", Value: []byte("engines")},
+		{Key: "x", Value: []byte("scorers")},
+		{Key: "y", Value: []byte("scorers")},
 	})
 	w.targets = faker.NewTargets(clock, func(t cataloger.Target, c sender.Call, n int) faker.Behaviour {
 		if t.Service == "scorers" {
--- a/ladder/supervisor/supervisor_test.go
+++ b/ladder/supervisor/supervisor_test.go
@@ -117,7 +117,8 @@
 		case messenger.Refused:
 			kinds = append(kinds, "refused "+string(m.Reason))
 		case messenger.Hello, messenger.Start, messenger.Cancel, messenger.Resume, messenger.Release,
-			messenger.Configuration, messenger.Crashed, messenger.Locate, messenger.Located:
+			messenger.Configuration, messenger.Crashed, messenger.Locate, messenger.Located,
+			messenger.Question, messenger.Reply:
 		case nil:
 			return kinds
 		}
