Let unanswered orders hold up no others

What: it may be ordered again after 0.5 s; the report read before, and the number of accepted orders in the condition, keep it from loading twice (the test failed first: 0 engines after 4.5 s).

--- a/ladder/updater/updater.go
+++ b/ladder/updater/updater.go
@@ -34,11 +34,11 @@
 	loadShare = 5
 	// leastLoads is how many may always load at once.
 	leastLoads = 2
-	// loadTimeout is when a load that doesn't end is ordered again. A load
-	// takes 0.9 s, and an order may be carried out up to 12 s late.
+	// loadTimeout is when a load that was accepted and doesn't end is ordered
+	// again. A load takes 0.9 s, some times more when many load.
 	loadTimeout = 6 * time.Second
-	// askTimeout bounds a report and an order.
-	askTimeout = 800 * time.Millisecond
+	// askTimeout bounds a report, and an order; both are answered in some ms.
+	askTimeout = 500 * time.Millisecond
 	// failedPause is the pause after an order that wasn't accepted.
 	failedPause = 500 * time.Millisecond
 	// idleWait is how long a target that runs requests is passed over for idle
@@ -106,8 +106,9 @@
 	model   identifier.ModelName
 	version identifier.WeightVersion
 	since   time.Time
-	// refused says that it has no effect, and until when to wait.
-	refused bool
+	// failed says that it was refused or not answered at since. What it may
+	// still do shows in the target's next report.
+	failed bool
 }
 
 // Updater orders loads while it holds the lease.
@@ -175,10 +176,8 @@
 		return
 	}
 	klog.InfoS("load not accepted", "target", e.target, "model", l.model, "version", l.version, "err", e.err)
-	if errors.Is(e.err, ErrRefused) {
-		l.refused, l.since = true, u.clock.Now()
-		u.loads[e.target] = l
-	}
+	l.failed, l.since = true, u.clock.Now()
+	u.loads[e.target] = l
 }
 
 // look orders as many loads as may be under way.
@@ -240,7 +239,7 @@
 		w := &wish{model: m, version: u.newest[m].version, missing: quotas[m], lacking: quotas[m]}
 		for _, t := range targets {
 			l, loading := u.loads[t.Name]
-			if t.Weights[m] >= w.version || (loading && !l.refused && l.model == m && l.version == w.version) {
+			if t.Weights[m] >= w.version || (loading && !l.failed && l.model == m && l.version == w.version) {
 				w.missing--
 				w.lacking--
 				continue
@@ -305,9 +304,9 @@
 		case t.Weights[l.model] >= l.version:
 			klog.InfoS("weights loaded", "target", t.Name, "model", l.model, "version", t.Weights[l.model], "after", age)
 			delete(u.loads, t.Name)
-		case l.refused && age > failedPause, age > loadTimeout:
+		case l.failed && age > failedPause, age > loadTimeout:
 			delete(u.loads, t.Name)
-		case !l.refused:
+		case !l.failed:
 			underWay++
 		}
 	}
@@ -330,9 +329,9 @@
 
 // give reads the target's state and orders the load.
 func (u *Updater) give(ctx context.Context, t cataloger.Target, o Order, patient bool) error {
-	bounded, cancel := context.WithTimeout(ctx, 2*askTimeout)
-	defer cancel()
-	r, err := u.targets.Report(bounded, t)
+	reporting, reported := context.WithTimeout(ctx, askTimeout)
+	defer reported()
+	r, err := u.targets.Report(reporting, t)
 	if err != nil {
 		return errors.Wrap(ErrRefused, err.Error())
 	}
@@ -351,7 +350,9 @@
 		return errors.Wrap(ErrRefused, "the lease is over")
 	}
 	o.OrdersAccepted = r.OrdersAccepted
-	err = u.targets.Load(bounded, t, o)
+	ordering, ordered := context.WithTimeout(ctx, askTimeout)
+	defer ordered()
+	err = u.targets.Load(ordering, t, o)
 	klog.InfoS("load ordered", "target", t.Name, "model", o.Model, "version", o.Version, "before", r.Weights[o.Model],
 		"token", o.Token, "orders-accepted", o.OrdersAccepted, "err", err)
 	return err
--- a/ladder/updater/updater_test.go
+++ b/ladder/updater/updater_test.go
@@ -31,6 +31,9 @@
 	most, loads int
 	running     map[identifier.TargetName]int
 	noLease     bool
+	// unanswered is how many orders get no answer and are carried out 5 s later
+	// if their condition still holds.
+	unanswered int
 }
 
 const loadTime = 900 * time.Millisecond
@@ -72,6 +75,20 @@
 func (e *engines) Load(_ context.Context, t cataloger.Target, o Order) error {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	if e.unanswered > 0 {
+		e.unanswered--
+		time.AfterFunc(5*time.Second, func() {
+			e.mutex.Lock()
+			defer e.mutex.Unlock()
+			_ = e.carryOut(t, o) // nobody waits for the answer
+		})
+		return errors.New("no answer")
+	}
+	return e.carryOut(t, o)
+}
+
+// carryOut begins a load. The caller holds the mutex.
+func (e *engines) carryOut(t cataloger.Target, o Order) error {
 	if o.OrdersAccepted != e.orders[t.Name] || e.busy[t.Name] {
 		return errors.WithStack(ErrRefused)
 	}
@@ -174,6 +191,25 @@
 	})
 }
 
+func TestRun_OrdersWithoutAnAnswerHoldUpNoOthers(t *testing.T) {
+	inBubble(t, 9, func(e *engines) {
+		e.mutex.Lock()
+		e.unanswered = 4
+		e.mutex.Unlock()
+		e.name("m", 2)
+		time.Sleep(4500 * time.Millisecond)
+		if n := e.atLeast("m", 2); n < 4 {
+			t.Errorf("%d engines have the version after 4.5 s", n)
+		}
+		time.Sleep(10 * time.Second)
+		for name, orders := range e.orders {
+			if orders > 1 {
+				t.Errorf("%s has loaded %d times for one version", name, orders)
+			}
+		}
+	})
+}
+
 func TestRun_NoOrderWithoutTheLease(t *testing.T) {
 	inBubble(t, 3, func(e *engines) {
 		e.mutex.Lock()
