--- a/ladder/detourer/detourer.go
+++ b/ladder/detourer/detourer.go
@@ -79,7 +79,7 @@
 	avoided map[string]time.Time
 }
 
-// New returns a Detourer that takes the direct way until it fails. It knows no
+// New returns a Detourer, whose random many tasks use, that takes the direct way until it fails. It knows no
 // peers until SetPeers.
 func New(clock clockwork.Clock, d Direct, p Peers, random Random) *Detourer {
 	return &Detourer{clock: clock, direct: d, peers: p, random: random, avoided: make(map[string]time.Time)}
--- a/ladder/forwarder/forwarder.go
+++ b/ladder/forwarder/forwarder.go
@@ -93,7 +93,7 @@
 	random  router.Random
 }
 
-// New returns a Forwarder.
+// New returns a Forwarder. Many tasks use random.
 func New(clock clockwork.Clock, c *cataloger.Cataloger, s sender.Sender, random router.Random) *Forwarder {
 	return &Forwarder{
 		clock: clock, catalog: c, sender: s, random: random,
--- a/ladder/router/router.go
+++ b/ladder/router/router.go
@@ -85,6 +85,22 @@
 // NewRandom returns a seeded source for New.
 func NewRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, seed)) }
 
+// SharedRandom is a source that many tasks may use.
+type SharedRandom struct {
+	mutex  sync.Mutex
+	random *rand.Rand
+}
+
+// NewSharedRandom returns a seeded SharedRandom.
+func NewSharedRandom(seed uint64) *SharedRandom { return &SharedRandom{random: NewRandom(seed)} }
+
+// IntN implements Random.
+func (s *SharedRandom) IntN(n int) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.random.IntN(n)
+}
+
 // Following says whether the pieces of an answer are told to Heard. Of a target
 // with no followed request, silence says nothing.
 type Following bool
--- a/ladder/scheduler/scheduler.go
+++ b/ladder/scheduler/scheduler.go
@@ -67,7 +67,7 @@
 	avoided map[identifier.TargetName]time.Time
 }
 
-// New returns a Scheduler. random breaks ties between targets.
+// New returns a Scheduler. random breaks ties between targets; many tasks use it.
 func New(clock clockwork.Clock, c *cataloger.Cataloger, k *bookkeeper.Bookkeeper, s sender.Sender, f *forwarder.Forwarder, random router.Random) *Scheduler {
 	return &Scheduler{
 		clock: clock, catalog: c, books: k, sender: s, forwarder: f,
