--- a/ladder/scheduler/place.go
+++ b/ladder/scheduler/place.go
@@ -75,7 +75,7 @@
 		for _, target := range s.catalog.Targets(share.Service) {
 			switch {
 			case !t.fits(target), s.avoided[target.Name].After(now):
-			case t.left == target.Name && len(s.catalog.Targets(share.Service)) > 1:
+			case t.left == target.Name && t.leftUntil.After(now):
 			case s.router.InFlight(target.Name) >= slotsOf(target, c):
 			default:
 				list = append(list, router.Candidate{
--- a/ladder/scheduler/task.go
+++ b/ladder/scheduler/task.go
@@ -37,6 +37,9 @@
 	// firstBackoff and longestBackoff bound the pause of an item that has got
 	// nowhere in its last attempt; it doubles.
 	firstBackoff, longestBackoff = 20 * time.Millisecond, time.Second
+	// leftPause is how long an item doesn't go back to a target that it has
+	// left: about a load of weights.
+	leftPause = time.Second
 	// moveLimit bounds the moves of one item for the sake of speed.
 	moveLimit = 16
 	// firstTimeout is the same before the first event, where a full engine
@@ -88,8 +91,10 @@
 	versions []identifier.WeightVersion
 	// failures counts the target's answers of failure.
 	failures int
-	// left is the target that the item has gone away from.
-	left identifier.TargetName
+	// left is the target that the item has gone away from, and leftUntil when
+	// it may go back: it may be the only one with the right weights.
+	left      identifier.TargetName
+	leftUntil time.Time
 	// moves counts the times that it left a slow target.
 	moves int
 }
@@ -188,7 +193,7 @@
 	}
 	done, err = t.read(s.sender.Events(answer), answer.Version, target, begun, watch)
 	if err != nil {
-		t.left = target.Name
+		t.leave(target.Name)
 		if !errors.Is(err, errWrongVersions) && !errors.Is(err, errSlow) {
 			t.fail(target, 0)
 		}
@@ -203,8 +208,13 @@
 	return err
 }
 
+// leave keeps the item from a target for a while.
+func (t *task) leave(name identifier.TargetName) {
+	t.left, t.leftUntil = name, t.scheduler.clock.Now().Add(leftPause)
+}
+
 func (t *task) fail(target cataloger.Target, pause time.Duration) {
-	t.left = target.Name
+	t.leave(target.Name)
 	t.scheduler.router.Failed(target.Name)
 	if pause > 0 {
 		t.scheduler.avoid(target.Name, pause)
