--- a/ladder/tabulator/tabulator_test.go
+++ b/ladder/tabulator/tabulator_test.go
@@ -49,7 +49,7 @@
 func sources(t *testing.T) string {
 	t.Helper()
 	var b strings.Builder
-	for _, module := range []string{"ladder", "entry", "sidecar"} {
+	for _, module := range []string{"ladder", "entry", "sidecar", "platform"} {
 		err := filepath.WalkDir("../../"+module, func(path string, _ fs.DirEntry, err error) error {
 			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 				return err
