Convict requests that crash targets, for all hosts

Cause: such a request comes again at any host; each repeated it within its route's attempts, without end. Ruled out: the product's quarantiner, which needs links to sidecars and runs suspects alone.

--- a/ladder/faker/targets.go
+++ b/ladder/faker/targets.go
@@ -26,6 +26,8 @@
 	NotSent bool
 	// Silent never answers.
 	Silent bool
+	// BreaksOff closes the connection without an answer.
+	BreaksOff bool
 	// Delay is before the answer, or before the first event.
 	Delay time.Duration
 	// Gap is between two events.
@@ -89,6 +91,9 @@
 	}
 	f.calls = append(f.calls, SentCall{Target: t.Name, Call: c, At: f.clock.Now()})
 	f.mutex.Unlock()
+	if b.BreaksOff {
+		return nil, sender.ErrNoAnswer
+	}
 	if b.Silent {
 		<-ctx.Done()
 		return nil, sender.ErrNoAnswer
--- a/ladder/forwarder/forward.go
+++ b/ladder/forwarder/forward.go
@@ -50,7 +50,8 @@
 	// ran counts the attempts that the target may have run.
 	ran int
 	// last is the last failure that a target has answered.
-	last *Whole
+	last        *Whole
+	fingerprint identifier.Fingerprint
 	// unknown says that an attempt may have run and has no answer.
 	unknown bool
 }
@@ -91,6 +92,10 @@
 
 func (w *forwarding) run(ctx context.Context) Outcome {
 	service := w.serviceOf(w.route)
+	w.fingerprint = identifier.NewFingerprint("", identifier.CallName(w.request.Path), w.request.Body)
+	if w.convictions.Convicted(w.fingerprint) {
+		return NotRun{RetryAfter: convictedRetryAfter, Why: "it crashes targets"}
+	}
 	if !w.start(ctx, service) {
 		return w.nothingToAsk()
 	}
@@ -214,7 +219,8 @@
 	case r.err != nil:
 		w.ran++
 		w.unknown = true
-		again = w.mayRepeat() && w.ran < max(1, w.route.MaxAttempts)
+		w.convictions.BrokeOff(w.fingerprint, r.target)
+		again = w.mayRepeat() && w.ran < max(1, w.route.MaxAttempts) && !w.convictions.Convicted(w.fingerprint)
 	case r.answer.NotRun:
 		again = true
 	case r.answer.Succeeded():
--- a/ladder/forwarder/forwarder.go
+++ b/ladder/forwarder/forwarder.go
@@ -83,20 +83,31 @@
 	leastTimeLeft = 5 * time.Millisecond
 )
 
+// Convictions says which requests crash targets; *convicter.Convicter does.
+type Convictions interface {
+	// BrokeOff notes that a target has broken off while it ran the request.
+	BrokeOff(f identifier.Fingerprint, t cataloger.Target)
+	Convicted(f identifier.Fingerprint) bool
+}
+
+// convictedRetryAfter is what callers of a convicted request are told.
+const convictedRetryAfter = 30 * time.Second
+
 // Forwarder sends requests to targets.
 type Forwarder struct {
-	clock   clockwork.Clock
-	catalog *cataloger.Cataloger
-	sender  sender.Sender
-	router  *router.Router
-	budget  *limiter.Budget
-	random  router.Random
+	clock       clockwork.Clock
+	catalog     *cataloger.Cataloger
+	sender      sender.Sender
+	router      *router.Router
+	budget      *limiter.Budget
+	convictions Convictions
+	random      router.Random
 }
 
 // New returns a Forwarder. Many tasks use random.
-func New(clock clockwork.Clock, c *cataloger.Cataloger, s sender.Sender, random router.Random) *Forwarder {
+func New(clock clockwork.Clock, c *cataloger.Cataloger, s sender.Sender, v Convictions, random router.Random) *Forwarder {
 	return &Forwarder{
-		clock: clock, catalog: c, sender: s, random: random,
+		clock: clock, catalog: c, sender: s, convictions: v, random: random,
 		router: router.New(clock, random, router.Expected{}),
 		budget: limiter.NewBudget(retryShare, retryBurst),
 	}
--- a/ladder/forwarder/forwarder_test.go
+++ b/ladder/forwarder/forwarder_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,6 +30,12 @@
 	return cataloger.Target{Name: identifier.TargetName(key), Service: "s", State: cataloger.StateReady}, nil
 }
 
+// verdicts counts breaks and convicts at three.
+type verdicts struct{ breaks atomic.Int32 }
+
+func (v *verdicts) BrokeOff(identifier.Fingerprint, cataloger.Target) { v.breaks.Add(1) }
+func (v *verdicts) Convicted(identifier.Fingerprint) bool             { return v.breaks.Load() >= 3 }
+
 type behave = func(t cataloger.Target, c sender.Call, n int) faker.Behaviour
 
 // newForwarder has targets a, b and c.
@@ -41,7 +48,7 @@
 	}
 	c.TargetSink().Reset(records)
 	targets := faker.NewTargets(clock, b)
-	return New(clock, c, targets, router.NewSharedRandom(1)), targets
+	return New(clock, c, targets, &verdicts{}, router.NewSharedRandom(1)), targets
 }
 
 func route(kind cataloger.RouteKind, attempts int) cataloger.Route {
@@ -121,6 +128,22 @@
 	return "?"
 }
 
+func TestForward_ARequestThatCrashesTargetsIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, targets := newForwarder(func(cataloger.Target, sender.Call, int) faker.Behaviour { return faker.Behaviour{BreaksOff: true} })
+		for range 10 {
+			f.Forward(context.Background(), route(cataloger.KindIdempotent, 2), Request{ID: "x"})
+		}
+		if diff := cmp.Diff("not run", describe(f.Forward(context.Background(), route(cataloger.KindIdempotent, 2), Request{ID: "x"}))); diff != "" {
+			t.Error(diff)
+		}
+		if n := len(targets.Calls()); n > 4 {
+			t.Errorf("it was run %d times", n)
+		}
+		synctest.Wait()
+	})
+}
+
 func TestForward_ACallerThatLeavesStopsTheWork(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, _ := newForwarder(func(cataloger.Target, sender.Call, int) faker.Behaviour { return faker.Behaviour{Silent: true} })
--- a/ladder/scheduler/scheduler_test.go
+++ b/ladder/scheduler/scheduler_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/lycheeladder/lycheeladder/ladder/bookkeeper"
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
+	"github.com/lycheeladder/lycheeladder/ladder/convicter"
 	"github.com/lycheeladder/lycheeladder/ladder/faker"
 	"github.com/lycheeladder/lycheeladder/ladder/forwarder"
 	"github.com/lycheeladder/lycheeladder/ladder/grouper"
@@ -82,7 +83,7 @@
 		StoreAge: func() time.Duration { return 0 },
 	})
 	random := router.NewSharedRandom(1)
-	f := forwarder.New(clock, w.catalog, w.targets, random)
+	f := forwarder.New(clock, w.catalog, w.targets, convicter.New(clock, w.store, storer.Partition{Topic: "breaks"}), random)
 	w.Scheduler = New(clock, w.catalog, w.books, w.targets, f, random)
 	owner := grouper.New(clock, w.group.Member("self"), grouper.Options{
 		Self: "self", Zeal: grouper.Eager, Wanted: func() int { return 1 }, Random: random, Pace: grouper.WorkPace,
