--- /dev/null
+++ b/ladder/bookkeeper/list.go
@@ -0,0 +1,107 @@
+package bookkeeper
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/lycheeladder/lycheeladder/ladder/appender"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/storer"
+)
+
+// Outcome is the result of an item of a job.
+type Outcome struct {
+	Job    identifier.JobID
+	Result Result
+}
+
+// List writes a result, sooner or later. The first result of an item that
+// reaches the store counts.
+func (k *Bookkeeper) List(o Outcome) {
+	p := k.partOf(o.Job)
+	p.mutex.Lock()
+	p.pending = append(p.pending, o)
+	p.mutex.Unlock()
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (k *Bookkeeper) writeResults(ctx context.Context, p *part) {
+	for ctx.Err() == nil {
+		select {
+		case <-p.wake:
+		case <-ctx.Done():
+			return
+		}
+		pause := gatherTime
+		for ctx.Err() == nil {
+			select {
+			case <-k.clock.After(pause):
+			case <-ctx.Done():
+				return
+			}
+			left, err := k.writePending(ctx, p)
+			if left == 0 {
+				break
+			}
+			pause = 0
+			if err != nil {
+				pause = retryPause
+			}
+		}
+	}
+}
+
+// writePending writes what is pending and returns how much is left.
+func (k *Bookkeeper) writePending(ctx context.Context, p *part) (left int, err error) {
+	p.mutex.Lock()
+	batch := p.pending
+	p.mutex.Unlock()
+	err = p.tracker.Append(ctx, func() []storer.Record { return p.book.resultRecords(batch, k.options.CallBytes) })
+	if err != nil {
+		klog.InfoS("results wait for the store", "count", len(batch), "err", err)
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.pending = p.book.unlisted(p.pending)
+	return len(p.pending), err
+}
+
+// DropSettled drops jobs past their time in the partitions that owns reports as
+// the own ones, until ctx ends.
+func (k *Bookkeeper) DropSettled(ctx context.Context, owns func(identifier.PartitionNumber) bool) {
+	for {
+		select {
+		case <-k.clock.After(dropPause):
+		case <-ctx.Done():
+			return
+		}
+		for n, p := range k.parts {
+			if !owns(identifier.PartitionNumber(n)) {
+				continue
+			}
+			err := p.tracker.Append(ctx, func() []storer.Record { return p.book.dropRecords(k.options.KeepFor) })
+			if err != nil && !errors.Is(err, appender.ErrUnavailable) {
+				klog.InfoS("settled batch jobs not dropped yet", "partition", n, "err", err)
+			}
+		}
+	}
+}
+
+// demandAge is the age up to which a job counts as demand: some steps of the
+// users' trainers, one every 4 s.
+const demandAge = 20 * time.Second
+
+// Demand counts the tokens of the recent jobs of some partitions, by model.
+func (k *Bookkeeper) Demand(partitions []identifier.PartitionNumber) map[identifier.ModelName]identifier.TokenCount {
+	demand := make(map[identifier.ModelName]identifier.TokenCount)
+	for _, n := range partitions {
+		k.parts[n].book.addDemand(demand)
+	}
+	return demand
+}
--- /dev/null
+++ b/ladder/bookkeeper/read.go
@@ -0,0 +1,108 @@
+package bookkeeper
+
+import (
+	"context"
+	"time"
+
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+)
+
+// find returns the job, and reads the store anew before it says that there is
+// none.
+func (k *Bookkeeper) find(ctx context.Context, id identifier.JobID) (*entry, error) {
+	p, err := k.ready(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	for range 2 {
+		p.book.mutex.Lock()
+		e, ok := p.book.jobs[id]
+		p.book.mutex.Unlock()
+		if ok {
+			return e, nil
+		}
+		if err := p.tracker.Refresh(ctx); err != nil {
+			return nil, ErrNotSure
+		}
+	}
+	return nil, ErrUnknownJob
+}
+
+// View is a part of a job's results.
+type View struct {
+	// Total is the number of the job's items.
+	Total int `cbor:"1,keyasint"`
+	// Results stand at the positions from the one asked for on.
+	Results []Result `cbor:"2,keyasint"`
+}
+
+// Results returns the results from position after on, at most maxBytes of text,
+// but one if there is one. It waits up to wait for a first one.
+func (k *Bookkeeper) Results(ctx context.Context, id identifier.JobID, after int, wait time.Duration, maxBytes int) (v View, err error) {
+	if _, err := k.find(ctx, id); err != nil {
+		return View{}, err
+	}
+	p := k.partOf(id)
+	timer := k.clock.After(wait)
+	for {
+		p.book.mutex.Lock()
+		e, ok := p.book.jobs[id]
+		if !ok {
+			p.book.mutex.Unlock()
+			return View{}, ErrUnknownJob
+		}
+		v = e.view(after, maxBytes)
+		complete, changed := len(e.results) == v.Total, e.changed
+		p.book.mutex.Unlock()
+		if len(v.Results) > 0 || complete || wait <= 0 {
+			break
+		}
+		select {
+		case <-changed:
+			continue
+		case <-timer:
+		case <-ctx.Done():
+		}
+		wait = 0
+	}
+	if len(v.Results) == 0 && p.tracker.Age() > staleAfter {
+		return View{}, ErrNotSure
+	}
+	return v, nil
+}
+
+func (e *entry) view(after, maxBytes int) View {
+	v := View{Total: len(e.submission.Items)}
+	size := 0
+	for n := after; n < len(e.results); n++ {
+		size += len(e.results[n].Text) + recordOverhead
+		if size > maxBytes && len(v.Results) > 0 {
+			break
+		}
+		v.Results = append(v.Results, e.results[n])
+	}
+	return v
+}
+
+// Body returns the body of an item. It returns ErrUnknownJob where the job
+// doesn't have the item.
+func (k *Bookkeeper) Body(ctx context.Context, id identifier.JobID, item identifier.ItemID) ([]byte, error) {
+	e, err := k.find(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	for _, i := range e.submission.Items {
+		if i.ID == item {
+			return i.Body, nil
+		}
+	}
+	return nil, ErrUnknownJob
+}
+
+// Open returns the jobs of a partition that wait for results.
+func (k *Bookkeeper) Open(n identifier.PartitionNumber) []Job { return k.parts[n].book.open() }
+
+// Wanted says whether an item still waits for a result.
+func (k *Bookkeeper) Wanted(job identifier.JobID, item identifier.ItemID) bool {
+	return k.partOf(job).book.wanted(job, item)
+}
--- a/ladder/forwarder/forward.go
+++ b/ladder/forwarder/forward.go
@@ -109,7 +109,7 @@
 		case <-hedge:
 			hedge = nil
 			if w.mayRepeat() && w.ran+len(w.open) < w.route.MaxAttempts && w.budget.Spend() && w.start(ctx, service) {
-				klog.V(1).InfoS("second target asked, the first is silent", "request", w.request.ID, "service", service)
+				klog.InfoS("second target asked, the first is silent", "request", w.request.ID, "service", service)
 			}
 		case <-ctx.Done():
 			return w.timedOut()
@@ -232,7 +232,7 @@
 		w.last = &failure
 		again = r.answer.Status >= 500 && w.mayRepeat() && w.ran < max(1, w.route.MaxAttempts)
 	}
-	klog.V(1).InfoS("attempt failed", "request", w.request.ID, "target", r.target.Name, "again", again, "err", r.err, "status", r.status())
+	klog.InfoS("attempt failed", "request", w.request.ID, "target", r.target.Name, "again", again, "err", r.err, "status", r.status())
 	if len(w.open) > 0 {
 		return nil, false
 	}
@@ -270,5 +270,5 @@
 }
 
 func wholeOf(r report) Whole {
-	return Whole{Status: r.answer.Status, Header: r.answer.Header, Body: r.body, Signature: r.answer.Signature}
+	return Whole{Status: r.answer.Status, Header: r.answer.Header, Body: r.body, Signature: r.answer.Signature, Target: r.target.Name}
 }
--- a/ladder/forwarder/forwarder.go
+++ b/ladder/forwarder/forwarder.go
@@ -41,6 +41,8 @@
 	Header    http.Header
 	Body      []byte
 	Signature string
+	// Target has given the answer.
+	Target identifier.TargetName
 }
 
 // NotRun says that the request has not run and never will.
--- /dev/null
+++ b/ladder/scheduler/generate.go
@@ -0,0 +1,164 @@
+package scheduler
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/sender"
+)
+
+func (t *task) call(version identifier.WeightVersion) sender.Call {
+	header := make(http.Header, len(t.item.Headers))
+	for name, value := range t.item.Headers {
+		header.Set(name, value)
+	}
+	return sender.Call{
+		ID: string(t.item.ID), Method: http.MethodPost, Path: t.item.Path, Host: t.job.Host,
+		Header: header, Body: t.item.Body, ResumeAfter: t.last, OnlyVersion: version,
+	}
+}
+
+// errStalled says that a target has been silent for too long.
+var errStalled = errors.New("target is silent")
+
+// generate asks one target to go on with the text. It returns true when the
+// text is whole or the item is given up, and why it must go on elsewhere
+// otherwise.
+func (t *task) generate(ctx context.Context, target cataloger.Target) (done bool, err error) {
+	s := t.scheduler
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := s.clock.AfterFunc(firstTimeout, func() { cancel(errStalled) })
+	defer watch.Stop()
+	var only identifier.WeightVersion
+	if t.route.SingleVersion {
+		only = target.Weights[t.job.Model]
+	}
+	begun := s.clock.Now()
+	answer, err := s.sender.Send(ctx, target, t.call(only))
+	if err != nil {
+		t.fail(target, failedPause)
+		return false, cause(ctx, err)
+	}
+	defer answer.Body.Close()
+	switch {
+	case answer.NotRun:
+		s.avoid(target.Name, refusedPause)
+		return false, errors.Errorf("refused with %d", answer.Status)
+	case !answer.Succeeded():
+		return t.countFailure(answer.Status), errors.Errorf("failed with %d", answer.Status)
+	case answer.Version > 0 && t.job.Model != "":
+		s.catalog.LearnWeights(target.Name, t.job.Model, answer.Version)
+		if answer.Version < t.job.OldestVersion {
+			return false, errors.Errorf("weights are at version %d", answer.Version)
+		}
+	}
+	done, err = t.read(s.sender.Events(answer), answer.Version, target, begun, watch)
+	if err != nil {
+		t.leave(target.Name)
+		if !errors.Is(err, errWrongVersions) && !errors.Is(err, errSlow) {
+			t.fail(target, 0)
+		}
+	}
+	return done, cause(ctx, err)
+}
+
+func cause(ctx context.Context, err error) error {
+	if err != nil && errors.Is(context.Cause(ctx), errStalled) {
+		return errStalled
+	}
+	return err
+}
+
+// leave keeps the item from a target for a while.
+func (t *task) leave(name identifier.TargetName) {
+	t.left, t.leftUntil = name, t.scheduler.clock.Now().Add(leftPause)
+}
+
+func (t *task) fail(target cataloger.Target, pause time.Duration) {
+	t.leave(target.Name)
+	t.scheduler.router.Failed(target.Name)
+	if pause > 0 {
+		t.scheduler.avoid(target.Name, pause)
+	}
+}
+
+// errSlow says that the item would go on faster elsewhere.
+var errSlow = errors.New("target is slow")
+
+var errWrongVersions = errors.New("the text would have several versions")
+
+// resetter is the watch's timer.
+type resetter interface{ Reset(d time.Duration) bool }
+
+// read adds the events to the text until the answer ends.
+func (t *task) read(events sender.Events, version identifier.WeightVersion, target cataloger.Target, before time.Time, watch resetter) (done bool, err error) {
+	s := t.scheduler
+	first, slow := true, 0
+	for {
+		e, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			return true, nil
+		}
+		if err != nil {
+			return false, err
+		}
+		now := s.clock.Now()
+		usual := s.router.UsualGap(target.Service)
+		if gap := now.Sub(before); !first && usual > 0 && float64(gap) > slowGaps*float64(usual) {
+			slow++
+		} else {
+			slow = 0
+		}
+		s.router.Heard(target.Name, now.Sub(before), first)
+		before, first = now, false
+		watch.Reset(stallAfter(usual))
+		if e.Version > 0 {
+			version = e.Version
+			s.catalog.LearnWeights(target.Name, t.job.Model, version)
+		}
+		if e.Number != t.last+1 {
+			return false, errors.Errorf("event %d came after %d", e.Number, t.last)
+		}
+		if !t.add(e, version) {
+			t.text, t.last, t.versions = nil, 0, nil
+			return false, errWrongVersions
+		}
+		if slow >= slowEvents && t.shouldMove() {
+			t.moves++
+			return false, errSlow
+		}
+	}
+}
+
+// stallAfter is the silence after which an item goes on elsewhere.
+func stallAfter(usual time.Duration) time.Duration {
+	if usual == 0 {
+		return stallTimeout
+	}
+	return max(leastStall, stallGaps*usual)
+}
+
+// shouldMove says whether the item is long enough for a move, and has a faster
+// target to go to.
+func (t *task) shouldMove() bool {
+	return int(t.last) >= moveEvents && t.moves < moveLimit && t.scheduler.fasterTarget(t)
+}
+
+// add returns false if the text would have several versions and must not.
+func (t *task) add(e sender.Event, version identifier.WeightVersion) bool {
+	t.text = append(t.text, e.Data)
+	t.last = e.Number
+	if version > 0 && !slices.Contains(t.versions, version) {
+		t.versions = append(t.versions, version)
+		slices.Sort(t.versions)
+	}
+	return !t.route.SingleVersion || len(t.versions) <= 1
+}
--- /dev/null
+++ b/ladder/scheduler/score.go
@@ -0,0 +1,90 @@
+package scheduler
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+
+	"k8s.io/klog/v2"
+
+	"github.com/lycheeladder/lycheeladder/ladder/bookkeeper"
+	"github.com/lycheeladder/lycheeladder/ladder/forwarder"
+)
+
+// countFailure returns true if the item is given up.
+func (t *task) countFailure(status int) bool {
+	t.failures++
+	if status == http.StatusUnprocessableEntity {
+		t.failures = max(t.failures, t.maxAttempts())
+	}
+	if t.failures < t.maxAttempts() {
+		return false
+	}
+	klog.InfoS("item given up", "job", t.key.job, "item", t.key.item, "status", status, "failures", t.failures)
+	t.list(bookkeeper.Result{Item: t.key.item, State: bookkeeper.ResultFailed})
+	t.text = nil
+	return true
+}
+
+func (t *task) maxAttempts() int { return max(1, t.route.MaxAttempts) }
+
+func (t *task) list(r bookkeeper.Result) {
+	t.scheduler.books.List(bookkeeper.Outcome{Job: t.key.job, Result: r})
+}
+
+// score has the whole text scored and lists the result.
+func (t *task) score(ctx context.Context) {
+	if t.failures >= t.maxAttempts() {
+		return
+	}
+	r := bookkeeper.Result{
+		Item: t.key.item, State: bookkeeper.ResultCompleted,
+		Text: bytes.Join(t.text, []byte("\n")), Versions: t.versions,
+	}
+	if t.item.Scorer != nil {
+		signature, ok := t.callScorer(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if !ok {
+			r = bookkeeper.Result{Item: t.key.item, State: bookkeeper.ResultFailed}
+		}
+		r.Score = signature
+	}
+	klog.InfoS("item done", "job", t.key.job, "item", t.key.item, "state", r.State, "events", t.last, "expected-tokens", t.item.ExpectedTokens,
+		"versions", t.versions, "job-age", t.scheduler.clock.Since(t.job.accepted))
+	t.list(r)
+}
+
+// callScorer asks until the scorer succeeds, or has failed as often as its route
+// allows.
+func (t *task) callScorer(ctx context.Context) (signature string, ok bool) {
+	s, scorer := t.scheduler, t.item.Scorer
+	for failures := 0; ctx.Err() == nil; {
+		configuration := s.catalog.Configuration()
+		route, routed := configuration.Match(scorer.Host, scorer.Path)
+		if routed {
+			o := s.forwarder.Forward(ctx, route, forwarder.Request{
+				ID: scorer.ID, Method: http.MethodPost, Path: scorer.Path, Host: scorer.Host,
+				Header: http.Header{}, Body: scorer.Body, TimeLeft: scoreTimeout,
+			})
+			if w, whole := o.(forwarder.Whole); whole {
+				if w.Status >= 200 && w.Status < 300 && w.Signature != "" {
+					return w.Signature, true
+				}
+				// A whole answer of failure ends a forwarding only after as many
+				// attempts as the route allows, or where none may follow.
+				failures++
+				klog.InfoS("scorer failed", "job", t.key.job, "item", t.key.item, "scorer", scorer.ID, "status", w.Status, "failures", failures)
+				if failures >= max(1, route.MaxAttempts) {
+					return "", false
+				}
+			}
+		}
+		select {
+		case <-s.clock.After(scorePause):
+		case <-ctx.Done():
+		}
+	}
+	return "", false
+}
--- a/ladder/updater/updater.go
+++ b/ladder/updater/updater.go
@@ -2,7 +2,6 @@
 package updater
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -216,67 +215,6 @@
 	}
 }
 
-// wish is what a model still wants.
-type wish struct {
-	model   identifier.ModelName
-	version identifier.WeightVersion
-	// missing is how many targets still have to load the version.
-	missing int
-	// lacking is the part of the quota, in targets, that can't serve the next
-	// step.
-	lacking int
-	// behind are the targets without the version, the most outdated first.
-	behind []cataloger.Target
-}
-
-// usableLag is how many versions behind the newest a target may be for the next
-// step of a trainer that asks for a step once its version is named.
-const usableLag = 1
-
-// wishes returns what the models want.
-func (u *Updater) wishes(targets []cataloger.Target, models []identifier.ModelName, quotas map[identifier.ModelName]int) (list []*wish) {
-	for _, m := range models {
-		w := &wish{model: m, version: u.newest[m].version, missing: quotas[m], lacking: quotas[m]}
-		for _, t := range targets {
-			l, loading := u.loads[t.Name]
-			if t.Weights[m] >= w.version || (loading && !l.failed && l.model == m && l.version == w.version) {
-				w.missing--
-				w.lacking--
-				continue
-			}
-			if t.Weights[m]+usableLag >= w.version {
-				w.lacking--
-			}
-			w.behind = append(w.behind, t)
-		}
-		slices.SortStableFunc(w.behind, func(a, b cataloger.Target) int { return cmp.Compare(a.Weights[m], b.Weights[m]) })
-		list = append(list, w)
-	}
-	return list
-}
-
-// next takes the first target of the model that lacks most.
-func next(wishes []*wish, loads map[identifier.TargetName]load) (w *wish, t cataloger.Target, ok bool) {
-	for _, candidate := range wishes {
-		candidate.behind = slices.DeleteFunc(candidate.behind, func(t cataloger.Target) bool {
-			_, loading := loads[t.Name]
-			return loading
-		})
-		if candidate.missing <= 0 || len(candidate.behind) == 0 {
-			continue
-		}
-		if w == nil || cmp.Or(cmp.Compare(candidate.lacking, w.lacking), cmp.Compare(candidate.missing, w.missing)) > 0 {
-			w = candidate
-		}
-	}
-	if w == nil {
-		return nil, t, false
-	}
-	t = w.behind[0]
-	w.missing--
-	return w, t, true
-}
-
 func modeOf(c *cataloger.Configuration) Mode {
 	for _, r := range c.Routes {
 		if r.Kind == cataloger.KindBatch && r.SingleVersion {
@@ -357,35 +295,3 @@
 		"token", o.Token, "orders-accepted", o.OrdersAccepted, "err", err)
 	return err
 }
-
-// evenShare is the part of the targets that is dealt out evenly, whatever the
-// models' demand is, so that a model that had no work for a while can begin.
-const evenShare = 0.3
-
-// Quotas deals n targets out among models: evenShare of them evenly, the others
-// by demand.
-func Quotas(n int, models []identifier.ModelName, demand map[identifier.ModelName]identifier.TokenCount) map[identifier.ModelName]int {
-	total := 0.0
-	for _, m := range models {
-		total += float64(demand[m])
-	}
-	quotas := make(map[identifier.ModelName]int, len(models))
-	exact := make(map[identifier.ModelName]float64, len(models))
-	left := n
-	for _, m := range models {
-		share := 1 / float64(len(models))
-		if total > 0 {
-			share = evenShare*share + (1-evenShare)*float64(demand[m])/total
-		}
-		exact[m] = share * float64(n)
-		quotas[m] = int(exact[m])
-		left -= quotas[m]
-	}
-	byRest := slices.SortedStableFunc(slices.Values(models), func(a, b identifier.ModelName) int {
-		return cmp.Compare(exact[b]-float64(quotas[b]), exact[a]-float64(quotas[a]))
-	})
-	for _, m := range byRest[:min(left, len(byRest))] {
-		quotas[m]++
-	}
-	return quotas
-}
