Let a restarted host go on with its partitions at once

Cause: members of the group were named by incarnation, so that after a kill the store held partitions for 1.5 s for a process that was gone, and on a kill of all hosts nobody worked on jobs for that time. What: a member is named by its peers' address. Test: TestRun_ARestartedHostGoesOnWithItsPartitionsAtOnce; it can't pass with names by incarnation.

--- a/ladder/faker/group.go
+++ b/ladder/faker/group.go
@@ -20,13 +20,13 @@
 
 	mutex      sync.Mutex
 	generation grouper.Generation
-	members    map[identifier.Incarnation]time.Time
+	members    map[grouper.Member]time.Time
 	down       bool
 }
 
 // NewGroup returns a Group without members.
 func NewGroup(clock clockwork.Clock, partitions int) *Group {
-	return &Group{clock: clock, partitions: partitions, members: make(map[identifier.Incarnation]time.Time)}
+	return &Group{clock: clock, partitions: partitions, members: make(map[grouper.Member]time.Time)}
 }
 
 // SetDown begins or ends an outage.
@@ -37,16 +37,16 @@
 }
 
 // Member returns the group as one member sees it.
-func (g *Group) Member(id identifier.Incarnation) grouper.Group { return member{g, id} }
+func (g *Group) Member(id grouper.Member) grouper.Group { return member{g, id} }
 
 // Members returns the living members in order.
-func (g *Group) Members() []identifier.Incarnation {
+func (g *Group) Members() []grouper.Member {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	return g.living()
 }
 
-func (g *Group) living() (list []identifier.Incarnation) {
+func (g *Group) living() (list []grouper.Member) {
 	for id, until := range g.members {
 		if until.Before(g.clock.Now()) {
 			delete(g.members, id)
@@ -61,7 +61,7 @@
 
 type member struct {
 	group *Group
-	id    identifier.Incarnation
+	id    grouper.Member
 }
 
 // Join implements grouper.Group.
@@ -98,18 +98,17 @@
 }
 
 // Owners implements grouper.Group.
-func (m member) Owners(context.Context) (map[identifier.PartitionNumber]grouper.Owner, error) {
+func (m member) Owners(context.Context) (map[identifier.PartitionNumber]grouper.Member, error) {
 	g := m.group
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if g.down {
 		return nil, appender.ErrUnavailable
 	}
-	owners := make(map[identifier.PartitionNumber]grouper.Owner)
+	owners := make(map[identifier.PartitionNumber]grouper.Member)
 	living := g.living()
 	for n := 0; len(living) > 0 && n < g.partitions; n++ {
-		id := living[n%len(living)]
-		owners[identifier.PartitionNumber(n)] = grouper.Owner{Incarnation: id, Address: string(id)}
+		owners[identifier.PartitionNumber(n)] = living[n%len(living)]
 	}
 	return owners, nil
 }
--- a/ladder/grouper/grouper.go
+++ b/ladder/grouper/grouper.go
@@ -26,17 +26,15 @@
 	Partitions []identifier.PartitionNumber
 }
 
-// Owner is the member of the group that works on a partition.
-type Owner struct {
-	Incarnation identifier.Incarnation
-	// Address is where its peers reach it, IP:port.
-	Address string
-}
+// Member names a member of the group by where its peers reach it, IP:port. A
+// process that starts again on its host is the member that its predecessor was,
+// and goes on with its partitions at once.
+type Member string
 
 // Group is the platform's group.
 type Group interface {
 	// Owners returns the members that hold the partitions.
-	Owners(ctx context.Context) (map[identifier.PartitionNumber]Owner, error)
+	Owners(ctx context.Context) (map[identifier.PartitionNumber]Member, error)
 	// Join joins the group or keeps the member in it for another ttl.
 	Join(ctx context.Context, ttl time.Duration, last Generation) (Membership, error)
 	Leave(ctx context.Context) error
@@ -92,7 +90,7 @@
 
 // Options are a Grouper's settings.
 type Options struct {
-	Self identifier.Incarnation
+	Self Member
 	Zeal Zeal
 	// Wanted says how many members the group needs; nil stands for everyone.
 	Wanted func() int
@@ -104,7 +102,7 @@
 type Grouper struct {
 	clock clockwork.Clock
 	group Group
-	self  identifier.Incarnation
+	self  Member
 	zeal  Zeal
 	// wanted says how many members the group needs.
 	wanted func() int
@@ -118,7 +116,7 @@
 	// answered is when the last successful join was sent.
 	answered time.Time
 	// owners is what the store said at ownersAt.
-	owners   map[identifier.PartitionNumber]Owner
+	owners   map[identifier.PartitionNumber]Member
 	ownersAt time.Time
 	// asking says that the list is being read.
 	asking bool
--- a/ladder/grouper/grouper_test.go
+++ b/ladder/grouper/grouper_test.go
@@ -24,7 +24,7 @@
 }
 
 func newHost(group *faker.Group, n int, zeal grouper.Zeal) *host {
-	id := identifier.Incarnation(fmt.Sprintf("host-%d", n))
+	id := grouper.Member(fmt.Sprintf("host-%d", n))
 	h := &host{Grouper: grouper.New(clockwork.NewRealClock(), group.Member(id), grouper.Options{
 		Self: id, Zeal: zeal, Wanted: func() int { return 2 }, Random: router.NewRandom(uint64(n)), Pace: grouper.WorkPace,
 	}, func() {})}
@@ -114,3 +114,22 @@
 		}
 	})
 }
+
+func TestRun_ARestartedHostGoesOnWithItsPartitionsAtOnce(t *testing.T) {
+	inBubble(t, 0, 4, func(group *faker.Group, hosts []*host) {
+		time.Sleep(10 * time.Second)
+		for n, h := range hosts {
+			if len(h.Owned()) == 0 {
+				continue
+			}
+			group.SetDown(true) // killed: it can't leave
+			h.stop()
+			group.SetDown(false)
+			hosts[n] = newHost(group, n, grouper.Eager)
+			time.Sleep(100 * time.Millisecond)
+			if len(hosts[n].Owned()) == 0 {
+				t.Errorf("host %d waits until the store has forgotten its predecessor", n)
+			}
+		}
+	})
+}
--- a/ladder/grouper/member.go
+++ b/ladder/grouper/member.go
@@ -41,37 +41,37 @@
 // joinSpread is the time over which those who stand by spread their joins. While
 // somebody works on everything it is as long as the store takes to show a new
 // member to the others, twice over.
-func (g *Grouper) joinSpread(members []identifier.Incarnation) time.Duration {
+func (g *Grouper) joinSpread(members []Member) time.Duration {
 	if len(members) == 0 {
 		return g.pace.Pause
 	}
 	return 4 * g.pace.Pause
 }
 
-// members returns the incarnations that hold partitions, in order, and whether
-// this process is in the group.
-func (g *Grouper) members() (list []identifier.Incarnation, member bool) {
+// members returns those who hold partitions, in order, and whether this process
+// is in the group, or its predecessor still is.
+func (g *Grouper) members() (list []Member, member bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	for _, o := range g.owners {
-		if !slices.Contains(list, o.Incarnation) {
-			list = append(list, o.Incarnation)
+		if !slices.Contains(list, o) {
+			list = append(list, o)
 		}
 	}
 	slices.Sort(list)
-	return list, !g.answered.IsZero()
+	return list, !g.answered.IsZero() || slices.Contains(list, g.self)
 }
 
-func (g *Grouper) missing(members []identifier.Incarnation) bool {
+func (g *Grouper) missing(members []Member) bool {
 	if g.zeal == Reluctant {
 		return len(members) == 0
 	}
 	return len(members) < g.wanted()
 }
 
-// surplus says whether this process is one of those that should leave. The
-// eldest members stay: incarnations rise with the time of their start.
-func (g *Grouper) surplus(members []identifier.Incarnation) bool {
+// surplus says whether this process is one of those that should leave. All
+// members put themselves in the same order.
+func (g *Grouper) surplus(members []Member) bool {
 	if g.zeal == Reluctant {
 		return len(members) > 1
 	}
@@ -80,7 +80,7 @@
 
 // OwnerOf returns who works on a partition, as far as is known. A list that has
 // aged is read anew in the background.
-func (g *Grouper) OwnerOf(n identifier.PartitionNumber) (Owner, bool) {
+func (g *Grouper) OwnerOf(n identifier.PartitionNumber) (Member, bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if g.clock.Since(g.ownersAt) > ownersAge && !g.asking {
@@ -115,8 +115,8 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	for _, o := range g.owners {
-		if o.Incarnation != g.self && !slices.Contains(list, o.Address) {
-			list = append(list, o.Address)
+		if o != g.self && !slices.Contains(list, string(o)) {
+			list = append(list, string(o))
 		}
 	}
 	return list
--- a/ladder/relayer/relayer.go
+++ b/ladder/relayer/relayer.go
@@ -39,7 +39,7 @@
 // Owners says who works on which partition; *grouper.Grouper does.
 type Owners interface {
 	Owns(n identifier.PartitionNumber) bool
-	OwnerOf(n identifier.PartitionNumber) (grouper.Owner, bool)
+	OwnerOf(n identifier.PartitionNumber) (grouper.Member, bool)
 }
 
 // Peers asks other entries; *consulter.Consulter does.
@@ -52,12 +52,12 @@
 	clock  clockwork.Clock
 	books  Books
 	owners Owners
-	self   identifier.Incarnation
+	self   grouper.Member
 	peers  Peers
 }
 
 // New returns a Relayer for the process self.
-func New(clock clockwork.Clock, b Books, o Owners, p Peers, self identifier.Incarnation) *Relayer {
+func New(clock clockwork.Clock, b Books, o Owners, p Peers, self grouper.Member) *Relayer {
 	return &Relayer{clock: clock, books: b, owners: o, self: self, peers: p}
 }
 
@@ -69,14 +69,14 @@
 func (r *Relayer) ask(ctx context.Context, c messenger.JobCall) (data []byte, err error) {
 	n := r.books.PartitionOf(c.Job)
 	owner, ok := r.owners.OwnerOf(n)
-	if !ok || r.owners.Owns(n) || owner.Incarnation == r.self {
+	if !ok || r.owners.Owns(n) || owner == r.self {
 		return nil, errElsewhere
 	}
 	bounded, cancel := context.WithTimeout(ctx, c.Wait+answerTimeout)
 	defer cancel()
-	reply, err := r.peers.Ask(bounded, owner.Address, messenger.Question{Job: &c})
+	reply, err := r.peers.Ask(bounded, string(owner), messenger.Question{Job: &c})
 	if err != nil || reply.Job == nil {
-		klog.InfoS("owner of a batch job doesn't answer, the store is asked", "job", c.Job, "verb", c.Verb, "owner", owner.Address, "err", err)
+		klog.InfoS("owner of a batch job doesn't answer, the store is asked", "job", c.Job, "verb", c.Verb, "owner", owner, "err", err)
 		return nil, errElsewhere
 	}
 	switch reply.Job.Verdict {
--- a/ladder/relayer/relayer_test.go
+++ b/ladder/relayer/relayer_test.go
@@ -37,8 +37,8 @@
 
 func (e *entry) Owns(identifier.PartitionNumber) bool { return e.owns }
 
-func (e *entry) OwnerOf(identifier.PartitionNumber) (grouper.Owner, bool) {
-	return grouper.Owner{Incarnation: "owner", Address: "owner"}, true
+func (e *entry) OwnerOf(identifier.PartitionNumber) (grouper.Member, bool) {
+	return "owner", true
 }
 
 func (n *entries) Dial(_ context.Context, address string) (messenger.Link, error) {
@@ -74,7 +74,7 @@
 				Topic: "jobs", Partitions: 1, RecordBytes: 256 << 10, CallBytes: 2 << 20, KeepFor: time.Minute,
 				StoreAge: func() time.Duration { return 0 },
 			})
-			e.Relayer = New(clock, e.books, e, consulter.New(clock, n), identifier.Incarnation(name))
+			e.Relayer = New(clock, e.books, e, consulter.New(clock, n), grouper.Member(name))
 			tasks.Go(func() { e.books.Run(ctx, e.Owns) })
 			n.hosts[name] = e
 		}
