--- a/ladder/bookkeeper/accept.go
+++ b/ladder/bookkeeper/accept.go
@@ -12,6 +12,9 @@
 	"github.com/lycheeladder/lycheeladder/ladder/storer"
 )
 
+// Handing in and ending need no copy: it makes no difference who writes these
+// records, or how often.
+
 // Accept keeps the job from when it returns nil, also if it was kept before.
 // appender.ErrUnavailable says that it surely isn't kept. The records of a job
 // are the same whoever writes them, so that no copy and no condition is needed.
--- a/ladder/bookkeeper/follow.go
+++ b/ladder/bookkeeper/follow.go
@@ -9,6 +9,9 @@
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 )
 
+// The owner of a partition follows it all the time. Others follow it for a while
+// after they had to answer for one of its jobs without the owner.
+
 // use notes that the copy is wanted. It returns true if it isn't followed.
 func (p *part) use(now time.Time) (idle bool) {
 	p.mutex.Lock()
@@ -17,6 +20,7 @@
 	return p.stop == nil
 }
 
+// followOrStop begins or ends the following of a partition.
 func (k *Bookkeeper) followOrStop(ctx context.Context, p *part, tasks *conc.WaitGroup) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/ladder/bookkeeper/list.go
+++ b/ladder/bookkeeper/list.go
@@ -12,6 +12,9 @@
 	"github.com/lycheeladder/lycheeladder/ladder/storer"
 )
 
+// Results wait until the store takes them, and several share an append: a partition
+// takes one at a time.
+
 // Outcome is the result of an item of a job.
 type Outcome struct {
 	Job    identifier.JobID
--- a/ladder/bookkeeper/read.go
+++ b/ladder/bookkeeper/read.go
@@ -7,6 +7,8 @@
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 )
 
+// Reads are answered from a copy. One that is too old to be sure says so.
+
 // find returns the job, and reads the store anew before it says that there is
 // none.
 func (k *Bookkeeper) find(ctx context.Context, id identifier.JobID) (*entry, error) {
--- a/ladder/grouper/grouper.go
+++ b/ladder/grouper/grouper.go
@@ -192,6 +192,3 @@
 
 // Owns says whether a partition is among them.
 func (g *Grouper) Owns(n identifier.PartitionNumber) bool { return slices.Contains(g.Owned(), n) }
-
-// A few members do the work of all: they keep their connections to the targets
-// in use, and each sees more of the load that it places. The others stand by.
--- a/ladder/grouper/member.go
+++ b/ladder/grouper/member.go
@@ -10,6 +10,9 @@
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 )
 
+// A few members do the work of all: they keep their connections to the targets
+// in use, and each sees more of the load that it places. The others stand by.
+
 // joinOrLeave joins if a member is missing, and leaves if there are too many.
 func (g *Grouper) joinOrLeave(ctx context.Context) {
 	err := g.readOwners(ctx)
--- a/ladder/scheduler/generate.go
+++ b/ladder/scheduler/generate.go
@@ -14,6 +14,9 @@
 	"github.com/lycheeladder/lycheeladder/ladder/sender"
 )
 
+// Silence and pace are judged against what is usual among the service's targets,
+// since a step takes longer the more requests run beside it.
+
 func (t *task) call(version identifier.WeightVersion) sender.Call {
 	header := make(http.Header, len(t.item.Headers))
 	for name, value := range t.item.Headers {
--- a/ladder/scheduler/score.go
+++ b/ladder/scheduler/score.go
@@ -11,6 +11,8 @@
 	"github.com/lycheeladder/lycheeladder/ladder/forwarder"
 )
 
+// A whole text is scored at once: the trainer gets it only with its score.
+
 // countFailure returns true if the item is given up.
 func (t *task) countFailure(status int) bool {
 	t.failures++
--- a/ladder/updater/wish.go
+++ b/ladder/updater/wish.go
@@ -8,6 +8,9 @@
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 )
 
+// The model that lacks most targets for its next step is served first, so that no
+// trainer waits while another's targets are merely refreshed.
+
 // wish is what a model still wants.
 type wish struct {
 	model   identifier.ModelName
