--- a/ladder/supervisor/supervisor_test.go
+++ b/ladder/supervisor/supervisor_test.go
@@ -164,6 +164,9 @@
 func TestOwnHostLeaving_NoNewWorkAndOldFinished(t *testing.T) {
 	withSidecar(t, func(t *testing.T, p *platform, s *Supervisor) {
 		begin(t, p.link("a"), "before")
+		// The list is read at this very moment: what it has taken by then is
+		// "before".
+		synctest.Wait()
 		p.list(nil, entryAt("a", lister.HostLive), lister.Host{Role: lister.RoleTarget, Address: "t", State: lister.HostLeaving})
 		time.Sleep(2 * time.Second)
 		begin(t, p.link("a"), "after")
