Keep results that wait while their partition isn't followed

Cause: found on reading the change again: after a failed append, results were dropped whose job the copy doesn't know; a copy that isn't followed is empty and knows none. A former owner's result was lost, and its new owner had to make it again. What: results are looked over only after an append that worked. Test: TestList_AResultForAPartitionThatIsNoLongerFollowedIsWritten, red before.

--- a/ladder/bookkeeper/bookkeeper_test.go
+++ b/ladder/bookkeeper/bookkeeper_test.go
@@ -27,14 +27,16 @@
 	stop func()
 }
 
-func newHost(store storer.Log) *host {
+func newHost(store storer.Log) *host { return newHostThatOwns(store, true) }
+
+func newHostThatOwns(store storer.Log, all bool) *host {
 	k := New(clockwork.NewRealClock(), store, Options{
 		Topic: topic, Partitions: 2, RecordBytes: 256 << 10, CallBytes: 2 << 20, KeepFor: time.Minute,
 		StoreAge: func() time.Duration { return 0 },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var tasks conc.WaitGroup
-	tasks.Go(func() { k.Run(ctx, func(identifier.PartitionNumber) bool { return true }) })
+	tasks.Go(func() { k.Run(ctx, func(identifier.PartitionNumber) bool { return all }) })
 	return &host{Bookkeeper: k, stop: func() { cancel(); tasks.Wait() }}
 }
 
@@ -186,6 +188,23 @@
 	})
 }
 
+func TestList_AResultForAPartitionThatIsNoLongerFollowedIsWritten(t *testing.T) {
+	inBubble(t, func(ctx context.Context, store *faker.Store) {
+		owner, former := newHost(store), newHostThatOwns(store, false)
+		defer owner.stop()
+		defer former.stop()
+		if err := owner.Accept(ctx, submission("j", 2, 10)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * followFor)
+		former.List(Outcome{Job: "j", Result: completed("j-1", "x")})
+		time.Sleep(5 * time.Second)
+		if diff := cmp.Diff([]Result{completed("j-1", "x")}, resultsOf(t, owner, "j")); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
 func TestEnd_KnownAtOtherHostsAndAfterwards(t *testing.T) {
 	inBubble(t, func(ctx context.Context, store *faker.Store) {
 		a, b := newHost(store), newHost(store)
--- a/ladder/bookkeeper/list.go
+++ b/ladder/bookkeeper/list.go
@@ -67,12 +67,14 @@
 	p.mutex.Unlock()
 	err = p.tracker.Append(ctx, func() []storer.Record { return p.book.resultRecords(batch, k.options.CallBytes) })
 	if err != nil {
+		// The copy may be empty, and not know the jobs.
 		klog.InfoS("results wait for the store", "count", len(batch), "err", err)
+		return len(batch), err
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.pending = p.book.unlisted(p.pending)
-	return len(p.pending), err
+	return len(p.pending), nil
 }
 
 // DropSettled drops jobs past their time in the partitions that owns reports as
