--- a/ladder/forwarder/stream.go
+++ b/ladder/forwarder/stream.go
@@ -34,9 +34,6 @@
 	tried   map[identifier.TargetName]bool
 }
 
-// Status and Header are the first target's.
-func (s *Stream) Status() int { return s.answer.Status }
-
 // Answer returns the answer under whose header the stream goes on.
 func (s *Stream) Answer() *sender.Answer { return s.answer }
 
--- a/ladder/relayer/relayer.go
+++ b/ladder/relayer/relayer.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
-	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
@@ -19,8 +18,9 @@
 
 // The entry that works on a partition has its copy; any other would have to read
 // the partition whole. Asking it keeps what an entry reads independent of how
-// many entries there are. The copy in the store stays the truth: writes through
-// either way are conditional, so that asking a former owner breaks nothing.
+// many entries there are. The copy in the store stays the truth: what
+// needs an order is written under a condition, so that asking a former owner
+// breaks nothing.
 
 // answerTimeout is how long a peer's answer may take beyond the wait that it was
 // asked for: an append to the store and a slow host.
@@ -49,7 +49,6 @@
 
 // Relayer answers for jobs through peers.
 type Relayer struct {
-	clock  clockwork.Clock
 	books  Books
 	owners Owners
 	self   grouper.Member
@@ -57,8 +56,8 @@
 }
 
 // New returns a Relayer for the process self.
-func New(clock clockwork.Clock, b Books, o Owners, p Peers, self grouper.Member) *Relayer {
-	return &Relayer{clock: clock, books: b, owners: o, self: self, peers: p}
+func New(b Books, o Owners, p Peers, self grouper.Member) *Relayer {
+	return &Relayer{books: b, owners: o, self: self, peers: p}
 }
 
 // errElsewhere says that a peer can't answer, and that nothing was done.
--- a/ladder/relayer/relayer_test.go
+++ b/ladder/relayer/relayer_test.go
@@ -74,7 +74,7 @@
 				Topic: "jobs", Partitions: 1, RecordBytes: 256 << 10, CallBytes: 2 << 20, KeepFor: time.Minute,
 				StoreAge: func() time.Duration { return 0 },
 			})
-			e.Relayer = New(clock, e.books, e, consulter.New(clock, n), grouper.Member(name))
+			e.Relayer = New(e.books, e, consulter.New(clock, n), grouper.Member(name))
 			tasks.Go(func() { e.books.Run(ctx, e.Owns) })
 			n.hosts[name] = e
 		}
--- a/ladder/tracker/tracker.go
+++ b/ladder/tracker/tracker.go
@@ -26,8 +26,8 @@
 	// news is 2 s (configuration in force), which a connection that has gone
 	// silent must leave room for.
 	readWait = time.Second
-	// readTimeout is when a read is given up: readWait and a slow answer.
-	readTimeout = readWait + 500*time.Millisecond
+	// answerTime is how long the answer to a read may take beyond its wait.
+	answerTime = 500 * time.Millisecond
 	// firstPageTimeout and longestPageTimeout bound the reading of one page of
 	// a partition. A page has 1 MB, which the users' stores give in 50 ms; the
 	// time doubles when many hosts read at once.
@@ -120,15 +120,15 @@
 }
 
 func (t *Tracker) read(ctx context.Context, from identifier.LogOffset, wait time.Duration) error {
-	bounded, cancel := context.WithTimeout(ctx, wait+readTimeout-readWait)
+	bounded, cancel := context.WithTimeout(ctx, wait+answerTime)
 	defer cancel()
 	page, err := t.log.Read(bounded, t.partition, from, wait)
 	if err != nil {
 		return err
 	}
-	t.take(page.Records)
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.take(page.Records)
 	if t.next >= page.End {
 		t.known = t.loaded
 	}
@@ -186,10 +186,9 @@
 	return t.log.Newest(bounded, t.partition, after)
 }
 
-// take tells sink the records that it doesn't have yet.
+// take tells sink the records that it doesn't have yet. The caller holds the
+// mutex.
 func (t *Tracker) take(records []storer.Record) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
 	for len(records) > 0 && records[0].Offset < t.next {
 		records = records[1:]
 	}
@@ -197,11 +196,6 @@
 		t.sink.Apply(records)
 		t.next = records[len(records)-1].Offset + 1
 	}
-	t.noteContact()
-}
-
-// noteContact notes that the copy is complete now. The caller holds the mutex.
-func (t *Tracker) noteContact() {
 	t.contact = t.clock.Now()
 }
 
@@ -306,6 +300,8 @@
 	for n := range records {
 		records[n].Offset = at + identifier.LogOffset(n)
 	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
 	t.take(records)
 	return nil
 }
