--- a/ladder/scheduler/scheduler.go
+++ b/ladder/scheduler/scheduler.go
@@ -37,8 +37,9 @@
 	// broken off.
 	failedPause = 500 * time.Millisecond
 	// staleAge is the age of the copy of a job from which its items aren't
-	// sent: it may have been ended, and no item may start 3 s after that.
-	staleAge = 2500 * time.Millisecond
+	// sent: it may have been ended, and no item may reach a target 3 s after
+	// that. A read takes up to 1.5 s; the rest is for opening a connection.
+	staleAge = 1700 * time.Millisecond
 )
 
 // job is one open job that this process works on.
