Let items of ended jobs go on from their texts when they come again

What: texts that are unfinished at the end of a job are kept in memory for 24 s, texts that are finished are read from the results; a new job's items ask all owners for theirs, wait 100 ms at most, and go on after their last event if every version is new enough and the prompt is the same. Scoring is done anew. Ruled out: a home for each trainer's jobs on one owner (jobs are found by id alone); going on with texts after the end (wasted for those that never return). Test: TestRun_ItemsOfAnEndedJobGoOnInALaterOne was red without the asking.

--- a/ladder/bookkeeper/job.go
+++ b/ladder/bookkeeper/job.go
@@ -48,6 +48,16 @@
 	AcceptedAt int64 `cbor:"8,keyasint"`
 }
 
+// item returns nil where the job doesn't have the item.
+func (s *Submission) item(id identifier.ItemID) *Item {
+	for n := range s.Items {
+		if s.Items[n].ID == id {
+			return &s.Items[n]
+		}
+	}
+	return nil
+}
+
 // ResultState says how an item ended.
 type ResultState string
 
--- a/ladder/bookkeeper/read.go
+++ b/ladder/bookkeeper/read.go
@@ -93,10 +93,8 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, i := range e.submission.Items {
-		if i.ID == item {
-			return i.Body, nil
-		}
+	if i := e.submission.item(item); i != nil {
+		return i.Body, nil
 	}
 	return nil, ErrUnknownJob
 }
@@ -108,3 +106,37 @@
 func (k *Bookkeeper) Wanted(job identifier.JobID, item identifier.ItemID) bool {
 	return k.partOf(job).book.wanted(job, item)
 }
+
+// Completed is an item with its whole text.
+type Completed struct {
+	Item   *Item
+	Result Result
+}
+
+// Completed returns those of the items that were completed in a job that has
+// ended and was accepted within the time before now, from the copies that there
+// are.
+func (k *Bookkeeper) Completed(ids []identifier.ItemID, within time.Duration) (list []Completed) {
+	for _, p := range k.parts {
+		list = append(list, p.book.completed(ids, within)...)
+	}
+	return list
+}
+
+func (b *book) completed(ids []identifier.ItemID, within time.Duration) (list []Completed) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for _, e := range b.jobs {
+		if !e.ended || b.clock.Since(e.received) > within {
+			continue
+		}
+		for _, id := range ids {
+			position, listed := e.listed[id]
+			if !listed || e.results[position].State != ResultCompleted {
+				continue
+			}
+			list = append(list, Completed{Item: e.submission.item(id), Result: e.results[position]})
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/ladder/drafter/drafter.go
@@ -0,0 +1,118 @@
+// Package drafter keeps the texts of items whose job has ended before they were
+// done. A trainer hands in such items again, and they go on after their last
+// event instead of from the start.
+package drafter
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lycheeladder/lycheeladder/ladder/bookkeeper"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+)
+
+const (
+	// keepFor is how long a text is kept: two of the users' steps, of which
+	// each is over after 12 s at most.
+	keepFor = 24 * time.Second
+	// mostBytes bounds all texts; the oldest yield. A step of 2,048 samples
+	// leaves a tenth of them over, of up to 20 KB each.
+	mostBytes = 4 << 20
+	// mostAnswerBytes bounds one answer, below the 4 MiB of a frame.
+	mostAnswerBytes = 1 << 20
+)
+
+// Books has the results of ended jobs; *bookkeeper.Bookkeeper does.
+type Books interface {
+	Completed(ids []identifier.ItemID, within time.Duration) []bookkeeper.Completed
+}
+
+// Drafter keeps texts in memory only: one that is lost is made again.
+type Drafter struct {
+	clock clockwork.Clock
+	books Books
+
+	mutex sync.Mutex
+	kept  map[identifier.ItemID]kept
+	// order has the items of kept, oldest first.
+	order []identifier.ItemID
+	// bytes is the size of all texts in kept.
+	bytes int
+}
+
+type kept struct {
+	draft messenger.Draft
+	at    time.Time
+}
+
+// New returns a Drafter without drafts. What is complete is found in b.
+func New(clock clockwork.Clock, b Books) *Drafter {
+	return &Drafter{clock: clock, books: b, kept: make(map[identifier.ItemID]kept)}
+}
+
+// Fingerprint returns that of an item's prompt.
+func Fingerprint(i *bookkeeper.Item) messenger.Fingerprint {
+	d := xxhash.New()
+	_, _ = d.WriteString(i.Path)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.Write(i.Body)
+	return messenger.Fingerprint(d.Sum64())
+}
+
+// Keep keeps a draft. One that was kept of the same item is replaced.
+func (d *Drafter) Keep(draft messenger.Draft) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.drop(draft.Item)
+	d.kept[draft.Item] = kept{draft: draft, at: d.clock.Now()}
+	d.order = append(d.order, draft.Item)
+	d.bytes += len(draft.Text)
+	for len(d.order) > 0 && (d.bytes > mostBytes || d.clock.Since(d.kept[d.order[0]].at) > keepFor) {
+		d.drop(d.order[0])
+	}
+}
+
+// drop forgets an item's draft, if there is one. The caller holds the mutex.
+func (d *Drafter) drop(id identifier.ItemID) {
+	k, ok := d.kept[id]
+	if !ok {
+		return
+	}
+	d.bytes -= len(k.draft.Text)
+	delete(d.kept, id)
+	d.order = slices.DeleteFunc(d.order, func(other identifier.ItemID) bool { return other == id })
+}
+
+// Find returns what there is of the items' texts, up to a bound in bytes.
+func (d *Drafter) Find(ids []identifier.ItemID) (list []messenger.Draft) {
+	found := d.findKept(ids)
+	for _, c := range d.books.Completed(ids, keepFor) {
+		found = append(found, messenger.Draft{
+			Item: c.Item.ID, Prompt: Fingerprint(c.Item), Text: c.Result.Text, Whole: true, Versions: c.Result.Versions,
+		})
+	}
+	size := 0
+	for _, draft := range found {
+		if size += len(draft.Text); size > mostAnswerBytes {
+			break
+		}
+		list = append(list, draft)
+	}
+	return list
+}
+
+func (d *Drafter) findKept(ids []identifier.ItemID) (list []messenger.Draft) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, id := range ids {
+		if k, ok := d.kept[id]; ok && d.clock.Since(k.at) <= keepFor {
+			list = append(list, k.draft)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/ladder/drafter/drafter_test.go
@@ -0,0 +1,63 @@
+package drafter
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+
+	"github.com/lycheeladder/lycheeladder/ladder/bookkeeper"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+)
+
+type noBooks struct{}
+
+func (noBooks) Completed([]identifier.ItemID, time.Duration) []bookkeeper.Completed { return nil }
+
+// The newest draft of an item is found until it is old or newer ones fill the
+// bound, and what is kept never exceeds the bound.
+func TestKeep_NewestWithinBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := clockwork.NewFakeClock()
+		d := New(clock, noBooks{})
+		items := []identifier.ItemID{"a", "b", "c", "d"}
+		newest := make(map[identifier.ItemID]messenger.Draft)
+		at := make(map[identifier.ItemID]time.Time)
+		for n := range rapid.IntRange(1, 30).Draw(t, "steps") {
+			clock.Advance(time.Duration(rapid.IntRange(0, 10).Draw(t, "pause")) * time.Second)
+			id := rapid.SampledFrom(items).Draw(t, "item")
+			draft := messenger.Draft{Item: id, Last: identifier.EventNumber(n + 1), Text: make([]byte, rapid.IntRange(0, 2<<20).Draw(t, "bytes"))}
+			d.Keep(draft)
+			newest[id], at[id] = draft, clock.Now()
+			if d.bytes > mostBytes {
+				t.Fatalf("%d bytes are kept", d.bytes)
+			}
+		}
+		for _, found := range d.Find(items) {
+			if found.Last != newest[found.Item].Last {
+				t.Errorf("%s: draft %d was replaced by %d", found.Item, found.Last, newest[found.Item].Last)
+			}
+			if age := clock.Since(at[found.Item]); age > keepFor {
+				t.Errorf("%s is %s old", found.Item, age)
+			}
+		}
+	})
+}
+
+func TestFind_WhatWasKept(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	d := New(clock, noBooks{})
+	want := messenger.Draft{Item: "a", Text: []byte("text"), Last: 7, Versions: []identifier.WeightVersion{2}}
+	d.Keep(want)
+	d.Keep(messenger.Draft{Item: "b"})
+	if diff := cmp.Diff([]messenger.Draft{want}, d.Find([]identifier.ItemID{"x", "a"})); diff != "" {
+		t.Error(diff)
+	}
+	clock.Advance(keepFor + time.Millisecond)
+	if found := d.Find([]identifier.ItemID{"a", "b"}); len(found) != 0 {
+		t.Errorf("%d drafts are found after their time", len(found))
+	}
+}
--- /dev/null
+++ b/ladder/messenger/draft.go
@@ -0,0 +1,26 @@
+package messenger
+
+import "github.com/lycheeladder/lycheeladder/ladder/identifier"
+
+// DraftCall asks a peer for the texts that it has of some items from jobs that
+// have ended.
+type DraftCall struct {
+	Items []identifier.ItemID `cbor:"1,keyasint"`
+}
+
+// Fingerprint tells prompts apart.
+type Fingerprint uint64
+
+// Draft is the text of an item as far as it was made for a job that has ended.
+type Draft struct {
+	Item identifier.ItemID `cbor:"1,keyasint"`
+	// Prompt is of what the text answers.
+	Prompt Fingerprint `cbor:"2,keyasint"`
+	// Text has the data of the events up to Last, separated by line feeds.
+	Text []byte `cbor:"3,keyasint"`
+	// Last is the number of the last event; it isn't known of a whole text.
+	Last  identifier.EventNumber `cbor:"4,keyasint,omitempty"`
+	Whole bool                   `cbor:"5,keyasint,omitempty"`
+	// Versions are all that generated an event of the text, in rising order.
+	Versions []identifier.WeightVersion `cbor:"6,keyasint"`
+}
--- a/ladder/messenger/question.go
+++ b/ladder/messenger/question.go
@@ -38,7 +38,8 @@
 	Job    *JobCall   `cbor:"2,keyasint,omitempty"`
 	Store  *StoreCall `cbor:"3,keyasint,omitempty"`
 	// Demand asks how much work the peer has.
-	Demand bool `cbor:"4,keyasint,omitempty"`
+	Demand bool       `cbor:"4,keyasint,omitempty"`
+	Drafts *DraftCall `cbor:"5,keyasint,omitempty"`
 }
 
 // Reply answers the Question with its Number. Neither part is there if the
@@ -49,4 +50,6 @@
 	Store  *StoreAnswer `cbor:"3,keyasint,omitempty"`
 	// Demand counts the tokens of the jobs that the peer works on, by model.
 	Demand map[identifier.ModelName]identifier.TokenCount `cbor:"4,keyasint,omitempty"`
+	// Drafts are those that the peer has of what was asked for, in no order.
+	Drafts []Draft `cbor:"5,keyasint,omitempty"`
 }
--- /dev/null
+++ b/ladder/scheduler/draft_test.go
@@ -0,0 +1,114 @@
+package scheduler
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/lycheeladder/lycheeladder/ladder/bookkeeper"
+	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
+	"github.com/lycheeladder/lycheeladder/ladder/faker"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/sender"
+)
+
+// longText has events for 6 s, more than the 4 s of a step.
+func longText(version identifier.WeightVersion) behave {
+	return func(cataloger.Target, sender.Call, int) faker.Behaviour {
+		return faker.Behaviour{Events: 200, Gap: pace, Version: version}
+	}
+}
+
+// endAfter ends the job j, hands in the same items as k after a pause and
+// returns how many calls engines had got before.
+func (w *world) endAfter(t *testing.T, d time.Duration, oldest identifier.WeightVersion, items int) (calls int) {
+	t.Helper()
+	time.Sleep(d)
+	if err := w.books.End(context.Background(), "j"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(time.Second)
+	calls = len(w.targets.Calls())
+	w.submitAs(t, "k", oldest, items)
+	return calls
+}
+
+func TestRun_ItemsOfAnEndedJobGoOnInALaterOne(t *testing.T) {
+	inWorld(t, false, longText(2), func(t *testing.T, w *world) {
+		w.submit(t, 8)
+		w.endAfter(t, 4*time.Second, 2, 8)
+		time.Sleep(4 * time.Second)
+		got := w.resultsOf(t, "k")
+		if len(got) != 8 {
+			t.Fatalf("%d of 8 items are done 4 s after they came again; 2 s of their texts were left", len(got))
+		}
+		for id, r := range got {
+			r.Score = ""
+			want := bookkeeper.Result{Item: id, State: bookkeeper.ResultCompleted, Text: wholeText(200), Versions: []identifier.WeightVersion{2}}
+			if diff := cmp.Diff(want, r); diff != "" {
+				t.Errorf("%s: %s", id, diff)
+			}
+		}
+	})
+}
+
+func TestRun_TextsUnderAVersionThatIsTooOldAreMadeAnew(t *testing.T) {
+	var version atomic.Int64
+	version.Store(2)
+	b := func(target cataloger.Target, c sender.Call, n int) faker.Behaviour {
+		return longText(identifier.WeightVersion(version.Load()))(target, c, n)
+	}
+	inWorld(t, false, b, func(t *testing.T, w *world) {
+		w.submit(t, 4)
+		time.Sleep(3 * time.Second)
+		version.Store(3)
+		for _, name := range []identifier.TargetName{"a", "b", "c"} {
+			w.catalog.LearnWeights(name, "m", 3)
+		}
+		before := w.endAfter(t, time.Second, 3, 4)
+		time.Sleep(8 * time.Second)
+		for id, r := range w.resultsOf(t, "k") {
+			if diff := cmp.Diff([]identifier.WeightVersion{3}, r.Versions); diff != "" {
+				t.Errorf("%s: versions %s", id, diff)
+			}
+		}
+		calls := w.targets.Calls()[before:]
+		if len(calls) == 0 {
+			t.Fatal("nothing was sent")
+		}
+		for _, c := range calls {
+			if c.Call.ID[0] == 'i' && c.Call.ResumeAfter > 0 {
+				t.Errorf("%s goes on after event %d of version 2", c.Call.ID, c.Call.ResumeAfter)
+			}
+		}
+	})
+}
+
+func TestRun_WholeTextsOfAnEndedJobAreOnlyScored(t *testing.T) {
+	b := func(_ cataloger.Target, c sender.Call, _ int) faker.Behaviour {
+		if c.ID == "i00" {
+			return faker.Behaviour{Events: 400, Gap: pace, Version: 2}
+		}
+		return good()
+	}
+	inWorld(t, false, b, func(t *testing.T, w *world) {
+		w.submit(t, 4)
+		before := w.endAfter(t, 3*time.Second, 2, 4)
+		time.Sleep(time.Second)
+		if n := len(w.resultsOf(t, "k")); n != 3 {
+			t.Errorf("%d of 3 items are listed at once", n)
+		}
+		for _, c := range w.targets.Calls()[before:] {
+			if c.Call.ID[0] == 'i' && c.Call.ID != "i00" {
+				t.Errorf("%s was run again", c.Call.ID)
+			}
+		}
+		time.Sleep(9 * time.Second)
+		if diff := cmp.Diff(wholeText(400), w.resultsOf(t, "k")["i00"].Text); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
--- a/ladder/scheduler/scheduler.go
+++ b/ladder/scheduler/scheduler.go
@@ -58,6 +58,7 @@
 	owner     *grouper.Grouper
 	sender    sender.Sender
 	forwarder *forwarder.Forwarder
+	drafts    Drafts
 	router    *router.Router
 	wake      chan struct{}
 
@@ -69,9 +70,9 @@
 }
 
 // New returns a Scheduler. random breaks ties between targets; many tasks use it.
-func New(clock clockwork.Clock, c *cataloger.Cataloger, k *bookkeeper.Bookkeeper, s sender.Sender, f *forwarder.Forwarder, random router.Random) *Scheduler {
+func New(clock clockwork.Clock, c *cataloger.Cataloger, k *bookkeeper.Bookkeeper, s sender.Sender, f *forwarder.Forwarder, d Drafts, random router.Random) *Scheduler {
 	return &Scheduler{
-		clock: clock, catalog: c, books: k, sender: s, forwarder: f,
+		clock: clock, catalog: c, books: k, sender: s, forwarder: f, drafts: d,
 		router: router.New(clock, random, router.Expected{}), wake: make(chan struct{}, 1),
 		tasks: make(map[taskKey]*task), avoided: make(map[identifier.TargetName]time.Time),
 	}
@@ -114,9 +115,12 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for _, j := range jobs {
-		s.takeUp(j)
+		if begun := s.takeUp(j); len(begun) > 0 && j.Model != "" {
+			s.collect(ctx, j, begun, tasks)
+		}
 	}
 	s.endUnwanted()
+	s.scoreWhole(ctx, tasks)
 	for _, t := range s.queue() {
 		if s.books.Age(s.books.PartitionOf(t.key.job)) > staleAge {
 			continue
@@ -154,8 +158,10 @@
 	}
 }
 
-// takeUp makes tasks of the items that have none. The caller holds the mutex.
-func (s *Scheduler) takeUp(j *job) {
+// takeUp makes tasks of the items that have none, and returns these. The caller
+// holds the mutex.
+func (s *Scheduler) takeUp(j *job) (begun []identifier.ItemID) {
+	now := s.clock.Now()
 	for n := range j.Items {
 		i := &j.Items[n]
 		key := taskKey{j.ID, i.ID}
@@ -163,9 +169,15 @@
 			continue
 		}
 		if _, ok := s.tasks[key]; !ok {
-			s.tasks[key] = &task{scheduler: s, key: key, job: j, item: i, order: n, wanted: true, waiting: s.clock.Now()}
+			t := &task{scheduler: s, key: key, job: j, item: i, order: n, wanted: true, waiting: now}
+			if j.Model != "" {
+				t.notBefore = now.Add(draftsWait)
+			}
+			s.tasks[key] = t
+			begun = append(begun, i.ID)
 		}
 	}
+	return begun
 }
 
 // endUnwanted breaks off what is listed, ended or given to others before it has
@@ -179,6 +191,7 @@
 			t.end()
 		}
 		if !t.wanted && !t.busy {
+			s.keep(t)
 			delete(s.tasks, key)
 		}
 	}
--- a/ladder/scheduler/scheduler_test.go
+++ b/ladder/scheduler/scheduler_test.go
@@ -16,10 +16,12 @@
 	"github.com/lycheeladder/lycheeladder/ladder/bookkeeper"
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/convicter"
+	"github.com/lycheeladder/lycheeladder/ladder/drafter"
 	"github.com/lycheeladder/lycheeladder/ladder/faker"
 	"github.com/lycheeladder/lycheeladder/ladder/forwarder"
 	"github.com/lycheeladder/lycheeladder/ladder/grouper"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/relayer"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
 	"github.com/lycheeladder/lycheeladder/ladder/sender"
 	"github.com/lycheeladder/lycheeladder/ladder/storer"
@@ -84,7 +86,8 @@
 	})
 	random := router.NewSharedRandom(1)
 	f := forwarder.New(clock, w.catalog, w.targets, convicter.New(clock, w.store, storer.Partition{Topic: "breaks"}), random)
-	w.Scheduler = New(clock, w.catalog, w.books, w.targets, f, random)
+	d := drafter.New(clock, w.books)
+	w.Scheduler = New(clock, w.catalog, w.books, w.targets, f, drafts{d, relayer.NewCollector(d.Find, func() []string { return nil }, nil)}, random)
 	owner := grouper.New(clock, w.group.Member("self"), grouper.Options{
 		Self: "self", Zeal: grouper.Eager, Wanted: func() int { return 1 }, Random: random, Pace: grouper.WorkPace,
 	}, w.Wake)
@@ -98,10 +101,22 @@
 	return w
 }
 
-// submit hands in a job of n items.
+// drafts are those of the entry itself.
+type drafts struct {
+	*drafter.Drafter
+	*relayer.Collector
+}
+
+// submit hands in the job j of n items.
 func (w *world) submit(t *testing.T, n int) {
 	t.Helper()
-	s := bookkeeper.Submission{ID: "j", Host: "h", Path: "/p/", Model: "m", OldestVersion: 2}
+	w.submitAs(t, "j", 2, n)
+}
+
+// submitAs hands in a job of n items, whose ids are those of any other job.
+func (w *world) submitAs(t *testing.T, id identifier.JobID, oldest identifier.WeightVersion, n int) {
+	t.Helper()
+	s := bookkeeper.Submission{ID: id, Host: "h", Path: "/p/", Model: "m", OldestVersion: oldest}
 	for k := range n {
 		s.Items = append(s.Items, bookkeeper.Item{
 			ID: identifier.ItemID(fmt.Sprintf("i%02d", k)), Path: "/p/x", Tokens: 100,
@@ -115,7 +130,12 @@
 
 func (w *world) results(t *testing.T) map[identifier.ItemID]bookkeeper.Result {
 	t.Helper()
-	v, err := w.books.Results(context.Background(), "j", 0, 0, 1<<30)
+	return w.resultsOf(t, "j")
+}
+
+func (w *world) resultsOf(t *testing.T, id identifier.JobID) map[identifier.ItemID]bookkeeper.Result {
+	t.Helper()
+	v, err := w.books.Results(context.Background(), id, 0, 0, 1<<30)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/ladder/scheduler/score.go
+++ b/ladder/scheduler/score.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 
+	"github.com/sourcegraph/conc"
 	"k8s.io/klog/v2"
 
 	"github.com/lycheeladder/lycheeladder/ladder/bookkeeper"
@@ -31,9 +32,30 @@
 func (t *task) maxAttempts() int { return max(1, t.route.MaxAttempts) }
 
 func (t *task) list(r bookkeeper.Result) {
+	t.listed = true
 	t.scheduler.books.List(bookkeeper.Outcome{Job: t.key.job, Result: r})
 }
 
+// scoreWhole scores texts that were whole from the start. The caller holds the
+// mutex.
+func (s *Scheduler) scoreWhole(ctx context.Context, tasks *conc.WaitGroup) {
+	for _, t := range s.tasks {
+		if !t.texted || t.busy || t.listed || !t.wanted {
+			continue
+		}
+		route, ok := s.routeOf(t)
+		if !ok {
+			continue
+		}
+		bounded, cancel := context.WithCancel(ctx)
+		t.busy, t.cancel, t.route = true, cancel, route
+		tasks.Go(func() {
+			t.score(bounded)
+			t.rest(nil, 0)
+		})
+	}
+}
+
 // score has the whole text scored and lists the result.
 func (t *task) score(ctx context.Context) {
 	if t.failures >= t.maxAttempts() {
--- a/ladder/scheduler/task.go
+++ b/ladder/scheduler/task.go
@@ -65,7 +65,7 @@
 	wanted bool
 	// busy says that run is under way.
 	busy bool
-	// texted says that the text is whole.
+	// texted says that the text is whole, of this job or an earlier one.
 	texted bool
 	cancel context.CancelFunc
 	// waiting is since when it has waited for a target.
@@ -82,6 +82,8 @@
 	last identifier.EventNumber
 	// versions are all that made an event of text, in rising order.
 	versions []identifier.WeightVersion
+	// listed says that a result was handed to the books.
+	listed bool
 	// failures counts the target's answers of failure.
 	failures int
 	// left is the target that the item has gone away from, and leftUntil when
@@ -119,6 +121,12 @@
 	case err != nil:
 		klog.InfoS("item goes on elsewhere", "job", t.key.job, "item", t.key.item, "target", target.Name, "after", t.last, "cause", err)
 	}
+	t.rest(err, before)
+}
+
+// rest ends a run that began after the event before and ended with err.
+func (t *task) rest(err error, before identifier.EventNumber) {
+	s := t.scheduler
 	s.mutex.Lock()
 	t.busy, t.waiting = false, s.clock.Now()
 	t.backOff(err != nil && t.last <= before)
