Derive the age of the copy from which items are sent from the bound on them

An attempt without a first event is given up after 1.5 s, so that what is sent from a copy of 1.7 s may still reach its target 3.2 s after the end. What: 3 s less the 1.5 s. Test: TestRun_WhatIsSentWithoutNewsReachesItsTargetInTime, red at 1.7 s ("item i04 was sent 1.66s after the last news").

--- a/ladder/scheduler/scheduler.go
+++ b/ladder/scheduler/scheduler.go
@@ -36,10 +36,13 @@
 	// failedPause keeps items from a target that can't be reached or has
 	// broken off.
 	failedPause = 500 * time.Millisecond
+	// endBound is how long after its job's end an item may reach a target: the
+	// users' sheets allow 3 s.
+	endBound = 3 * time.Second
 	// staleAge is the age of the copy of a job from which its items aren't
-	// sent: it may have been ended, and no item may reach a target 3 s after
-	// that. A read takes up to 1.5 s; the rest is for opening a connection.
-	staleAge = 1700 * time.Millisecond
+	// sent, since it may have been ended. What is sent then is given up after
+	// firstTimeout.
+	staleAge = endBound - firstTimeout
 )
 
 // job is one open job that this process works on.
--- a/ladder/scheduler/scheduler_test.go
+++ b/ladder/scheduler/scheduler_test.go
@@ -319,3 +319,34 @@
 		}
 	})
 }
+
+// A job may be ended right after the last news of it. What is sent from then on
+// is given up after firstTimeout, and must not reach a target later than 3 s
+// after the end.
+func TestRun_WhatIsSentWithoutNewsReachesItsTargetInTime(t *testing.T) {
+	const bound = 3 * time.Second
+	inWorld(t, false, func(cataloger.Target, sender.Call, int) faker.Behaviour {
+		return faker.Behaviour{Events: 300, Gap: pace, Version: 2, BreakAfter: 3}
+	}, func(t *testing.T, w *world) {
+		w.submitAs(t, "j", 2, 30)
+		time.Sleep(500 * time.Millisecond)
+		w.submitAs(t, "k", 2, 30)
+		time.Sleep(10 * time.Millisecond)
+		w.store.SetDown(true)
+		news := time.Now()
+		time.Sleep(6 * time.Second)
+		sent := 0
+		for _, c := range w.targets.Calls() {
+			age := c.At.Sub(news)
+			if age > 0 {
+				sent++
+			}
+			if age+firstTimeout > bound {
+				t.Errorf("item %s was sent %s after the last news", c.Call.ID, age)
+			}
+		}
+		if sent == 0 {
+			t.Error("nothing was sent without news")
+		}
+	})
+}
