Fill gaps among the owners of jobs one after the other

Cause: when one of five owners stopped, all hosts that stood by joined within 1.6 s, since a newcomer shows only when the others have joined again; most left again. What: those who stand by join in the order of their names, one each 0.8 s; where nobody is left the first one takes all. The test's group now gives a partition up only when its holder joins again, as the users' store does. Test: TestRun_AStopMovesFewPartitions, red where all join at once (53 changes).

--- a/ladder/faker/group.go
+++ b/ladder/faker/group.go
@@ -1,7 +1,9 @@
 package faker
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -13,7 +15,9 @@
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 )
 
-// Group is the platform's group over some partitions.
+// Group is the platform's group over some partitions. It deals them out evenly
+// and moves as few as it can; one that a member gives up is free when that member
+// has joined again.
 type Group struct {
 	clock      clockwork.Clock
 	partitions int
@@ -21,12 +25,17 @@
 	mutex      sync.Mutex
 	generation grouper.Generation
 	members    map[grouper.Member]time.Time
-	down       bool
+	// planned says who is to have each partition, and held who has it.
+	planned, held map[identifier.PartitionNumber]grouper.Member
+	down          bool
 }
 
 // NewGroup returns a Group without members.
 func NewGroup(clock clockwork.Clock, partitions int) *Group {
-	return &Group{clock: clock, partitions: partitions, members: make(map[grouper.Member]time.Time)}
+	return &Group{
+		clock: clock, partitions: partitions, members: make(map[grouper.Member]time.Time),
+		planned: make(map[identifier.PartitionNumber]grouper.Member), held: make(map[identifier.PartitionNumber]grouper.Member),
+	}
 }
 
 // SetDown begins or ends an outage.
@@ -46,11 +55,11 @@
 	return g.living()
 }
 
+// living drops members whose time is over. The caller holds the mutex.
 func (g *Group) living() (list []grouper.Member) {
 	for id, until := range g.members {
 		if until.Before(g.clock.Now()) {
-			delete(g.members, id)
-			g.generation++
+			g.remove(id)
 			continue
 		}
 		list = append(list, id)
@@ -59,6 +68,44 @@
 	return list
 }
 
+func (g *Group) remove(id grouper.Member) {
+	delete(g.members, id)
+	for n, holder := range g.held {
+		if holder == id {
+			delete(g.held, n)
+		}
+	}
+	g.generation++
+	g.plan()
+}
+
+// plan shares the partitions out anew. The caller holds the mutex.
+func (g *Group) plan() {
+	counts := make(map[grouper.Member]int, len(g.members))
+	most := 0
+	if len(g.members) > 0 {
+		most = (g.partitions + len(g.members) - 1) / len(g.members)
+	}
+	var free []identifier.PartitionNumber
+	for n := range identifier.PartitionNumber(g.partitions) {
+		id := g.planned[n]
+		if _, lives := g.members[id]; !lives || counts[id] == most {
+			delete(g.planned, n)
+			free = append(free, n)
+			continue
+		}
+		counts[id]++
+	}
+	ids := slices.Sorted(maps.Keys(g.members))
+	for _, n := range free {
+		if len(ids) == 0 {
+			return
+		}
+		g.planned[n] = slices.MinFunc(ids, func(a, b grouper.Member) int { return cmp.Compare(counts[a], counts[b]) })
+		counts[g.planned[n]]++
+	}
+}
+
 type member struct {
 	group *Group
 	id    grouper.Member
@@ -72,14 +119,23 @@
 	if g.down {
 		return grouper.Membership{}, appender.ErrUnavailable
 	}
-	if _, known := g.members[m.id]; !known {
+	g.living()
+	_, known := g.members[m.id]
+	g.members[m.id] = g.clock.Now().Add(ttl)
+	if !known {
 		g.generation++
+		g.plan()
 	}
-	g.members[m.id] = g.clock.Now().Add(ttl)
-	living := g.living()
 	joined := grouper.Membership{Generation: g.generation}
-	for n := slices.Index(living, m.id); n < g.partitions; n += len(living) {
-		joined.Partitions = append(joined.Partitions, identifier.PartitionNumber(n))
+	for n := range identifier.PartitionNumber(g.partitions) {
+		holder, taken := g.held[n]
+		switch {
+		case g.planned[n] == m.id && (!taken || holder == m.id):
+			g.held[n] = m.id
+			joined.Partitions = append(joined.Partitions, n)
+		case holder == m.id:
+			delete(g.held, n)
+		}
 	}
 	return joined, nil
 }
@@ -92,8 +148,7 @@
 	if g.down {
 		return appender.ErrUnavailable
 	}
-	delete(g.members, m.id)
-	g.generation++
+	g.remove(m.id)
 	return nil
 }
 
@@ -105,10 +160,6 @@
 	if g.down {
 		return nil, appender.ErrUnavailable
 	}
-	owners := make(map[identifier.PartitionNumber]grouper.Member)
-	living := g.living()
-	for n := 0; len(living) > 0 && n < g.partitions; n++ {
-		owners[identifier.PartitionNumber(n)] = living[n%len(living)]
-	}
-	return owners, nil
+	g.living()
+	return maps.Clone(g.held), nil
 }
--- a/ladder/grouper/grouper.go
+++ b/ladder/grouper/grouper.go
@@ -94,6 +94,9 @@
 	Zeal Zeal
 	// Wanted says how many members the group needs; nil stands for everyone.
 	Wanted func() int
+	// Peers returns the names of the processes that could be members; nil
+	// stands for none.
+	Peers  func() []string
 	Random Random
 	Pace   Pace
 }
@@ -106,11 +109,16 @@
 	zeal  Zeal
 	// wanted says how many members the group needs.
 	wanted func() int
+	peers  func() []string
 	random Random
 	pace   Pace
 	// changed is called after each change.
 	changed func()
 
+	// gapSince is since when a member is missing; zero while none is. It
+	// belongs to Run.
+	gapSince time.Time
+
 	mutex      sync.Mutex
 	membership Membership
 	// answered is when the last successful join was sent.
@@ -118,6 +126,9 @@
 	// owners is what the store said at ownersAt.
 	owners   map[identifier.PartitionNumber]Member
 	ownersAt time.Time
+	// formerOwners has the member that held a partition before the one in
+	// owners, other than this process.
+	formerOwners map[identifier.PartitionNumber]Member
 	// asking says that the list is being read.
 	asking bool
 }
@@ -125,7 +136,8 @@
 // New returns a Grouper that isn't in the group until Run.
 func New(clock clockwork.Clock, g Group, o Options, changed func()) *Grouper {
 	return &Grouper{
-		clock: clock, group: g, self: o.Self, zeal: o.Zeal, wanted: o.Wanted, random: o.Random, pace: o.Pace, changed: changed,
+		clock: clock, group: g, self: o.Self, zeal: o.Zeal, wanted: o.Wanted, peers: o.Peers, random: o.Random, pace: o.Pace, changed: changed,
+		formerOwners: make(map[identifier.PartitionNumber]Member),
 	}
 }
 
--- a/ladder/grouper/grouper_test.go
+++ b/ladder/grouper/grouper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,14 +21,27 @@
 // host is one process that may be in the group.
 type host struct {
 	*grouper.Grouper
-	stop func()
+	// changes counts the changes of what it works on.
+	changes atomic.Int32
+	stop    func()
 }
 
 func newHost(group *faker.Group, n int, zeal grouper.Zeal) *host {
+	return newHostOf(group, n, zeal, 2, 8)
+}
+
+// newHostOf is one of some peers, of which some are wanted.
+func newHostOf(group *faker.Group, n int, zeal grouper.Zeal, wanted, peers int) *host {
 	id := grouper.Member(fmt.Sprintf("host-%d", n))
-	h := &host{Grouper: grouper.New(clockwork.NewRealClock(), group.Member(id), grouper.Options{
-		Self: id, Zeal: zeal, Wanted: func() int { return 2 }, Random: router.NewRandom(uint64(n)), Pace: grouper.WorkPace,
-	}, func() {})}
+	h := &host{}
+	var names []string
+	for n := range peers {
+		names = append(names, fmt.Sprintf("host-%d", n))
+	}
+	h.Grouper = grouper.New(clockwork.NewRealClock(), group.Member(id), grouper.Options{
+		Self: id, Zeal: zeal, Wanted: func() int { return wanted }, Peers: func() []string { return names[:peers] },
+		Random: router.NewRandom(uint64(n)), Pace: grouper.WorkPace,
+	}, func() { h.changes.Add(1) })
 	ctx, cancel := context.WithCancel(context.Background())
 	var tasks conc.WaitGroup
 	tasks.Go(func() { h.Run(ctx) })
@@ -133,3 +147,72 @@
 		}
 	})
 }
+
+// Five of thirty hosts work; each in turn stops and comes again. A change moves
+// the partitions of the host that stopped, and those that its successor gets.
+func TestRun_AStopMovesFewPartitions(t *testing.T) {
+	const wanted, all = 5, 30
+	synctest.Test(t, func(*testing.T) {
+		group := faker.NewGroup(clockwork.NewRealClock(), 24)
+		var hosts []*host
+		for n := range all {
+			hosts = append(hosts, newHostOf(group, n, grouper.Eager, wanted, all))
+		}
+		time.Sleep(20 * time.Second)
+		for n := range hosts {
+			if len(hosts[n].Owned()) == 0 {
+				continue
+			}
+			before := changesOf(hosts)
+			hosts[n].stop()
+			stopped := len(hosts[n].Owned())
+			time.Sleep(8 * time.Second)
+			// The stop, four that take its work over, a successor, four that
+			// give it work; as much again for a second one that comes too.
+			if changed := changesOf(hosts) - before; changed > 2*(2+2*(wanted-1)) {
+				t.Errorf("host %d stopped: %d changes of what hosts work on", n, changed)
+			}
+			if total := ownedBy(hosts); total != 24 || stopped != 0 {
+				t.Errorf("host %d stopped: %d partitions are worked on, %d by it", n, total, stopped)
+			}
+			if members := len(group.Members()); members != wanted {
+				t.Errorf("host %d stopped: %d members 8 s later", n, members)
+			}
+			hosts[n] = newHostOf(group, n, grouper.Eager, wanted, all)
+		}
+		for _, h := range hosts {
+			h.stop()
+		}
+	})
+}
+
+func changesOf(hosts []*host) (total int) {
+	for _, h := range hosts {
+		total += int(h.changes.Load())
+	}
+	return total
+}
+
+func TestFormerOwnerOf_WhoeverStopped(t *testing.T) {
+	inBubble(t, 0, 4, func(group *faker.Group, hosts []*host) {
+		time.Sleep(10 * time.Second)
+		var stopped grouper.Member
+		var partition identifier.PartitionNumber
+		for n, h := range hosts {
+			if owned := h.Owned(); len(owned) > 0 {
+				stopped, partition = grouper.Member(fmt.Sprintf("host-%d", n)), owned[0]
+				h.stop()
+				break
+			}
+		}
+		time.Sleep(500 * time.Millisecond) // the other member has joined again
+		for _, h := range hosts {
+			if !h.Owns(partition) {
+				continue
+			}
+			if former, ok := h.FormerOwnerOf(partition); !ok || former != stopped {
+				t.Errorf("former owner %q, want %q", former, stopped)
+			}
+		}
+	})
+}
--- a/ladder/grouper/member.go
+++ b/ladder/grouper/member.go
@@ -12,11 +12,20 @@
 
 // A few members do the work of all: they keep their connections to the targets
 // in use, and each sees more of the load that it places. The others stand by.
+// While there are members they have the work of one that left, so that a gap may
+// wait. Each change of the group moves partitions, and a newcomer shows only when
+// the others have joined again: were all who stand by to join, most would leave
+// again, and each move breaks work off. So they join one after the other, in the
+// order of their names.
 
-// joinOrLeave joins if a member is missing, and leaves if there are too many.
 func (g *Grouper) joinOrLeave(ctx context.Context) {
 	err := g.readOwners(ctx)
 	members, member := g.members()
+	if member || err != nil || g.wanted == nil || !g.missing(members) {
+		g.gapSince = time.Time{}
+	} else if g.gapSince.IsZero() {
+		g.gapSince = g.clock.Now()
+	}
 	switch {
 	case g.wanted == nil:
 		g.join(ctx)
@@ -25,30 +34,39 @@
 		g.leave(ctx)
 	case member:
 		g.join(ctx)
-	case err == nil && g.missing(members):
-		// All who stand by see the gap at once; the first to come fills it.
+	case err == nil && len(members) == 0 && g.missing(members):
+		// Nobody works. All see it at once; the first to come takes all of it.
 		select {
-		case <-g.clock.After(time.Duration(g.random.IntN(int(g.joinSpread(members))))):
+		case <-g.clock.After(time.Duration(g.random.IntN(int(g.pace.Pause)))):
 		case <-ctx.Done():
 			return
 		}
 		if err := g.readOwners(ctx); err != nil {
 			return
 		}
-		if members, _ := g.members(); g.missing(members) {
+		if members, _ := g.members(); len(members) == 0 {
 			g.join(ctx)
 		}
+	case err == nil && g.missing(members) && g.clock.Since(g.gapSince) >= time.Duration(g.rank(members))*g.showTime():
+		g.join(ctx)
 	}
 }
 
-// joinSpread is the time over which those who stand by spread their joins. While
-// somebody works on everything it is as long as the store takes to show a new
-// member to the others, twice over.
-func (g *Grouper) joinSpread(members []Member) time.Duration {
-	if len(members) == 0 {
-		return g.pace.Pause
+// showTime is how long a newcomer takes to show: the others join again, and are
+// then seen.
+func (g *Grouper) showTime() time.Duration { return 2 * g.pace.Pause }
+
+// rank is how many others fill a gap before this process does.
+func (g *Grouper) rank(members []Member) (count int) {
+	if g.peers == nil {
+		return 0
 	}
-	return 4 * g.pace.Pause
+	for _, address := range g.peers() {
+		if p := Member(address); p < g.self && !slices.Contains(members, p) {
+			count++
+		}
+	}
+	return count
 }
 
 // members returns those who hold partitions, in order, and whether this process
@@ -109,10 +127,23 @@
 	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	for n, o := range g.owners {
+		if now, ok := owners[n]; o != g.self && (!ok || now != o) {
+			g.formerOwners[n] = o
+		}
+	}
 	g.owners, g.ownersAt = owners, g.clock.Now()
 	return nil
 }
 
+// FormerOwnerOf returns who else worked on a partition last, if that is known.
+func (g *Grouper) FormerOwnerOf(n identifier.PartitionNumber) (Member, bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	o, ok := g.formerOwners[n]
+	return o, ok
+}
+
 // Addresses returns where the other members are reached that hold a partition.
 func (g *Grouper) Addresses() (list []string) {
 	g.mutex.Lock()
