Hand the texts of running items over with their partition

Whoever took a partition over began its items anew while the former owner ran them on: a sample of 6.1 s took 11.5 s, and its trainer fell 13 s behind. What: whoever takes a job up asks the former owner of its partition too, which breaks its runs off and tells their texts. Who gives a partition up without being asked runs on as before. Ruled out: breaking off at the stop (the next owner comes 0.4 s later, and perhaps not at all); texts in the store (bytes at every event, for a rare use). Test: TestRun_ItemsUnderWayGoOnAtTheNextOwner.

--- a/ladder/messenger/draft.go
+++ b/ladder/messenger/draft.go
@@ -2,16 +2,18 @@
 
 import "github.com/lycheeladder/lycheeladder/ladder/identifier"
 
-// DraftCall asks a peer for the texts that it has of some items from jobs that
-// have ended.
+// DraftCall asks a peer for the texts that it has of some items, from jobs that
+// have ended and from Job. What the peer still runs of Job without owning it is
+// broken off and told.
 type DraftCall struct {
 	Items []identifier.ItemID `cbor:"1,keyasint"`
+	Job   identifier.JobID    `cbor:"2,keyasint"`
 }
 
 // Fingerprint tells prompts apart.
 type Fingerprint uint64
 
-// Draft is the text of an item as far as it was made for a job that has ended.
+// Draft is the text of an item as far as it was made.
 type Draft struct {
 	Item identifier.ItemID `cbor:"1,keyasint"`
 	// Prompt is of what the text answers.
--- a/ladder/relayer/drafts.go
+++ b/ladder/relayer/drafts.go
@@ -13,32 +13,34 @@
 // draftsTimeout bounds a peer's answer, as demandTimeout does.
 const draftsTimeout = 500 * time.Millisecond
 
-// Collector asks all owners for drafts: a later job of a trainer is mostly
-// worked on by another owner.
+// Collector asks for drafts whoever may have some: all owners, since a later
+// job of a trainer is mostly worked on by another one, and the former owner of
+// the job.
 type Collector struct {
 	own func(ids []identifier.ItemID) []messenger.Draft
-	// owners returns the addresses of the other owners.
-	owners func() []string
+	// others returns the addresses of those to ask about a job.
+	others func(id identifier.JobID) []string
 	peers  Peers
 }
 
 // NewCollector returns a Collector.
-func NewCollector(own func(ids []identifier.ItemID) []messenger.Draft, owners func() []string, p Peers) *Collector {
-	return &Collector{own: own, owners: owners, peers: p}
+func NewCollector(own func(ids []identifier.ItemID) []messenger.Draft, others func(id identifier.JobID) []string, p Peers) *Collector {
+	return &Collector{own: own, others: others, peers: p}
 }
 
-// Collect hands the drafts of each owner to take as they come, and returns when
-// all have answered or failed. An owner that doesn't answer costs its drafts,
-// which are made again.
-func (c *Collector) Collect(ctx context.Context, ids []identifier.ItemID, take func([]messenger.Draft)) {
-	take(c.own(ids))
+// Collect hands the drafts of each peer to take as they come, and returns when
+// all have answered or failed. A peer that doesn't answer costs its drafts, which
+// are made again.
+func (c *Collector) Collect(ctx context.Context, id identifier.JobID, items []identifier.ItemID, take func([]messenger.Draft)) {
+	take(c.own(items))
 	ctx, cancel := context.WithTimeout(ctx, draftsTimeout)
 	defer cancel()
+	q := messenger.Question{Drafts: &messenger.DraftCall{Job: id, Items: items}}
 	var questions conc.WaitGroup
 	defer questions.Wait()
-	for _, address := range c.owners() {
+	for _, address := range c.others(id) {
 		questions.Go(func() {
-			if r, err := c.peers.Ask(ctx, address, messenger.Question{Drafts: &messenger.DraftCall{Items: ids}}); err == nil {
+			if r, err := c.peers.Ask(ctx, address, q); err == nil {
 				take(r.Drafts)
 			}
 		})
--- a/ladder/relayer/drafts_test.go
+++ b/ladder/relayer/drafts_test.go
@@ -27,10 +27,10 @@
 func TestCollect_FromAllOwnersThatAnswer(t *testing.T) {
 	peers := owners{"p": {{Item: "b"}}, "q": {{Item: "c"}}}
 	own := func([]identifier.ItemID) []messenger.Draft { return []messenger.Draft{{Item: "a"}} }
-	c := NewCollector(own, func() []string { return []string{"p", "silent", "q"} }, peers)
+	c := NewCollector(own, func(identifier.JobID) []string { return []string{"p", "silent", "q"} }, peers)
 	var mutex sync.Mutex
 	var got []identifier.ItemID
-	c.Collect(t.Context(), []identifier.ItemID{"a", "b", "c", "d"}, func(list []messenger.Draft) {
+	c.Collect(t.Context(), "j", []identifier.ItemID{"a", "b", "c", "d"}, func(list []messenger.Draft) {
 		mutex.Lock()
 		defer mutex.Unlock()
 		for n := range list {
--- a/ladder/scheduler/draft.go
+++ b/ladder/scheduler/draft.go
@@ -18,25 +18,32 @@
 // A trainer goes on without the longest items of a step, and hands their groups
 // in again with the next one, for which it then waits. What was made of their
 // texts is used if its versions are new enough: an item longer than a step is
-// done over two steps instead of never.
+// done over two steps instead of never. In the same way an item goes on that
+// another entry has begun: whoever takes a partition over asks the former owner,
+// which breaks its runs off and tells how far they have come.
 
-// draftsWait is how long a new job's items wait for drafts before they start
-// without: answers within a region take some ms.
-const draftsWait = 100 * time.Millisecond
+const (
+	// draftsWait is how long a new job's items wait for drafts before they
+	// start without: answers within a region take some ms.
+	draftsWait = 100 * time.Millisecond
+	// handOverPoll is between two looks whether runs are broken off, which
+	// takes no more than closing their connections.
+	handOverPoll = 2 * time.Millisecond
+)
 
 // Drafts has the texts of items of earlier jobs.
 type Drafts interface {
-	// Keep keeps what an item has when its job ends.
+	// Keep keeps what an item has when it isn't wanted here any more.
 	Keep(d messenger.Draft)
 	// Collect hands drafts to take as they come, from several tasks, and
 	// returns when there are no more.
-	Collect(ctx context.Context, ids []identifier.ItemID, take func([]messenger.Draft))
+	Collect(ctx context.Context, id identifier.JobID, items []identifier.ItemID, take func([]messenger.Draft))
 }
 
 // collect looks for drafts of a new job's items. They wait for it.
 func (s *Scheduler) collect(ctx context.Context, j *job, ids []identifier.ItemID, tasks *conc.WaitGroup) {
 	tasks.Go(func() {
-		s.drafts.Collect(ctx, ids, func(list []messenger.Draft) {
+		s.drafts.Collect(ctx, j.ID, ids, func(list []messenger.Draft) {
 			s.mutex.Lock()
 			defer s.mutex.Unlock()
 			for n := range list {
@@ -62,9 +69,8 @@
 		return
 	}
 	route, ok := s.routeOf(t)
-	fits := ok && drafter.Fingerprint(t.item) == d.Prompt && len(d.Versions) > 0 &&
-		slices.Min(d.Versions) >= t.job.OldestVersion && (!route.SingleVersion || len(d.Versions) == 1)
-	klog.InfoS("text of an earlier job found", "job", t.key.job, "item", t.key.item, "used", fits, "after", d.Last, "whole", d.Whole,
+	fits := ok && drafter.Fingerprint(t.item) == d.Prompt && versionsFit(d.Versions, t.job, route)
+	klog.InfoS("text of another run found", "job", t.key.job, "item", t.key.item, "used", fits, "after", d.Last, "whole", d.Whole,
 		"versions", d.Versions, "oldest-version", t.job.OldestVersion)
 	if !fits {
 		return
@@ -73,6 +79,13 @@
 	t.versions = slices.Clone(d.Versions)
 }
 
+func versionsFit(versions []identifier.WeightVersion, j *job, r cataloger.Route) bool {
+	if j.Model == "" {
+		return true
+	}
+	return len(versions) > 0 && slices.Min(versions) >= j.OldestVersion && (!r.SingleVersion || len(versions) == 1)
+}
+
 func (s *Scheduler) routeOf(t *task) (r cataloger.Route, ok bool) {
 	c := s.catalog.Configuration()
 	if c == nil {
@@ -84,7 +97,7 @@
 // keep keeps the text of an item that isn't wanted any more. The caller holds
 // the mutex, and the task isn't busy.
 func (s *Scheduler) keep(t *task) {
-	if t.listed || t.job.Model == "" || (t.last == 0 && !t.texted) {
+	if t.listed || (t.last == 0 && !t.texted) {
 		return
 	}
 	s.drafts.Keep(messenger.Draft{
@@ -92,3 +105,45 @@
 		Last: t.last, Whole: t.texted, Versions: slices.Clone(t.versions),
 	})
 }
+
+// HandOver breaks off the runs of a job's items if others work on the job now,
+// and returns when their texts are kept. Whole texts are still scored here.
+func (s *Scheduler) HandOver(ctx context.Context, id identifier.JobID, items []identifier.ItemID) {
+	if s.owner.Owns(s.books.PartitionOf(id)) {
+		return
+	}
+	count := s.breakOff(id, items)
+	if count == 0 {
+		return
+	}
+	begun := s.clock.Now()
+	s.Wake()
+	left := count
+	for left > 0 && s.clock.Since(begun) < draftsWait && ctx.Err() == nil {
+		select {
+		case <-s.clock.After(handOverPoll):
+		case <-ctx.Done():
+		}
+		left = s.breakOff(id, items)
+	}
+	klog.InfoS("items handed over", "job", id, "count", count, "left", left, "took", s.clock.Since(begun))
+}
+
+// breakOff ends the runs of items and returns how many aren't at rest yet.
+func (s *Scheduler) breakOff(id identifier.JobID, items []identifier.ItemID) (count int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, item := range items {
+		t, ok := s.tasks[taskKey{id, item}]
+		if !ok || t.listed {
+			continue
+		}
+		if t.texted {
+			s.keep(t)
+			continue
+		}
+		t.end()
+		count++
+	}
+	return count
+}
--- a/ladder/scheduler/draft_test.go
+++ b/ladder/scheduler/draft_test.go
@@ -112,3 +112,37 @@
 		}
 	})
 }
+
+func TestRun_ItemsUnderWayGoOnAtTheNextOwner(t *testing.T) {
+	inWorld(t, false, longText(2), func(t *testing.T, w *world) {
+		next := w.newEntry("the next", []string{"self"})
+		w.others = append(w.others, next)
+		w.submit(t, 8)
+		time.Sleep(3 * time.Second)
+		before := len(w.targets.Calls())
+		w.resign()
+		time.Sleep(1500 * time.Millisecond)
+		if n := w.Busy(); n > 0 {
+			t.Errorf("%d items still run at the entry that has resigned", n)
+		}
+		if n := w.targets.Running(); n != 8 {
+			t.Errorf("%d runs of 8 items", n)
+		}
+		for _, c := range w.targets.Calls()[before:] {
+			if c.Call.ResumeAfter < 90 {
+				t.Errorf("%s goes on after event %d; about 100 were made", c.Call.ID, c.Call.ResumeAfter)
+			}
+		}
+		time.Sleep(3 * time.Second)
+		for id, r := range w.results(t) {
+			r.Score = ""
+			want := bookkeeper.Result{Item: id, State: bookkeeper.ResultCompleted, Text: wholeText(200), Versions: []identifier.WeightVersion{2}}
+			if diff := cmp.Diff(want, r); diff != "" {
+				t.Errorf("%s: %s", id, diff)
+			}
+		}
+		if n := len(w.results(t)); n != 8 {
+			t.Errorf("%d of 8 items are done; a new start takes 3 s more", n)
+		}
+	})
+}
--- a/ladder/scheduler/scheduler.go
+++ b/ladder/scheduler/scheduler.go
@@ -118,7 +118,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for _, j := range jobs {
-		if begun := s.takeUp(j); len(begun) > 0 && j.Model != "" {
+		if begun := s.takeUp(j); len(begun) > 0 {
 			s.collect(ctx, j, begun, tasks)
 		}
 	}
@@ -172,11 +172,9 @@
 			continue
 		}
 		if _, ok := s.tasks[key]; !ok {
-			t := &task{scheduler: s, key: key, job: j, item: i, order: n, wanted: true, waiting: now}
-			if j.Model != "" {
-				t.notBefore = now.Add(draftsWait)
+			s.tasks[key] = &task{
+				scheduler: s, key: key, job: j, item: i, order: n, wanted: true, waiting: now, notBefore: now.Add(draftsWait),
 			}
-			s.tasks[key] = t
 			begun = append(begun, i.ID)
 		}
 	}
--- a/ladder/scheduler/scheduler_test.go
+++ b/ladder/scheduler/scheduler_test.go
@@ -21,6 +21,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/forwarder"
 	"github.com/lycheeladder/lycheeladder/ladder/grouper"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 	"github.com/lycheeladder/lycheeladder/ladder/relayer"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
 	"github.com/lycheeladder/lycheeladder/ladder/sender"
@@ -43,13 +44,29 @@
 
 // world is one entry that works on every job, with its targets.
 type world struct {
-	*Scheduler
+	clock   clockwork.Clock
 	store   *faker.Store
 	group   *faker.Group
 	targets *faker.Targets
-	books   *bookkeeper.Bookkeeper
 	catalog *cataloger.Cataloger
-	stop    func()
+	*entry
+	// others are entries that were started later.
+	others []*entry
+}
+
+// entry is one process that may work on jobs.
+type entry struct {
+	*Scheduler
+	books   *bookkeeper.Bookkeeper
+	drafter *drafter.Drafter
+	// resign gives its partitions up, stop ends it.
+	resign, stop func()
+}
+
+// Ask implements relayer.Peers: any address is the first entry's.
+func (w *world) Ask(ctx context.Context, _ string, q messenger.Question) (messenger.Reply, error) {
+	w.HandOver(ctx, q.Drafts.Job, q.Drafts.Items)
+	return messenger.Reply{Drafts: w.drafter.Find(q.Drafts.Items)}, nil
 }
 
 type behave = func(t cataloger.Target, c sender.Call, n int) faker.Behaviour
@@ -65,7 +82,7 @@
 		},
 		Services: map[identifier.ServiceName]cataloger.Service{"engines": {Name: "engines", Engine: &cataloger.Engine{Slots: 4}}, "scorers": {Name: "scorers"}},
 	}
-	w := &world{store: faker.NewStore(clock), group: faker.NewGroup(clock, 2), catalog: cataloger.New(clock, plain{configuration})}
+	w := &world{clock: clock, store: faker.NewStore(clock), group: faker.NewGroup(clock, 2), catalog: cataloger.New(clock, plain{configuration})}
 	w.catalog.PublishedSink().Reset([]storer.Record{{Key: "config", Value: []byte("x")}})
 	w.catalog.TargetSink().Reset([]storer.Record{
 		{Key: "a", Value: []byte("engines")},
@@ -80,25 +97,35 @@
 		}
 		return b(t, c, n)
 	})
-	w.books = bookkeeper.New(clock, w.store, bookkeeper.Options{
+	w.entry = w.newEntry("self", nil)
+	time.Sleep(2 * time.Second)
+	return w
+}
+
+// newEntry starts an entry that asks the addresses for drafts.
+func (w *world) newEntry(name grouper.Member, addresses []string) *entry {
+	e := &entry{}
+	e.books = bookkeeper.New(w.clock, w.store, bookkeeper.Options{
 		Topic: "jobs", Partitions: 2, RecordBytes: 256 << 10, CallBytes: 2 << 20, KeepFor: time.Minute,
 		StoreAge: func() time.Duration { return 0 },
 	})
 	random := router.NewSharedRandom(1)
-	f := forwarder.New(clock, w.catalog, w.targets, convicter.New(clock, w.store, storer.Partition{Topic: "breaks"}), random)
-	d := drafter.New(clock, w.books)
-	w.Scheduler = New(clock, w.catalog, w.books, w.targets, f, drafts{d, relayer.NewCollector(d.Find, func() []string { return nil }, nil)}, random)
-	owner := grouper.New(clock, w.group.Member("self"), grouper.Options{
-		Self: "self", Zeal: grouper.Eager, Wanted: func() int { return 1 }, Random: random, Pace: grouper.WorkPace,
-	}, w.Wake)
-	ctx, cancel := context.WithCancel(context.Background())
+	f := forwarder.New(w.clock, w.catalog, w.targets, convicter.New(w.clock, w.store, storer.Partition{Topic: "breaks"}), random)
+	e.drafter = drafter.New(w.clock, e.books)
+	collector := relayer.NewCollector(e.drafter.Find, func(identifier.JobID) []string { return addresses }, w)
+	e.Scheduler = New(w.clock, w.catalog, e.books, w.targets, f, drafts{e.drafter, collector}, random)
+	owner := grouper.New(w.clock, w.group.Member(name), grouper.Options{
+		Self: name, Zeal: grouper.Eager, Wanted: func() int { return 1 }, Random: random, Pace: grouper.WorkPace,
+	}, e.Wake)
+	working, end := context.WithCancel(context.Background())
+	member, resign := context.WithCancel(working)
 	var tasks conc.WaitGroup
-	tasks.Go(func() { owner.Run(ctx) })
-	tasks.Go(func() { w.books.Run(ctx, owner.Owns) })
-	tasks.Go(func() { w.Run(ctx, owner) })
-	w.stop = func() { cancel(); tasks.Wait() }
-	time.Sleep(2 * time.Second)
-	return w
+	tasks.Go(func() { owner.Run(member) })
+	tasks.Go(func() { e.books.Run(working, owner.Owns) })
+	tasks.Go(func() { e.Run(working, owner) })
+	e.resign = resign
+	e.stop = func() { end(); tasks.Wait() }
+	return e
 }
 
 // drafts are those of the entry itself.
@@ -160,6 +187,9 @@
 		w := newWorld(single, b)
 		f(t, w)
 		w.stop()
+		for _, e := range w.others {
+			e.stop()
+		}
 	})
 }
 
