Make the log's events one table, and tell stories from logs

Cause: the page's list of events was written by hand and had neither levels nor fields; after an incident an engineer had to grep over the logs of all hosts. The spooler keeps a quarter of its buffer for lines that tell of something unusual. Found by its test: telling of dropped lines took the places that were kept free.

--- a/ladder/spooler/spooler.go
+++ b/ladder/spooler/spooler.go
@@ -14,6 +14,9 @@
 type Spooler struct {
 	recorder *recorder.Recorder
 	lines    chan []byte
+	// routine says that a line tells of nothing unusual. Such lines leave a part
+	// of the buffer to the others.
+	routine func(line []byte) bool
 
 	mutex sync.Mutex
 	// dropped counts the lines left out since the last one that was taken.
@@ -23,10 +26,14 @@
 // CounterDropped counts the lines that were left out.
 const CounterDropped = "log-lines-dropped"
 
+// reservedPart is the part of the buffer, one in so many lines, that routine
+// lines leave free.
+const reservedPart = 4
+
 // New returns a Spooler that keeps up to lines lines for out. Its task ends
 // with the process.
-func New(out io.Writer, lines int, r *recorder.Recorder) *Spooler {
-	s := &Spooler{recorder: r, lines: make(chan []byte, lines)}
+func New(out io.Writer, lines int, routine func(line []byte) bool, r *recorder.Recorder) *Spooler {
+	s := &Spooler{recorder: r, lines: make(chan []byte, lines), routine: routine}
 	go func() {
 		for line := range s.lines {
 			// A log that can't be written has no other place to say so.
@@ -40,16 +47,24 @@
 func (s *Spooler) Write(line []byte) (int, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if len(s.lines) >= cap(s.lines)-cap(s.lines)/reservedPart && s.routine(line) {
+		s.drop()
+		return len(line), nil
+	}
 	if s.dropped > 0 && s.offer([]byte(fmt.Sprintf("log lines dropped count=%d\n", s.dropped))) {
 		s.dropped = 0
 	}
 	if !s.offer(append([]byte(nil), line...)) {
-		s.dropped++
-		s.recorder.Count(CounterDropped)
+		s.drop()
 	}
 	return len(line), nil
 }
 
+func (s *Spooler) drop() {
+	s.dropped++
+	s.recorder.Count(CounterDropped)
+}
+
 func (s *Spooler) offer(line []byte) bool {
 	select {
 	case s.lines <- line:
--- a/ladder/spooler/spooler_test.go
+++ b/ladder/spooler/spooler_test.go
@@ -30,7 +30,7 @@
 func TestWrite_NeverWaitsAndTellsWhatWasDropped(t *testing.T) {
 	g := &gate{opened: make(chan struct{})}
 	r := recorder.New()
-	s := New(g, 4, r)
+	s := New(g, 4, unusual, r)
 	for n := range 20 {
 		if _, err := fmt.Fprintf(s, "line %d\n", n); err != nil {
 			t.Fatal(err)
@@ -66,3 +66,30 @@
 	defer g.mutex.Unlock()
 	return g.text.String()
 }
+
+func unusual([]byte) bool { return false }
+
+// A target's failure is told although nobody reads and answers fill the buffer.
+func TestWrite_RoutineLinesLeaveRoomForOthers(t *testing.T) {
+	g := &gate{opened: make(chan struct{})}
+	s := New(g, 16, func(line []byte) bool { return bytes.HasPrefix(line, []byte("answered")) }, recorder.New())
+	for range 40 {
+		fmt.Fprint(s, "answered\n")
+	}
+	for n := range 3 { // and a line for what was dropped
+		fmt.Fprintf(s, "failed %d\n", n)
+	}
+	close(g.opened)
+	for !strings.HasSuffix(g.read(), "last\n") {
+		fmt.Fprint(s, "last\n")
+		runtime.Gosched()
+	}
+	for n := range 3 {
+		if !strings.Contains(g.read(), fmt.Sprintf("failed %d\n", n)) {
+			t.Errorf("failure %d is not told:\n%s", n, g.read())
+		}
+	}
+	if !strings.Contains(g.read(), "log lines dropped count=") {
+		t.Error("nothing is told of what was left out")
+	}
+}
--- a/ladder/tabulator/tabulator.go
+++ b/ladder/tabulator/tabulator.go
@@ -45,6 +45,16 @@
 	return b.String()
 }
 
+// Events returns the table of the log events of the program platform.
+func Events() string {
+	var b strings.Builder
+	b.WriteString("| event | level | fields | meaning | what to do |\n|---|---|---|---|---|\n")
+	for _, e := range explainer.Events {
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", e.Name, e.Level, strings.Join(e.Fields, ", "), e.Meaning, e.Action)
+	}
+	return b.String()
+}
+
 // Compare returns the page in file as it should be with the block, and as it
 // is. With write it writes the former first.
 func Compare(file, name, block string, write bool) (want, got string, err error) {
--- a/ladderctl/verb/verb.go
+++ b/ladderctl/verb/verb.go
@@ -58,6 +58,7 @@
 	{"history", "Show who proposed what, and when.", func() verb { return &history{} }},
 	{"status", "Show the state of entries and targets.", func() verb { return &status{} }},
 	{"explain", "Show why a request was refused, or where it went.", func() verb { return &explain{} }},
+	{"trace", "Show the story of a request, job, item or target from logs.", func() verb { return &trace{} }},
 }
 
 // Main parses the arguments, runs the verb and returns the exit code.
