Let the prover's entries ask a peer that hasn't started

An entry follows the log as soon as it is started; where the log refuses, it asks its peer, whose entry may not be in the world's table yet. What: that is a refused connection. The product isn't touched. Test: TestEnter_AnEntryThatHasNotStarted, red with the same panic. Ruled out: the known red case (log-outage): its entry is replaced, never absent.

--- a/ladder/prover/callers.go
+++ b/ladder/prover/callers.go
@@ -110,15 +110,15 @@
 
 // enter runs act at an entry's listener, as one connection: a dead process
 // breaks it, a paused one neither hears nor answers, and the caller leaves
-// when its ctx ends.
+// when its ctx ends. One that hasn't started yet listens nowhere.
 func (w *World) enter(ctx context.Context, name string, act func(ctx context.Context, e *entry) error) error {
 	e := w.entry(name)
+	if e == nil || e.stopping.Load() {
+		return errNoEntry
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	done := make(chan error, 1)
-	if e.stopping.Load() {
-		return errNoEntry
-	}
 	e.open.Add(1)
 	w.tasks.Go(func() {
 		defer e.open.Add(-1)
