Let an item stay on a slow engine while it couldn't be sent elsewhere

What: an item leaves an engine for its pace only while it may be sent. Ruled out: sending without news (its job may have been ended). Test: TestRun_ALongItemStaysOnASlowEngineWhileTheStoreIsAway, red before.

--- a/ladder/scheduler/generate.go
+++ b/ladder/scheduler/generate.go
@@ -149,10 +149,11 @@
 	return max(leastStall, stallGaps*usual)
 }
 
-// shouldMove says whether the item is long enough for a move, and has a faster
-// target to go to.
+// shouldMove says whether the item is long enough for a move, may be sent, and
+// has a faster target to go to.
 func (t *task) shouldMove() bool {
-	return int(t.last) >= moveEvents && t.moves < moveLimit && t.scheduler.fasterTarget(t)
+	s := t.scheduler
+	return int(t.last) >= moveEvents && t.moves < moveLimit && s.knowsNews(t.key.job) && s.fasterTarget(t)
 }
 
 // add returns false if the text would have several versions and must not.
--- a/ladder/scheduler/scheduler.go
+++ b/ladder/scheduler/scheduler.go
@@ -125,13 +125,19 @@
 	s.endUnwanted()
 	s.scoreWhole(ctx, tasks)
 	for _, t := range s.queue() {
-		if s.books.Age(s.books.PartitionOf(t.key.job)) > staleAge {
+		if !s.knowsNews(t.key.job) {
 			continue
 		}
 		s.place(ctx, t, configuration, tasks)
 	}
 }
 
+// knowsNews says whether items of the job may be sent: nothing newer is known of
+// it that would forbid that.
+func (s *Scheduler) knowsNews(id identifier.JobID) bool {
+	return s.books.Age(s.books.PartitionOf(id)) <= staleAge
+}
+
 func (s *Scheduler) openJobs(c *cataloger.Configuration) (jobs []*job) {
 	now := s.clock.Now()
 	for _, n := range s.owner.Owned() {
--- a/ladder/scheduler/scheduler_test.go
+++ b/ladder/scheduler/scheduler_test.go
@@ -380,3 +380,26 @@
 		}
 	})
 }
+
+// While the store is away nothing is sent, so that what leaves a slow engine
+// would wait until the store is back.
+func TestRun_ALongItemStaysOnASlowEngineWhileTheStoreIsAway(t *testing.T) {
+	slow := func(target cataloger.Target, _ sender.Call, _ int) faker.Behaviour {
+		b := faker.Behaviour{Events: 100, Gap: pace, Version: 2}
+		if target.Name == "a" {
+			b.Gap = 4 * pace
+		}
+		return b
+	}
+	inWorld(t, false, slow, func(t *testing.T, w *world) {
+		w.submit(t, 3)
+		time.Sleep(100 * time.Millisecond)
+		w.store.SetDown(true)
+		time.Sleep(12500 * time.Millisecond)
+		w.store.SetDown(false)
+		time.Sleep(1500 * time.Millisecond)
+		if n := len(w.results(t)); n != 3 {
+			t.Errorf("%d of 3 items are listed 1.5 s after the store is back; the slow one takes 12 s", n)
+		}
+	})
+}
