Ask for left-over texts by model instead of by item

Cause: each new job sent the ids of its items to every owner: 35 KB for 2,048 samples, to up to 24 owners, whether they had anything or not. At the size asked for in two years that is as much as control may cost in all. What: the question names the model, and the answer has what its last jobs left over: texts that were broken off, and completed items of groups that weren't complete. Test: TestLeftOver_CompletedItemsOfIncompleteGroups; the earlier tests hold.

--- a/ladder/bookkeeper/bookkeeper_test.go
+++ b/ladder/bookkeeper/bookkeeper_test.go
@@ -289,3 +289,38 @@
 		}
 	})
 }
+
+// Of an ended job the items of groups that weren't complete may come again.
+func TestLeftOver_CompletedItemsOfIncompleteGroups(t *testing.T) {
+	inBubble(t, func(ctx context.Context, store *faker.Store) {
+		h := newHost(store)
+		defer h.stop()
+		s := submission("j", 5, 10)
+		for n, group := range []identifier.GroupID{"whole", "whole", "part", "part", "failed"} {
+			s.Items[n].Group = group
+		}
+		if err := h.Accept(ctx, s); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		for _, item := range []identifier.ItemID{"j-0", "j-1", "j-2"} {
+			h.List(Outcome{Job: "j", Result: completed(item, "text of "+string(item))})
+		}
+		h.List(Outcome{Job: "j", Result: Result{Item: "j-4", State: ResultFailed}})
+		time.Sleep(time.Second)
+		if open := h.LeftOver("m", time.Minute); len(open) != 0 {
+			t.Errorf("%d items are left over of an open job", len(open))
+		}
+		if err := h.End(ctx, "j"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		want := []Completed{{Item: &s.Items[2], Result: completed("j-2", "text of j-2")}}
+		if diff := cmp.Diff(want, h.LeftOver("m", time.Minute)); diff != "" {
+			t.Errorf("(-want +got):\n%s", diff)
+		}
+		if others := len(h.LeftOver("n", time.Minute)) + len(h.LeftOver("m", time.Second)); others != 0 {
+			t.Errorf("%d items of another model or time", others)
+		}
+	})
+}
--- a/ladder/bookkeeper/read.go
+++ b/ladder/bookkeeper/read.go
@@ -113,30 +113,41 @@
 	Result Result
 }
 
-// Completed returns those of the items that were completed in a job that has
-// ended and was accepted within the time before now, from the copies that there
-// are.
-func (k *Bookkeeper) Completed(ids []identifier.ItemID, within time.Duration) (list []Completed) {
+// LeftOver returns the completed items of groups that weren't complete when their
+// job ended. The jobs are those of a model that were accepted within the time
+// before now, from the copies that there are.
+func (k *Bookkeeper) LeftOver(m identifier.ModelName, within time.Duration) (list []Completed) {
 	for _, p := range k.parts {
-		list = append(list, p.book.completed(ids, within)...)
+		list = append(list, p.book.leftOver(m, within)...)
 	}
 	return list
 }
 
-func (b *book) completed(ids []identifier.ItemID, within time.Duration) (list []Completed) {
+func (b *book) leftOver(m identifier.ModelName, within time.Duration) (list []Completed) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	for _, e := range b.jobs {
-		if !e.ended || b.clock.Since(e.received) > within {
+		if !e.ended || e.submission.Model != m || b.clock.Since(e.received) > within {
 			continue
 		}
-		for _, id := range ids {
-			position, listed := e.listed[id]
-			if !listed || e.results[position].State != ResultCompleted {
-				continue
+		incomplete := make(map[identifier.GroupID]bool)
+		for n := range e.submission.Items {
+			if i := &e.submission.Items[n]; !e.completed(i.ID) {
+				incomplete[i.Group] = true
+			}
+		}
+		for n := range e.submission.Items {
+			if i := &e.submission.Items[n]; incomplete[i.Group] && e.completed(i.ID) {
+				list = append(list, Completed{Item: i, Result: e.results[e.listed[i.ID]]})
 			}
-			list = append(list, Completed{Item: e.submission.item(id), Result: e.results[position]})
 		}
 	}
 	return list
 }
+
+// completed says whether the item has a whole text. The caller holds the book's
+// mutex.
+func (e *entry) completed(id identifier.ItemID) bool {
+	position, listed := e.listed[id]
+	return listed && e.results[position].State == ResultCompleted
+}
--- a/ladder/drafter/drafter.go
+++ b/ladder/drafter/drafter.go
@@ -29,7 +29,7 @@
 
 // Books has the results of ended jobs; *bookkeeper.Bookkeeper does.
 type Books interface {
-	Completed(ids []identifier.ItemID, within time.Duration) []bookkeeper.Completed
+	LeftOver(m identifier.ModelName, within time.Duration) []bookkeeper.Completed
 }
 
 // Drafter keeps texts in memory only: one that is lost is made again.
@@ -46,6 +46,7 @@
 }
 
 type kept struct {
+	model identifier.ModelName
 	draft messenger.Draft
 	at    time.Time
 }
@@ -65,11 +66,11 @@
 }
 
 // Keep keeps a draft. One that was kept of the same item is replaced.
-func (d *Drafter) Keep(draft messenger.Draft) {
+func (d *Drafter) Keep(m identifier.ModelName, draft messenger.Draft) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.drop(draft.Item)
-	d.kept[draft.Item] = kept{draft: draft, at: d.clock.Now()}
+	d.kept[draft.Item] = kept{model: m, draft: draft, at: d.clock.Now()}
 	d.order = append(d.order, draft.Item)
 	d.bytes += len(draft.Text)
 	for len(d.order) > 0 && (d.bytes > mostBytes || d.clock.Since(d.kept[d.order[0]].at) > keepFor) {
@@ -88,10 +89,11 @@
 	d.order = slices.DeleteFunc(d.order, func(other identifier.ItemID) bool { return other == id })
 }
 
-// Find returns what there is of the items' texts, up to a bound in bytes.
-func (d *Drafter) Find(ids []identifier.ItemID) (list []messenger.Draft) {
-	found := d.findKept(ids)
-	for _, c := range d.books.Completed(ids, keepFor) {
+// Find returns what there is of texts of a model's items that may come again, up
+// to a bound in bytes.
+func (d *Drafter) Find(m identifier.ModelName) (list []messenger.Draft) {
+	found := d.findKept(m)
+	for _, c := range d.books.LeftOver(m, keepFor) {
 		found = append(found, messenger.Draft{
 			Item: c.Item.ID, Prompt: Fingerprint(c.Item), Text: c.Result.Text, Whole: true, Versions: c.Result.Versions,
 		})
@@ -106,11 +108,11 @@
 	return list
 }
 
-func (d *Drafter) findKept(ids []identifier.ItemID) (list []messenger.Draft) {
+func (d *Drafter) findKept(m identifier.ModelName) (list []messenger.Draft) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	for _, id := range ids {
-		if k, ok := d.kept[id]; ok && d.clock.Since(k.at) <= keepFor {
+	for _, id := range d.order {
+		if k := d.kept[id]; k.model == m && d.clock.Since(k.at) <= keepFor {
 			list = append(list, k.draft)
 		}
 	}
--- a/ladder/messenger/draft.go
+++ b/ladder/messenger/draft.go
@@ -2,12 +2,12 @@
 
 import "github.com/lycheeladder/lycheeladder/ladder/identifier"
 
-// DraftCall asks a peer for the texts that it has of some items, from jobs that
-// have ended and from Job. What the peer still runs of Job without owning it is
-// broken off and told.
+// DraftCall asks a peer for the texts that it has of unfinished items of a model,
+// from jobs that have ended and from Job. What the peer still runs of Job without
+// owning it is broken off and told.
 type DraftCall struct {
-	Items []identifier.ItemID `cbor:"1,keyasint"`
-	Job   identifier.JobID    `cbor:"2,keyasint"`
+	Model identifier.ModelName `cbor:"1,keyasint"`
+	Job   identifier.JobID     `cbor:"2,keyasint"`
 }
 
 // Fingerprint tells prompts apart.
--- a/ladder/relayer/drafts.go
+++ b/ladder/relayer/drafts.go
@@ -17,25 +17,25 @@
 // job of a trainer is mostly worked on by another one, and the former owner of
 // the job.
 type Collector struct {
-	own func(ids []identifier.ItemID) []messenger.Draft
+	own func(m identifier.ModelName) []messenger.Draft
 	// others returns the addresses of those to ask about a job.
 	others func(id identifier.JobID) []string
 	peers  Peers
 }
 
 // NewCollector returns a Collector.
-func NewCollector(own func(ids []identifier.ItemID) []messenger.Draft, others func(id identifier.JobID) []string, p Peers) *Collector {
+func NewCollector(own func(m identifier.ModelName) []messenger.Draft, others func(id identifier.JobID) []string, p Peers) *Collector {
 	return &Collector{own: own, others: others, peers: p}
 }
 
 // Collect hands the drafts of each peer to take as they come, and returns when
 // all have answered or failed. A peer that doesn't answer costs its drafts, which
 // are made again.
-func (c *Collector) Collect(ctx context.Context, id identifier.JobID, items []identifier.ItemID, take func([]messenger.Draft)) {
-	take(c.own(items))
+func (c *Collector) Collect(ctx context.Context, id identifier.JobID, m identifier.ModelName, take func([]messenger.Draft)) {
+	take(c.own(m))
 	ctx, cancel := context.WithTimeout(ctx, draftsTimeout)
 	defer cancel()
-	q := messenger.Question{Drafts: &messenger.DraftCall{Job: id, Items: items}}
+	q := messenger.Question{Drafts: &messenger.DraftCall{Job: id, Model: m}}
 	var questions conc.WaitGroup
 	defer questions.Wait()
 	for _, address := range c.others(id) {
--- a/ladder/scheduler/draft.go
+++ b/ladder/scheduler/draft.go
@@ -34,16 +34,16 @@
 // Drafts has the texts of items of earlier jobs.
 type Drafts interface {
 	// Keep keeps what an item has when it isn't wanted here any more.
-	Keep(d messenger.Draft)
+	Keep(m identifier.ModelName, d messenger.Draft)
 	// Collect hands drafts to take as they come, from several tasks, and
 	// returns when there are no more.
-	Collect(ctx context.Context, id identifier.JobID, items []identifier.ItemID, take func([]messenger.Draft))
+	Collect(ctx context.Context, id identifier.JobID, m identifier.ModelName, take func([]messenger.Draft))
 }
 
 // collect looks for drafts of a new job's items. They wait for it.
 func (s *Scheduler) collect(ctx context.Context, j *job, ids []identifier.ItemID, tasks *conc.WaitGroup) {
 	tasks.Go(func() {
-		s.drafts.Collect(ctx, j.ID, ids, func(list []messenger.Draft) {
+		s.drafts.Collect(ctx, j.ID, j.Model, func(list []messenger.Draft) {
 			s.mutex.Lock()
 			defer s.mutex.Unlock()
 			for n := range list {
@@ -100,7 +100,7 @@
 	if t.listed || (t.last == 0 && !t.texted) {
 		return
 	}
-	s.drafts.Keep(messenger.Draft{
+	s.drafts.Keep(t.job.Model, messenger.Draft{
 		Item: t.key.item, Prompt: drafter.Fingerprint(t.item), Text: bytes.Join(t.text, []byte("\n")),
 		Last: t.last, Whole: t.texted, Versions: slices.Clone(t.versions),
 	})
@@ -108,11 +108,11 @@
 
 // HandOver breaks off the runs of a job's items if others work on the job now,
 // and returns when their texts are kept. Whole texts are still scored here.
-func (s *Scheduler) HandOver(ctx context.Context, id identifier.JobID, items []identifier.ItemID) {
+func (s *Scheduler) HandOver(ctx context.Context, id identifier.JobID) {
 	if s.owner.Owns(s.books.PartitionOf(id)) {
 		return
 	}
-	count := s.breakOff(id, items)
+	count := s.breakOff(id)
 	if count == 0 {
 		return
 	}
@@ -124,26 +124,24 @@
 		case <-s.clock.After(handOverPoll):
 		case <-ctx.Done():
 		}
-		left = s.breakOff(id, items)
+		left = s.breakOff(id)
 	}
 	klog.InfoS("items handed over", "job", id, "count", count, "left", left, "took", s.clock.Since(begun))
 }
 
-// breakOff ends the runs of items and returns how many aren't at rest yet.
-func (s *Scheduler) breakOff(id identifier.JobID, items []identifier.ItemID) (count int) {
+// breakOff ends the runs of a job's items and returns how many aren't at rest yet.
+func (s *Scheduler) breakOff(id identifier.JobID) (count int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	for _, item := range items {
-		t, ok := s.tasks[taskKey{id, item}]
-		if !ok || t.listed {
-			continue
-		}
-		if t.texted {
+	for key, t := range s.tasks {
+		switch {
+		case key.job != id || t.listed:
+		case t.texted:
 			s.keep(t)
-			continue
+		default:
+			t.end()
+			count++
 		}
-		t.end()
-		count++
 	}
 	return count
 }
