--- a/ladder/faker/log.go
+++ b/ladder/faker/log.go
@@ -55,6 +55,21 @@
 	l.notify()
 }
 
+// Forgot says that there were records and that all are past retention.
+func (l *Log) Forgot() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	written := false
+	for name := range l.streams {
+		s := l.streamOf(name)
+		if len(s.records) > 0 {
+			return false
+		}
+		written = written || s.first > 0
+	}
+	return written
+}
+
 // Append implements appender.Log.
 func (l *Log) Append(ctx context.Context, name identifier.StreamName, records [][]byte) (identifier.LogOffset, error) {
 	if ctx.Err() != nil {
--- a/ladder/prover/checks.go
+++ b/ladder/prover/checks.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/lycheeladder/lycheeladder/ladder/authorizer"
 	"github.com/lycheeladder/lycheeladder/ladder/dispatcher"
 	"github.com/lycheeladder/lycheeladder/ladder/faker"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
@@ -64,9 +65,13 @@
 		}
 		for _, a := range asks {
 			o := w.send(name, a)
-			if _, ok := o.(dispatcher.Completed); !ok && len(w.injector.Fired()) == fired {
-				w.violate(promiseRecovery, "%s at %s after the faults: %+v", a.call, name, o)
+			if _, ok := o.(dispatcher.Completed); ok || len(w.injector.Fired()) != fired {
+				continue
 			}
+			if r, ok := o.(dispatcher.NotRun); w.nothingKnown() && (!ok || r.Code != dispatcher.Code(authorizer.RefusalNotReady)) {
+				w.violate(promiseRecovery, "%s at %s, which knows nothing: %+v", a.call, name, o)
+			}
+			w.unserved(promiseRecovery, "%s at %s after the faults: %+v", a.call, name, o)
 		}
 	}
 }
@@ -132,7 +137,7 @@
 		w.checkLabels(t, runs[tokens[0].run].Versions)
 	}
 	if len(seen) != w.wanted {
-		w.violate(promiseOnce, "%d samples were taken, %d asked for", len(seen), w.wanted)
+		w.unserved(promiseOnce, "%d samples were taken, %d asked for", len(seen), w.wanted)
 	}
 }
 
@@ -283,7 +288,7 @@
 	}
 	for name, e := range w.entries {
 		if s, _ := e.coordinator.Follower().State(); !e.stopping.Load() && s.Revision != newest {
-			w.violate(promiseConfiguration, "%s has revision %d, the newest is %d", name, s.Revision, newest)
+			w.unserved(promiseConfiguration, "%s has revision %d, the newest is %d", name, s.Revision, newest)
 		}
 	}
 	for name, s := range w.sidecars {
@@ -291,7 +296,7 @@
 			continue
 		}
 		if r := s.supervisor.Executor().Configuration().Revision; r != newest {
-			w.violate(promiseConfiguration, "%s has revision %d, the newest is %d", name, r, newest)
+			w.unserved(promiseConfiguration, "%s has revision %d, the newest is %d", name, r, newest)
 		}
 	}
 }
--- a/ladder/prover/scenarios.go
+++ b/ladder/prover/scenarios.go
@@ -24,6 +24,8 @@
 	Fired []injector.Injection
 	// Violations are the promises that were broken.
 	Violations []Violation
+	// Excused counts what wasn't served since nobody knew what was in force.
+	Excused int
 	// Steps are the port calls of the run, in order.
 	Steps []injector.ReachedStep
 }
@@ -40,7 +42,7 @@
 	}
 	w.check()
 	w.close()
-	return Result{Fired: w.injector.Fired(), Violations: w.violations, Steps: w.injector.Steps()}
+	return Result{Fired: w.injector.Fired(), Violations: w.violations, Excused: w.excused, Steps: w.injector.Steps()}
 }
 
 // recoveryTime is enough for everything to settle after the last fault.
--- a/ladder/prover/trainer.go
+++ b/ladder/prover/trainer.go
@@ -79,7 +79,7 @@
 	for t.fetcher.Missing() > 0 {
 		sample, err := t.fetcher.Next(ctx, t.version)
 		if err != nil {
-			w.violate(promiseOnce, "%d samples are still missing after %s", t.fetcher.Missing(), trainTimeout)
+			w.unserved(promiseOnce, "%d samples are still missing after %s", t.fetcher.Missing(), trainTimeout)
 			return
 		}
 		w.mutex.Lock()
@@ -94,7 +94,7 @@
 	ctx, cancel := context.WithTimeout(t.world.ctx, trainTimeout)
 	defer cancel()
 	if err := t.fetcher.Announce(ctx, t.version); err != nil {
-		t.world.violate(promiseFinal, "version %d can't be announced: %v", t.version, err)
+		t.world.unserved(promiseFinal, "version %d can't be announced: %v", t.version, err)
 	}
 }
 
--- a/ladder/prover/world.go
+++ b/ladder/prover/world.go
@@ -89,6 +89,8 @@
 	// inForce has the document that was first seen under each revision.
 	inForce    map[identifier.Revision]identifier.DocumentID
 	violations []Violation
+	// excused counts what could not be served since nothing was known.
+	excused int
 }
 
 // entryNames are the entries of every deployment; they are their addresses.
@@ -205,6 +207,30 @@
 // String returns the violation on one line.
 func (v Violation) String() string { return v.Promise + ": " + v.Text }
 
+// unserved notes that something wasn't served. That is no violation where nobody
+// knows what is in force: the log has forgotten everything, and no entry that had
+// read it runs. docs/DESIGN.md says that this is lost, and that entries stay not
+// ready.
+func (w *World) unserved(promise, format string, arguments ...any) {
+	if !w.nothingKnown() {
+		w.violate(promise, format, arguments...)
+		return
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.excused++
+}
+
+func (w *World) nothingKnown() bool {
+	for _, name := range entryNames {
+		e := w.entry(name)
+		if s, _ := e.coordinator.Follower().State(); s.Document != nil {
+			return false
+		}
+	}
+	return w.log.Forgot()
+}
+
 func (w *World) violate(promise, format string, arguments ...any) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
