Guard what a handover reads, and give the scheduler its owner from the start

Cause, found by reading: a question of another entry may come before the scheduler runs, when it had no owner yet (nil pointer, the process would end); and whether an item is listed was written without the mutex that a handover holds. Test: TestHandOver_AmongItemsInEveryState plays a handover while items run, are scored and are listed. That the owner is there is now a matter of the constructor.

--- a/ladder/drafter/drafter.go
+++ b/ladder/drafter/drafter.go
@@ -1,6 +1,6 @@
-// Package drafter keeps the texts of items whose job has ended before they were
-// done. A trainer hands in such items again, and they go on after their last
-// event instead of from the start.
+// Package drafter keeps the texts of items that were broken off here: their job
+// has ended, and its trainer hands them in again, or another entry works on it
+// now. They go on after their last event instead of from the start.
 package drafter
 
 import (
--- a/ladder/grouper/member.go
+++ b/ladder/grouper/member.go
@@ -18,6 +18,7 @@
 // again, and each move breaks work off. So they join one after the other, in the
 // order of their names.
 
+// joinOrLeave joins if a member is missing, and leaves if there are too many.
 func (g *Grouper) joinOrLeave(ctx context.Context) {
 	err := g.readOwners(ctx)
 	members, member := g.members()
--- a/ladder/scheduler/draft_test.go
+++ b/ladder/scheduler/draft_test.go
@@ -146,3 +146,26 @@
 		}
 	})
 }
+
+// A partition changes hands while some items run and some are scored or listed.
+// The race detector looks on.
+func TestHandOver_AmongItemsInEveryState(t *testing.T) {
+	b := func(_ cataloger.Target, c sender.Call, _ int) faker.Behaviour {
+		return faker.Behaviour{Events: 20 + int(c.ID[2]-'0'), Gap: pace, Version: 2}
+	}
+	inWorld(t, false, b, func(t *testing.T, w *world) {
+		w.others = append(w.others, w.newEntry("the next", []string{"self"}))
+		w.submit(t, 10)
+		time.Sleep(20*pace + 200*time.Millisecond)
+		w.resign()
+		time.Sleep(3 * time.Second)
+		for id, r := range w.results(t) {
+			if diff := cmp.Diff(wholeText(20+int(id[2]-'0')), r.Text); diff != "" || r.Score == "" {
+				t.Errorf("%s: score %q, %s", id, r.Score, diff)
+			}
+		}
+		if n := len(w.results(t)); n != 10 {
+			t.Errorf("%d of 10 items are done", n)
+		}
+	})
+}
--- a/ladder/scheduler/scheduler.go
+++ b/ladder/scheduler/scheduler.go
@@ -72,10 +72,11 @@
 	avoided map[identifier.TargetName]time.Time
 }
 
-// New returns a Scheduler. random breaks ties between targets; many tasks use it.
-func New(clock clockwork.Clock, c *cataloger.Cataloger, k *bookkeeper.Bookkeeper, s sender.Sender, f *forwarder.Forwarder, d Drafts, random router.Random) *Scheduler {
+// New returns a Scheduler for the owner's partitions. random breaks ties between
+// targets; many tasks use it.
+func New(clock clockwork.Clock, c *cataloger.Cataloger, k *bookkeeper.Bookkeeper, owner *grouper.Grouper, s sender.Sender, f *forwarder.Forwarder, d Drafts, random router.Random) *Scheduler {
 	return &Scheduler{
-		clock: clock, catalog: c, books: k, sender: s, forwarder: f, drafts: d,
+		clock: clock, catalog: c, books: k, owner: owner, sender: s, forwarder: f, drafts: d,
 		router: router.New(clock, random, router.Expected{}), wake: make(chan struct{}, 1),
 		tasks: make(map[taskKey]*task), avoided: make(map[identifier.TargetName]time.Time),
 	}
@@ -91,8 +92,7 @@
 
 // Run works on the jobs of the owner's partitions until ctx ends. Items under
 // way are broken off then.
-func (s *Scheduler) Run(ctx context.Context, owner *grouper.Grouper) {
-	s.owner = owner
+func (s *Scheduler) Run(ctx context.Context) {
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
 	for ctx.Err() == nil {
--- a/ladder/scheduler/scheduler_test.go
+++ b/ladder/scheduler/scheduler_test.go
@@ -113,16 +113,16 @@
 	f := forwarder.New(w.clock, w.catalog, w.targets, convicter.New(w.clock, w.store, storer.Partition{Topic: "breaks"}), random)
 	e.drafter = drafter.New(w.clock, e.books)
 	collector := relayer.NewCollector(e.drafter.Find, func(identifier.JobID) []string { return addresses }, w)
-	e.Scheduler = New(w.clock, w.catalog, e.books, w.targets, f, drafts{e.drafter, collector}, random)
 	owner := grouper.New(w.clock, w.group.Member(name), grouper.Options{
 		Self: name, Zeal: grouper.Eager, Wanted: func() int { return 1 }, Random: random, Pace: grouper.WorkPace,
-	}, e.Wake)
+	}, func() { e.Wake() })
+	e.Scheduler = New(w.clock, w.catalog, e.books, owner, w.targets, f, drafts{e.drafter, collector}, random)
 	working, end := context.WithCancel(context.Background())
 	member, resign := context.WithCancel(working)
 	var tasks conc.WaitGroup
 	tasks.Go(func() { owner.Run(member) })
 	tasks.Go(func() { e.books.Run(working, owner.Owns) })
-	tasks.Go(func() { e.Run(working, owner) })
+	tasks.Go(func() { e.Run(working) })
 	e.resign = resign
 	e.stop = func() { end(); tasks.Wait() }
 	return e
--- a/ladder/scheduler/score.go
+++ b/ladder/scheduler/score.go
@@ -32,8 +32,11 @@
 func (t *task) maxAttempts() int { return max(1, t.route.MaxAttempts) }
 
 func (t *task) list(r bookkeeper.Result) {
+	s := t.scheduler
+	s.mutex.Lock()
 	t.listed = true
-	t.scheduler.books.List(bookkeeper.Outcome{Job: t.key.job, Result: r})
+	s.mutex.Unlock()
+	s.books.List(bookkeeper.Outcome{Job: t.key.job, Result: r})
 }
 
 // scoreWhole scores texts that were whole from the start. The caller holds the
--- a/ladder/scheduler/task.go
+++ b/ladder/scheduler/task.go
@@ -61,12 +61,14 @@
 	route cataloger.Route
 
 	// wanted falls once: the item is listed, or is others' work. Guarded, as
-	// busy, texted and cancel, by the scheduler's mutex.
+	// busy, texted, listed and cancel, by the scheduler's mutex.
 	wanted bool
 	// busy says that run is under way.
 	busy bool
 	// texted says that the text is whole, of this job or an earlier one.
 	texted bool
+	// listed says that a result was handed to the books.
+	listed bool
 	cancel context.CancelFunc
 	// waiting is since when it has waited for a target.
 	waiting time.Time
@@ -82,8 +84,6 @@
 	last identifier.EventNumber
 	// versions are all that made an event of text, in rising order.
 	versions []identifier.WeightVersion
-	// listed says that a result was handed to the books.
-	listed bool
 	// failures counts the target's answers of failure.
 	failures int
 	// left is the target that the item has gone away from, and leftUntil when
