--- a/ladder/tracer/tracer.go
+++ b/ladder/tracer/tracer.go
@@ -8,6 +8,7 @@
 	"regexp"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -89,21 +90,45 @@
 	lines []Line
 	// context has the lines of hosts and targets, and those of whole jobs.
 	context []Line
+	clocks  clocks
 }
 
 // New returns a Tracer for the id of a request, job, item or target.
-func New(id string) *Tracer { return &Tracer{id: id} }
+func New(id string) *Tracer { return &Tracer{id: id, clocks: make(clocks)} }
+
+// EventDropped is the event of lines that a process had to leave out.
+const EventDropped = "log lines dropped"
+
+// readDropped takes the note of lines left out. It has no time, and stands where
+// the line before it does.
+func (t *Tracer) readDropped(before Line, text string) {
+	at := strings.Index(text, EventDropped)
+	if at < 0 {
+		return
+	}
+	l := Line{Host: before.Host, At: before.At, Event: EventDropped, Text: strings.TrimSpace(text[at+len(EventDropped):]), scope: explainer.ScopeHost}
+	t.context = append(t.context, l)
+}
+
+// Clocks returns by how much the clocks of hosts are ahead of what most hosts
+// say, or behind. Hosts that are within skewTold, or can't be compared, are left
+// out.
+func (t *Tracer) Clocks() map[identifier.EntryName]time.Duration { return t.clocks.skews() }
 
 // Read takes a log in. Lines that name their host come from that one, others from
 // host. Lines of other programs are passed over.
 func (t *Tracer) Read(host identifier.EntryName, log io.Reader) error {
 	scanner := bufio.NewScanner(log)
 	scanner.Buffer(nil, lineBytes)
+	var before Line
 	for scanner.Scan() {
 		l, ok := parse(host, scanner.Text())
 		if !ok {
+			t.readDropped(before, scanner.Text())
 			continue
 		}
+		before = l
+		t.clocks.add(l)
 		_, ofItem := l.value["item"]
 		switch {
 		case l.names(t.id):
--- a/ladder/tracer/tracer_test.go
+++ b/ladder/tracer/tracer_test.go
@@ -3,8 +3,11 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 )
 
 const logOfA = `I0311 09:21:00.000000       7 runner.go:1] "started" program="platform" version="1" host="a" zone="z" incarnation="x"
@@ -66,3 +69,32 @@
 		t.Error("a line of another program was taken")
 	}
 }
+
+func TestClocks_OneHostIsAhead(t *testing.T) {
+	r := New("x")
+	for host, seconds := range map[identifier.EntryName]string{"a": "30.000", "b": "30.020", "c": "32.510"} {
+		log := "I0311 09:21:" + seconds + "000       7 cataloger.go:1] \"target gone\" target=\"t1\" offset=3\n"
+		if err := r.Read(host, strings.NewReader(log)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if diff := cmp.Diff(map[identifier.EntryName]time.Duration{"c": 2490 * time.Millisecond}, r.Clocks()); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestStory_TellsOfLinesLeftOut(t *testing.T) {
+	r := New("i1")
+	log := strings.Replace(logOfA, "some other program's line", "log lines dropped count=7", 1)
+	if err := r.Read("a", strings.NewReader(log)); err != nil {
+		t.Fatal(err)
+	}
+	var events []string
+	for _, l := range r.Story() {
+		events = append(events, l.Event+" "+l.value["item"])
+	}
+	want := []string{"store lost ", "target gone ", "log lines dropped ", "item placed i1"}
+	if diff := cmp.Diff(want, events); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/ladderctl/verb/trace.go
+++ b/ladderctl/verb/trace.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -35,11 +38,11 @@
 			return starter.ExitFailed, err
 		}
 	}
-	story := r.Story()
-	if len(story) == 0 {
+	told := story{Lines: r.Story(), Clocks: r.Clocks()}
+	if len(told.Lines) == 0 {
 		return exitRefused, errors.Errorf("no line names %s", t.ID)
 	}
-	return starter.ExitOK, t.print(s, story, func(w io.Writer) { writeStory(w, story) })
+	return starter.ExitOK, t.print(s, told, func(w io.Writer) { told.write(w) })
 }
 
 func readLog(r *tracer.Tracer, name string) (err error) {
@@ -55,12 +58,22 @@
 // shownTime has no date: a story is over in minutes.
 const shownTime = "15:04:05.000"
 
-// writeStory writes the lines, and then what their events mean.
-func writeStory(w io.Writer, story []tracer.Line) {
+// story is what the verb tells.
+type story struct {
+	Lines []tracer.Line `json:"lines"`
+	// Clocks are by how much a host's clock is ahead, in nanoseconds.
+	Clocks map[identifier.EntryName]time.Duration `json:"clocks,omitempty"`
+}
+
+// write writes the lines, then what their events mean.
+func (s story) write(w io.Writer) {
+	for _, host := range slices.Sorted(maps.Keys(s.Clocks)) {
+		fmt.Fprintf(w, "The clock of %s differs by %s.\n", host, s.Clocks[host].Round(time.Millisecond))
+	}
 	fmt.Fprintln(w, "TIME\tHOST\tEVENT\tFIELDS")
 	told := make(map[string]bool)
 	var meanings strings.Builder
-	for _, l := range story {
+	for _, l := range s.Lines {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", l.At.Format(shownTime), l.Host, l.Event, l.Text)
 		e, known := explainer.EventOf(l.Event)
 		if !known || told[l.Event] {
