Use parts under a single version only while it is the newest

Cause, found by reading: on a route whose texts must have one version an item that goes on from a part waits for a target with just that version. Once a newer one is named such targets grow fewer, and the item could stand for seconds while others are free. What: such a part is taken only while its version is the newest that is named; a whole text always. Test: TestRun_PartsUnderASingleVersionAreUsedWhileItIsTheNewest, red before.

--- a/ladder/scheduler/draft.go
+++ b/ladder/scheduler/draft.go
@@ -69,7 +69,7 @@
 		return
 	}
 	route, ok := s.routeOf(t)
-	fits := ok && drafter.Fingerprint(t.item) == d.Prompt && versionsFit(d.Versions, t.job, route)
+	fits := ok && drafter.Fingerprint(t.item) == d.Prompt && s.versionsFit(d, t.job, route)
 	klog.InfoS("text of another run found", "job", t.key.job, "item", t.key.item, "used", fits, "after", d.Last, "whole", d.Whole,
 		"versions", d.Versions, "oldest-version", t.job.OldestVersion)
 	if !fits {
@@ -79,11 +79,19 @@
 	t.versions = slices.Clone(d.Versions)
 }
 
-func versionsFit(versions []identifier.WeightVersion, j *job, r cataloger.Route) bool {
-	if j.Model == "" {
+// versionsFit says whether a job may have the text. A part that must be gone on
+// with under its own version is of use only while that is the newest: the others'
+// targets grow fewer.
+func (s *Scheduler) versionsFit(d *messenger.Draft, j *job, r cataloger.Route) bool {
+	switch {
+	case j.Model == "":
+		return true
+	case len(d.Versions) == 0 || slices.Min(d.Versions) < j.OldestVersion:
+		return false
+	case !r.SingleVersion:
 		return true
 	}
-	return len(versions) > 0 && slices.Min(versions) >= j.OldestVersion && (!r.SingleVersion || len(versions) == 1)
+	return len(d.Versions) == 1 && (d.Whole || d.Versions[0] >= s.catalog.Named()[j.Model])
 }
 
 func (s *Scheduler) routeOf(t *task) (r cataloger.Route, ok bool) {
--- a/ladder/scheduler/draft_test.go
+++ b/ladder/scheduler/draft_test.go
@@ -13,6 +13,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/faker"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/sender"
+	"github.com/lycheeladder/lycheeladder/ladder/storer"
 )
 
 // longText has events for 6 s, more than the 4 s of a step.
@@ -169,3 +170,27 @@
 		}
 	})
 }
+
+// A text that must have one version waits for a target that has it. Once a newer
+// one is named such targets grow fewer, and the text is made anew.
+func TestRun_PartsUnderASingleVersionAreUsedWhileItIsTheNewest(t *testing.T) {
+	for named, resumed := range map[bool]bool{false: true, true: false} {
+		inWorld(t, true, longText(2), func(t *testing.T, w *world) {
+			w.submit(t, 4)
+			if named {
+				w.catalog.PublishedSink().Apply([]storer.Record{{Key: "version", Offset: 9, Value: []byte("x")}})
+			}
+			before := w.endAfter(t, 3*time.Second, 2, 4)
+			time.Sleep(time.Second)
+			calls := w.targets.Calls()[before:]
+			if len(calls) != 4 {
+				t.Errorf("%d calls of 4 items", len(calls))
+			}
+			for _, c := range calls {
+				if c.Call.ResumeAfter > 0 != resumed {
+					t.Errorf("newer version named %t: %s goes on after event %d", named, c.Call.ID, c.Call.ResumeAfter)
+				}
+			}
+		})
+	}
+}
--- a/ladder/scheduler/scheduler_test.go
+++ b/ladder/scheduler/scheduler_test.go
@@ -28,10 +28,16 @@
 	"github.com/lycheeladder/lycheeladder/ladder/storer"
 )
 
-// plain decodes the records of the tests: a target's value is its service.
+// plain decodes the records of the tests: a target's value is its service, and any
+// key but that of the configuration names version 3.
 type plain struct{ configuration *cataloger.Configuration }
 
-func (p plain) Published(string, []byte) (cataloger.Published, error) { return p.configuration, nil }
+func (p plain) Published(key string, _ []byte) (cataloger.Published, error) {
+	if key != "config" {
+		return cataloger.NamedVersion{Model: "m", Version: 3}, nil
+	}
+	return p.configuration, nil
+}
 
 func (plain) Target(key string, value []byte) (cataloger.Target, error) {
 	return cataloger.Target{
