--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 MODULES := ladder $(PROGRAMS) sloper measurer
 VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo dev)
 
-.PHONY: build test vet lint format demo faults pages slopes measure
+.PHONY: build test vet lint format demo faults pages slopes measure soak
 build:
 	@mkdir -p bin
 	@for p in $(PROGRAMS); do go build -ldflags "-X github.com/lycheeladder/lycheeladder/ladder/starter.Version=$(VERSION)" -o bin/$$p ./$$p || exit 1; done
@@ -40,3 +40,9 @@
 pages:
 	UPDATE_PAGES=1 go test -p 1 -count=1 ./ladder/tabulator ./entry/runner ./sidecar/runner
 	go test ./ladderctl/verb -run Schema -update
+
+# Seeds that nobody has played: make soak SEED=1000
+SEED ?= 100
+SEEDS ?= 50
+soak:
+	go test ./platform/soaker -run 'TestSoak$$' -count=1 -v -timeout 2h -seeds $(SEEDS) -first-seed $(SEED) -soak-time 6s
