Ask a second target in time for the route's goal

One service answers lookups in 21 ms and scorers in 80 ms, so that its usual pace, after which a second target is asked, is that of the scorers. What: a second target is asked after half of the route's goal at the latest. Ruled out: a pace for each route (new routes would know none, and few calls make a poor quantile). Test: TestForward_ASecondTargetIsAskedInTimeForTheRoutesGoal, red before (220 ms).

--- a/ladder/forwarder/forward.go
+++ b/ladder/forwarder/forward.go
@@ -117,11 +117,17 @@
 	}
 }
 
+// patience is how long the first target may be silent before a second one is
+// asked. A service may answer calls of several kinds, of which the slowest make
+// its usual pace.
 func (w *forwarding) patience(s identifier.ServiceName) time.Duration {
 	p := w.router.Patience(s, false)
 	if p == 0 {
 		p = firstPatience
 	}
+	if w.route.Goal > 0 {
+		p = min(p, w.route.Goal/goalParts)
+	}
 	return max(p, leastPatience)
 }
 
--- a/ladder/forwarder/forwarder.go
+++ b/ladder/forwarder/forwarder.go
@@ -75,6 +75,9 @@
 	// firstPatience holds until the usual pace is known. It is a third of the
 	// shortest goal of both users' sheets (150 ms).
 	firstPatience = 50 * time.Millisecond
+	// goalParts is into how many parts a route's goal is shared: one for the
+	// first target, as much for the second.
+	goalParts = 2
 	// fullPause is the pause before a service is asked again whose targets
 	// have all refused.
 	fullPause = 25 * time.Millisecond
--- a/ladder/forwarder/forwarder_test.go
+++ b/ladder/forwarder/forwarder_test.go
@@ -108,6 +108,38 @@
 	}
 }
 
+// A service that answers scorers in 120 ms and lookups in 20 ms: a lookup whose
+// target is slow for once goes to a second one in time for its own goal.
+func TestForward_ASecondTargetIsAskedInTimeForTheRoutesGoal(t *testing.T) {
+	b := func(_ cataloger.Target, c sender.Call, _ int) faker.Behaviour {
+		if c.Path == "/score" {
+			return faker.Behaviour{Delay: 120 * time.Millisecond}
+		}
+		return faker.Behaviour{Delay: 20 * time.Millisecond}
+	}
+	synctest.Test(t, func(t *testing.T) {
+		slow := -1
+		f, targets := newForwarder(func(target cataloger.Target, c sender.Call, n int) faker.Behaviour {
+			if n == slow {
+				return faker.Behaviour{Delay: 220 * time.Millisecond}
+			}
+			return b(target, c, n)
+		})
+		scores, lookups := route(cataloger.KindIdempotent, 2), route(cataloger.KindIdempotent, 2)
+		scores.Goal, lookups.Goal = 400*time.Millisecond, 150*time.Millisecond
+		for range 40 {
+			f.Forward(context.Background(), scores, Request{ID: "s", Method: "POST", Path: "/score", TimeLeft: 2 * time.Second})
+		}
+		slow = len(targets.Calls())
+		begun := time.Now()
+		o := f.Forward(context.Background(), lookups, Request{ID: "x", Method: "GET", Path: "/lookup", TimeLeft: 2 * time.Second})
+		if took := time.Since(begun); describe(o) != "whole 200" || took > lookups.Goal {
+			t.Errorf("%s after %s, the goal is %s", describe(o), took, lookups.Goal)
+		}
+		time.Sleep(time.Second)
+	})
+}
+
 func describe(o Outcome) string {
 	switch o := o.(type) {
 	case Whole:
