--- a/ladder/faker/group.go
+++ b/ladder/faker/group.go
@@ -45,6 +45,20 @@
 	g.down = down
 }
 
+// Rebalance deals all partitions anew at once, to other members where there are
+// any, without waiting for those that have them.
+func (g *Group) Rebalance() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.generation++
+	clear(g.held)
+	ids := g.living()
+	for n := range g.planned {
+		next := (slices.Index(ids, g.planned[n]) + 1) % len(ids)
+		g.planned[n] = ids[next]
+	}
+}
+
 // Member returns the group as one member sees it.
 func (g *Group) Member(id grouper.Member) grouper.Group { return member{g, id} }
 
--- a/ladder/scheduler/draft_test.go
+++ b/ladder/scheduler/draft_test.go
@@ -194,3 +194,27 @@
 		})
 	}
 }
+
+// The group deals the partitions anew at once, as the users' store may: both
+// entries believe for a moment that they own them.
+func TestRun_WorkGoesOnWhenThePartitionsAreDealtAnew(t *testing.T) {
+	inWorld(t, false, longText(2), func(t *testing.T, w *world) {
+		next := w.newEntryOf("the next", []string{"self"}, 2)
+		w.others = append(w.others, next)
+		time.Sleep(2 * time.Second)
+		w.submit(t, 8)
+		for range 3 {
+			time.Sleep(time.Second)
+			w.group.Rebalance()
+		}
+		time.Sleep(8 * time.Second)
+		for id, r := range w.results(t) {
+			if diff := cmp.Diff(wholeText(200), r.Text); diff != "" {
+				t.Errorf("%s: %s", id, diff)
+			}
+		}
+		if n := len(w.results(t)); n != 8 {
+			t.Errorf("%d of 8 items are done after 11 s", n)
+		}
+	})
+}
--- a/ladder/scheduler/scheduler_test.go
+++ b/ladder/scheduler/scheduler_test.go
@@ -108,8 +108,13 @@
 	return w
 }
 
-// newEntry starts an entry that asks the addresses for drafts.
+// newEntry starts an entry that asks the addresses for drafts. One entry works.
 func (w *world) newEntry(name grouper.Member, addresses []string) *entry {
+	return w.newEntryOf(name, addresses, 1)
+}
+
+// newEntryOf starts one of some entries that are to work.
+func (w *world) newEntryOf(name grouper.Member, addresses []string, wanted int) *entry {
 	e := &entry{}
 	e.books = bookkeeper.New(w.clock, w.store, bookkeeper.Options{
 		Topic: "jobs", Partitions: 2, RecordBytes: 256 << 10, CallBytes: 2 << 20, KeepFor: time.Minute,
@@ -120,7 +125,7 @@
 	e.drafter = drafter.New(w.clock, e.books)
 	collector := relayer.NewCollector(e.drafter.Find, func(identifier.JobID) []string { return addresses }, w)
 	owner := grouper.New(w.clock, w.group.Member(name), grouper.Options{
-		Self: name, Zeal: grouper.Eager, Wanted: func() int { return 1 }, Random: random, Pace: grouper.WorkPace,
+		Self: name, Zeal: grouper.Eager, Wanted: func() int { return wanted }, Random: random, Pace: grouper.WorkPace,
 	}, func() { e.Wake() })
 	e.Scheduler = New(w.clock, w.catalog, e.books, owner, w.targets, f, drafts{e.drafter, collector}, random)
 	working, end := context.WithCancel(context.Background())
