Tell prompts apart by the fingerprint that there is

A draft had a fingerprint type and hash of its own. identifier.NewFingerprint, which forwarded calls use, hashes the same parts. Behaviour is the same.

--- a/ladder/drafter/drafter.go
+++ b/ladder/drafter/drafter.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/lycheeladder/lycheeladder/ladder/bookkeeper"
@@ -57,12 +56,8 @@
 }
 
 // Fingerprint returns that of an item's prompt.
-func Fingerprint(i *bookkeeper.Item) messenger.Fingerprint {
-	d := xxhash.New()
-	_, _ = d.WriteString(i.Path)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.Write(i.Body)
-	return messenger.Fingerprint(d.Sum64())
+func Fingerprint(i *bookkeeper.Item) identifier.Fingerprint {
+	return identifier.NewFingerprint("", identifier.CallName(i.Path), i.Body)
 }
 
 // Keep keeps a draft. One that was kept of the same item is replaced.
--- a/ladder/messenger/draft.go
+++ b/ladder/messenger/draft.go
@@ -10,14 +10,11 @@
 	Job   identifier.JobID     `cbor:"2,keyasint"`
 }
 
-// Fingerprint tells prompts apart.
-type Fingerprint uint64
-
 // Draft is the text of an item as far as it was made.
 type Draft struct {
 	Item identifier.ItemID `cbor:"1,keyasint"`
 	// Prompt is of what the text answers.
-	Prompt Fingerprint `cbor:"2,keyasint"`
+	Prompt identifier.Fingerprint `cbor:"2,keyasint"`
 	// Text has the data of the events up to Last, separated by line feeds.
 	Text []byte `cbor:"3,keyasint"`
 	// Last is the number of the last event; it isn't known of a whole text.
