Keep the sorted list of ready targets until something changes

Each placing of an item, each live call and each look of the updater filtered and sorted all targets anew. Now the list is made once for each change, and the callers share it; none changes it. What is returned is the same.

--- a/ladder/cataloger/cataloger.go
+++ b/ladder/cataloger/cataloger.go
@@ -60,6 +60,8 @@
 	named map[identifier.ModelName]identifier.WeightVersion
 	// changed is closed at each change.
 	changed chan struct{}
+	// ready has, by service, what Targets has returned since the last change.
+	ready map[identifier.ServiceName][]Target
 }
 
 // New returns a Cataloger that knows nothing.
@@ -70,6 +72,7 @@
 		lapsed:  make(map[identifier.TargetName]time.Time),
 		named:   make(map[identifier.ModelName]identifier.WeightVersion),
 		changed: make(chan struct{}),
+		ready:   make(map[identifier.ServiceName][]Target),
 	}
 }
 
@@ -108,6 +111,7 @@
 			klog.InfoS("target gone, its entry isn't back", "target", name)
 			delete(c.targets, name)
 			delete(c.lapsed, name)
+			clear(c.ready)
 		}
 	}
 }
@@ -127,18 +131,22 @@
 }
 
 // Targets returns the listed targets of a service that take work, ordered by
-// name.
+// name. The caller must not change the list.
 func (c *Cataloger) Targets(s identifier.ServiceName) []Target {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.dropLapsed()
-	var list []Target
+	list, ok := c.ready[s]
+	if ok {
+		return list
+	}
 	for _, t := range c.targets {
 		if t.Service == s && t.State == StateReady {
 			list = append(list, t)
 		}
 	}
 	slices.SortFunc(list, func(a, b Target) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	c.ready[s] = list
 	return list
 }
 
@@ -181,6 +189,7 @@
 }
 
 func (c *Cataloger) notify() {
+	clear(c.ready)
 	close(c.changed)
 	c.changed = make(chan struct{})
 }
--- /dev/null
+++ b/ladder/cataloger/ready_test.go
@@ -0,0 +1,58 @@
+package cataloger
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/storer"
+)
+
+// The list is kept between changes, and every kind of change shows.
+func TestTargets_ShowsEveryChange(t *testing.T) {
+	c := New(clockwork.NewFakeClock(), plainDecoder{})
+	sink := c.TargetSink()
+	sink.Apply([]storer.Record{record("b", "ready"), record("a", "ready")})
+	steps := []struct {
+		change func()
+		want   []identifier.TargetName
+	}{
+		{func() {}, []identifier.TargetName{"a", "b"}},
+		{func() { sink.Apply([]storer.Record{record("c", "ready")}) }, []identifier.TargetName{"a", "b", "c"}},
+		{func() { sink.Apply([]storer.Record{record("a", "draining")}) }, []identifier.TargetName{"b", "c"}},
+		{func() { sink.Apply([]storer.Record{record("b", "")}) }, []identifier.TargetName{"c"}},
+		{func() { sink.Reset([]storer.Record{record("d", "ready")}) }, []identifier.TargetName{"d"}},
+	}
+	for n, s := range steps {
+		s.change()
+		if diff := cmp.Diff(s.want, namesOf(c)); diff != "" {
+			t.Errorf("step %d (-want +got):\n%s", n, diff)
+		}
+	}
+	c.LearnWeights("d", "m", 7)
+	if v := c.Targets("s")[0].Weights["m"]; v != 7 {
+		t.Errorf("the list has version %d, learnt was 7", v)
+	}
+}
+
+// BenchmarkTargets is what each placing of an item asks for.
+func BenchmarkTargets(b *testing.B) {
+	for _, count := range []int{43, 3001} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			c := New(clockwork.NewRealClock(), plainDecoder{})
+			var records []storer.Record
+			for n := range count {
+				records = append(records, record(fmt.Sprintf("i-%04x", n*7919%65521), "ready"))
+			}
+			c.TargetSink().Reset(records)
+			for b.Loop() {
+				if len(c.Targets("s")) != count {
+					b.Fatal("targets are missing")
+				}
+			}
+		})
+	}
+}
