Ask peers together in one place

The tally of demand and the collector of drafts each asked a list of peers at once, under a time limit of the same figure. One function serves both. Behaviour is the same.

--- a/ladder/relayer/demand.go
+++ b/ladder/relayer/demand.go
@@ -7,19 +7,14 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	"github.com/sourcegraph/conc"
 
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 )
 
-const (
-	// demandPause is between two questions about the owners' work. Trainers
-	// ask for a step every few seconds.
-	demandPause = 2 * time.Second
-	// demandTimeout bounds a peer's answer.
-	demandTimeout = 500 * time.Millisecond
-)
+// demandPause is between two questions about the owners' work. Trainers ask for
+// a step every few seconds.
+const demandPause = 2 * time.Second
 
 // Tally adds up the work of all owners. It is asked for by whoever orders loads
 // of weights.
@@ -53,30 +48,17 @@
 }
 
 func (t *Tally) ask() {
-	ctx, cancel := context.WithTimeout(context.Background(), demandTimeout)
-	defer cancel()
 	sum := maps.Clone(t.own())
 	if sum == nil {
 		sum = make(map[identifier.ModelName]identifier.TokenCount)
 	}
-	var mutex sync.Mutex
-	var questions conc.WaitGroup
-	for _, address := range t.owners() {
-		questions.Go(func() {
-			// An owner that doesn't answer is left out: the shares of the
-			// others are a fair sample.
-			r, err := t.peers.Ask(ctx, address, messenger.Question{Demand: true})
-			if err != nil {
-				return
-			}
-			mutex.Lock()
-			defer mutex.Unlock()
-			for m, n := range r.Demand {
-				sum[m] += n
-			}
-		})
-	}
-	questions.Wait()
+	// An owner that doesn't answer is left out: the shares of the others are a
+	// fair sample.
+	askAll(context.Background(), t.peers, t.owners(), messenger.Question{Demand: true}, func(r messenger.Reply) {
+		for m, n := range r.Demand {
+			sum[m] += n
+		}
+	})
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.sum = sum
--- a/ladder/relayer/drafts.go
+++ b/ladder/relayer/drafts.go
@@ -2,17 +2,11 @@
 
 import (
 	"context"
-	"time"
-
-	"github.com/sourcegraph/conc"
 
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 )
 
-// draftsTimeout bounds a peer's answer, as demandTimeout does.
-const draftsTimeout = 500 * time.Millisecond
-
 // Collector asks for drafts whoever may have some: all owners, since a later
 // job of a trainer is mostly worked on by another one, and the former owner of
 // the job.
@@ -33,16 +27,6 @@
 // are made again.
 func (c *Collector) Collect(ctx context.Context, id identifier.JobID, m identifier.ModelName, take func([]messenger.Draft)) {
 	take(c.own(m))
-	ctx, cancel := context.WithTimeout(ctx, draftsTimeout)
-	defer cancel()
 	q := messenger.Question{Drafts: &messenger.DraftCall{Job: id, Model: m}}
-	var questions conc.WaitGroup
-	defer questions.Wait()
-	for _, address := range c.others(id) {
-		questions.Go(func() {
-			if r, err := c.peers.Ask(ctx, address, q); err == nil {
-				take(r.Drafts)
-			}
-		})
-	}
+	askAll(ctx, c.peers, c.others(id), q, func(r messenger.Reply) { take(r.Drafts) })
 }
