--- a/sloper/verb/changes.go
+++ b/sloper/verb/changes.go
@@ -46,8 +46,5 @@
 		}
 		time.Sleep(time.Until(until))
 	})
-	return reading{
-		"bytes": float64(cost.Bytes), "frames": float64(cost.Frames),
-		"processor ms": cost.Processor.Seconds() * 1000,
-	}, err
+	return readingOf(cost), err
 }
--- /dev/null
+++ b/sloper/verb/cost.go
@@ -0,0 +1,34 @@
+package verb
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lycheeladder/lycheeladder/ladder/coordinator"
+	"github.com/lycheeladder/lycheeladder/ladder/dispatcher"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/sloper/rig"
+)
+
+// readingOf returns what was spent, under the names of the slopes' columns.
+func readingOf(c rig.Cost) reading {
+	return reading{
+		"processor ms": c.Processor.Seconds() * 1000, "bytes": float64(c.Bytes), "frames": float64(c.Frames),
+	}
+}
+
+// callTimeout is far above what a call takes.
+const callTimeout = time.Minute
+
+// complete makes the call for the document's first team, and fails if it isn't
+// completed.
+func complete(r *rig.Rig, c coordinator.Call) error {
+	c.ID, c.Key, c.Timeout = identifier.NewRequestID(), rig.Key(0), callTimeout
+	o := r.Coordinator.Handle(context.Background(), c)
+	if _, ok := o.(dispatcher.Completed); !ok {
+		return errors.Errorf("%s not completed: %+v", c.Call, o)
+	}
+	return nil
+}
--- a/sloper/verb/requests.go
+++ b/sloper/verb/requests.go
@@ -1,16 +1,10 @@
 package verb
 
 import (
-	"context"
 	"sync"
-	"time"
-
-	"github.com/pkg/errors"
 
 	"github.com/lycheeladder/lycheeladder/ladder/caller"
 	"github.com/lycheeladder/lycheeladder/ladder/coordinator"
-	"github.com/lycheeladder/lycheeladder/ladder/dispatcher"
-	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/sloper/rig"
 )
 
@@ -52,19 +46,11 @@
 		return nil, err
 	default:
 	}
-	return reading{
-		"processor ms": cost.Processor.Seconds() * 1000,
-		"bytes":        float64(cost.Bytes), "frames": float64(cost.Frames),
-	}, nil
+	return readingOf(cost), nil
 }
 
 func lookup(r *rig.Rig) error {
-	o := r.Coordinator.Handle(context.Background(), coordinator.Call{
-		ID: identifier.NewRequestID(), Key: rig.Key(0), Service: rig.ServicePlain, Call: "lookup",
-		Body: []byte(`{"part":"prism-drop","branch":"chiang-mai"}`), Timeout: time.Minute,
+	return complete(r, coordinator.Call{
+		Service: rig.ServicePlain, Call: "lookup", Body: []byte(`{"part":"prism-drop","branch":"chiang-mai"}`),
 	})
-	if _, ok := o.(dispatcher.Completed); !ok {
-		return errors.Errorf("call not completed: %+v", o)
-	}
-	return nil
 }
--- a/sloper/verb/samples.go
+++ b/sloper/verb/samples.go
@@ -58,10 +58,9 @@
 		memory = rig.Memory() - before
 		err = fetchAll(d, size)
 	})
-	return reading{
-		"processor ms": cost.Processor.Seconds() * 1000, "bytes": float64(cost.Bytes),
-		"frames": float64(cost.Frames), "memory KB ready": float64(memory) / 1024,
-	}, err
+	spent := readingOf(cost)
+	spent["memory KB ready"] = float64(memory) / 1024
+	return spent, err
 }
 
 func submit(d *deliverer.Deliverer, size int) error {
--- a/sloper/verb/tokens.go
+++ b/sloper/verb/tokens.go
@@ -1,16 +1,11 @@
 package verb
 
 import (
-	"context"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/lycheeladder/lycheeladder/ladder/caller"
 	"github.com/lycheeladder/lycheeladder/ladder/coordinator"
-	"github.com/lycheeladder/lycheeladder/ladder/dispatcher"
-	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/sloper/rig"
 )
 
@@ -48,19 +43,12 @@
 			return nil, err
 		}
 	}
-	return reading{
-		"processor ms": cost.Processor.Seconds() * 1000,
-		"bytes":        float64(cost.Bytes), "frames": float64(cost.Frames),
-	}, nil
+	return readingOf(cost), nil
 }
 
 func stream(r *rig.Rig) error {
-	o := r.Coordinator.Handle(context.Background(), coordinator.Call{
-		ID: identifier.NewRequestID(), Key: rig.Key(0), Service: rig.ServiceEngine, Call: "generate",
-		Body: []byte(`{"prompt":"p"}`), Timeout: time.Minute, Stream: func([]byte) error { return nil },
+	return complete(r, coordinator.Call{
+		Service: rig.ServiceEngine, Call: "generate", Body: []byte(`{"prompt":"p"}`),
+		Stream: func([]byte) error { return nil },
 	})
-	if _, ok := o.(dispatcher.Completed); !ok {
-		return errors.Errorf("stream not completed: %+v", o)
-	}
-	return nil
 }
