Bound what targets send, and end unexpected errors with their task

Cause: a head, an interim answer, a line or an event of a target was read without a bound and kept whole, and eight answers of 8 MB fit the smallest host no more; a text without end was kept and could never be listed, nor what waited behind it. A panic in an attempt, an answer to a peer, a record's decoding or an item's run ended the process, or left the item busy for ever. A resumable stream whose target sent a byte now and then ended only with its time.

A resumable stream leaves a target without a whole event for 0.8 s if there is another; each next target has twice the time, the last is waited for, so that slow streams aren't cut.

Ruled out: one bound of 8 MB for each answer alone, since several come at once.

--- a/ladder/bookkeeper/book.go
+++ b/ladder/bookkeeper/book.go
@@ -69,7 +69,9 @@
 // Reset implements storer.Sink.
 func (b *book) Reset(records []storer.Record) {
 	slices.SortFunc(records, byMeaning)
+	defer b.notify()
 	b.mutex.Lock()
+	defer b.mutex.Unlock()
 	before := b.jobs
 	b.pieces, b.jobs = make(map[string][]byte), make(map[identifier.JobID]*entry)
 	for _, r := range records {
@@ -81,8 +83,6 @@
 		}
 		close(e.changed)
 	}
-	b.mutex.Unlock()
-	b.notify()
 }
 
 // ranks is the order in which records of a job give each other their meaning. A
@@ -100,16 +100,21 @@
 
 // Apply implements storer.Sink.
 func (b *book) Apply(records []storer.Record) {
+	defer b.notify()
 	b.mutex.Lock()
+	defer b.mutex.Unlock()
 	for _, r := range records {
 		b.take(r, false)
 	}
-	b.mutex.Unlock()
-	b.notify()
 }
 
-// take folds one record. The caller holds the mutex.
+// take folds one record; one that can't be folded hurts no other. The caller
+// holds the mutex.
 func (b *book) take(r storer.Record, old bool) {
+	storer.Guard(r, func() { b.fold(r, old) })
+}
+
+func (b *book) fold(r storer.Record, old bool) {
 	kind, rest, _ := strings.Cut(r.Key, "/")
 	switch kind + "/" {
 	case prefixPiece:
--- a/ladder/bookkeeper/bookkeeper.go
+++ b/ladder/bookkeeper/bookkeeper.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
 	"github.com/lycheeladder/lycheeladder/ladder/storer"
 	"github.com/lycheeladder/lycheeladder/ladder/tracker"
 )
@@ -118,15 +119,12 @@
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
 	for _, p := range k.parts {
-		tasks.Go(func() { k.writeResults(ctx, p) })
+		tasks.Go(func() {
+			recoverer.Keep(ctx, k.clock, "results of a partition", func(ctx context.Context) { k.writeResults(ctx, p) })
+		})
 	}
 	for ctx.Err() == nil {
-		for n, p := range k.parts {
-			if owns(identifier.PartitionNumber(n)) {
-				p.use(k.clock.Now())
-			}
-			k.followOrStop(ctx, p, &tasks)
-		}
+		_ = recoverer.Try("choice of partitions", func() { k.followAll(ctx, owns, &tasks) }) // it is logged there
 		select {
 		case <-k.follow:
 		case <-k.clock.After(followPause):
@@ -135,6 +133,15 @@
 	}
 }
 
+func (k *Bookkeeper) followAll(ctx context.Context, owns func(identifier.PartitionNumber) bool, tasks *conc.WaitGroup) {
+	for n, p := range k.parts {
+		if owns(identifier.PartitionNumber(n)) {
+			p.use(k.clock.Now())
+		}
+		k.followOrStop(ctx, p, tasks)
+	}
+}
+
 func (k *Bookkeeper) notify() {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
--- a/ladder/bookkeeper/follow.go
+++ b/ladder/bookkeeper/follow.go
@@ -7,6 +7,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
 )
 
 // The owner of a partition follows it all the time. Others follow it for a while
@@ -32,7 +33,7 @@
 		p.stop = func() { cancel(); <-ended }
 		tasks.Go(func() {
 			defer close(ended)
-			p.tracker.Run(following)
+			recoverer.Keep(following, k.clock, "partition of batch jobs", p.tracker.Run)
 		})
 	case !wanted && p.stop != nil:
 		p.stop()
--- a/ladder/bookkeeper/list.go
+++ b/ladder/bookkeeper/list.go
@@ -21,6 +21,10 @@
 	Result Result
 }
 
+// TextRoom is how large the text of a result may be: a record holds the result
+// whole.
+func (k *Bookkeeper) TextRoom() int { return k.options.RecordBytes - recordOverhead }
+
 // List writes a result, sooner or later. The first result of an item that
 // reaches the store counts.
 func (k *Bookkeeper) List(o Outcome) {
--- a/ladder/cataloger/cataloger.go
+++ b/ladder/cataloger/cataloger.go
@@ -210,9 +210,10 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for _, r := range records {
-		if len(r.Value) > 0 {
-			s.publish(r)
+		if len(r.Value) == 0 {
+			continue
 		}
+		storer.Guard(r, func() { s.publish(r) })
 	}
 	s.notify()
 }
@@ -269,8 +270,14 @@
 	s.notify()
 }
 
-// list takes one entry.
+// list takes one entry; one that can't be taken hurts no other.
 func (s targetSink) list(r storer.Record) {
+	if !storer.Guard(r, func() { s.take(r) }) {
+		delete(s.targets, identifier.TargetName(r.Key))
+	}
+}
+
+func (s targetSink) take(r storer.Record) {
 	name := identifier.TargetName(r.Key)
 	old, known := s.targets[name]
 	if len(r.Value) == 0 {
--- a/ladder/cataloger/cataloger_test.go
+++ b/ladder/cataloger/cataloger_test.go
@@ -101,3 +101,34 @@
 		}
 	}
 }
+
+// panics is a decoder that meets something unexpected in some records.
+type panics struct{ plainDecoder }
+
+func (panics) Published(key string, value []byte) (Published, error) {
+	if string(value) == "!" {
+		panic("unexpected record")
+	}
+	return plainDecoder{}.Published(key, value)
+}
+
+func (panics) Target(key string, value []byte) (Target, error) {
+	if string(value) == "!" {
+		panic("unexpected entry")
+	}
+	return plainDecoder{}.Target(key, value)
+}
+
+func TestSinks_ARecordThatCausesAnUnexpectedErrorHurtsNoOther(t *testing.T) {
+	c := New(clockwork.NewFakeClock(), panics{})
+	c.PublishedSink().Reset([]storer.Record{record("config", "1"), record("config", "!"), record("config", "2")})
+	if v := c.Configuration().Version; v != 2 {
+		t.Errorf("version %d", v)
+	}
+	for _, take := range []func([]storer.Record){c.TargetSink().Reset, c.TargetSink().Apply} {
+		take([]storer.Record{record("a", "ready"), record("b", "!"), record("c", "ready")})
+		if diff := cmp.Diff([]identifier.TargetName{"a", "c"}, namesOf(c)); diff != "" {
+			t.Error(diff)
+		}
+	}
+}
--- a/ladder/consulter/peers.go
+++ b/ladder/consulter/peers.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
 )
 
 // avoidFor is how long a peer isn't asked that hasn't answered.
@@ -88,8 +89,10 @@
 	}
 	c.links[address] = l
 	go func() {
-		l.receive()
-		c.forget(address, l)
+		defer c.forget(address, l)
+		if recoverer.Try("answers of a peer", l.receive) != nil {
+			l.close()
+		}
 	}()
 	return l, nil
 }
@@ -121,13 +124,23 @@
 		if err != nil || !ok {
 			break
 		}
-		l.mutex.Lock()
-		if w, ok := l.waiting[a.Number]; ok {
-			w <- a
-			delete(l.waiting, a.Number)
-		}
-		l.mutex.Unlock()
+		l.hand(a)
 	}
+	l.close()
+}
+
+// hand hands an answer to whoever waits for it.
+func (l *peer) hand(a messenger.Reply) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if w, ok := l.waiting[a.Number]; ok {
+		w <- a
+		delete(l.waiting, a.Number)
+	}
+}
+
+// close ends the link and the waiting of all who asked over it.
+func (l *peer) close() {
 	l.link.Close()
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/ladder/consulter/serve.go
+++ b/ladder/consulter/serve.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
 )
 
 // Handler answers a peer's question; the reply's number is set by Serve.
@@ -29,7 +30,12 @@
 			return
 		}
 		answers.Go(func() {
-			r := answer(ctx, q)
+			var r messenger.Reply
+			if recoverer.Try("answer to a peer", func() { r = answer(ctx, q) }) != nil {
+				// An answer would have to say something of what was asked.
+				l.Close()
+				return
+			}
 			r.Number = q.Number
 			if err := l.Send(ctx, r); err != nil && ctx.Err() == nil {
 				klog.V(1).InfoS("answer to a peer not sent", "err", err)
--- a/ladder/convicter/convicter.go
+++ b/ladder/convicter/convicter.go
@@ -15,6 +15,7 @@
 
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
 	"github.com/lycheeladder/lycheeladder/ladder/storer"
 	"github.com/lycheeladder/lycheeladder/ladder/tracker"
 )
@@ -106,11 +107,13 @@
 	r := storer.Record{Key: fmt.Sprintf("%016x/%s/%d", uint64(f), t.Name, t.Start), Value: []byte("1")}
 	go func() {
 		defer func() { <-c.writes }()
-		ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
-		defer cancel()
-		if _, err := c.log.Append(ctx, c.partition, storer.Anywhere, []storer.Record{r}); err != nil {
-			klog.InfoS("break not shared", "fingerprint", f, "target", t.Name, "err", err)
-		}
+		_ = recoverer.Try("record of a break", func() { // it is logged there
+			ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+			defer cancel()
+			if _, err := c.log.Append(ctx, c.partition, storer.Anywhere, []storer.Record{r}); err != nil {
+				klog.InfoS("break not shared", "fingerprint", f, "target", t.Name, "err", err)
+			}
+		})
 	}()
 }
 
--- a/ladder/detourer/detourer.go
+++ b/ladder/detourer/detourer.go
@@ -14,6 +14,7 @@
 
 	"github.com/lycheeladder/lycheeladder/ladder/appender"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
 )
 
 // The store may serve some hosts and not others for many seconds. Writes are
@@ -142,7 +143,10 @@
 	defer d.mutex.Unlock()
 	if !d.suspected {
 		d.suspected = true
-		go d.findBack(cause)
+		go func() {
+			// Without it the direct way would never be taken again.
+			recoverer.Keep(context.Background(), d.clock, "way back to the store", func(context.Context) { d.findBack(cause) })
+		}()
 	}
 }
 
--- a/ladder/explainer/events.go
+++ b/ladder/explainer/events.go
@@ -357,10 +357,22 @@
 		Meaning: "the process ends: no lease can be trusted",
 		Action:  "replace the host",
 	},
+	{
+		Name: "record left out after an unexpected error", Level: LevelInfo, Scope: ScopeHost,
+		Fields:  []string{"key", "offset"},
+		Meaning: "the line before has the error; other records are taken",
+		Action:  "report it with that line's stack",
+	},
 	{
 		Name: "third signal, ending at once", Level: LevelInfo, Scope: ScopeHost,
 		Meaning: "nothing more is waited for",
 	},
+	{
+		Name: "unexpected error in a task", Level: LevelError, Scope: ScopeHost,
+		Fields:  []string{"task", "stack"},
+		Meaning: "that task ended, or begins again; everything else goes on",
+		Action:  "report it with its stack",
+	},
 	{
 		Name: "unexpected message of a peer, link closed", Level: LevelInfo, Scope: ScopeHost,
 		Fields:  []string{"message"},
--- a/ladder/faker/targets.go
+++ b/ladder/faker/targets.go
@@ -28,6 +28,8 @@
 	Silent bool
 	// BreaksOff closes the connection without an answer.
 	BreaksOff bool
+	// Panics stands for an error in the caller's own code.
+	Panics bool
 	// Delay is before the answer, or before the first event.
 	Delay time.Duration
 	// Gap is between two events.
@@ -54,6 +56,8 @@
 	behave func(t cataloger.Target, c sender.Call, n int) Behaviour
 
 	mutex sync.Mutex
+	// asked counts the calls, with those that didn't get through.
+	asked int
 	calls []SentCall
 	// running counts the requests that a target works on.
 	running int
@@ -84,9 +88,13 @@
 // Send implements sender.Sender.
 func (f *Targets) Send(ctx context.Context, t cataloger.Target, c sender.Call) (*sender.Answer, error) {
 	f.mutex.Lock()
-	b := f.behave(t, c, len(f.calls))
-	if b.NotSent {
+	b := f.behave(t, c, f.asked)
+	f.asked++
+	if b.NotSent || b.Panics {
 		f.mutex.Unlock()
+		if b.Panics {
+			panic("unexpected error while sending")
+		}
 		return nil, sender.ErrNotSent
 	}
 	f.calls = append(f.calls, SentCall{Target: t.Name, Call: c, At: f.clock.Now()})
--- a/ladder/forwarder/forward.go
+++ b/ladder/forwarder/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/pkg/errors"
@@ -10,6 +9,7 @@
 
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
 	"github.com/lycheeladder/lycheeladder/ladder/sender"
 )
@@ -19,9 +19,6 @@
 // that are slow or dead for a moment. Under overload targets refuse, and the
 // refusal is passed on with a time.
 
-// maxAnswerBytes bounds an answer that is kept whole before it is passed on.
-const maxAnswerBytes = 8 << 20
-
 // attempt is one request at one target.
 type attempt struct {
 	target cataloger.Target
@@ -169,7 +166,11 @@
 	w.tried[name] = true
 	bounded, cancel := context.WithCancel(ctx)
 	w.open[name] = attempt{target: t, cancel: cancel}
-	go func() { w.reports <- w.ask(bounded, t, left) }()
+	go func() {
+		r := report{target: t, err: errors.Wrap(sender.ErrNoAnswer, "unexpected error")}
+		_ = recoverer.Try("attempt at a target", func() { r = w.ask(bounded, t, left) }) // it is logged there
+		w.reports <- r
+	}()
 	return true
 }
 
@@ -186,13 +187,13 @@
 		return r
 	}
 	defer r.answer.Body.Close()
-	if r.body, r.err = io.ReadAll(io.LimitReader(r.answer.Body, maxAnswerBytes+1)); r.err != nil {
+	if r.body, r.err = w.room.readAll(r.answer.Body); r.err != nil {
 		r.err = errors.Wrap(sender.ErrNoAnswer, r.err.Error())
+		if ctx.Err() == nil {
+			w.router.Failed(t.Name)
+		}
 		return r
 	}
-	if len(r.body) > maxAnswerBytes {
-		r.err = errors.Wrap(sender.ErrNoAnswer, "answer is too large")
-	}
 	switch {
 	case r.answer.NotRun || r.answer.Status >= 500:
 		w.router.Failed(t.Name)
--- a/ladder/forwarder/forwarder.go
+++ b/ladder/forwarder/forwarder.go
@@ -107,6 +107,7 @@
 	budget      *limiter.Budget
 	convictions Convictions
 	random      router.Random
+	room        *room
 }
 
 // New returns a Forwarder. Many tasks use random.
@@ -114,7 +115,7 @@
 	return &Forwarder{
 		clock: clock, catalog: c, sender: s, convictions: v, random: random,
 		router: router.New(clock, random, router.Expected{}),
-		budget: limiter.NewBudget(retryShare, retryBurst),
+		budget: limiter.NewBudget(retryShare, retryBurst), room: newRoom(sharedAnswerBytes),
 	}
 }
 
@@ -124,7 +125,10 @@
 	for _, s := range r.Shares {
 		total += s.Weight
 	}
-	if total <= 0 {
+	switch {
+	case len(r.Shares) == 0:
+		return ""
+	case total <= 0:
 		return r.Shares[0].Service
 	}
 	draw := f.random.IntN(total)
--- a/ladder/forwarder/forwarder_test.go
+++ b/ladder/forwarder/forwarder_test.go
@@ -236,3 +236,76 @@
 		})
 	}
 }
+
+func TestForward_AnUnexpectedErrorEndsOneAttempt(t *testing.T) {
+	for attempts, want := range map[int]string{1: "unknown", 2: "whole 200"} {
+		synctest.Test(t, func(t *testing.T) {
+			f, _ := newForwarder(func(_ cataloger.Target, _ sender.Call, n int) faker.Behaviour {
+				return faker.Behaviour{Panics: n == 0}
+			})
+			o := f.Forward(context.Background(), route(cataloger.KindIdempotent, attempts), Request{ID: "x"})
+			if diff := cmp.Diff(want, describe(o)); diff != "" {
+				t.Error(diff)
+			}
+			for _, name := range []identifier.TargetName{"a", "b", "c"} {
+				if n := f.router.InFlight(name); n != 0 {
+					t.Errorf("%d requests count as open at %s", n, name)
+				}
+			}
+		})
+	}
+}
+
+// Streams with gaps between their events, at all targets or at the first alone.
+func TestForwardStream_StalledOnesGoOnElsewhereAndSlowOnesAreNotCut(t *testing.T) {
+	const events, usual = 6, 10 * time.Millisecond
+	cases := map[string]struct {
+		first, others time.Duration
+		resumable     bool
+		// limit bounds the whole stream.
+		limit time.Duration
+		whole bool
+	}{
+		"the first stalls, it may go on elsewhere": {20 * time.Second, usual, true, 2 * time.Second, true},
+		"the first stalls, it may not":             {20 * time.Second, usual, false, 30 * time.Second, false},
+		"all are slow but sound":                   {700 * time.Millisecond, 700 * time.Millisecond, true, 6 * time.Second, true},
+		"all are very slow":                        {1900 * time.Millisecond, 1900 * time.Millisecond, true, 20 * time.Second, true},
+		"slow, and may not go on elsewhere":        {1900 * time.Millisecond, usual, false, 20 * time.Second, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, targets := newForwarder(func(_ cataloger.Target, _ sender.Call, n int) faker.Behaviour {
+					b := faker.Behaviour{Events: events, Gap: c.others}
+					if n == 0 {
+						b.Gap = c.first
+					}
+					return b
+				})
+				r := route(cataloger.KindStream, 3)
+				r.Resumable, r.Timeout = c.resumable, 30*time.Second
+				begun := time.Now()
+				s, ok := f.ForwardStream(context.Background(), r, Request{ID: "x"}).(*Stream)
+				if !ok {
+					t.Fatal("no stream")
+				}
+				numbers, err := readAll(s)
+				s.Close()
+				if whole := len(numbers) == events && errors.Is(err, io.EOF); whole != c.whole {
+					t.Errorf("%v, %v", numbers, err)
+				}
+				if took := time.Since(begun); took > c.limit {
+					t.Errorf("took %s", took)
+				}
+				for n, number := range numbers {
+					if number != identifier.EventNumber(n+1) {
+						t.Errorf("event %d is %d", n, number)
+					}
+				}
+				if targets.Running() != 0 {
+					t.Errorf("%d streams are still open", targets.Running())
+				}
+			})
+		})
+	}
+}
--- a/ladder/forwarder/stream.go
+++ b/ladder/forwarder/stream.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
@@ -29,11 +31,30 @@
 	answer *sender.Answer
 	target cataloger.Target
 	events sender.Events
+	// breakOff ends the work of target, and watch does so when it is silent;
+	// nil while there is none.
+	breakOff context.CancelCauseFunc
+	watch    clockwork.Timer
+	// stall is the silence after which watch ends it.
+	stall time.Duration
 	// resumed counts how often it has gone on elsewhere.
 	resumed int
 	tried   map[identifier.TargetName]bool
 }
 
+const (
+	// streamStall is the silence between two whole events after which a stream
+	// goes on elsewhere, if it may and there is another target. Bytes that make
+	// no event count as silence. Callers leave after 2 s at the least.
+	streamStall = 800 * time.Millisecond
+	// firstGoals is how many times the route's goal a first event may take, if
+	// that is longer.
+	firstGoals = 2
+)
+
+// errStalled says that a target has been silent for too long.
+var errStalled = errors.New("target is silent")
+
 // Answer returns the answer under whose header the stream goes on.
 func (s *Stream) Answer() *sender.Answer { return s.answer }
 
@@ -85,7 +106,7 @@
 
 func (s *Stream) failure(a *sender.Answer) Outcome {
 	defer a.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes))
+	body, err := s.forwarder.room.readAll(a.Body)
 	if err != nil {
 		return Unknown{Why: err.Error()}
 	}
@@ -116,9 +137,12 @@
 		return nil, sender.ErrNotSent
 	}
 	s.target = t
+	ctx, breakOff := context.WithCancelCause(s.ctx)
+	s.breakOff = breakOff
+	s.startWatch()
 	call := s.request.call(left)
 	call.ResumeAfter = after
-	answer, err := f.sender.Send(s.ctx, t, call)
+	answer, err := f.sender.Send(ctx, t, call)
 	if err != nil {
 		f.router.Failed(name)
 		s.done()
@@ -126,11 +150,34 @@
 	return answer, err
 }
 
+// startWatch ends the target's work when it is silent for too long. The last
+// target that may be asked is waited for, as is the only one that there is: a
+// slow stream is better than none. Each target is given twice the time of the
+// one before, so that a stream that is slow everywhere goes on.
+func (s *Stream) startWatch() {
+	if !s.route.Resumable || s.resumed+1 >= s.route.MaxAttempts {
+		return
+	}
+	f, tried, breakOff := s.forwarder, maps.Clone(s.tried), s.breakOff
+	s.stall = streamStall << s.resumed
+	s.watch = f.clock.AfterFunc(max(s.stall, firstGoals*s.route.Goal), func() {
+		if len(f.candidates(s.service, tried)) > 0 {
+			breakOff(errStalled)
+		}
+	})
+}
+
 func (s *Stream) done() {
-	if s.target.Name != "" {
-		s.forwarder.router.Done(s.target.Name, router.Unfollowed)
-		s.target = cataloger.Target{}
+	if s.target.Name == "" {
+		return
 	}
+	if s.watch != nil {
+		s.watch.Stop()
+		s.watch = nil
+	}
+	s.breakOff(nil)
+	s.forwarder.router.Done(s.target.Name, router.Unfollowed)
+	s.target = cataloger.Target{}
 }
 
 // Next returns the next event. io.EOF follows the last one of a whole answer;
@@ -140,6 +187,9 @@
 		e, err := s.events.Next()
 		if err == nil {
 			s.request.ResumeAfter = e.Number
+			if s.watch != nil {
+				s.watch.Reset(s.stall)
+			}
 			return e, nil
 		}
 		if errors.Is(err, io.EOF) || !s.route.Resumable || s.ctx.Err() != nil {
@@ -153,6 +203,7 @@
 
 // resume goes on at another target after the last event that came.
 func (s *Stream) resume(cause error) bool {
+	s.forwarder.router.Failed(s.target.Name)
 	s.done()
 	for s.mayGoOn() {
 		answer, err := s.ask(s.request.ResumeAfter)
--- a/ladder/grouper/member.go
+++ b/ladder/grouper/member.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
 )
 
 // A few members do the work of all: they keep their connections to the targets
@@ -108,7 +109,7 @@
 	if g.clock.Since(g.ownersAt) > ownersAge && !g.asking {
 		g.asking = true
 		go func() {
-			_ = g.readOwners(context.Background()) // it is logged there
+			_ = recoverer.Try("list of owners", func() { _ = g.readOwners(context.Background()) }) // it is logged there
 			g.mutex.Lock()
 			defer g.mutex.Unlock()
 			g.asking = false
--- a/ladder/linker/linker.go
+++ b/ladder/linker/linker.go
@@ -14,6 +14,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/annotator"
 	"github.com/lycheeladder/lycheeladder/ladder/encoder"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
 )
 
 const (
@@ -64,7 +65,7 @@
 	return l.upgrader.Upgrade(c, func(c *websocket.Conn) {
 		link := l.wrap(c)
 		defer link.Close()
-		serve(link)
+		_ = recoverer.Try("link", func() { serve(link) }) // it is logged there
 	})
 }
 
--- a/ladder/relayer/peers.go
+++ b/ladder/relayer/peers.go
@@ -8,6 +8,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
 )
 
 // peersTimeout bounds the answers of peers that are asked at the same time.
@@ -24,13 +25,15 @@
 	defer questions.Wait()
 	for _, address := range addresses {
 		questions.Go(func() {
-			r, err := p.Ask(ctx, address, q)
-			if err != nil {
-				return
-			}
-			mutex.Lock()
-			defer mutex.Unlock()
-			take(r)
+			_ = recoverer.Try("answer of a peer", func() { // it is logged there
+				r, err := p.Ask(ctx, address, q)
+				if err != nil {
+					return
+				}
+				mutex.Lock()
+				defer mutex.Unlock()
+				take(r)
+			})
 		})
 	}
 }
--- a/ladder/scheduler/draft.go
+++ b/ladder/scheduler/draft.go
@@ -13,6 +13,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/drafter"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
 )
 
 // A trainer goes on without the longest items of a step, and hands their groups
@@ -43,12 +44,14 @@
 // collect looks for drafts of a new job's items. They wait for it.
 func (s *Scheduler) collect(ctx context.Context, j *job, ids []identifier.ItemID, tasks *conc.WaitGroup) {
 	tasks.Go(func() {
-		s.drafts.Collect(ctx, j.ID, j.Model, func(list []messenger.Draft) {
-			s.mutex.Lock()
-			defer s.mutex.Unlock()
-			for n := range list {
-				s.adopt(j.ID, &list[n])
-			}
+		_ = recoverer.Try("search for texts", func() { // it is logged there; items do without
+			s.drafts.Collect(ctx, j.ID, j.Model, func(list []messenger.Draft) {
+				s.mutex.Lock()
+				defer s.mutex.Unlock()
+				for n := range list {
+					s.adopt(j.ID, &list[n])
+				}
+			})
 		})
 		s.mutex.Lock()
 		for _, id := range ids {
@@ -75,7 +78,7 @@
 	if !fits {
 		return
 	}
-	t.text, t.last, t.texted = [][]byte{d.Text}, d.Last, d.Whole
+	t.text, t.textBytes, t.last, t.texted = [][]byte{d.Text}, len(d.Text)+1, d.Last, d.Whole
 	t.versions = slices.Clone(d.Versions)
 }
 
--- a/ladder/scheduler/generate.go
+++ b/ladder/scheduler/generate.go
@@ -11,6 +11,7 @@
 
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/router"
 	"github.com/lycheeladder/lycheeladder/ladder/sender"
 )
 
@@ -36,6 +37,7 @@
 // otherwise.
 func (t *task) generate(ctx context.Context, target cataloger.Target) (done bool, err error) {
 	s := t.scheduler
+	defer s.router.Done(target.Name, router.Followed)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watch := s.clock.AfterFunc(firstTimeout, func() { cancel(errStalled) })
@@ -96,6 +98,10 @@
 // errSlow says that the item would go on faster elsewhere.
 var errSlow = errors.New("target is slow")
 
+// errTextTooLarge says that no result could hold the text: the target goes on
+// without end.
+var errTextTooLarge = errors.New("the text is too large for a result")
+
 var errWrongVersions = errors.New("the text would have several versions")
 
 // resetter is the watch's timer.
@@ -131,9 +137,13 @@
 			return false, errors.Errorf("event %d came after %d", e.Number, t.last)
 		}
 		if !t.add(e, version) {
-			t.text, t.last, t.versions = nil, 0, nil
+			t.dropText()
 			return false, errWrongVersions
 		}
+		if t.textBytes > s.books.TextRoom() {
+			t.dropText()
+			return false, errTextTooLarge
+		}
 		if slow >= slowEvents && t.shouldMove() {
 			t.moves++
 			return false, errSlow
@@ -159,6 +169,7 @@
 // add returns false if the text would have several versions and must not.
 func (t *task) add(e sender.Event, version identifier.WeightVersion) bool {
 	t.text = append(t.text, e.Data)
+	t.textBytes += len(e.Data) + 1
 	t.last = e.Number
 	if version > 0 && !slices.Contains(t.versions, version) {
 		t.versions = append(t.versions, version)
--- a/ladder/scheduler/place.go
+++ b/ladder/scheduler/place.go
@@ -64,7 +64,7 @@
 	klog.InfoS("item placed", "job", t.key.job, "item", t.key.item, "target", name, "after", t.last, "waited", s.clock.Since(t.waiting),
 		"candidates", len(candidates), "in-flight", s.router.InFlight(name), "slowness", s.router.Slowness(name))
 	bounded := t.begin(ctx, route)
-	tasks.Go(func() { t.run(bounded, target) })
+	tasks.Go(func() { t.guard(func() { t.run(bounded, target) }) })
 }
 
 // candidates returns the targets that may run the task now.
@@ -136,7 +136,7 @@
 		}
 	}
 	klog.InfoS("item starts anew, its version is gone", "job", t.key.job, "item", t.key.item, "version", t.versions[0], "after", t.last)
-	t.text, t.last, t.versions = nil, 0, nil
+	t.dropText()
 }
 
 // avoid keeps items from a target for a while.
--- a/ladder/scheduler/scheduler.go
+++ b/ladder/scheduler/scheduler.go
@@ -16,6 +16,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/forwarder"
 	"github.com/lycheeladder/lycheeladder/ladder/grouper"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
 	"github.com/lycheeladder/lycheeladder/ladder/sender"
 )
@@ -97,7 +98,7 @@
 	defer tasks.Wait()
 	for ctx.Err() == nil {
 		changed, listed := s.books.Changed(), s.catalog.Changed()
-		s.look(ctx, &tasks)
+		_ = recoverer.Try("look at the queue", func() { s.look(ctx, &tasks) }) // it is logged there
 		select {
 		case <-changed:
 		case <-listed:
--- a/ladder/scheduler/scheduler_test.go
+++ b/ladder/scheduler/scheduler_test.go
@@ -409,3 +409,53 @@
 		}
 	})
 }
+
+func TestRun_AnUnexpectedErrorInOneRunHurtsNoItem(t *testing.T) {
+	b := func(_ cataloger.Target, _ sender.Call, n int) faker.Behaviour {
+		b := good()
+		b.Panics = n%5 == 2
+		return b
+	}
+	inWorld(t, false, b, func(t *testing.T, w *world) {
+		w.submit(t, 24)
+		time.Sleep(15 * time.Second)
+		results := w.results(t)
+		for id, r := range results {
+			if !bytes.Equal(r.Text, wholeText(20)) || r.Score == "" {
+				t.Errorf("%s: %d bytes, score %q", id, len(r.Text), r.Score)
+			}
+		}
+		if len(results) != 24 || w.Busy() != 0 || w.targets.Running() != 0 {
+			t.Errorf("%d results, %d items busy, %d streams open", len(results), w.Busy(), w.targets.Running())
+		}
+		for _, name := range []identifier.TargetName{"a", "b", "c"} {
+			if n := w.router.InFlight(name); n != 0 {
+				t.Errorf("%d requests count as open at %s", n, name)
+			}
+		}
+	})
+}
+
+// A text that no result can hold would never be listed, nor what waits behind it.
+func TestRun_ATextWithoutEndIsDroppedAndMadeElsewhere(t *testing.T) {
+	b := func(_ cataloger.Target, c sender.Call, n int) faker.Behaviour {
+		b := good()
+		if n == 0 {
+			b.Events, b.Gap = 1<<40, 10*time.Microsecond
+		}
+		return b
+	}
+	inWorld(t, false, b, func(t *testing.T, w *world) {
+		w.submit(t, 4)
+		time.Sleep(15 * time.Second)
+		results := w.results(t)
+		for id, r := range results {
+			if !bytes.Equal(r.Text, wholeText(20)) {
+				t.Errorf("%s: %d bytes", id, len(r.Text))
+			}
+		}
+		if len(results) != 4 || w.targets.Running() != 0 {
+			t.Errorf("%d results, %d streams open", len(results), w.targets.Running())
+		}
+	})
+}
--- a/ladder/scheduler/score.go
+++ b/ladder/scheduler/score.go
@@ -52,8 +52,10 @@
 		}
 		bounded := t.begin(ctx, route)
 		tasks.Go(func() {
-			t.score(bounded)
-			t.rest(nil, 0)
+			t.guard(func() {
+				t.score(bounded)
+				t.rest(nil, 0)
+			})
 		})
 	}
 }
--- a/ladder/scheduler/task.go
+++ b/ladder/scheduler/task.go
@@ -9,7 +9,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/bookkeeper"
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
-	"github.com/lycheeladder/lycheeladder/ladder/router"
+	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
 )
 
 const (
@@ -79,9 +79,10 @@
 
 	// What follows belongs to run, and to the scheduler while it isn't busy.
 
-	// text has the data of the events up to last.
-	text [][]byte
-	last identifier.EventNumber
+	// text has the data of the events up to last, and textBytes is its size.
+	text      [][]byte
+	textBytes int
+	last      identifier.EventNumber
 	// versions are all that made an event of text, in rising order.
 	versions []identifier.WeightVersion
 	// failures counts the target's answers of failure.
@@ -117,7 +118,6 @@
 	s := t.scheduler
 	before := t.last
 	done, err := t.generate(ctx, target)
-	s.router.Done(target.Name, router.Followed)
 	s.Wake()
 	switch {
 	case ctx.Err() != nil:
@@ -132,6 +132,24 @@
 	t.rest(err, before)
 }
 
+// guard runs work on an item. After an unexpected error the text, which may be
+// half changed, is dropped, and the item waits as one that got nowhere.
+func (t *task) guard(work func()) {
+	err := recoverer.Try("work on an item", work)
+	if err == nil {
+		return
+	}
+	s := t.scheduler
+	s.mutex.Lock()
+	t.texted = false
+	s.mutex.Unlock()
+	t.dropText()
+	t.rest(err, 0)
+}
+
+// dropText makes the item begin anew.
+func (t *task) dropText() { t.text, t.textBytes, t.last, t.versions = nil, 0, 0, nil }
+
 // rest ends a run that began after the event before and ended with err.
 func (t *task) rest(err error, before identifier.EventNumber) {
 	s := t.scheduler
--- a/ladder/server/server.go
+++ b/ladder/server/server.go
@@ -10,11 +10,13 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/expvarhandler"
+
+	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
 )
 
 // NewApp returns a fiber application with the given bounds.
 func NewApp(name string, bodyLimit int) *fiber.App {
-	return fiber.New(fiber.Config{
+	app := fiber.New(fiber.Config{
 		AppName:        name,
 		BodyLimit:      bodyLimit,
 		ReadBufferSize: 8 << 10,
@@ -23,6 +25,13 @@
 		Immutable:         true,
 		ReduceMemoryUsage: true,
 	})
+	app.Use(func(c fiber.Ctx) (err error) {
+		if recoverer.Try("request", func() { err = c.Next() }) != nil {
+			return fiber.ErrInternalServerError
+		}
+		return err
+	})
+	return app
 }
 
 // Metrics serves expvar.
--- /dev/null
+++ b/ladder/storer/guard.go
@@ -0,0 +1,17 @@
+package storer
+
+import (
+	"k8s.io/klog/v2"
+
+	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
+)
+
+// Guard has take take a record, and returns false after an unexpected error: a
+// record that causes one must not keep a Sink from the others.
+func Guard(r Record, take func()) bool {
+	if recoverer.Try("record of the store", take) == nil {
+		return true
+	}
+	klog.InfoS("record left out after an unexpected error", "key", r.Key, "offset", r.Offset)
+	return false
+}
--- a/ladder/updater/updater.go
+++ b/ladder/updater/updater.go
@@ -14,6 +14,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/leaser"
+	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
 )
 
 // The holder of the lease orders loads, a few at a time. A load takes its target
@@ -155,7 +156,7 @@
 	for ctx.Err() == nil {
 		changed := u.catalog.Changed()
 		if _, holds := u.lease.Token(); holds {
-			u.look(ctx, &tasks)
+			_ = recoverer.Try("look at loads", func() { u.look(ctx, &tasks) }) // it is logged there
 		} else {
 			clear(u.loads)
 		}
@@ -257,7 +258,10 @@
 	o := Order{Model: w.model, Version: w.version, Mode: mode, Holder: u.holder}
 	patient := w.lacking <= 0 && u.clock.Since(u.newest[w.model].at) < idleWait
 	tasks.Go(func() {
-		e := ended{t.Name, u.give(ctx, t, o, patient)}
+		e := ended{target: t.Name}
+		if failed := recoverer.Try("order to a target", func() { e.err = u.give(ctx, t, o, patient) }); failed != nil {
+			e.err = failed
+		}
 		select {
 		case u.ended <- e:
 		case <-ctx.Done():
