Run the longest items at the fastest engines, and blame none for what we break off

Cause: a third of the large site's engines is 1.3 times slower than the others (59 to 63 ms an event alone, 77 and more there), and a target with a neighbour is only 5% slower an event. The choice took an idle slow target before a fast one with one request, and forgot within seconds that it was slow. Long items decide when a step is done. Besides, each end of a step counted every engine whose runs we broke off as failing: 16 times slower than usual, for some seconds, just when the next step came.

A long item looks at every eighth event from the 16th for a target that is 1.2 times faster. What ends by our own context says nothing of its target, in streams too.

Ruled out: short items at the slow engines on purpose: the queue is longest first already.

--- a/ladder/faker/targets.go
+++ b/ladder/faker/targets.go
@@ -36,6 +36,8 @@
 	Gap time.Duration
 	// Events is the number of the text's events; 0 makes a plain answer.
 	Events int
+	// EventBytes is the size of an event's data; 0 stands for that of EventData.
+	EventBytes int
 	// BreakAfter breaks the stream off after this event, if it is above 0.
 	BreakAfter identifier.EventNumber
 	// Version of the weights.
@@ -169,5 +171,8 @@
 	}
 	s.last++
 	data := EventData(s.last)
+	if s.behaviour.EventBytes > 0 {
+		data = bytes.Repeat([]byte("x"), s.behaviour.EventBytes)
+	}
 	return sender.Event{Number: s.last, Data: data, Raw: append(append([]byte("data: "), data...), '\n', '\n')}, nil
 }
--- a/ladder/forwarder/stream.go
+++ b/ladder/forwarder/stream.go
@@ -144,7 +144,9 @@
 	call.ResumeAfter = after
 	answer, err := f.sender.Send(ctx, t, call)
 	if err != nil {
-		f.router.Failed(name)
+		if s.ctx.Err() == nil {
+			f.router.Failed(name)
+		}
 		s.done()
 	}
 	return answer, err
--- /dev/null
+++ b/ladder/router/batched_test.go
@@ -0,0 +1,100 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+)
+
+// usualGap is between two pieces of a fast target alone.
+const usualGap = 60 * time.Millisecond
+
+// newEngines has a router that has heard targets a and b at the usual pace, and c
+// at 1.3 times that.
+func newEngines() (*Router, *clockwork.FakeClock, []Candidate) {
+	clock := clockwork.NewFakeClock()
+	r := New(clock, NewRandom(1), Batched{})
+	candidates := candidatesOf("a", "b", "c")
+	for n := range candidates {
+		candidates[n].Slots, candidates[n].Warm = 6, true
+	}
+	for _, c := range candidates {
+		if _, ok := r.Choose([]Candidate{c}, Followed); !ok {
+			panic("no choice")
+		}
+	}
+	for range 40 {
+		clock.Advance(usualGap)
+		r.Heard("a", usualGap, false)
+		r.Heard("b", usualGap, false)
+		r.Heard("c", usualGap*13/10, false)
+	}
+	for _, c := range candidates {
+		r.Done(c.Target, Followed)
+	}
+	return r, clock, candidates
+}
+
+func chooseTimes(r *Router, candidates []Candidate, times int) map[identifier.TargetName]int {
+	chosen := make(map[identifier.TargetName]int)
+	for range times {
+		name, _ := r.Choose(candidates, Followed)
+		chosen[name]++
+	}
+	return chosen
+}
+
+func TestBatched_FastTargetsFirstAndAllUnderLoad(t *testing.T) {
+	r, clock, candidates := newEngines()
+	clock.Advance(time.Minute) // it is known for longer than a passing trouble
+	if chosen := chooseTimes(r, candidates, 4); chosen["c"] > 0 {
+		t.Errorf("4 requests: %v, the slow one got some", chosen)
+	}
+	if chosen := chooseTimes(r, candidates, 14); chosen["a"] > 5 || chosen["b"] > 5 || chosen["c"] < 4 {
+		t.Errorf("14 more requests, 18 slots: %v", chosen)
+	}
+}
+
+func TestBatched_WhatOthersSendCountsForAWhile(t *testing.T) {
+	r, clock, candidates := newEngines()
+	chooseTimes(r, candidates[:1], 1)
+	r.Reported("a", 5, 0) // four of them are others'
+	if chosen := chooseTimes(r, candidates[:2], 3); chosen["a"] > 0 {
+		t.Errorf("%v, a was busy", chosen)
+	}
+	clock.Advance(2 * reportAge)
+	if chosen := chooseTimes(r, candidates[:2], 2); chosen["a"] == 0 {
+		t.Errorf("%v, the word on a's load is old", chosen)
+	}
+}
+
+func TestBatched_ATargetInTroubleIsLeftAlone(t *testing.T) {
+	r, clock, candidates := newEngines()
+	chooseTimes(r, candidates[:1], 1)
+	for range 8 {
+		clock.Advance(4 * usualGap)
+		r.Heard("a", 4*usualGap, false)
+	}
+	if chosen := chooseTimes(r, candidates, 6); chosen["a"] > 0 {
+		t.Errorf("%v, a is four times slower than usual", chosen)
+	}
+}
+
+func TestFaster_OnlyWhatIsWorthAMove(t *testing.T) {
+	r, clock, candidates := newEngines()
+	clock.Advance(time.Minute)
+	chooseTimes(r, candidates[2:], 1)
+	if !r.Faster("c", candidates[:2], 1.2) {
+		t.Error("from a slow target to an idle fast one: not worth a move")
+	}
+	chooseTimes(r, candidates[:1], 6)
+	if r.Faster("c", candidates[:1], 1.2) {
+		t.Error("to a full target: worth a move")
+	}
+	if r.Faster("b", candidates[2:], 1.2) {
+		t.Error("from a fast target to a slow one: worth a move")
+	}
+}
--- a/ladder/router/policy.go
+++ b/ladder/router/policy.go
@@ -45,6 +45,8 @@
 		return a
 	case Expected:
 		return r.least(candidates, r.expectedWait)
+	case Batched:
+		return r.least(candidates, r.batchedCost)
 	}
 	return 0
 }
--- a/ladder/router/router.go
+++ b/ladder/router/router.go
@@ -26,6 +26,8 @@
 	Reported int
 	// ReportedAt is when that word came.
 	ReportedAt time.Time
+	// Slots is how many requests it runs at once; 0 is not known.
+	Slots int
 	// Warm says that a connection to it is open and idle. Opening one costs
 	// the target time.
 	Warm bool
@@ -68,6 +70,9 @@
 	// slowness is a moving average of how many times the usual time its
 	// pieces took.
 	slowness float64
+	// own and reported are for Batched.
+	own      ownPace
+	reported reportedLoad
 }
 
 // slownessWeight is the weight of one new piece in a target's slowness.
@@ -145,7 +150,11 @@
 		p = &o.service.first
 	}
 	if p.count > 0 && p.mean > 0 {
-		o.slowness += slownessWeight * (gap.Seconds()/p.mean - o.slowness)
+		ratio := gap.Seconds() / p.mean
+		o.slowness += slownessWeight * (ratio - o.slowness)
+		if !first {
+			o.own.learn(ratio / crowding(o.load(r.clock)))
+		}
 	}
 	p.learn(gap.Seconds())
 	o.heard, o.flowing = r.clock.Now(), true
@@ -245,7 +254,7 @@
 			u = &usual{}
 			r.services[c.Service] = u
 		}
-		o = &observation{service: u, slowness: 1}
+		o = &observation{service: u, slowness: 1, own: ownPace{steady: 1}}
 		r.seen[c.Target] = o
 	}
 	return o
--- a/ladder/router/router_test.go
+++ b/ladder/router/router_test.go
@@ -19,7 +19,7 @@
 	m.Run()
 }
 
-var policies = []Policy{RoundRobin{}, LeastInFlight{}, TwoChoices{}, Expected{}}
+var policies = []Policy{RoundRobin{}, LeastInFlight{}, TwoChoices{}, Expected{}, Batched{}}
 
 func candidatesOf(names ...identifier.TargetName) (candidates []Candidate) {
 	for _, n := range names {
--- a/ladder/scheduler/generate.go
+++ b/ladder/scheduler/generate.go
@@ -38,6 +38,7 @@
 func (t *task) generate(ctx context.Context, target cataloger.Target) (done bool, err error) {
 	s := t.scheduler
 	defer s.router.Done(target.Name, router.Followed)
+	wanted := ctx
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watch := s.clock.AfterFunc(firstTimeout, func() { cancel(errStalled) })
@@ -48,11 +49,16 @@
 	}
 	begun := s.clock.Now()
 	answer, err := s.sender.Send(ctx, target, t.call(only))
-	if err != nil {
+	if err != nil && wanted.Err() == nil {
 		t.fail(target, failedPause)
+	}
+	if err != nil {
 		return false, cause(ctx, err)
 	}
 	defer answer.Body.Close()
+	if l := answer.Load; l != nil {
+		s.router.Reported(target.Name, l.Running, l.Waiting)
+	}
 	switch {
 	case answer.NotRun:
 		s.avoid(target.Name, refusedPause)
@@ -66,7 +72,7 @@
 		}
 	}
 	done, err = t.read(s.sender.Events(answer), answer.Version, target, begun, watch)
-	if err != nil {
+	if err != nil && wanted.Err() == nil {
 		t.leave(target.Name)
 		if !errors.Is(err, errWrongVersions) && !errors.Is(err, errSlow) {
 			t.fail(target, 0)
@@ -144,7 +150,7 @@
 			t.dropText()
 			return false, errTextTooLarge
 		}
-		if slow >= slowEvents && t.shouldMove() {
+		if t.mayMove() && (slow >= slowEvents && s.fasterTarget(t) || t.atMoveCheck() && s.muchFasterTarget(t, target)) {
 			t.moves++
 			return false, errSlow
 		}
@@ -159,13 +165,14 @@
 	return max(leastStall, stallGaps*usual)
 }
 
-// shouldMove says whether the item is long enough for a move, may be sent, and
-// has a faster target to go to.
-func (t *task) shouldMove() bool {
-	s := t.scheduler
-	return int(t.last) >= moveEvents && t.moves < moveLimit && s.knowsNews(t.key.job) && s.fasterTarget(t)
+// mayMove says whether the item is long enough for a move, and may be sent.
+func (t *task) mayMove() bool {
+	return int(t.last) >= moveEvents && t.moves < moveLimit && t.scheduler.knowsNews(t.key.job)
 }
 
+// atMoveCheck says whether to look for a faster target without a sign of trouble.
+func (t *task) atMoveCheck() bool { return int(t.last)%moveCheckEvents == 0 }
+
 // add returns false if the text would have several versions and must not.
 func (t *task) add(e sender.Event, version identifier.WeightVersion) bool {
 	t.text = append(t.text, e.Data)
--- a/ladder/scheduler/place.go
+++ b/ladder/scheduler/place.go
@@ -78,7 +78,7 @@
 			case s.router.InFlight(target.Name) >= slotsOf(target, c):
 			default:
 				list = append(list, router.Candidate{
-					Target: target.Name, Service: target.Service, Zone: target.Zone, Warm: s.sender.Warm(target),
+					Target: target.Name, Service: target.Service, Zone: target.Zone, Slots: slotsOf(target, c), Warm: s.sender.Warm(target),
 				})
 			}
 		}
@@ -99,6 +99,16 @@
 	return false
 }
 
+// muchFasterTarget says whether a target with a free slot is likely to be worth a
+// move of a long item that runs well: the fastest third of the engines is often
+// free again while the longest items of a step still run.
+func (s *Scheduler) muchFasterTarget(t *task, here cataloger.Target) bool {
+	c := s.catalog.Configuration()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.router.Faster(here.Name, s.candidates(t, t.route, c), moveGain)
+}
+
 // slotsOf is how many requests a target runs at once.
 func slotsOf(t cataloger.Target, c *cataloger.Configuration) int {
 	if t.Slots > 0 {
--- a/ladder/scheduler/scheduler_test.go
+++ b/ladder/scheduler/scheduler_test.go
@@ -153,6 +153,12 @@
 
 // submitAs hands in a job of n items, whose ids are those of any other job.
 func (w *world) submitAs(t *testing.T, id identifier.JobID, oldest identifier.WeightVersion, n int) {
+	t.Helper()
+	w.submitWith(t, id, oldest, n, func(*bookkeeper.Item) {})
+}
+
+// submitWith hands in such a job, whose items change alters.
+func (w *world) submitWith(t *testing.T, id identifier.JobID, oldest identifier.WeightVersion, n int, change func(i *bookkeeper.Item)) {
 	t.Helper()
 	s := bookkeeper.Submission{ID: id, Host: "h", Path: "/p/", Model: "m", OldestVersion: oldest}
 	for k := range n {
@@ -160,6 +166,7 @@
 			ID: identifier.ItemID(fmt.Sprintf("i%02d", k)), Path: "/p/x", Tokens: 100,
 			Scorer: &bookkeeper.Scorer{ID: fmt.Sprintf("s%02d", k), Host: "h", Path: "/s/x"},
 		})
+		change(&s.Items[k])
 	}
 	if err := w.books.Accept(context.Background(), s); err != nil {
 		t.Fatal(err)
@@ -441,7 +448,7 @@
 	b := func(_ cataloger.Target, c sender.Call, n int) faker.Behaviour {
 		b := good()
 		if n == 0 {
-			b.Events, b.Gap = 1<<40, 10*time.Microsecond
+			b.Events, b.EventBytes = 1<<40, 32<<10
 		}
 		return b
 	}
@@ -459,3 +466,65 @@
 		}
 	})
 }
+
+// A step of a third long items, at two engines and one that is 1.3 times slower, as
+// on the users' large site. The step is done when the longest item is.
+func TestRun_TheLongestItemsOfAStepRunAtTheFastEngines(t *testing.T) {
+	const (
+		fast, slow  = 60 * time.Millisecond, 78 * time.Millisecond
+		short, long = 8, 70
+		// margin is for scoring, listing and a move with the event it breaks off.
+		margin = 500 * time.Millisecond
+	)
+	isLong := func(id string) bool { return id == "i04" || id == "i07" || id == "i11" }
+	b := func(target cataloger.Target, c sender.Call, _ int) faker.Behaviour {
+		b := faker.Behaviour{Events: short, Gap: fast, Version: 2}
+		if target.Name == "c" {
+			b.Gap = slow
+		}
+		if isLong(c.ID) {
+			b.Events = long
+		}
+		return b
+	}
+	inWorld(t, false, b, func(t *testing.T, w *world) {
+		for step, limit := range []time.Duration{long*fast + 16*(slow-fast) + margin, long*fast + margin} {
+			id := identifier.JobID(fmt.Sprintf("step-%d", step))
+			w.submitWith(t, id, 2, 12, func(i *bookkeeper.Item) {
+				i.ExpectedTokens = short
+				if isLong(string(i.ID)) {
+					i.ExpectedTokens = long
+				}
+			})
+			begun := time.Now()
+			for len(w.resultsOf(t, id)) < 12 && time.Since(begun) < 20*time.Second {
+				time.Sleep(10 * time.Millisecond)
+			}
+			if took := time.Since(begun); took > limit {
+				t.Errorf("step %d took %s, want at most %s; %s at the slow engine alone", step, took, limit, long*slow)
+			}
+			time.Sleep(8 * time.Second)
+		}
+	})
+}
+
+// A trainer ends its step without the longest items. The engines that ran them are
+// as good as before.
+func TestRun_WhatIsBrokenOffAtTheEndSaysNothingOfItsEngine(t *testing.T) {
+	inWorld(t, false, longText(2), func(t *testing.T, w *world) {
+		w.submit(t, 6)
+		time.Sleep(time.Second)
+		if err := w.books.End(context.Background(), "j"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(100 * time.Millisecond)
+		if n := w.targets.Running(); n != 0 {
+			t.Fatalf("%d streams are still open", n)
+		}
+		for _, name := range []identifier.TargetName{"a", "b", "c"} {
+			if s := w.router.Slowness(name); s > 1.1 {
+				t.Errorf("engine %s counts as %.1f times slower than usual", name, s)
+			}
+		}
+	})
+}
--- a/ladder/scheduler/task.go
+++ b/ladder/scheduler/task.go
@@ -30,6 +30,10 @@
 	// firstBackoff and longestBackoff bound the pause of an item that has got
 	// nowhere in its last attempt; it doubles.
 	firstBackoff, longestBackoff = 20 * time.Millisecond, time.Second
+	// moveCheckEvents is how many events lie between two looks for a target that
+	// is faster by moveGain, which is what a move of the events that are left
+	// must at least bring.
+	moveCheckEvents, moveGain = 8, 1.2
 	// leftPause is how long an item doesn't go back to a target that it has
 	// left: about a load of weights.
 	leftPause = time.Second
--- a/ladder/sender/sender.go
+++ b/ladder/sender/sender.go
@@ -49,8 +49,14 @@
 	Signature string
 	// Version is of the weights at the start of the answer; 0 is none.
 	Version identifier.WeightVersion
+	// Load is the target's word on its load at the start of the answer; nil if
+	// it tells none.
+	Load *Load
 }
 
+// Load counts the requests of a target.
+type Load struct{ Running, Waiting int }
+
 // Succeeded says whether the target has done what was asked.
 func (a *Answer) Succeeded() bool { return a.Status >= 200 && a.Status < 300 }
 
