Keep parts of long texts in the store, so that a killed owner's items go on

Cause: the text of a running item was in its owner's memory alone. Where owners are killed or lose power, the next one began items of up to 78 events, 6 s, anew, in steps that are due in 7.5 s; steps under way at the kill were late, and their trainers fell behind by as much.

Change: each 12 events a part is handed to the books, which write it with the results that come next, or after 0.4 s; results go first, and a part that doesn't get through is overtaken by the next. Records text/JOB/ITEM in the job's own partition, under the same condition as results; gone with the result or the job. Whoever takes the partition over goes on from it, as do groups that come again in a later step. A look for a faster target uses one measure, with or without a sign of trouble.

Ruled out: copies at a second owner, since kills take many or all hosts at once.

Red first: TestRun_ItemsOfAKilledOwnerGoOnFromWhatTheStoreHas (began after event 0).

--- a/ladder/bookkeeper/book.go
+++ b/ladder/bookkeeper/book.go
@@ -17,20 +17,22 @@
 	"github.com/lycheeladder/lycheeladder/ladder/storer"
 )
 
-// Every key is written once and then only dropped, so that the newest record of
+// Every key but those of texts is written once and then only dropped, so that the newest record of
 // each key tells the same as the whole history:
 //
 //	piece/JOB/N   part N of the encoded submission
 //	job/JOB       the number of its pieces; the job exists from here on
+//	text/JOB/ITEM part of an item's text, until its result; may be written again
 //	result/JOB/N  the result at position N
 //	end/JOB       the job is ended
 //
 // The position of a result is chosen by whoever writes it, from a complete copy.
 const (
-	prefixPiece  = "piece/"
-	prefixJob    = "job/"
-	prefixResult = "result/"
-	prefixEnd    = "end/"
+	prefixPiece    = "piece/"
+	prefixJob      = "job/"
+	prefixProgress = "text/"
+	prefixResult   = "result/"
+	prefixEnd      = "end/"
 )
 
 // entry is one job in a book.
@@ -42,7 +44,9 @@
 	results []Result
 	// listed has the position of each item with a result.
 	listed map[identifier.ItemID]int
-	ended  bool
+	// progress has the parts of texts of items without a result.
+	progress map[identifier.ItemID]Progress
+	ended    bool
 	// changed is closed at the next result or the end.
 	changed chan struct{}
 }
@@ -87,7 +91,7 @@
 
 // ranks is the order in which records of a job give each other their meaning. A
 // job that was handed in twice has its newest records after its results.
-var ranks = map[string]int{prefixPiece: 0, prefixJob: 1, prefixResult: 2, prefixEnd: 3}
+var ranks = map[string]int{prefixPiece: 0, prefixJob: 1, prefixProgress: 2, prefixResult: 3, prefixEnd: 4}
 
 func byMeaning(a, b storer.Record) int {
 	return cmp.Or(cmp.Compare(rankOf(a.Key), rankOf(b.Key)), cmp.Compare(a.Offset, b.Offset))
@@ -125,6 +129,9 @@
 		b.pieces[rest] = r.Value
 	case prefixJob:
 		b.takeJob(identifier.JobID(rest), r, old)
+	case prefixProgress:
+		job, item, _ := strings.Cut(rest, "/")
+		b.takeProgress(identifier.JobID(job), identifier.ItemID(item), r)
 	case prefixResult:
 		b.takeResult(rest, r)
 	case prefixEnd:
@@ -153,7 +160,7 @@
 		return
 	}
 	now := b.clock.Now()
-	e := &entry{submission: s, received: now, listed: make(map[identifier.ItemID]int), changed: make(chan struct{})}
+	e := &entry{submission: s, received: now, listed: make(map[identifier.ItemID]int), progress: make(map[identifier.ItemID]Progress), changed: make(chan struct{})}
 	if old {
 		e.received = now.Add(-max(0, now.Sub(time.UnixMilli(s.AcceptedAt))))
 	}
@@ -202,6 +209,7 @@
 		return
 	}
 	e.listed[result.Item] = position
+	delete(e.progress, result.Item)
 	e.results = append(e.results, result)
 	e.signal()
 }
@@ -252,6 +260,9 @@
 		next[o.Job]++
 		taken[string(o.Job)+"/"+string(o.Result.Item)] = true
 		records = append(records, storer.Record{Key: prefixResult + pieceName(o.Job, position), Value: value})
+		if _, ok := e.progress[o.Result.Item]; ok {
+			records = append(records, storer.Record{Key: progressName(o.Job, o.Result.Item)})
+		}
 	}
 	return records
 }
@@ -268,6 +279,9 @@
 		for n := range e.results {
 			records = append(records, storer.Record{Key: prefixResult + pieceName(id, n)})
 		}
+		for item := range e.progress {
+			records = append(records, storer.Record{Key: progressName(id, item)})
+		}
 		data, err := cbor.Marshal(e.submission)
 		if err != nil {
 			klog.ErrorS(err, "batch job can't be encoded", "job", id)
--- a/ladder/bookkeeper/bookkeeper.go
+++ b/ladder/bookkeeper/bookkeeper.go
@@ -93,13 +93,20 @@
 
 	mutex   sync.Mutex
 	pending []Outcome
-	wake    chan struct{}
+	// progress has the newest parts of texts that wait to be written.
+	progress map[itemKey]Progress
+	wake     chan struct{}
 	// usedAt is when the copy was asked for last.
 	usedAt time.Time
 	// stop ends the following of the partition; nil while it isn't followed.
 	stop func()
 }
 
+type itemKey struct {
+	job  identifier.JobID
+	item identifier.ItemID
+}
+
 // New returns a Bookkeeper that knows no job until Run.
 func New(clock clockwork.Clock, log storer.Log, o Options) *Bookkeeper {
 	k := &Bookkeeper{clock: clock, log: log, options: o, changed: make(chan struct{}), follow: make(chan struct{}, 1)}
@@ -107,7 +114,7 @@
 		b := newBook(clock, k.notify)
 		p := storer.Partition{Topic: o.Topic, Number: identifier.PartitionNumber(n)}
 		k.parts = append(k.parts, &part{
-			book: b, tracker: tracker.New(clock, log, p, b, func() {}), wake: make(chan struct{}, 1),
+			book: b, tracker: tracker.New(clock, log, p, b, func() {}), progress: make(map[itemKey]Progress), wake: make(chan struct{}, 1),
 		})
 	}
 	return k
--- a/ladder/bookkeeper/list.go
+++ b/ladder/bookkeeper/list.go
@@ -31,7 +31,12 @@
 	p := k.partOf(o.Job)
 	p.mutex.Lock()
 	p.pending = append(p.pending, o)
+	delete(p.progress, itemKey{o.Job, o.Result.Item})
 	p.mutex.Unlock()
+	k.wakeWriter(p)
+}
+
+func (k *Bookkeeper) wakeWriter(p *part) {
 	select {
 	case p.wake <- struct{}{}:
 	default:
@@ -64,15 +69,22 @@
 	}
 }
 
-// writePending writes what is pending and returns how much is left.
+// writePending writes what is pending, results first, and returns how many results
+// are left.
 func (k *Bookkeeper) writePending(ctx context.Context, p *part) (left int, err error) {
 	p.mutex.Lock()
-	batch := p.pending
+	batch, parts := p.pending, p.progress
+	p.progress = make(map[itemKey]Progress)
 	p.mutex.Unlock()
-	err = p.tracker.Append(ctx, func() []storer.Record { return p.book.resultRecords(batch, k.options.CallBytes) })
-	if err != nil {
+	err = p.tracker.Append(ctx, func() []storer.Record {
+		records := p.book.resultRecords(batch, k.options.CallBytes)
+		return append(records, p.book.progressRecords(parts, k.options.CallBytes-sizeOf(records))...)
+	})
+	if err != nil && len(batch) > 0 {
 		// The copy may be empty, and not know the jobs.
 		klog.InfoS("results wait for the store", "count", len(batch), "err", err)
+	}
+	if err != nil {
 		return len(batch), err
 	}
 	p.mutex.Lock()
@@ -81,6 +93,13 @@
 	return len(p.pending), nil
 }
 
+func sizeOf(records []storer.Record) (size int) {
+	for _, r := range records {
+		size += len(r.Key) + len(r.Value) + recordOverhead
+	}
+	return size
+}
+
 // DropSettled drops jobs past their time in the partitions that owns reports as
 // the own ones, until ctx ends.
 func (k *Bookkeeper) DropSettled(ctx context.Context, owns func(identifier.PartitionNumber) bool) {
--- /dev/null
+++ b/ladder/bookkeeper/progress_test.go
@@ -0,0 +1,123 @@
+package bookkeeper
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/lycheeladder/lycheeladder/ladder/faker"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/storer"
+)
+
+func progress(item identifier.ItemID, last identifier.EventNumber) Progress {
+	return Progress{Item: item, Last: last, Text: []byte(strings.Repeat("x", int(last))), Versions: []identifier.WeightVersion{2}}
+}
+
+func wantProgress(t *testing.T, h *host, want map[identifier.ItemID]Progress) {
+	t.Helper()
+	got := make(map[identifier.ItemID]Progress)
+	for _, item := range []identifier.ItemID{"j-0", "j-1", "j-2"} {
+		if g, ok := h.Progress("j", item); ok {
+			got[item] = g
+		}
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
+
+func TestSave_KnownToWhoeverComesAfterAndGoneWithTheResult(t *testing.T) {
+	inBubble(t, func(ctx context.Context, store *faker.Store) {
+		owner := newHost(store)
+		if err := owner.Accept(ctx, submission("j", 3, 10)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		owner.Save("j", progress("j-0", 12))
+		owner.Save("j", progress("j-1", 12))
+		time.Sleep(time.Second)
+		owner.Save("j", progress("j-0", 24))
+		owner.Save("j", progress("j-1", 11)) // overtaken before it was written
+		time.Sleep(time.Second)
+		owner.stop()
+
+		next := newHost(store)
+		defer next.stop()
+		time.Sleep(time.Second)
+		wantProgress(t, next, map[identifier.ItemID]Progress{"j-0": progress("j-0", 24), "j-1": progress("j-1", 12)})
+		next.Save("j", Progress{Item: "j-1"})
+		next.List(Outcome{Job: "j", Result: completed("j-0", "whole")})
+		time.Sleep(time.Second)
+		wantProgress(t, next, map[identifier.ItemID]Progress{})
+		next.Save("j", progress("j-0", 36)) // it has a result
+		next.Save("j", progress("j-2", 12))
+		time.Sleep(time.Second)
+		if err := next.End(ctx, "j"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		wantProgress(t, next, map[identifier.ItemID]Progress{"j-2": progress("j-2", 12)})
+		want := []Unfinished{{Item: &submission("j", 3, 10).Items[2], Progress: progress("j-2", 12)}}
+		if diff := cmp.Diff(want, next.Unfinished("m", time.Minute)); diff != "" {
+			t.Errorf("(-want +got):\n%s", diff)
+		}
+	})
+}
+
+func TestDropSettled_LeavesNoPartsOfTexts(t *testing.T) {
+	inBubble(t, func(ctx context.Context, store *faker.Store) {
+		h := newHost(store)
+		defer h.stop()
+		go h.DropSettled(ctx, func(identifier.PartitionNumber) bool { return true })
+		if err := h.Accept(ctx, submission("j", 3, 10)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		h.Save("j", progress("j-0", 12))
+		h.Save("j", progress("j-1", 12))
+		time.Sleep(time.Second)
+		h.List(Outcome{Job: "j", Result: completed("j-1", "x")})
+		time.Sleep(time.Second)
+		if err := h.End(ctx, "j"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Minute)
+		for n := range 2 {
+			p := storer.Partition{Topic: topic, Number: identifier.PartitionNumber(n)}
+			page, err := store.Newest(ctx, p, "")
+			if err != nil || len(page.Records) > 0 {
+				t.Errorf("partition %d keeps %d records, %v", n, len(page.Records), err)
+			}
+		}
+	})
+}
+
+// Parts never hold results up, and are never the reason of a retry.
+func TestSave_WhileTheStoreIsAway(t *testing.T) {
+	inBubble(t, func(ctx context.Context, store *faker.Store) {
+		h := newHost(store)
+		defer h.stop()
+		if err := h.Accept(ctx, submission("j", 3, 10)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		store.SetDown(true)
+		h.Save("j", progress("j-0", 12))
+		time.Sleep(time.Second)
+		h.List(Outcome{Job: "j", Result: completed("j-1", "x")})
+		h.Save("j", progress("j-0", 24))
+		time.Sleep(3 * time.Second)
+		store.SetDown(false)
+		time.Sleep(2 * time.Second)
+		if diff := cmp.Diff([]Result{completed("j-1", "x")}, resultsOf(t, h, "j")); diff != "" {
+			t.Error(diff)
+		}
+		h.Save("j", progress("j-0", 36))
+		time.Sleep(time.Second)
+		wantProgress(t, h, map[identifier.ItemID]Progress{"j-0": progress("j-0", 36)})
+	})
+}
--- a/ladder/drafter/drafter.go
+++ b/ladder/drafter/drafter.go
@@ -29,6 +29,7 @@
 // Books has the results of ended jobs; *bookkeeper.Bookkeeper does.
 type Books interface {
 	LeftOver(m identifier.ModelName, within time.Duration) []bookkeeper.Completed
+	Unfinished(m identifier.ModelName, within time.Duration) []bookkeeper.Unfinished
 }
 
 // Drafter keeps texts in memory only: one that is lost is made again.
@@ -93,6 +94,9 @@
 			Item: c.Item.ID, Prompt: Fingerprint(c.Item), Text: c.Result.Text, Whole: true, Versions: c.Result.Versions,
 		})
 	}
+	for _, u := range d.books.Unfinished(m, keepFor) {
+		found = append(found, Of(u.Item, u.Progress))
+	}
 	size := 0
 	for _, draft := range found {
 		if size += len(draft.Text); size > mostAnswerBytes {
@@ -103,6 +107,11 @@
 	return list
 }
 
+// Of returns the draft of what the books have of an item's text.
+func Of(i *bookkeeper.Item, g bookkeeper.Progress) messenger.Draft {
+	return messenger.Draft{Item: i.ID, Prompt: Fingerprint(i), Text: g.Text, Last: g.Last, Versions: g.Versions}
+}
+
 func (d *Drafter) findKept(m identifier.ModelName) (list []messenger.Draft) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
--- a/ladder/explainer/events.go
+++ b/ladder/explainer/events.go
@@ -357,6 +357,11 @@
 		Meaning: "the process ends: no lease can be trusted",
 		Action:  "replace the host",
 	},
+	{
+		Name: "part of a text can't be encoded", Level: LevelError, Scope: ScopeJob,
+		Fields:  []string{"job", "item"},
+		Meaning: "the part isn't kept; the item begins anew if its owner is lost",
+	},
 	{
 		Name: "record left out after an unexpected error", Level: LevelInfo, Scope: ScopeHost,
 		Fields:  []string{"key", "offset"},
@@ -399,6 +404,11 @@
 		Fields:  []string{"key", "offset"},
 		Meaning: "counts as given back",
 	},
+	{
+		Name: "unreadable part of a text left out", Level: LevelInfo, Scope: ScopeHost,
+		Fields:  []string{"key", "offset", "err"},
+		Meaning: "the item begins anew if its owner is lost",
+	},
 	{
 		Name: "unreadable record of the operator left out", Level: LevelInfo, Scope: ScopeHost,
 		Fields:  []string{"key", "offset", "err"},
--- a/ladder/scheduler/draft.go
+++ b/ladder/scheduler/draft.go
@@ -79,7 +79,7 @@
 		return
 	}
 	t.text, t.textBytes, t.last, t.texted = [][]byte{d.Text}, len(d.Text)+1, d.Last, d.Whole
-	t.versions = slices.Clone(d.Versions)
+	t.versions, t.saved = slices.Clone(d.Versions), d.Last
 }
 
 // versionsFit says whether a job may have the text. A part that must be gone on
--- a/ladder/scheduler/draft_test.go
+++ b/ladder/scheduler/draft_test.go
@@ -218,3 +218,38 @@
 		}
 	})
 }
+
+// The owner of a job is killed while its items run, and nobody is left to ask for
+// their texts.
+func TestRun_ItemsOfAKilledOwnerGoOnFromWhatTheStoreHas(t *testing.T) {
+	const events, items = 100, 8
+	b := func(cataloger.Target, sender.Call, int) faker.Behaviour {
+		return faker.Behaviour{Events: events, Gap: pace, Version: 2}
+	}
+	for _, single := range []bool{false, true} {
+		inWorld(t, single, b, func(t *testing.T, w *world) {
+			w.submit(t, items)
+			time.Sleep(50*pace + 500*time.Millisecond)
+			w.stop()
+			before := len(w.targets.Calls())
+			next := w.newEntry("the next", nil)
+			w.others = append(w.others, next)
+			w.entry = next
+			time.Sleep(6 * time.Second)
+			for _, c := range w.targets.Calls()[before:] {
+				if isItem := c.Call.ID[0] == 'i'; isItem && c.Call.ResumeAfter < 50-2*saveEvents {
+					t.Errorf("single version %t: %s goes on after event %d, some 50 were made", single, c.Call.ID, c.Call.ResumeAfter)
+				}
+			}
+			results := w.results(t)
+			for id, r := range results {
+				if diff := cmp.Diff(wholeText(events), r.Text); diff != "" {
+					t.Errorf("%s: %s", id, diff)
+				}
+			}
+			if len(results) != items {
+				t.Errorf("%d of %d items are done 6 s after the kill", len(results), items)
+			}
+		})
+	}
+}
--- a/ladder/scheduler/generate.go
+++ b/ladder/scheduler/generate.go
@@ -150,7 +150,8 @@
 			t.dropText()
 			return false, errTextTooLarge
 		}
-		if t.mayMove() && (slow >= slowEvents && s.fasterTarget(t) || t.atMoveCheck() && s.muchFasterTarget(t, target)) {
+		t.save()
+		if t.mayMove() && (slow >= slowEvents || t.atMoveCheck()) && s.fasterTarget(t, target) {
 			t.moves++
 			return false, errSlow
 		}
--- a/ladder/scheduler/place.go
+++ b/ladder/scheduler/place.go
@@ -86,23 +86,10 @@
 	return list
 }
 
-// fasterTarget says whether a target with a free slot keeps the usual pace.
-func (s *Scheduler) fasterTarget(t *task) bool {
-	c := s.catalog.Configuration()
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	for _, candidate := range s.candidates(t, t.route, c) {
-		if s.router.Slowness(candidate.Target) < slowGaps {
-			return true
-		}
-	}
-	return false
-}
-
-// muchFasterTarget says whether a target with a free slot is likely to be worth a
-// move of a long item that runs well: the fastest third of the engines is often
-// free again while the longest items of a step still run.
-func (s *Scheduler) muchFasterTarget(t *task, here cataloger.Target) bool {
+// fasterTarget says whether a target with a free slot is likely to be worth the
+// move of a long item. The fast engines are often free again while the longest
+// items of a step still run.
+func (s *Scheduler) fasterTarget(t *task, here cataloger.Target) bool {
 	c := s.catalog.Configuration()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/ladder/scheduler/task.go
+++ b/ladder/scheduler/task.go
@@ -1,7 +1,9 @@
 package scheduler
 
 import (
+	"bytes"
 	"context"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -34,6 +36,9 @@
 	// is faster by moveGain, which is what a move of the events that are left
 	// must at least bring.
 	moveCheckEvents, moveGain = 8, 1.2
+	// saveEvents is how many events lie between two parts of a text that are
+	// kept: most items have fewer, and an event is some 60 ms of an engine's work.
+	saveEvents = 12
 	// leftPause is how long an item doesn't go back to a target that it has
 	// left: about a load of weights.
 	leftPause = time.Second
@@ -87,6 +92,8 @@
 	text      [][]byte
 	textBytes int
 	last      identifier.EventNumber
+	// saved is the last event that was handed to the books.
+	saved identifier.EventNumber
 	// versions are all that made an event of text, in rising order.
 	versions []identifier.WeightVersion
 	// failures counts the target's answers of failure.
@@ -152,7 +159,24 @@
 }
 
 // dropText makes the item begin anew.
-func (t *task) dropText() { t.text, t.textBytes, t.last, t.versions = nil, 0, 0, nil }
+func (t *task) dropText() {
+	t.text, t.textBytes, t.last, t.versions = nil, 0, 0, nil
+	if t.saved > 0 {
+		t.saved = 0
+		t.scheduler.books.Save(t.key.job, bookkeeper.Progress{Item: t.key.item})
+	}
+}
+
+// save keeps a long text now and then for whoever comes after this process.
+func (t *task) save() {
+	if t.last < t.saved+saveEvents {
+		return
+	}
+	t.saved = t.last
+	t.scheduler.books.Save(t.key.job, bookkeeper.Progress{
+		Item: t.key.item, Last: t.last, Text: bytes.Join(t.text, []byte("\n")), Versions: slices.Clone(t.versions),
+	})
+}
 
 // rest ends a run that began after the event before and ended with err.
 func (t *task) rest(err error, before identifier.EventNumber) {
