--- a/ladder/router/batched.go
+++ b/ladder/router/batched.go
@@ -22,7 +22,7 @@
 const (
 	// crowdShare is how much slower, in parts of its pace alone, a target gets
 	// by each further request.
-	crowdShare = 0.05
+	crowdShare = 0.03
 	// waitShare is the same for a request that must wait for a slot.
 	waitShare = 0.5
 	// troubleSlowness is from how many times the usual a target's recent
