Wait for an answer's entry from when its link was lost; write the log's last lines

The leaving sidecar waits for the answers of lost links for 4.5 s, but counted from when the answer was there, 1.8 s, and so it was gone before its entry could ask again, though the call had time until 9.5 s. It is a fault, and no matter of the call's time: the check stays as it is. Now it counts from when the link was lost.

Besides, of 133 hosts that were stopped in turn 24 had no line "stopped": the log's lines are written by a task of their own, which the end of the process cut off.

--- a/ladder/executor/job.go
+++ b/ladder/executor/job.go
@@ -32,8 +32,9 @@
 	// taken says that an entry has the whole answer; it is kept for whoever
 	// sends the request again.
 	taken bool
-	// owner is the link that the answer goes to.
-	owner messenger.Link
+	// owner is the link that the answer goes to, and lostAt when it was lost.
+	owner  messenger.Link
+	lostAt time.Time
 	// stopPump ends the task that sends to owner.
 	stopPump context.CancelFunc
 }
@@ -137,6 +138,9 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	for k, j := range e.jobs {
+		if j.owner == l {
+			j.lostAt = e.clock.Now()
+		}
 		if j.owner != l || j.answer != nil || j.start.Sample != "" || !j.start.Idempotent {
 			continue
 		}
--- a/ladder/executor/leave.go
+++ b/ladder/executor/leave.go
@@ -54,6 +54,13 @@
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // left counts the answers that somebody may still take, and says whether
 // Linger is over. An answer whose entry is gone is waited for as long as a link
 // may take to come back.
@@ -66,7 +73,7 @@
 			continue
 		}
 		_, linked := e.links[j.owner]
-		if j.answer == nil || linked || now.Sub(j.endedAt) < e.options.Linger {
+		if j.answer == nil || linked || now.Sub(later(j.endedAt, j.lostAt)) < e.options.Linger {
 			left++
 		}
 	}
--- a/ladder/prover/matrix_test.go
+++ b/ladder/prover/matrix_test.go
@@ -106,6 +106,7 @@
 // first is the scheduler's choice, so each runs several times.
 var onceFailed = []struct{ scenario, faults string }{
 	{"entry-stops", "entry-1.link-sidecar-engine-1.send-start.1=slow+sidecar-engine-1.link-entry-1.dial.2=slow"},
+	{"target-leaves", "sidecar-plain-1.link-entry-2.send-end.1=silent+entry-2.link-sidecar-plain-1.receive-end.1=slow"},
 }
 
 func TestMatrix_CasesThatOnceFailed(t *testing.T) {
--- a/ladder/spooler/spooler.go
+++ b/ladder/spooler/spooler.go
@@ -2,10 +2,13 @@
 package spooler
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"sync"
 
+	"github.com/pkg/errors"
+
 	"github.com/lycheeladder/lycheeladder/ladder/recorder"
 )
 
@@ -18,9 +21,13 @@
 	// of the buffer to the others.
 	routine func(line []byte) bool
 
+	// written is closed when the task has written all lines after Close.
+	written chan struct{}
+
 	mutex sync.Mutex
 	// dropped counts the lines left out since the last one that was taken.
 	dropped int
+	closed  bool
 }
 
 // CounterDropped counts the lines that were left out.
@@ -31,10 +38,11 @@
 const reservedPart = 4
 
 // New returns a Spooler that keeps up to lines lines for out. Its task ends
-// with the process.
+// after Close.
 func New(out io.Writer, lines int, routine func(line []byte) bool, r *recorder.Recorder) *Spooler {
-	s := &Spooler{recorder: r, lines: make(chan []byte, lines), routine: routine}
+	s := &Spooler{recorder: r, lines: make(chan []byte, lines), routine: routine, written: make(chan struct{})}
 	go func() {
+		defer close(s.written)
 		for line := range s.lines {
 			// A log that can't be written has no other place to say so.
 			_, _ = out.Write(line)
@@ -47,6 +55,9 @@
 func (s *Spooler) Write(line []byte) (int, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if s.closed {
+		return len(line), nil
+	}
 	if len(s.lines) >= cap(s.lines)-cap(s.lines)/reservedPart && s.routine(line) {
 		s.drop()
 		return len(line), nil
@@ -60,6 +71,23 @@
 	return len(line), nil
 }
 
+// Close waits until the lines so far are written, or ctx ends: whoever reads the log
+// may have stopped. Later lines are left out.
+func (s *Spooler) Close(ctx context.Context) error {
+	s.mutex.Lock()
+	if !s.closed {
+		s.closed = true
+		close(s.lines)
+	}
+	s.mutex.Unlock()
+	select {
+	case <-s.written:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "last lines of the log")
+	}
+}
+
 func (s *Spooler) drop() {
 	s.dropped++
 	s.recorder.Count(CounterDropped)
--- a/ladder/spooler/spooler_test.go
+++ b/ladder/spooler/spooler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"runtime"
 	"strings"
@@ -93,3 +94,28 @@
 		t.Error("nothing is told of what was left out")
 	}
 }
+
+func TestClose_WritesTheLastLinesUnlessNobodyReads(t *testing.T) {
+	routine := func([]byte) bool { return false }
+	g := &gate{opened: make(chan struct{})}
+	close(g.opened)
+	s := New(g, 8, routine, recorder.New())
+	for n := range 5 {
+		_, _ = fmt.Fprintf(s, "line %d\n", n)
+	}
+	if err := s.Close(t.Context()); err != nil {
+		t.Error(err)
+	}
+	_, _ = fmt.Fprintln(s, "too late")
+	if diff := cmp.Diff("line 0\nline 1\nline 2\nline 3\nline 4\n", g.text.String()); diff != "" {
+		t.Error(diff)
+	}
+
+	stuck := New(&gate{opened: make(chan struct{})}, 8, routine, recorder.New())
+	_, _ = fmt.Fprintln(stuck, "nobody reads")
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := stuck.Close(ctx); err == nil {
+		t.Error("closed in order while nobody reads")
+	}
+}
