Survive unexpected errors on the own path too

Cause: a panic in the work of a request ended the sidecar, one in an attempt, a sample's session or a link's pump the entry, or was kept by its group of tasks until the process stopped, so that its link was never dialled again.

Change: each of these tasks runs under recoverer; work that met an unexpected error ends as target-failed, since it may have run, an attempt as unknown.

Red first: TestRun_AnUnexpectedErrorEndsOneRequest (deadlock: the answer never came).

--- a/ladder/coordinator/coordinator.go
+++ b/ladder/coordinator/coordinator.go
@@ -26,6 +26,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/limiter"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 	"github.com/lycheeladder/lycheeladder/ladder/recorder"
+	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
 )
 
@@ -94,10 +95,13 @@
 func (c *Coordinator) Run(ctx context.Context) {
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
-	tasks.Go(func() { c.follower.Run(ctx) })
-	tasks.Go(func() { c.deliverer.Run(ctx) })
-	tasks.Go(func() { c.spreadConfiguration(ctx) })
-	tasks.Go(func() { c.spreadGoals(ctx) })
+	keep := func(task string, run func(context.Context)) {
+		tasks.Go(func() { recoverer.Keep(ctx, c.clock, task, run) })
+	}
+	keep("log", c.follower.Run)
+	keep("samples", c.deliverer.Run)
+	keep("configuration", c.spreadConfiguration)
+	keep("news of weights", c.spreadGoals)
 }
 
 // Leave sends trainers to other entries. Calls are still taken.
--- a/ladder/deliverer/session.go
+++ b/ladder/deliverer/session.go
@@ -11,6 +11,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/dispatcher"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/labeler"
+	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
 )
 
 // session is one trainer's session at this entry.
@@ -150,7 +151,7 @@
 		}
 		go func() {
 			defer func() { <-s.slots }()
-			s.generate(w)
+			_ = recoverer.Try("sample", func() { s.generate(w) }) // it is logged there
 		}()
 	}
 }
--- a/ladder/dispatcher/hedge.go
+++ b/ladder/dispatcher/hedge.go
@@ -8,6 +8,7 @@
 
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/quarantiner"
+	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
 )
 
 // A call may be caught at a target that turns slow. Once its attempt has been
@@ -47,7 +48,11 @@
 	results := make(chan raced, 2)
 	run := func(p *peer, n identifier.Attempt) {
 		own := &progress{mayHaveRun: s.mayHaveRun, last: s.last}
-		tasks.Go(func() { results <- raced{d.try(ctx, r, p, n, own), own} })
+		tasks.Go(func() {
+			var o Outcome = Unknown{Code: CodeTargetLost, RetryAfter: d.options.RetryAfter}
+			_ = recoverer.Try("attempt", func() { o = d.try(ctx, r, p, n, own) }) // it is logged there
+			results <- raced{o, own}
+		})
 	}
 	run(p, n)
 	var ended []raced
--- a/ladder/executor/runner.go
+++ b/ladder/executor/runner.go
@@ -13,6 +13,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/labeler"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
 )
 
 const (
@@ -33,7 +34,9 @@
 func (e *Executor) Run(ctx context.Context) {
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
-	tasks.Go(func() { e.forgetNowAndThen(ctx) })
+	forgetting, stop := context.WithCancel(ctx)
+	defer stop()
+	tasks.Go(func() { recoverer.Keep(forgetting, e.clock, "old traces", e.forgetNowAndThen) })
 	for {
 		i, err := e.queue.Take(ctx)
 		if err != nil {
@@ -70,7 +73,10 @@
 	workCtx, cancel := clockwork.WithDeadline(j.ctx, e.clock, j.deadline)
 	defer cancel()
 	defer context.AfterFunc(ctx, cancel)()
-	answer := e.perform(workCtx, j)
+	var answer messenger.Answer
+	if err := recoverer.Try("work at the target", func() { answer = e.perform(workCtx, j) }); err != nil {
+		answer = e.broken(workCtx, j, err)
+	}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.finish(j, answer)
--- a/ladder/supervisor/entries.go
+++ b/ladder/supervisor/entries.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/lycheeladder/lycheeladder/ladder/lister"
+	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
 	"github.com/lycheeladder/lycheeladder/ladder/subsetter"
 )
 
@@ -112,7 +113,10 @@
 	pauses.InitialInterval, pauses.MaxInterval = firstPause, longestPause
 	for {
 		began := s.clock.Now()
-		err := s.serve(ctx, address, retire)
+		var err error
+		if failed := recoverer.Try("link to an entry", func() { err = s.serve(ctx, address, retire) }); failed != nil {
+			err = failed
+		}
 		if s.clock.Since(began) > longestPause {
 			pauses.Reset()
 		}
--- a/ladder/supervisor/supervisor.go
+++ b/ladder/supervisor/supervisor.go
@@ -18,6 +18,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/lister"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 	"github.com/lycheeladder/lycheeladder/ladder/queuer"
+	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
 )
 
 // Dialer opens links to entries.
@@ -90,10 +91,13 @@
 func (s *Supervisor) Run(ctx context.Context) {
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
-	tasks.Go(func() { s.executor.Run(ctx) })
+	keep := func(task string, run func(context.Context)) {
+		tasks.Go(func() { recoverer.Keep(ctx, s.clock, task, run) })
+	}
+	keep("work", s.executor.Run)
 	if s.converger != nil {
-		tasks.Go(func() { s.converger.Run(ctx) })
-		tasks.Go(func() { s.spreadGoals(ctx) })
+		keep("weights", s.converger.Run)
+		keep("news of weights", s.spreadGoals)
 	}
 	for {
 		s.followHosts(ctx, &tasks)
