Rank items at the engines by their length

Cause: the owners of jobs don't see what the others send. The longest items decide when a step is done.

Change: scheduler/urgency.go ranks the longest sixth of a job, the shorter half and what is between; what has begun elsewhere goes before its like. Load that it answers: steps of several trainers at the same moment, more items than slots.

Red first: TestRun_LongItemsDoNotWaitBehindShortOnesOfOtherOwners, with the old order.

--- a/ladder/faker/targets.go
+++ b/ladder/faker/targets.go
@@ -56,6 +56,8 @@
 	clock clockwork.Clock
 	// Behave decides on each call; n counts the calls of all targets from 0.
 	behave func(t cataloger.Target, c sender.Call, n int) Behaviour
+	// slots is nil where engines run all that comes.
+	slots *slots
 
 	mutex sync.Mutex
 	// asked counts the calls, with those that didn't get through.
@@ -70,6 +72,12 @@
 	return &Targets{clock: clock, behave: behave}
 }
 
+// LimitSlots has each target run at most so many streams at once. It must be called
+// before the first call.
+func (f *Targets) LimitSlots(each int) {
+	f.slots = &slots{each: each, running: make(map[identifier.TargetName]int), waiting: make(map[identifier.TargetName][]waiter)}
+}
+
 // Calls returns what has reached targets.
 func (f *Targets) Calls() []SentCall {
 	f.mutex.Lock()
@@ -121,10 +129,13 @@
 		a.Body = io.NopCloser(bytes.NewReader([]byte("answer to " + c.ID)))
 		return a, nil
 	}
+	if f.slots != nil && !f.slots.take(ctx, t.Name, c.Urgency) {
+		return nil, sender.ErrNoAnswer
+	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.running++
-	a.Body = &eventStream{targets: f, ctx: ctx, behaviour: b, last: c.ResumeAfter}
+	a.Body = &eventStream{targets: f, target: t.Name, ctx: ctx, behaviour: b, last: c.ResumeAfter}
 	return a, nil
 }
 
@@ -134,6 +145,7 @@
 // eventStream is the answer of an engine.
 type eventStream struct {
 	targets   *Targets
+	target    identifier.TargetName
 	ctx       context.Context
 	behaviour Behaviour
 	last      identifier.EventNumber
@@ -146,6 +158,9 @@
 // Close implements io.Closer.
 func (s *eventStream) Close() error {
 	s.once.Do(func() {
+		if s.targets.slots != nil {
+			s.targets.slots.giveBack(s.target)
+		}
 		s.targets.mutex.Lock()
 		defer s.targets.mutex.Unlock()
 		s.targets.running--
--- a/ladder/scheduler/place.go
+++ b/ladder/scheduler/place.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc"
 	"k8s.io/klog/v2"
 
+	"github.com/lycheeladder/lycheeladder/ladder/bookkeeper"
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
@@ -36,11 +37,13 @@
 }
 
 // expected is how many tokens the item is likely to generate.
-func (t *task) expected() identifier.TokenCount {
-	if t.item.ExpectedTokens > 0 {
-		return t.item.ExpectedTokens
+func (t *task) expected() identifier.TokenCount { return expectedOf(t.item) }
+
+func expectedOf(i *bookkeeper.Item) identifier.TokenCount {
+	if i.ExpectedTokens > 0 {
+		return i.ExpectedTokens
 	}
-	return t.item.Tokens
+	return i.Tokens
 }
 
 // place starts the task at a target with a free slot, if there is one. The
--- a/ladder/scheduler/scheduler.go
+++ b/ladder/scheduler/scheduler.go
@@ -172,7 +172,7 @@
 // takeUp makes tasks of the items that have none, and returns these. The caller
 // holds the mutex.
 func (s *Scheduler) takeUp(j *job) (begun []identifier.ItemID) {
-	now := s.clock.Now()
+	now, lengths := s.clock.Now(), lengthsOf(j)
 	for n := range j.Items {
 		i := &j.Items[n]
 		key := taskKey{j.ID, i.ID}
@@ -181,7 +181,7 @@
 		}
 		if _, ok := s.tasks[key]; !ok {
 			s.tasks[key] = &task{
-				scheduler: s, key: key, job: j, item: i, order: n, wanted: true, waiting: now, notBefore: now.Add(draftsWait),
+				scheduler: s, key: key, job: j, item: i, order: n, lengths: lengths, wanted: true, waiting: now, notBefore: now.Add(draftsWait),
 			}
 			if g, ok := s.books.Progress(j.ID, i.ID); ok {
 				d := drafter.Of(i, g)
--- a/ladder/scheduler/scheduler_test.go
+++ b/ladder/scheduler/scheduler_test.go
@@ -508,6 +508,88 @@
 	})
 }
 
+// Other owners' short items fill all slots of the engines, and as many again and
+// again wait there, when a step comes. Its longest items wait for a slot and not for
+// the others that wait, and decide when the step is done.
+func TestRun_LongItemsDoNotWaitBehindShortOnesOfOtherOwners(t *testing.T) {
+	const (
+		gap         = 60 * time.Millisecond
+		short, long = 8, 50
+		// rounds is how many short items wait for each slot.
+		rounds = 4
+		// margin is for scoring and listing.
+		margin = 300 * time.Millisecond
+	)
+	b := func(_ cataloger.Target, c sender.Call, _ int) faker.Behaviour {
+		if c.ID == "i00" || c.ID == "i05" {
+			return faker.Behaviour{Events: long, Gap: gap, Version: 2}
+		}
+		return faker.Behaviour{Events: short, Gap: gap, Version: 2}
+	}
+	inWorld(t, false, b, func(t *testing.T, w *world) {
+		w.targets.LimitSlots(4)
+		var others conc.WaitGroup
+		for _, name := range []identifier.TargetName{"a", "b", "c"} {
+			for n := range 4 * (1 + rounds) {
+				others.Go(func() {
+					id := fmt.Sprintf("other-%d", n)
+					a, err := w.targets.Send(context.Background(), cataloger.Target{Name: name, Service: "engines"}, sender.Call{ID: id, Urgency: urgencyShort})
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					for events := w.targets.Events(a); err == nil; {
+						_, err = events.Next()
+					}
+					a.Body.Close()
+				})
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+		w.submitWith(t, "j", 2, 12, func(i *bookkeeper.Item) {
+			i.ExpectedTokens = short
+			if i.ID == "i00" || i.ID == "i05" {
+				i.ExpectedTokens = long
+			}
+		})
+		begun := time.Now()
+		done := func(id identifier.ItemID) bool { return len(w.results(t)[id].Text) > 0 }
+		for !(done("i00") && done("i05")) && time.Since(begun) < 20*time.Second {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if took, limit := time.Since(begun), (short+long)*gap+margin; took > limit {
+			t.Errorf("the longest items took %s, want at most %s: a slot is free after %s", took, limit, short*gap)
+		}
+		time.Sleep(10 * time.Second)
+		if n := len(w.results(t)); n != 12 {
+			t.Errorf("%d of 12 items are done 10 s later", n)
+		}
+		others.Wait()
+	})
+}
+
+func TestUrgency_ByLengthAmongTheItemsOfAJob(t *testing.T) {
+	j := &job{}
+	for n := range 12 {
+		j.Items = append(j.Items, bookkeeper.Item{Tokens: 1000, ExpectedTokens: identifier.TokenCount(10 * (n + 1))})
+	}
+	count := make(map[sender.Urgency]int)
+	for n := range j.Items {
+		task := &task{item: &j.Items[n], lengths: lengthsOf(j)}
+		count[task.urgency()]++
+		task.last = 3
+		count[task.urgency()]++
+	}
+	want := map[sender.Urgency]int{
+		urgencyLong: 2, urgencyMiddle: 4, urgencyShort: 6,
+		urgencyLong - resumedLead: 2, urgencyMiddle - resumedLead: 4, urgencyShort - resumedLead: 6,
+	}
+	if diff := cmp.Diff(want, count); diff != "" {
+		t.Error(diff)
+	}
+	lengthsOf(&job{}) // a job without items
+}
+
 // A trainer ends its step without the longest items. The engines that ran them are
 // as good as before.
 func TestRun_WhatIsBrokenOffAtTheEndSaysNothingOfItsEngine(t *testing.T) {
--- a/ladder/scheduler/task.go
+++ b/ladder/scheduler/task.go
@@ -66,8 +66,9 @@
 	job       *job
 	item      *bookkeeper.Item
 	// order is the item's place in its job.
-	order int
-	route cataloger.Route
+	order   int
+	lengths lengths
+	route   cataloger.Route
 
 	// wanted falls once: the item is listed, or is others' work. Guarded, as
 	// busy, texted, listed and cancel, by the scheduler's mutex.
--- a/ladder/sender/sender.go
+++ b/ladder/sender/sender.go
@@ -29,11 +29,16 @@
 	TimeLeft time.Duration
 	// ResumeAfter asks for the events after this one.
 	ResumeAfter identifier.EventNumber
+	// Urgency is among what waits at the target; 0 is the usual one.
+	Urgency Urgency
 	// OnlyVersion asks for an answer under this version of the weights alone;
 	// 0 takes any.
 	OnlyVersion identifier.WeightVersion
 }
 
+// Urgency says what goes first, from 1 to 9, and 5 is the usual one.
+type Urgency int
+
 // Answer is what a target returned.
 type Answer struct {
 	Status int
