--- a/ladder/bookkeeper/bookkeeper_test.go
+++ b/ladder/bookkeeper/bookkeeper_test.go
@@ -280,16 +280,21 @@
 			t.Fatal(err)
 		}
 		time.Sleep(2 * time.Minute)
-		for n := range 2 {
-			p := storer.Partition{Topic: topic, Number: identifier.PartitionNumber(n)}
-			page, err := store.Newest(ctx, p, "")
-			if err != nil || len(page.Records) > 0 {
-				t.Errorf("partition %d keeps %d records, %v", n, len(page.Records), err)
-			}
-		}
+		wantNothingKept(ctx, t, store)
 	})
 }
 
+func wantNothingKept(ctx context.Context, t *testing.T, store *faker.Store) {
+	t.Helper()
+	for n := range 2 {
+		p := storer.Partition{Topic: topic, Number: identifier.PartitionNumber(n)}
+		page, err := store.Newest(ctx, p, "")
+		if err != nil || len(page.Records) > 0 {
+			t.Errorf("partition %d keeps %d records, %v", n, len(page.Records), err)
+		}
+	}
+}
+
 // Of an ended job the items of groups that weren't complete may come again.
 func TestLeftOver_CompletedItemsOfIncompleteGroups(t *testing.T) {
 	inBubble(t, func(ctx context.Context, store *faker.Store) {
--- a/ladder/bookkeeper/progress.go
+++ b/ladder/bookkeeper/progress.go
@@ -69,10 +69,7 @@
 func (b *book) unfinished(m identifier.ModelName, within time.Duration) (list []Unfinished) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	for _, e := range b.jobs {
-		if !e.ended || e.submission.Model != m || b.clock.Since(e.received) > within {
-			continue
-		}
+	for _, e := range b.endedOf(m, within) {
 		for id, g := range e.progress {
 			if i := e.submission.item(id); i != nil {
 				list = append(list, Unfinished{Item: i, Progress: g})
--- a/ladder/bookkeeper/progress_test.go
+++ b/ladder/bookkeeper/progress_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/lycheeladder/lycheeladder/ladder/faker"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
-	"github.com/lycheeladder/lycheeladder/ladder/storer"
 )
 
 func progress(item identifier.ItemID, last identifier.EventNumber) Progress {
@@ -86,13 +85,7 @@
 			t.Fatal(err)
 		}
 		time.Sleep(2 * time.Minute)
-		for n := range 2 {
-			p := storer.Partition{Topic: topic, Number: identifier.PartitionNumber(n)}
-			page, err := store.Newest(ctx, p, "")
-			if err != nil || len(page.Records) > 0 {
-				t.Errorf("partition %d keeps %d records, %v", n, len(page.Records), err)
-			}
-		}
+		wantNothingKept(ctx, t, store)
 	})
 }
 
--- a/ladder/bookkeeper/read.go
+++ b/ladder/bookkeeper/read.go
@@ -123,13 +123,21 @@
 	return list
 }
 
+// endedOf returns the ended jobs of a model that were accepted within the time before
+// now. The caller holds the mutex.
+func (b *book) endedOf(m identifier.ModelName, within time.Duration) (list []*entry) {
+	for _, e := range b.jobs {
+		if e.ended && e.submission.Model == m && b.clock.Since(e.received) <= within {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
 func (b *book) leftOver(m identifier.ModelName, within time.Duration) (list []Completed) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	for _, e := range b.jobs {
-		if !e.ended || e.submission.Model != m || b.clock.Since(e.received) > within {
-			continue
-		}
+	for _, e := range b.endedOf(m, within) {
 		incomplete := make(map[identifier.GroupID]bool)
 		for n := range e.submission.Items {
 			if i := &e.submission.Items[n]; !e.completed(i.ID) {
--- a/ladder/cataloger/cataloger_test.go
+++ b/ladder/cataloger/cataloger_test.go
@@ -103,7 +103,7 @@
 }
 
 // panics is a decoder that meets something unexpected in some records.
-type panics struct{ plainDecoder }
+type panics struct{}
 
 func (panics) Published(key string, value []byte) (Published, error) {
 	if string(value) == "!" {
--- a/ladder/forwarder/room_test.go
+++ b/ladder/forwarder/room_test.go
@@ -49,7 +49,9 @@
 	if body, err := m.readAll(strings.NewReader(small)); string(body) != small || err != nil {
 		t.Errorf("a small answer: %d bytes, %v", len(body), err)
 	}
-	w.Close()
+	if err := w.Close(); err != nil {
+		t.Error(err)
+	}
 	if err := <-held; err != nil {
 		t.Error(err)
 	}
--- a/ladder/scheduler/scheduler_test.go
+++ b/ladder/scheduler/scheduler_test.go
@@ -554,7 +554,7 @@
 		})
 		begun := time.Now()
 		done := func(id identifier.ItemID) bool { return len(w.results(t)[id].Text) > 0 }
-		for !(done("i00") && done("i05")) && time.Since(begun) < 20*time.Second {
+		for (!done("i00") || !done("i05")) && time.Since(begun) < 20*time.Second {
 			time.Sleep(10 * time.Millisecond)
 		}
 		if took, limit := time.Since(begun), (short+long)*gap+margin; took > limit {
