--- a/ladder/scheduler/scheduler.go
+++ b/ladder/scheduler/scheduler.go
@@ -172,7 +172,8 @@
 // takeUp makes tasks of the items that have none, and returns these. The caller
 // holds the mutex.
 func (s *Scheduler) takeUp(j *job) (begun []identifier.ItemID) {
-	now, lengths := s.clock.Now(), lengthsOf(j)
+	now := s.clock.Now()
+	var spread lengths
 	for n := range j.Items {
 		i := &j.Items[n]
 		key := taskKey{j.ID, i.ID}
@@ -180,8 +181,11 @@
 			continue
 		}
 		if _, ok := s.tasks[key]; !ok {
+			if len(begun) == 0 {
+				spread = lengthsOf(j)
+			}
 			s.tasks[key] = &task{
-				scheduler: s, key: key, job: j, item: i, order: n, lengths: lengths, wanted: true, waiting: now, notBefore: now.Add(draftsWait),
+				scheduler: s, key: key, job: j, item: i, order: n, lengths: spread, wanted: true, waiting: now, notBefore: now.Add(draftsWait),
 			}
 			if g, ok := s.books.Progress(j.ID, i.ID); ok {
 				d := drafter.Of(i, g)
