One cause for stalled calls; keys of the outage test from its own clock

Cause (test): TestLogOutage_OnlyWhatNeedsTheLogIsRefused fails from its second round in one process on (-count=3, at 1, 2, 4 and 8 processors alike): the library that makes keys never lets its time go back, and a later bubble starts at an earlier time, so that the keys came from the future and were refused as invalid, rightly. Ruled out: load (the failures are the same at each number of processors). The test now makes keys of its own clock; what it checks is as it was. Four rounds in one process pass.

Cause (code): forwarder and scheduler each had an errStalled; the forwarder's was set as cause and never read, so that its log told 'context canceled'.

--- a/ladder/coordinator/outage_test.go
+++ b/ladder/coordinator/outage_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 	"github.com/sourcegraph/conc"
 
@@ -198,6 +199,13 @@
 	})
 }
 
+// newKey returns a key of the bubble's time. The library's own clock for keys never
+// goes back, so that a bubble after another one would get keys from the future.
 func newKey() identifier.IdempotencyKey {
-	return identifier.IdempotencyKey(identifier.NewRequestID())
+	id := uuid.Must(uuid.NewV7())
+	milliseconds := time.Now().UnixMilli()
+	for n := range 6 {
+		id[n] = byte(milliseconds >> (40 - 8*n))
+	}
+	return identifier.IdempotencyKey(id.String())
 }
--- a/ladder/forwarder/stream.go
+++ b/ladder/forwarder/stream.go
@@ -31,8 +31,9 @@
 	answer *sender.Answer
 	target cataloger.Target
 	events sender.Events
-	// breakOff ends the work of target, and watch does so when it is silent;
-	// nil while there is none.
+	// attempt lasts as long as the work of target, breakOff ends it, and watch
+	// does so when the target is silent; nil while there is none.
+	attempt  context.Context
 	breakOff context.CancelCauseFunc
 	watch    clockwork.Timer
 	// stall is the silence after which watch ends it.
@@ -52,9 +53,6 @@
 	firstGoals = 2
 )
 
-// errStalled says that a target has been silent for too long.
-var errStalled = errors.New("target is silent")
-
 // Answer returns the answer under whose header the stream goes on.
 func (s *Stream) Answer() *sender.Answer { return s.answer }
 
@@ -137,13 +135,13 @@
 		return nil, sender.ErrNotSent
 	}
 	s.target = t
-	ctx, breakOff := context.WithCancelCause(s.ctx)
-	s.breakOff = breakOff
+	s.attempt, s.breakOff = context.WithCancelCause(s.ctx)
 	s.startWatch()
 	call := s.request.call(left)
 	call.ResumeAfter = after
-	answer, err := f.sender.Send(ctx, t, call)
+	answer, err := f.sender.Send(s.attempt, t, call)
 	if err != nil {
+		err = sender.Cause(s.attempt, err)
 		if s.ctx.Err() == nil {
 			f.router.Failed(name)
 		}
@@ -164,7 +162,7 @@
 	s.stall = streamStall << s.resumed
 	s.watch = f.clock.AfterFunc(max(s.stall, firstGoals*s.route.Goal), func() {
 		if len(f.candidates(s.service, tried)) > 0 {
-			breakOff(errStalled)
+			breakOff(sender.ErrStalled)
 		}
 	})
 }
@@ -197,6 +195,7 @@
 		if errors.Is(err, io.EOF) || !s.route.Resumable || s.ctx.Err() != nil {
 			return e, err
 		}
+		err = sender.Cause(s.attempt, err)
 		if !s.resume(err) {
 			return e, err
 		}
--- a/ladder/scheduler/generate.go
+++ b/ladder/scheduler/generate.go
@@ -29,9 +29,6 @@
 	}
 }
 
-// errStalled says that a target has been silent for too long.
-var errStalled = errors.New("target is silent")
-
 // generate asks one target to go on with the text. It returns true when the
 // text is whole or the item is given up, and why it must go on elsewhere
 // otherwise.
@@ -41,7 +38,7 @@
 	wanted := ctx
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := s.clock.AfterFunc(firstTimeout, func() { cancel(errStalled) })
+	watch := s.clock.AfterFunc(firstTimeout, func() { cancel(sender.ErrStalled) })
 	defer watch.Stop()
 	var only identifier.WeightVersion
 	if t.route.SingleVersion {
@@ -53,7 +50,7 @@
 		t.fail(target, failedPause)
 	}
 	if err != nil {
-		return false, cause(ctx, err)
+		return false, sender.Cause(ctx, err)
 	}
 	defer answer.Body.Close()
 	if l := answer.Load; l != nil {
@@ -78,14 +75,7 @@
 			t.fail(target, 0)
 		}
 	}
-	return done, cause(ctx, err)
-}
-
-func cause(ctx context.Context, err error) error {
-	if err != nil && errors.Is(context.Cause(ctx), errStalled) {
-		return errStalled
-	}
-	return err
+	return done, sender.Cause(ctx, err)
 }
 
 // leave keeps the item from a target for a while.
--- a/ladder/sender/sender.go
+++ b/ladder/sender/sender.go
@@ -89,6 +89,19 @@
 // ErrNoAnswer says that the request was sent and may have run.
 var ErrNoAnswer = errors.New("no answer of the target")
 
+// ErrStalled is the cause that ends a call to a target that has been silent for too
+// long.
+var ErrStalled = errors.New("target is silent")
+
+// Cause returns ErrStalled in place of the error of a call that was ended for it, and
+// err otherwise. A call that was not sent stays one.
+func Cause(ctx context.Context, err error) error {
+	if err != nil && !errors.Is(err, ErrNotSent) && errors.Is(context.Cause(ctx), ErrStalled) {
+		return ErrStalled
+	}
+	return err
+}
+
 // Sender reaches targets. Its errors are ErrNotSent and ErrNoAnswer.
 type Sender interface {
 	Send(ctx context.Context, t cataloger.Target, c Call) (*Answer, error)
--- a/ladder/storer/guard.go
+++ b/ladder/storer/guard.go
@@ -6,10 +6,10 @@
 	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
 )
 
-// Guard has take take a record, and returns false after an unexpected error: a
+// Guard calls apply for a record, and returns false after an unexpected error: a
 // record that causes one must not keep a Sink from the others.
-func Guard(r Record, take func()) bool {
-	if recoverer.Try("record of the store", take) == nil {
+func Guard(r Record, apply func()) bool {
+	if recoverer.Try("record of the store", apply) == nil {
 		return true
 	}
 	klog.InfoS("record left out after an unexpected error", "key", r.Key, "offset", r.Offset)
