--- /dev/null
+++ b/entry/drafter/fuzz_test.go
@@ -0,0 +1,30 @@
+package drafter_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/lycheeladder/lycheeladder/entry/drafter"
+)
+
+// FuzzRead: a draft that a page carried is refused, or it comes back as it was.
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(`{"id":"a","base":1,"services":[{"name":"s"}]}`))
+	f.Add([]byte(`null`))
+	f.Add([]byte(`{"a":1e999,"b":[[[]]]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		d, err := drafter.Read(data)
+		if err != nil {
+			return
+		}
+		again, err := drafter.Read([]byte(d.JSON()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(d.JSON(), again.JSON()); diff != "" {
+			t.Error(diff)
+		}
+		_, _ = d.Document()
+	})
+}
