An item that an engine has put aside stays there while all engines are full

Owners send the items of their steps at the same moment and don't see each other's: an engine with 6 slots gets 12, takes the most urgent first and puts others aside. Logs of placings and ends show it (10 to 13 under way at 6 slots); half had no load of weights in 2.5 s. An item now stays, for at most 3 s of silence, while the engine goes on with others of this host and no other target is known to have room. Ruled out: loads of weights as the cause of most; fake room elsewhere (of 328 that still leave since another engine has room, 305 are done in the next run). Test: all engines full, one item put aside for 1 s: two runs and 3.64 s before, one run after; it leaves as before where there is room, and after 3 s. Most leave since there is room elsewhere: the placing of simultaneous steps is the cause to go on with.

--- a/ladder/faker/targets.go
+++ b/ladder/faker/targets.go
@@ -40,6 +40,9 @@
 	EventBytes int
 	// BreakAfter breaks the stream off after this event, if it is above 0.
 	BreakAfter identifier.EventNumber
+	// PauseAfter puts the request aside after this event for Pause, if it is above 0.
+	PauseAfter identifier.EventNumber
+	Pause      time.Duration
 	// Version of the weights.
 	Version identifier.WeightVersion
 }
@@ -179,8 +182,12 @@
 	if s.behaviour.BreakAfter > 0 && s.last >= s.behaviour.BreakAfter {
 		return sender.Event{}, io.ErrUnexpectedEOF
 	}
+	gap := s.behaviour.Gap
+	if s.behaviour.PauseAfter > 0 && s.last == s.behaviour.PauseAfter {
+		gap += s.behaviour.Pause
+	}
 	select {
-	case <-s.targets.clock.After(s.behaviour.Gap):
+	case <-s.targets.clock.After(gap):
 	case <-s.ctx.Done():
 		return sender.Event{}, s.ctx.Err()
 	}
--- a/ladder/router/batched.go
+++ b/ladder/router/batched.go
@@ -82,6 +82,18 @@
 	return o.inFlight + o.reported.others
 }
 
+// HasRoom says whether the target is known to have a free slot: by its own word, or
+// since this process has nothing there while its load isn't known.
+func (r *Router) HasRoom(c Candidate) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	o := r.observationOf(c)
+	if r.clock.Since(o.reported.at) > reportAge || c.Slots == 0 {
+		return o.inFlight == 0
+	}
+	return o.load(r.clock) < c.Slots
+}
+
 // paceWith is how many times the usual time pieces are likely to take with n
 // requests. The caller holds the mutex.
 func (r *Router) paceWith(o *observation, n int) float64 {
--- a/ladder/router/router.go
+++ b/ladder/router/router.go
@@ -67,6 +67,8 @@
 	heard time.Time
 	// flowing says that a piece has come since heard was last set by sending.
 	flowing bool
+	// piece is when a piece came last.
+	piece time.Time
 	// slowness is a moving average of how many times the usual time its
 	// pieces took.
 	slowness float64
@@ -158,6 +160,7 @@
 	}
 	p.learn(gap.Seconds())
 	o.heard, o.flowing = r.clock.Now(), true
+	o.piece = o.heard
 }
 
 // failureSlowness is what a failed attempt adds to a target's slowness; with
@@ -175,6 +178,14 @@
 	}
 }
 
+// Flows says whether the target has given a piece of any followed answer within a time.
+func (r *Router) Flows(target identifier.TargetName, within time.Duration) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	o, ok := r.seen[target]
+	return ok && r.clock.Since(o.piece) < within
+}
+
 // Slowness is how many times longer than usual the target's answers take now.
 func (r *Router) Slowness(target identifier.TargetName) float64 {
 	r.mutex.Lock()
--- a/ladder/scheduler/generate.go
+++ b/ladder/scheduler/generate.go
@@ -38,8 +38,8 @@
 	wanted := ctx
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := s.clock.AfterFunc(firstTimeout, func() { cancel(sender.ErrStalled) })
-	defer watch.Stop()
+	watch := t.startWatch(target, cancel)
+	defer watch.stop()
 	var only identifier.WeightVersion
 	if t.route.SingleVersion {
 		only = target.Weights[t.job.Model]
@@ -100,11 +100,8 @@
 
 var errWrongVersions = errors.New("the text would have several versions")
 
-// resetter is the watch's timer.
-type resetter interface{ Reset(d time.Duration) bool }
-
 // read adds the events to the text until the answer ends.
-func (t *task) read(events sender.Events, version identifier.WeightVersion, target cataloger.Target, before time.Time, watch resetter) (done bool, err error) {
+func (t *task) read(events sender.Events, version identifier.WeightVersion, target cataloger.Target, before time.Time, watch *watch) (done bool, err error) {
 	s := t.scheduler
 	first, slow := true, 0
 	for {
@@ -124,7 +121,7 @@
 		}
 		s.router.Heard(target.Name, now.Sub(before), first)
 		before, first = now, false
-		watch.Reset(stallAfter(usual))
+		watch.heard(stallAfter(usual))
 		if e.Version > 0 {
 			version = e.Version
 			s.catalog.LearnWeights(target.Name, t.job.Model, version)
