Newest versions of models are spread over the targets

Cause: a step's items go to the targets with a usable version; all trainers ask at the same moment, and each owner sees only its own items. A load now goes to the target that serves the fewest other models with their newest version, then with a usable one, then to the most outdated. Ruled out: stable sets of targets for each model for the sake of connections: five owners take the jobs of any trainer in turn, so that a target is used by the same owner every 20 s, longer than it keeps a connection (10 s).

--- a/ladder/updater/wish.go
+++ b/ladder/updater/wish.go
@@ -28,23 +28,89 @@
 // step of a trainer that asks for a step once its version is named.
 const usableLag = 1
 
+// crowd counts the models that a target serves: those whose newest version it has or
+// loads, and those whose version is just usable.
+type crowd struct{ newest, usable int }
+
+// crowds returns, for each target, how many models it serves. Steps of several trainers
+// come at the same moment, and owners of different jobs don't see each other's items, so
+// that a target with two models gets the items of both at once while others have room.
+func (u *Updater) crowds(targets []cataloger.Target, models []identifier.ModelName) map[identifier.TargetName]crowd {
+	all := make(map[identifier.TargetName]crowd, len(targets))
+	for _, t := range targets {
+		var c crowd
+		for _, m := range models {
+			if u.newest[m].version > 0 {
+				c.add(u.servesBy(t, m), 1)
+			}
+		}
+		all[t.Name] = c
+	}
+	return all
+}
+
+// service says how well a target serves a model.
+type service int
+
+const (
+	serviceNone service = iota
+	serviceUsable
+	serviceNewest
+)
+
+func (u *Updater) servesBy(t cataloger.Target, m identifier.ModelName) service {
+	version := u.newest[m].version
+	l, loading := u.loads[t.Name]
+	switch {
+	case t.Weights[m] >= version, loading && !l.failed && l.model == m && l.version == version:
+		return serviceNewest
+	case t.Weights[m]+usableLag >= version:
+		return serviceUsable
+	default:
+		return serviceNone
+	}
+}
+
+func (c *crowd) add(s service, n int) {
+	switch s {
+	case serviceNewest:
+		c.newest += n
+	case serviceUsable:
+		c.usable += n
+	case serviceNone:
+	}
+}
+
 // wishes returns what the models want.
 func (u *Updater) wishes(targets []cataloger.Target, models []identifier.ModelName, quotas map[identifier.ModelName]int) (list []*wish) {
+	crowds := u.crowds(targets, models)
 	for _, m := range models {
 		w := &wish{model: m, version: u.newest[m].version, missing: quotas[m], lacking: quotas[m]}
+		others := make(map[identifier.TargetName]crowd, len(targets))
+		usable := make(map[identifier.TargetName]service, len(targets))
 		for _, t := range targets {
-			l, loading := u.loads[t.Name]
-			if t.Weights[m] >= w.version || (loading && !l.failed && l.model == m && l.version == w.version) {
+			served := u.servesBy(t, m)
+			if served == serviceNewest {
 				w.missing--
 				w.lacking--
 				continue
 			}
-			if t.Weights[m]+usableLag >= w.version {
+			if served == serviceUsable {
 				w.lacking--
 			}
+			c := crowds[t.Name]
+			c.add(served, -1)
+			others[t.Name], usable[t.Name] = c, served
 			w.behind = append(w.behind, t)
 		}
-		slices.SortStableFunc(w.behind, func(a, b cataloger.Target) int { return cmp.Compare(a.Weights[m], b.Weights[m]) })
+		slices.SortStableFunc(w.behind, func(a, b cataloger.Target) int {
+			return cmp.Or(
+				cmp.Compare(usable[a.Name], usable[b.Name]),
+				cmp.Compare(others[a.Name].newest, others[b.Name].newest),
+				cmp.Compare(others[a.Name].usable, others[b.Name].usable),
+				cmp.Compare(a.Weights[m], b.Weights[m]),
+			)
+		})
 		list = append(list, w)
 	}
 	return list
