--- a/ladder/explainer/events.go
+++ b/ladder/explainer/events.go
@@ -180,6 +180,11 @@
 		Fields:  []string{"job", "item", "version", "after"},
 		Meaning: "a text must have one version, and no target has it any more",
 	},
+	{
+		Name: "item waits at a full engine", Level: LevelDetail, Scope: ScopeJob,
+		Fields:  []string{"job", "item", "target", "for"},
+		Meaning: "`target` goes on with others, and no other target has room",
+	},
 	{
 		Name: "items handed over", Level: LevelInfo, Scope: ScopeJob,
 		Fields:  []string{"job", "count", "left", "took"},
--- a/ladder/updater/updater.go
+++ b/ladder/updater/updater.go
@@ -20,7 +20,7 @@
 // The holder of the lease orders loads, a few at a time. A load takes its target
 // away from the model for about a second, and only few may load at once, so that
 // not every target can follow every model. Each version goes to a share of the
-// targets, the most outdated ones first. The others still serve: a step may use
+// targets, those with the fewest models first. The others still serve: a step may use
 // the version before its own. A target goes straight to the newest version.
 // Orders carry what was read from the target just before, so that one that is
 // carried out late has no effect after a newer one.
--- a/ladder/updater/wish.go
+++ b/ladder/updater/wish.go
@@ -20,7 +20,9 @@
 	// lacking is the part of the quota, in targets, that can't serve the next
 	// step.
 	lacking int
-	// behind are the targets without the version, the most outdated first.
+	// behind are the targets without the version, in the order in which they are
+	// to load it: those that can't serve the next step, those with the fewest other
+	// models, the most outdated.
 	behind []cataloger.Target
 }
 
@@ -49,35 +51,35 @@
 	return all
 }
 
-// service says how well a target serves a model.
-type service int
+// serving says how well a target serves a model.
+type serving int
 
 const (
-	serviceNone service = iota
-	serviceUsable
-	serviceNewest
+	servingNot serving = iota
+	servingUsable
+	servingNewest
 )
 
-func (u *Updater) servesBy(t cataloger.Target, m identifier.ModelName) service {
+func (u *Updater) servesBy(t cataloger.Target, m identifier.ModelName) serving {
 	version := u.newest[m].version
 	l, loading := u.loads[t.Name]
 	switch {
 	case t.Weights[m] >= version, loading && !l.failed && l.model == m && l.version == version:
-		return serviceNewest
+		return servingNewest
 	case t.Weights[m]+usableLag >= version:
-		return serviceUsable
+		return servingUsable
 	default:
-		return serviceNone
+		return servingNot
 	}
 }
 
-func (c *crowd) add(s service, n int) {
+func (c *crowd) add(s serving, n int) {
 	switch s {
-	case serviceNewest:
+	case servingNewest:
 		c.newest += n
-	case serviceUsable:
+	case servingUsable:
 		c.usable += n
-	case serviceNone:
+	case servingNot:
 	}
 }
 
@@ -87,25 +89,25 @@
 	for _, m := range models {
 		w := &wish{model: m, version: u.newest[m].version, missing: quotas[m], lacking: quotas[m]}
 		others := make(map[identifier.TargetName]crowd, len(targets))
-		usable := make(map[identifier.TargetName]service, len(targets))
+		serves := make(map[identifier.TargetName]serving, len(targets))
 		for _, t := range targets {
 			served := u.servesBy(t, m)
-			if served == serviceNewest {
+			if served == servingNewest {
 				w.missing--
 				w.lacking--
 				continue
 			}
-			if served == serviceUsable {
+			if served == servingUsable {
 				w.lacking--
 			}
 			c := crowds[t.Name]
 			c.add(served, -1)
-			others[t.Name], usable[t.Name] = c, served
+			others[t.Name], serves[t.Name] = c, served
 			w.behind = append(w.behind, t)
 		}
 		slices.SortStableFunc(w.behind, func(a, b cataloger.Target) int {
 			return cmp.Or(
-				cmp.Compare(usable[a.Name], usable[b.Name]),
+				cmp.Compare(serves[a.Name], serves[b.Name]),
 				cmp.Compare(others[a.Name].newest, others[b.Name].newest),
 				cmp.Compare(others[a.Name].usable, others[b.Name].usable),
 				cmp.Compare(a.Weights[m], b.Weights[m]),
