--- a/ladder/router/batched_test.go
+++ b/ladder/router/batched_test.go
@@ -98,3 +98,44 @@
 		t.Error("from a fast target to a slow one: worth a move")
 	}
 }
+
+// A target has room if it says so, or if nothing is known and nothing is there.
+func TestHasRoom_ByTheTargetsWordOrAsNothingIsThere(t *testing.T) {
+	r, clock, candidates := newEngines()
+	a := candidates[0]
+	steps := []struct {
+		name string
+		do   func()
+		want bool
+	}{
+		{"nothing is known", func() {}, true},
+		{"one of ours, of others nothing is known", func() { chooseTimes(r, candidates[:1], 1) }, false},
+		{"it says that there are 5 of 6", func() { r.Reported("a", 5, 0) }, true},
+		{"it says that 2 wait beside them", func() { r.Reported("a", 5, 2) }, false},
+		{"its word is old", func() { clock.Advance(2 * reportAge) }, false},
+		{"ours has ended", func() { r.Done("a", Followed) }, true},
+	}
+	for _, s := range steps {
+		s.do()
+		if got := r.HasRoom(a); got != s.want {
+			t.Errorf("%s: has room: %v", s.name, got)
+		}
+	}
+}
+
+func TestFlows_WithinATimeOfAPiece(t *testing.T) {
+	r, clock, candidates := newEngines()
+	chooseTimes(r, candidates[:1], 2)
+	r.Heard("a", usualGap, false)
+	clock.Advance(usualGap)
+	if !r.Flows("a", 2*usualGap) {
+		t.Error("a piece has come just now")
+	}
+	clock.Advance(2 * usualGap)
+	if r.Flows("a", 2*usualGap) {
+		t.Error("no piece has come for longer")
+	}
+	if r.Flows("unknown", time.Hour) {
+		t.Error("nothing was ever sent there")
+	}
+}
--- a/ladder/scheduler/watch.go
+++ b/ladder/scheduler/watch.go
@@ -37,6 +37,8 @@
 	timer clockwork.Timer
 	// since is when the last piece came or, before the first, when the call began.
 	since time.Time
+	// stopped says that the call is over and timer isn't set any more.
+	stopped bool
 }
 
 // startWatch watches a call that begins now.
@@ -64,6 +66,7 @@
 func (w *watch) stop() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	w.stopped = true
 	w.timer.Stop()
 }
 
@@ -80,7 +83,7 @@
 	klog.V(1).InfoS("item waits at a full engine", "job", w.task.key.job, "item", w.task.key.item, "target", w.target.Name, "for", silence)
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if s.clock.Since(w.since) >= silence { // no piece has come meanwhile
+	if !w.stopped && s.clock.Since(w.since) >= silence { // no piece has come meanwhile
 		w.timer.Reset(waitCheck)
 	}
 }
