--- a/ladder/bookkeeper/progress.go
+++ b/ladder/bookkeeper/progress.go
@@ -60,22 +60,13 @@
 // Unfinished returns the items that were left unfinished when their job ended. The
 // jobs are those of LeftOver.
 func (k *Bookkeeper) Unfinished(m identifier.ModelName, within time.Duration) (list []Unfinished) {
-	for _, p := range k.parts {
-		list = append(list, p.book.unfinished(m, within)...)
-	}
-	return list
-}
-
-func (b *book) unfinished(m identifier.ModelName, within time.Duration) (list []Unfinished) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	for _, e := range b.endedOf(m, within) {
+	k.eachEnded(m, within, func(e *entry) {
 		for id, g := range e.progress {
 			if i := e.submission.item(id); i != nil {
 				list = append(list, Unfinished{Item: i, Progress: g})
 			}
 		}
-	}
+	})
 	return list
 }
 
--- a/ladder/bookkeeper/read.go
+++ b/ladder/bookkeeper/read.go
@@ -125,37 +125,40 @@
 // job ended. The jobs are those of a model that were accepted within the time
 // before now, from the copies that there are.
 func (k *Bookkeeper) LeftOver(m identifier.ModelName, within time.Duration) (list []Completed) {
+	k.eachEnded(m, within, func(e *entry) { list = append(list, e.leftOver()...) })
+	return list
+}
+
+// eachEnded calls visit, under the mutex of its book, for each ended job of a model that
+// was accepted within the time before now.
+func (k *Bookkeeper) eachEnded(m identifier.ModelName, within time.Duration, visit func(e *entry)) {
 	for _, p := range k.parts {
-		list = append(list, p.book.leftOver(m, within)...)
+		p.book.eachEnded(m, within, visit)
 	}
-	return list
 }
 
-// endedOf returns the ended jobs of a model that were accepted within the time before
-// now. The caller holds the mutex.
-func (b *book) endedOf(m identifier.ModelName, within time.Duration) (list []*entry) {
+func (b *book) eachEnded(m identifier.ModelName, within time.Duration, visit func(e *entry)) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
 	for _, e := range b.jobs {
 		if e.ended && e.submission.Model == m && b.clock.Since(e.received) <= within {
-			list = append(list, e)
+			visit(e)
 		}
 	}
-	return list
 }
 
-func (b *book) leftOver(m identifier.ModelName, within time.Duration) (list []Completed) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	for _, e := range b.endedOf(m, within) {
-		incomplete := make(map[identifier.GroupID]bool)
-		for n := range e.submission.Items {
-			if i := &e.submission.Items[n]; !e.completed(i.ID) {
-				incomplete[i.Group] = true
-			}
+// leftOver returns the completed items of incomplete groups. The caller holds the book's
+// mutex.
+func (e *entry) leftOver() (list []Completed) {
+	incomplete := make(map[identifier.GroupID]bool)
+	for n := range e.submission.Items {
+		if i := &e.submission.Items[n]; !e.completed(i.ID) {
+			incomplete[i.Group] = true
 		}
-		for n := range e.submission.Items {
-			if i := &e.submission.Items[n]; incomplete[i.Group] && e.completed(i.ID) {
-				list = append(list, Completed{Item: i, Result: e.results[e.listed[i.ID]]})
-			}
+	}
+	for n := range e.submission.Items {
+		if i := &e.submission.Items[n]; incomplete[i.Group] && e.completed(i.ID) {
+			list = append(list, Completed{Item: i, Result: e.results[e.listed[i.ID]]})
 		}
 	}
 	return list
--- /dev/null
+++ b/ladder/bounder/bounder_test.go
@@ -0,0 +1,24 @@
+package bounder_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/lycheeladder/lycheeladder/ladder/bounder"
+)
+
+func TestReadAll_UpToTheBound(t *testing.T) {
+	const most = 4
+	for text, tooLarge := range map[string]bool{"": false, "abcd": false, "abcde": true} {
+		data, err := bounder.ReadAll(strings.NewReader(text), most)
+		if errors.Is(err, bounder.ErrTooLarge) != tooLarge || (err != nil) != tooLarge {
+			t.Errorf("%q: %v", text, err)
+		}
+		if diff := cmp.Diff(text, string(data)); !tooLarge && diff != "" {
+			t.Error(diff)
+		}
+	}
+}
--- a/ladder/caller/http.go
+++ b/ladder/caller/http.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/lycheeladder/lycheeladder/ladder/annotator"
+	"github.com/lycheeladder/lycheeladder/ladder/bounder"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 )
 
@@ -127,7 +128,7 @@
 	if h.engine && status == fasthttp.StatusOK {
 		return readEvents(response.BodyStream(), sink)
 	}
-	body, err := readBody(response)
+	body, err := bounder.ReadAll(response.BodyStream(), maxAnswerBytes)
 	if err != nil {
 		return errors.WithMessage(ErrBroken, err.Error())
 	}
@@ -137,16 +138,6 @@
 	return sink(Piece{Data: body})
 }
 
-var errAnswerTooLarge = errors.Errorf("the answer has over %d bytes", maxAnswerBytes)
-
-func readBody(response *fasthttp.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(response.BodyStream(), maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = errAnswerTooLarge
-	}
-	return body, err
-}
-
 func readEvents(r io.Reader, sink func(Piece) error) error {
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(nil, maxLineBytes)
@@ -225,7 +216,7 @@
 	err := c.http.Do(request, response)
 	var body []byte
 	if err == nil {
-		body, err = readBody(response)
+		body, err = bounder.ReadAll(response.BodyStream(), maxAnswerBytes)
 		response.CloseBodyStream()
 	}
 	if stop() && err == nil {
--- a/ladder/router/batched.go
+++ b/ladder/router/batched.go
@@ -64,6 +64,9 @@
 	at     time.Time
 }
 
+// current says whether the word still counts.
+func (l reportedLoad) current(clock clockwork.Clock) bool { return clock.Since(l.at) <= reportAge }
+
 // Reported notes a target's word on its running and waiting requests, which has
 // come with an answer to one of ours.
 func (r *Router) Reported(target identifier.TargetName, running, waiting int) {
@@ -76,7 +79,7 @@
 
 // load is how many requests the target has, as far as is known.
 func (o *observation) load(clock clockwork.Clock) int {
-	if clock.Since(o.reported.at) > reportAge {
+	if !o.reported.current(clock) {
 		return o.inFlight
 	}
 	return o.inFlight + o.reported.others
@@ -88,7 +91,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	o := r.observationOf(c)
-	if r.clock.Since(o.reported.at) > reportAge || c.Slots == 0 {
+	if !o.reported.current(r.clock) || c.Slots == 0 {
 		return o.inFlight == 0
 	}
 	return o.load(r.clock) < c.Slots
--- a/ladder/scheduler/watch.go
+++ b/ladder/scheduler/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
+	"github.com/lycheeladder/lycheeladder/ladder/router"
 	"github.com/lycheeladder/lycheeladder/ladder/sender"
 )
 
@@ -94,10 +96,7 @@
 	c := s.catalog.Configuration()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	for _, candidate := range s.candidates(t, t.route, c) {
-		if candidate.Target != here.Name && s.router.HasRoom(candidate) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(s.candidates(t, t.route, c), func(candidate router.Candidate) bool {
+		return candidate.Target != here.Name && s.router.HasRoom(candidate)
+	})
 }
--- a/ladder/updater/wish.go
+++ b/ladder/updater/wish.go
@@ -20,9 +20,9 @@
 	// lacking is the part of the quota, in targets, that can't serve the next
 	// step.
 	lacking int
-	// behind are the targets without the version, in the order in which they are
-	// to load it: those that can't serve the next step, those with the fewest other
-	// models, the most outdated.
+	// behind are the targets without the version. If any is missing they are in the
+	// order in which they are to load it: those that can't serve the next step, those
+	// with the fewest other models, the most outdated.
 	behind []cataloger.Target
 }
 
@@ -34,6 +34,16 @@
 // loads, and those whose version is just usable.
 type crowd struct{ newest, usable int }
 
+func (c *crowd) add(s serving) {
+	switch s {
+	case servingNewest:
+		c.newest++
+	case servingUsable:
+		c.usable++
+	case servingNot:
+	}
+}
+
 // crowds returns, for each target, how many models it serves. Steps of several trainers
 // come at the same moment, and owners of different jobs don't see each other's items, so
 // that a target with two models gets the items of both at once while others have room.
@@ -43,7 +53,7 @@
 		var c crowd
 		for _, m := range models {
 			if u.newest[m].version > 0 {
-				c.add(u.servesBy(t, m), 1)
+				c.add(u.servesBy(t, m))
 			}
 		}
 		all[t.Name] = c
@@ -73,51 +83,47 @@
 	}
 }
 
-func (c *crowd) add(s serving, n int) {
-	switch s {
-	case servingNewest:
-		c.newest += n
-	case servingUsable:
-		c.usable += n
-	case servingNot:
-	}
-}
-
 // wishes returns what the models want.
 func (u *Updater) wishes(targets []cataloger.Target, models []identifier.ModelName, quotas map[identifier.ModelName]int) (list []*wish) {
-	crowds := u.crowds(targets, models)
+	var crowds map[identifier.TargetName]crowd
 	for _, m := range models {
 		w := &wish{model: m, version: u.newest[m].version, missing: quotas[m], lacking: quotas[m]}
-		others := make(map[identifier.TargetName]crowd, len(targets))
-		serves := make(map[identifier.TargetName]serving, len(targets))
 		for _, t := range targets {
 			served := u.servesBy(t, m)
+			if served != servingNot {
+				w.lacking--
+			}
 			if served == servingNewest {
 				w.missing--
-				w.lacking--
 				continue
 			}
-			if served == servingUsable {
-				w.lacking--
-			}
-			c := crowds[t.Name]
-			c.add(served, -1)
-			others[t.Name], serves[t.Name] = c, served
 			w.behind = append(w.behind, t)
 		}
-		slices.SortStableFunc(w.behind, func(a, b cataloger.Target) int {
-			return cmp.Or(
-				cmp.Compare(serves[a.Name], serves[b.Name]),
-				cmp.Compare(others[a.Name].newest, others[b.Name].newest),
-				cmp.Compare(others[a.Name].usable, others[b.Name].usable),
-				cmp.Compare(a.Weights[m], b.Weights[m]),
-			)
-		})
+		if w.missing > 0 {
+			if crowds == nil {
+				crowds = u.crowds(targets, models)
+			}
+			u.sortBehind(w, crowds)
+		}
 		list = append(list, w)
 	}
 	return list
 }
 
+// sortBehind puts the targets that are behind into the order in which they are to load. None
+// of them counts for the newest version of the model itself, and those that are equal by
+// the first comparison count alike for its usable one.
+func (u *Updater) sortBehind(w *wish, crowds map[identifier.TargetName]crowd) {
+	slices.SortStableFunc(w.behind, func(a, b cataloger.Target) int {
+		return cmp.Or(
+			cmp.Compare(u.servesBy(a, w.model), u.servesBy(b, w.model)),
+			cmp.Compare(crowds[a.Name].newest, crowds[b.Name].newest),
+			cmp.Compare(crowds[a.Name].usable, crowds[b.Name].usable),
+			cmp.Compare(a.Weights[w.model], b.Weights[w.model]),
+		)
+	})
+}
+
 // next takes the first target of the model that lacks most.
 func next(wishes []*wish, loads map[identifier.TargetName]load) (w *wish, t cataloger.Target, ok bool) {
 	for _, candidate := range wishes {
