Tests: one listener for targets in trouble, one set-up for executors and dropped jobs

connector and caller each had an accept loop, a target that answers without end and its checks; executor's three tests set up alike; two tests of dropped jobs differed by the work done on the job.

--- a/ladder/bookkeeper/bookkeeper_test.go
+++ b/ladder/bookkeeper/bookkeeper_test.go
@@ -266,15 +266,23 @@
 }
 
 func TestDropSettled_LeavesNothingBehind(t *testing.T) {
+	wantDropped(t, 200<<10, func(h *host) {
+		h.List(Outcome{Job: "j", Result: completed("j-1", "x")})
+	})
+}
+
+// wantDropped hands in the job j, whose items have bodies of so many bytes, has work done on
+// it, ends it, and wants nothing to be kept of it in the end.
+func wantDropped(t *testing.T, bodyBytes int, work func(h *host)) {
+	t.Helper()
 	inBubble(t, func(ctx context.Context, store *faker.Store) {
 		h := newHost(store)
 		defer h.stop()
-		owns := func(identifier.PartitionNumber) bool { return true }
-		go h.DropSettled(ctx, owns)
-		if err := h.Accept(ctx, submission("j", 3, 200<<10)); err != nil {
+		go h.DropSettled(ctx, func(identifier.PartitionNumber) bool { return true })
+		if err := h.Accept(ctx, submission("j", 3, bodyBytes)); err != nil {
 			t.Fatal(err)
 		}
-		h.List(Outcome{Job: "j", Result: completed("j-1", "x")})
+		work(h)
 		time.Sleep(time.Second)
 		if err := h.End(ctx, "j"); err != nil {
 			t.Fatal(err)
--- a/ladder/bookkeeper/progress_test.go
+++ b/ladder/bookkeeper/progress_test.go
@@ -68,24 +68,12 @@
 }
 
 func TestDropSettled_LeavesNoPartsOfTexts(t *testing.T) {
-	inBubble(t, func(ctx context.Context, store *faker.Store) {
-		h := newHost(store)
-		defer h.stop()
-		go h.DropSettled(ctx, func(identifier.PartitionNumber) bool { return true })
-		if err := h.Accept(ctx, submission("j", 3, 10)); err != nil {
-			t.Fatal(err)
-		}
+	wantDropped(t, 10, func(h *host) {
 		time.Sleep(time.Second)
 		h.Save("j", progress("j-0", 12))
 		h.Save("j", progress("j-1", 12))
 		time.Sleep(time.Second)
 		h.List(Outcome{Job: "j", Result: completed("j-1", "x")})
-		time.Sleep(time.Second)
-		if err := h.End(ctx, "j"); err != nil {
-			t.Fatal(err)
-		}
-		time.Sleep(2 * time.Minute)
-		wantNothingKept(ctx, t, store)
 	})
 }
 
--- a/ladder/caller/http_test.go
+++ b/ladder/caller/http_test.go
@@ -3,16 +3,16 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/pkg/errors"
+
+	"github.com/lycheeladder/lycheeladder/ladder/faker/listener"
 )
 
 // backend is a target that answers the nth request, from 1, on its connection
@@ -27,21 +27,8 @@
 
 func newBackend(t *testing.T, answer func(n int32, c net.Conn) bool) *backend {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	b := &backend{address: l.Addr().String(), closed: make(chan struct{}, 16)}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go b.serve(c, answer)
-		}
-	}()
+	b := &backend{closed: make(chan struct{}, 16)}
+	b.address = listener.Listen(t, func(c *net.TCPConn) { b.serve(c, answer) })
 	return b
 }
 
@@ -154,24 +141,6 @@
 	}
 }
 
-// endless writes a beginning and then one part again and again, until the caller
-// closes or an answer has far more than any reader may take.
-func endless(beginning, part string, written *atomic.Int64) func(int32, net.Conn) bool {
-	const giveUpBytes = 96 << 20
-	parts := strings.Repeat(part, 1+4096/len(part))
-	return func(_ int32, c net.Conn) bool {
-		n, err := io.WriteString(c, beginning)
-		for err == nil && n < giveUpBytes {
-			var more int
-			more, err = io.WriteString(c, parts)
-			n += more
-			written.Store(int64(n))
-		}
-		_, _ = io.Copy(io.Discard, c)
-		return false
-	}
-}
-
 func TestHTTP_AnAnswerWithoutEnd(t *testing.T) {
 	const (
 		head       = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
@@ -187,7 +156,7 @@
 	} {
 		for way, call := range map[string]func(context.Context, *HTTP) error{
 			"call": func(ctx context.Context, h *HTTP) error {
-				_, err := h.Do(ctx, Work{Request: "r", Call: "reserve", Body: []byte("{}")}, func(Piece) error { return nil })
+				_, err := h.Do(ctx, work, discard)
 				if !errors.Is(err, ErrBroken) {
 					t.Errorf("%v, want ErrBroken: it may have run", err)
 				}
@@ -200,16 +169,8 @@
 			"order": func(ctx context.Context, h *HTTP) error { return h.Cancel(ctx, "r") },
 		} {
 			t.Run(name+", "+way, func(t *testing.T) {
-				var written atomic.Int64
-				b := newBackend(t, endless(c.beginning, c.part, &written))
-				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
-				defer cancel()
-				if err := call(ctx, NewHTTP(b.address, false)); err == nil || ctx.Err() != nil {
-					t.Errorf("ended with %v, its time %v", err, ctx.Err())
-				}
-				if n := written.Load(); n > takenBytes {
-					t.Errorf("%d bytes were taken", n)
-				}
+				e := listener.NewEndless(t, c.beginning, c.part)
+				e.EndsInTime(t, takenBytes, func(ctx context.Context) error { return call(ctx, NewHTTP(e.Address, false)) })
 			})
 		}
 	}
--- a/ladder/executor/configuration_test.go
+++ b/ladder/executor/configuration_test.go
@@ -4,25 +4,19 @@
 	"context"
 	"testing"
 	"testing/synctest"
-	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/jonboulle/clockwork"
 
-	"github.com/lycheeladder/lycheeladder/ladder/converger"
 	"github.com/lycheeladder/lycheeladder/ladder/executor"
-	"github.com/lycheeladder/lycheeladder/ladder/heartbeater"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
-	"github.com/lycheeladder/lycheeladder/ladder/queuer"
 )
 
 // TestHeartbeat_ConfirmsWhatItsOwnEntrySent: entry one sees revisions 4 and 6,
 // which are alike for the sidecar, and entry two revision 5, which is not.
 func TestHeartbeat_ConfirmsWhatItsOwnEntrySent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		clock := clockwork.NewRealClock()
-		beats := heartbeater.New(clock, heartbeater.Options{Interval: time.Hour, Deadline: 2 * time.Hour})
-		e := executor.New(clock, nil, queuer.New(clock, queuer.PlainPriority{}, 1, 0), beats, converger.NewGoals(clock), executor.DefaultOptions())
+		e := newExecutor(clockwork.NewRealClock(), nil, 0)
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		one, two := link(ctx, e), link(ctx, e)
@@ -56,8 +50,7 @@
 // link gives the executor a link and returns the entry's end. What comes there
 // is read and dropped.
 func link(ctx context.Context, e *executor.Executor) messenger.Link {
-	near, far := messenger.NewPipe()
-	go func() { _ = e.Serve(ctx, near) }()
+	far := serve(ctx, e)
 	go func() {
 		for {
 			if _, err := far.Receive(ctx); err != nil {
--- /dev/null
+++ b/ladder/executor/setup_test.go
@@ -0,0 +1,53 @@
+package executor_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lycheeladder/lycheeladder/ladder/caller"
+	"github.com/lycheeladder/lycheeladder/ladder/converger"
+	"github.com/lycheeladder/lycheeladder/ladder/executor"
+	"github.com/lycheeladder/lycheeladder/ladder/heartbeater"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/queuer"
+)
+
+// newExecutor has one slot, and sends no heartbeat during a test.
+func newExecutor(clock clockwork.Clock, target caller.Target, queueLimit int) *executor.Executor {
+	beats := heartbeater.New(clock, heartbeater.Options{Interval: time.Hour, Deadline: 2 * time.Hour})
+	q := queuer.New(clock, queuer.PlainPriority{}, 1, queueLimit)
+	return executor.New(clock, target, q, beats, converger.NewGoals(clock), executor.DefaultOptions())
+}
+
+// serve gives the executor a link and returns the entry's end.
+func serve(ctx context.Context, e *executor.Executor) messenger.Link {
+	near, far := messenger.NewPipe()
+	go func() { _ = e.Serve(ctx, near) }()
+	return far
+}
+
+// start sends a request that may take a minute.
+func start(ctx context.Context, t *testing.T, l messenger.Link, id identifier.RequestID) {
+	t.Helper()
+	if err := l.Send(ctx, messenger.Start{Request: id, Attempt: 1, Body: []byte(id), Timeout: time.Minute}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// nextEnd returns the next end of a request; what comes before it is dropped.
+func nextEnd(ctx context.Context, t *testing.T, l messenger.Link) messenger.End {
+	t.Helper()
+	for {
+		m, err := l.Receive(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if end, ok := m.(messenger.End); ok {
+			return end
+		}
+	}
+}
