Log which request limits a host knows and how much it sends to limited targets

A target's Server-Limit is parsed now, and package throttler logs when a host hears of a limit, when it is withdrawn, and what the host sends within 4 s meanwhile. Nothing else changes.

--- a/ladder/explainer/events.go
+++ b/ladder/explainer/events.go
@@ -264,6 +264,21 @@
 		Meaning: "the request is refused at every host for 5 minutes",
 		Action:  "find the caller of the request",
 	},
+	{
+		Name: "request limit named", Level: LevelInfo, Scope: ScopeTarget,
+		Fields:  []string{"target", "limit"},
+		Meaning: "a target in need accepts only `limit` requests per second from all hosts together",
+	},
+	{
+		Name: "request limit withdrawn", Level: LevelInfo, Scope: ScopeTarget,
+		Fields:  []string{"target", "limit"},
+		Meaning: "the target accepts any number of requests again; `limit` is the last one that it named",
+	},
+	{
+		Name: "requests sent to a limited target", Level: LevelInfo, Scope: ScopeTarget,
+		Fields:  []string{"target", "limit", "count", "within"},
+		Meaning: "this host has sent the target `count` requests in the period `within`, of which the target accepts `limit` per second from all hosts together",
+	},
 	{
 		Name: "requests broken off", Level: LevelInfo, Scope: ScopeHost,
 		Fields:  []string{"count", "err"},
--- a/ladder/sender/sender.go
+++ b/ladder/sender/sender.go
@@ -57,6 +57,16 @@
 	Version identifier.WeightVersion
 	// Load is the target's load at the start of the response; nil if not reported.
 	Load *Load
+	// RequestLimit is nil if the response doesn't tell whether there is a limit.
+	RequestLimit *RequestLimit
+}
+
+// RequestLimit is what a target says about the requests that it accepts.
+type RequestLimit struct {
+	// Limited is false if the target accepts any number of requests.
+	Limited bool
+	// Rate is how many requests the target accepts from all hosts together.
+	Rate identifier.RequestRate
 }
 
 // Load counts the requests of a target.
