Keep all hosts together within the request limit that a target names

Cause: no code read the limit. Each host sends what it has; one that works on a batch job sent 45 in 4 s by itself. Keeping to the limit host by host would not do: the limit belongs to the fleet.

Change: package permitter has the arithmetic, throttler its use. Each request to a target that has named a limit needs a permit, from the host that ranks first for the target, granted at the rate of the limit. Calls that get none go to another target or are refused at once; items wait; hedges and moves use no limited target.

The virtual fleet showed that a withdrawn limit went round one permit at a time; it is reported now.

--- a/ladder/explainer/events.go
+++ b/ladder/explainer/events.go
@@ -276,8 +276,8 @@
 	},
 	{
 		Name: "requests sent to a limited target", Level: LevelInfo, Scope: ScopeTarget,
-		Fields:  []string{"target", "limit", "count", "within"},
-		Meaning: "this host has sent the target `count` requests in the period `within`, of which the target accepts `limit` per second from all hosts together",
+		Fields:  []string{"target", "limit", "sent", "denied", "within"},
+		Meaning: "this host has sent the target `sent` requests in the period `within` and has not sent `denied`; the target accepts `limit` per second from all hosts together",
 	},
 	{
 		Name: "requests broken off", Level: LevelInfo, Scope: ScopeHost,
--- a/ladder/forwarder/forward.go
+++ b/ladder/forwarder/forward.go
@@ -43,6 +43,10 @@
 	open map[identifier.TargetName]attempt
 	// tried has the targets used since all of them were last allowed again.
 	tried map[identifier.TargetName]bool
+	// denials counts the attempts that were not sent because of their target's limit.
+	denials int
+	// service is the one that the request is sent to.
+	service identifier.ServiceName
 	// executed counts the attempts that their target may have run.
 	executed int
 	// lastFailure is the last error response of a target.
@@ -87,25 +91,25 @@
 func (w *forwarding) mayRepeat() bool { return w.route.Kind == cataloger.KindIdempotent }
 
 func (w *forwarding) run(ctx context.Context) Outcome {
-	service := w.drawService(w.route)
+	w.service = w.drawService(w.route)
 	w.fingerprint = identifier.NewFingerprint("", identifier.CallName(w.request.Path), w.request.Body)
 	if w.blocklist.Convicted(w.fingerprint) {
 		return NotRun{RetryAfter: blockedRetryAfter, Reason: "the request is blocked because it crashes targets"}
 	}
-	if !w.startAttempt(ctx, service) {
+	if !w.startAttempt(ctx, anyTarget) {
 		return w.noTargetOutcome()
 	}
-	hedge := w.clock.After(w.hedgeDelay(service))
+	hedge := w.clock.After(w.hedgeDelay())
 	for {
 		select {
 		case r := <-w.results:
-			if o, done := w.handleResult(ctx, service, r); done {
+			if o, done := w.handleResult(ctx, r); done {
 				return o
 			}
 		case <-hedge:
 			hedge = nil
-			if w.mayRepeat() && w.executed+len(w.open) < w.route.MaxAttempts && w.budget.TrySpend() && w.startAttempt(ctx, service) {
-				klog.InfoS("second target asked, the first is silent", "request", w.request.ID, "service", service)
+			if w.mayRepeat() && w.executed+len(w.open) < w.route.MaxAttempts && w.budget.TrySpend() && w.startAttempt(ctx, unlimitedTargets) {
+				klog.InfoS("second target asked, the first is silent", "request", w.request.ID, "service", w.service)
 			}
 		case <-ctx.Done():
 			return w.timeoutOutcome()
@@ -116,8 +120,8 @@
 // hedgeDelay returns how long the first target may be silent before a second one
 // is asked. It is bounded by the route's latency goal, since a service may receive
 // calls of several kinds and the slowest ones raise its usual response time.
-func (w *forwarding) hedgeDelay(s identifier.ServiceName) time.Duration {
-	delay := w.router.SilenceTimeout(s, false)
+func (w *forwarding) hedgeDelay() time.Duration {
+	delay := w.router.SilenceTimeout(w.service, false)
 	if delay == 0 {
 		delay = initialHedgeDelay
 	}
@@ -134,7 +138,7 @@
 	if w.mayHaveRun {
 		return Unknown{Reason: "an attempt without a response may have run"}
 	}
-	return NotRun{RetryAfter: overloadRetryAfter, Reason: "no target accepted the request"}
+	return w.notRun(w.service)
 }
 
 func (w *forwarding) timeoutOutcome() Outcome {
@@ -147,13 +151,14 @@
 	return NotRun{RetryAfter: overloadRetryAfter, Reason: "time limit expired"}
 }
 
-// startAttempt sends the request to one more target. It returns false if there is none.
-func (w *forwarding) startAttempt(ctx context.Context, service identifier.ServiceName) bool {
+// startAttempt sends the request to one more target in scope. It returns false if there is
+// none.
+func (w *forwarding) startAttempt(ctx context.Context, in scope) bool {
 	left := w.deadline.Sub(w.clock.Now())
 	if left < minTimeLeft {
 		return false
 	}
-	name, ok := w.router.Choose(w.candidates(service, w.tried), router.Monitored)
+	name, ok := w.router.Choose(w.candidates(w.service, w.tried, in), router.Monitored)
 	if !ok {
 		return false
 	}
@@ -181,7 +186,7 @@
 	r := attemptResult{target: t}
 	r.response, r.err = w.sender.Send(ctx, t, w.request.call(left))
 	if r.err != nil {
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !errors.Is(r.err, sender.ErrLimited) {
 			w.router.RecordFailure(t.Name)
 		}
 		return r
@@ -211,7 +216,7 @@
 }
 
 // handleResult decides how to continue after an attempt has ended.
-func (w *forwarding) handleResult(ctx context.Context, service identifier.ServiceName, r attemptResult) (o Outcome, done bool) {
+func (w *forwarding) handleResult(ctx context.Context, r attemptResult) (o Outcome, done bool) {
 	w.open[r.target.Name].cancel()
 	delete(w.open, r.target.Name)
 	retry := false
@@ -221,6 +226,9 @@
 			w.mayHaveRun = true
 		}
 		return w.timeoutOutcome(), true
+	case errors.Is(r.err, sender.ErrLimited):
+		w.denials++
+		retry = true
 	case errors.Is(r.err, sender.ErrNotSent):
 		retry = true
 	case r.err != nil:
@@ -246,15 +254,25 @@
 	if !retry {
 		return w.noTargetOutcome(), true
 	}
-	if w.startAttempt(ctx, service) {
+	if w.startAttempt(ctx, w.retryScope()) {
 		return nil, false
 	}
-	return w.retryTriedTargets(ctx, service)
+	return w.retryTriedTargets(ctx)
+}
+
+// retryScope returns the scope of further attempts. Each denied permit costs a round trip
+// to another host.
+func (w *forwarding) retryScope() scope {
+	if w.denials >= maxDenials {
+		return unlimitedTargets
+	}
+	return anyTarget
 }
 
-// retryTriedTargets allows all targets again after a pause.
-func (w *forwarding) retryTriedTargets(ctx context.Context, service identifier.ServiceName) (o Outcome, done bool) {
-	if w.deadline.Sub(w.clock.Now()) < 2*retryPause || len(w.tried) == 0 {
+// retryTriedTargets allows all targets again after a pause, unless all of them have
+// reached their limits.
+func (w *forwarding) retryTriedTargets(ctx context.Context) (o Outcome, done bool) {
+	if w.deadline.Sub(w.clock.Now()) < 2*retryPause || len(w.tried) == 0 || len(w.candidates(w.service, nil, w.retryScope())) == 0 {
 		return w.noTargetOutcome(), true
 	}
 	select {
@@ -263,7 +281,7 @@
 		return w.timeoutOutcome(), true
 	}
 	clear(w.tried)
-	if !w.startAttempt(ctx, service) {
+	if !w.startAttempt(ctx, w.retryScope()) {
 		return w.noTargetOutcome(), true
 	}
 	return nil, false
--- a/ladder/forwarder/forwarder.go
+++ b/ladder/forwarder/forwarder.go
@@ -85,6 +85,9 @@
 	// users' plain calls take 20 to 80 ms, and a queue holds four times as many
 	// calls as run at once.
 	overloadRetryAfter = 200 * time.Millisecond
+	// maxDenials is how many targets may refuse a permit for one request before only
+	// targets without a limit are tried.
+	maxDenials = 4
 	// minTimeLeft is the least remaining time for which a request is still sent.
 	minTimeLeft = 5 * time.Millisecond
 )
@@ -143,14 +146,50 @@
 	return r.Shares[len(r.Shares)-1].Service
 }
 
-// candidates returns the service's targets without those already tried.
-func (f *Forwarder) candidates(s identifier.ServiceName, tried map[identifier.TargetName]bool) []router.Candidate {
+// scope says which targets a request may use.
+type scope int
+
+const (
+	// anyTarget admits all targets that accept a request now.
+	anyTarget scope = iota
+	// unlimitedTargets admits only those that name no request limit. It applies to
+	// requests that are useful but not needed.
+	unlimitedTargets
+)
+
+// candidates returns the service's targets in scope without those already tried.
+func (f *Forwarder) candidates(s identifier.ServiceName, tried map[identifier.TargetName]bool, in scope) []router.Candidate {
 	targets := f.catalog.ReadyTargets(s)
 	list := make([]router.Candidate, 0, len(targets))
 	for _, t := range targets {
-		if !tried[t.Name] {
-			list = append(list, router.Candidate{Target: t.Name, Service: t.Service, Zone: t.Zone, Warm: f.sender.Warm(t)})
+		a := f.sender.Allowance(t)
+		if tried[t.Name] || a.Wait > 0 || (a.Limited && in == unlimitedTargets) {
+			continue
 		}
+		list = append(list, router.Candidate{Target: t.Name, Service: t.Service, Zone: t.Zone, Warm: f.sender.Warm(t)})
 	}
 	return list
 }
+
+// limitWait returns how long to wait until a target of the service accepts a request
+// again, if they all have reached their limits, and 0 otherwise.
+func (f *Forwarder) limitWait(s identifier.ServiceName) (shortest time.Duration) {
+	for _, t := range f.catalog.ReadyTargets(s) {
+		wait := f.sender.Allowance(t).Wait
+		if wait == 0 {
+			return 0
+		}
+		if shortest == 0 || wait < shortest {
+			shortest = wait
+		}
+	}
+	return shortest
+}
+
+// notRun returns the outcome of a request that no target has accepted.
+func (f *Forwarder) notRun(s identifier.ServiceName) NotRun {
+	if wait := f.limitWait(s); wait > 0 {
+		return NotRun{RetryAfter: max(overloadRetryAfter, wait), Reason: "all targets have reached their request limits"}
+	}
+	return NotRun{RetryAfter: overloadRetryAfter, Reason: "no target accepted the request"}
+}
--- a/ladder/forwarder/stream.go
+++ b/ladder/forwarder/stream.go
@@ -49,6 +49,9 @@
 	// that complete no event count as silence. Callers give up after 2 s at the
 	// earliest.
 	streamStallTimeout = 800 * time.Millisecond
+	// maxLimitWait bounds how long a stream that has begun waits for targets that have
+	// reached their limits. Callers give up after 2 s at the earliest.
+	maxLimitWait = 1500 * time.Millisecond
 	// firstEventGoals times the route's latency goal is the time limit for the
 	// first event, if it is longer than the stall timeout.
 	firstEventGoals = 2
@@ -79,7 +82,7 @@
 		response, err := s.startAttempt(s.request.ResumeAfter)
 		switch {
 		case errors.Is(err, errNoTarget):
-			return NotRun{RetryAfter: overloadRetryAfter, Reason: "no target accepted the request"}
+			return s.forwarder.notRun(s.service)
 		case errors.Is(err, sender.ErrNotSent):
 			if s.ctx.Err() != nil {
 				return NotRun{RetryAfter: overloadRetryAfter, Reason: "time limit expired"}
@@ -123,7 +126,7 @@
 func (s *Stream) startAttempt(after identifier.EventNumber) (*sender.Response, error) {
 	f := s.forwarder
 	left := s.deadline.Sub(f.clock.Now())
-	name, ok := f.router.Choose(f.candidates(s.service, s.tried), router.Unmonitored)
+	name, ok := f.router.Choose(f.candidates(s.service, s.tried, anyTarget), router.Unmonitored)
 	if !ok || left < minTimeLeft {
 		if ok {
 			f.router.Done(name, router.Unmonitored)
@@ -144,7 +147,7 @@
 	response, err := f.sender.Send(s.attempt, t, call)
 	if err != nil {
 		err = sender.Cause(s.attempt, err)
-		if s.ctx.Err() == nil {
+		if s.ctx.Err() == nil && !errors.Is(err, sender.ErrLimited) {
 			f.router.RecordFailure(name)
 		}
 		s.endAttempt()
@@ -153,8 +156,8 @@
 }
 
 // startStallTimer ends the attempt when the target is silent for too long. There is
-// no timer for the last allowed attempt or if no other target is left, since a slow
-// stream is better than none. Each attempt gets twice the time of the one before,
+// no timer for the last allowed attempt or if no other target without a limit is left,
+// since a slow stream is better than none. Each attempt gets twice the time of the one before,
 // so that a stream that is slow at all targets can finish.
 func (s *Stream) startStallTimer() {
 	if !s.route.Resumable || s.retries+1 >= s.route.MaxAttempts {
@@ -163,7 +166,7 @@
 	f, tried, cancelAttempt := s.forwarder, maps.Clone(s.tried), s.cancelAttempt
 	s.stallTimeout = streamStallTimeout << s.retries
 	s.stallTimer = f.clock.AfterFunc(max(s.stallTimeout, firstEventGoals*s.route.LatencyGoal), func() {
-		if len(f.candidates(s.service, tried)) > 0 {
+		if len(f.candidates(s.service, tried, unlimitedTargets)) > 0 {
 			cancelAttempt(sender.ErrStalled)
 		}
 	})
@@ -209,7 +212,7 @@
 	s.forwarder.router.RecordFailure(s.target.Name)
 	s.endAttempt()
 	for s.countRetry() {
-		response, err := s.startAttempt(s.request.ResumeAfter)
+		response, err := s.startPermittedAttempt(s.request.ResumeAfter)
 		if errors.Is(err, errNoTarget) {
 			return false
 		}
@@ -231,6 +234,28 @@
 	return false
 }
 
+// startPermittedAttempt is startAttempt for a stream that has begun: it tries other targets
+// and waits while they have reached their limits, since an answer that breaks off is lost.
+func (s *Stream) startPermittedAttempt(after identifier.EventNumber) (*sender.Response, error) {
+	f := s.forwarder
+	for start := f.clock.Now(); ; {
+		response, err := s.startAttempt(after)
+		wait := f.limitWait(s.service)
+		switch {
+		case errors.Is(err, sender.ErrLimited):
+			continue
+		case !errors.Is(err, errNoTarget), wait == 0, f.clock.Since(start)+wait > maxLimitWait:
+			return response, err
+		}
+		select {
+		case <-f.clock.After(wait):
+			clear(s.tried)
+		case <-s.ctx.Done():
+			return response, err
+		}
+	}
+}
+
 // Close ends the attempt in progress and releases its resources.
 func (s *Stream) Close() {
 	if s.response != nil {
--- a/ladder/joiner/member.go
+++ b/ladder/joiner/member.go
@@ -158,3 +158,15 @@
 	}
 	return list
 }
+
+// Members returns the addresses of all members that own partitions, and when the list was
+// read from the store.
+func (j *Joiner) Members() (list []string, readAt time.Time) {
+	members, _ := j.members()
+	for _, m := range members {
+		list = append(list, string(m))
+	}
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	return list, j.ownersAt
+}
--- a/ladder/messenger/question.go
+++ b/ladder/messenger/question.go
@@ -1,6 +1,10 @@
 package messenger
 
-import "github.com/lycheeladder/lycheeladder/ladder/identifier"
+import (
+	"time"
+
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+)
 
 // StoreCall asks a peer to forward a call to the platform's store. Its contents
 // are opaque to the peer.
@@ -39,8 +43,11 @@
 	Job   *JobCall   `cbor:"2,keyasint,omitempty"`
 	Store *StoreCall `cbor:"3,keyasint,omitempty"`
 	// Demand requests the amount of work that the peer has.
-	Demand bool       `cbor:"4,keyasint,omitempty"`
-	Drafts *DraftCall `cbor:"5,keyasint,omitempty"`
+	Demand bool        `cbor:"4,keyasint,omitempty"`
+	Drafts *DraftCall  `cbor:"5,keyasint,omitempty"`
+	Permit *PermitCall `cbor:"6,keyasint,omitempty"`
+	// Limits requests the limits of targets that the peer knows.
+	Limits bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Reply is the response to the Question with the same ID. No part is set if the
@@ -53,5 +60,41 @@
 	Demand map[identifier.ModelName]identifier.TokenCount `cbor:"4,keyasint,omitempty"`
 	// Drafts are the requested drafts that the peer has, in no particular
 	// order.
-	Drafts []Draft `cbor:"5,keyasint,omitempty"`
+	Drafts []Draft       `cbor:"5,keyasint,omitempty"`
+	Permit *PermitAnswer `cbor:"6,keyasint,omitempty"`
+	// Limits are the limits in force that the peer knows, in no particular order.
+	Limits []TargetLimit `cbor:"7,keyasint,omitempty"`
+}
+
+// RequestLimit is the newest limit of a target that the sender has heard of.
+type RequestLimit struct {
+	Limited bool                   `cbor:"1,keyasint,omitempty"`
+	Rate    identifier.RequestRate `cbor:"2,keyasint,omitempty"`
+	// Age is the time since the target said so; a timestamp would require
+	// synchronized clocks.
+	Age time.Duration `cbor:"3,keyasint,omitempty"`
+}
+
+// TargetLimit is the limit of one target.
+type TargetLimit struct {
+	Target identifier.TargetName `cbor:"1,keyasint"`
+	// StartID distinguishes incarnations with the same name.
+	StartID int64        `cbor:"2,keyasint"`
+	Limit   RequestLimit `cbor:"3,keyasint"`
+}
+
+// PermitCall asks for a permit to send one request to a target that limits them. If Limit
+// is not in force, it only tells so.
+type PermitCall struct {
+	Target TargetLimit `cbor:"1,keyasint"`
+	// Charge is set if the request is sent in any case.
+	Charge bool `cbor:"2,keyasint,omitempty"`
+}
+
+// PermitAnswer is the response to a PermitCall.
+type PermitAnswer struct {
+	Granted bool `cbor:"1,keyasint,omitempty"`
+	// Wait is how long not to ask again if no permit was granted.
+	Wait  time.Duration `cbor:"2,keyasint,omitempty"`
+	Limit RequestLimit  `cbor:"3,keyasint"`
 }
--- a/ladder/scheduler/generate.go
+++ b/ladder/scheduler/generate.go
@@ -47,7 +47,7 @@
 	}
 	start := s.clock.Now()
 	answer, err := s.sender.Send(ctx, target, t.newCall(requiredVersion))
-	if err != nil && itemCtx.Err() == nil {
+	if err != nil && itemCtx.Err() == nil && !errors.Is(err, sender.ErrLimited) {
 		t.targetFailed(target, failureCooldown)
 	}
 	if err != nil {
--- a/ladder/scheduler/place.go
+++ b/ladder/scheduler/place.go
@@ -54,7 +54,7 @@
 		return
 	}
 	t.restartIfVersionGone(s.catalog, route)
-	candidates := s.candidates(t, route, c)
+	candidates := s.candidates(t, route, c, anyTarget)
 	name, ok := s.router.Choose(candidates, router.Monitored)
 	if !ok {
 		return
@@ -70,12 +70,36 @@
 	tasks.Go(func() { t.catchPanic(func() { t.run(runCtx, target) }) })
 }
 
-// candidates returns the targets that may run the task now.
-func (s *Scheduler) candidates(t *task, route cataloger.Route, c *cataloger.Configuration) (list []router.Candidate) {
+// scope says which targets may run a task.
+type scope int
+
+const (
+	// anyTarget admits all targets that accept a request now.
+	anyTarget scope = iota
+	// unlimitedTargets admits only those that name no request limit. It applies to moves,
+	// which are useful but not needed.
+	unlimitedTargets
+)
+
+// maxPendingPermits is how many items may wait for a permit of one target.
+const maxPendingPermits = 3
+
+// mayReceive reports whether a target in scope accepts a request now.
+func (s *Scheduler) mayReceive(target cataloger.Target, in scope) bool {
+	a := s.sender.Allowance(target)
+	if !a.Limited {
+		return true
+	}
+	return in == anyTarget && a.Wait == 0 && a.Pending < maxPendingPermits
+}
+
+// candidates returns the targets in scope that may run the task now.
+func (s *Scheduler) candidates(t *task, route cataloger.Route, c *cataloger.Configuration, in scope) (list []router.Candidate) {
 	now := s.clock.Now()
 	for _, share := range route.Shares {
 		for _, target := range s.catalog.ReadyTargets(share.Service) {
 			switch {
+			case !s.mayReceive(target, in):
 			case !t.canRunOn(target), s.avoidedUntil[target.Name].After(now):
 			case t.leftTarget == target.Name && t.leftUntil.After(now):
 			case s.router.InFlight(target.Name) >= slotsOf(target, c):
@@ -96,7 +120,7 @@
 	c := s.catalog.Configuration()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.router.HasFasterCandidate(current.Name, s.candidates(t, t.route, c), minMoveSpeedup)
+	return s.router.HasFasterCandidate(current.Name, s.candidates(t, t.route, c, unlimitedTargets), minMoveSpeedup)
 }
 
 // slotsOf returns how many requests a target runs concurrently.
--- a/ladder/scheduler/score.go
+++ b/ladder/scheduler/score.go
@@ -90,6 +90,7 @@
 func (t *task) callScorer(ctx context.Context) (signature string, ok bool) {
 	s, scorer := t.scheduler, t.item.Scorer
 	for failures := 0; ctx.Err() == nil; {
+		delay := scorerRetryDelay
 		configuration := s.catalog.Configuration()
 		route, routed := configuration.MatchRoute(scorer.Host, scorer.Path)
 		if routed {
@@ -97,6 +98,9 @@
 				ID: scorer.ID, Method: http.MethodPost, Path: scorer.Path, Host: scorer.Host,
 				Header: http.Header{}, Body: scorer.Body, TimeLeft: scorerTimeout,
 			})
+			if refusal, ok := outcome.(forwarder.NotRun); ok {
+				delay = max(delay, refusal.RetryAfter)
+			}
 			if response, ok := outcome.(forwarder.Response); ok {
 				if response.Status >= 200 && response.Status < 300 && response.Signature != "" {
 					return response.Signature, true
@@ -111,7 +115,7 @@
 			}
 		}
 		select {
-		case <-s.clock.After(scorerRetryDelay):
+		case <-s.clock.After(delay):
 		case <-ctx.Done():
 		}
 	}
--- a/ladder/sender/sender.go
+++ b/ladder/sender/sender.go
@@ -96,6 +96,10 @@
 // the target can't have run it.
 var ErrNotSent = errors.New("request not sent")
 
+// ErrLimited means that the request was not sent because the target accepts no more
+// requests for the moment.
+var ErrLimited = errors.WithMessage(ErrNotSent, "the target's request limit is reached")
+
 // ErrNoResponse means that the request was sent and may have run.
 var ErrNoResponse = errors.New("no response from the target")
 
@@ -112,11 +116,31 @@
 	return err
 }
 
-// Sender sends requests to targets. Its errors are ErrNotSent and ErrNoResponse.
-type Sender interface {
+// Transport sends requests to targets. Its errors are ErrNotSent and ErrNoResponse.
+type Transport interface {
 	Send(ctx context.Context, t cataloger.Target, c Call) (*Response, error)
 	// Warm reports whether an idle connection to the target is open.
 	Warm(t cataloger.Target) bool
 	// Events reads the body of r as events.
 	Events(r *Response) Events
 }
+
+// Sender sends requests to targets within the limits that they name. Its errors are also
+// ErrLimited.
+type Sender interface {
+	Transport
+	// Allowance returns whether a request to the target may be sent now.
+	Allowance(t cataloger.Target) Allowance
+}
+
+// Allowance is what a host knows about a target's limit. The zero value means that there
+// is none.
+type Allowance struct {
+	// Limited means that the target limits its requests, so that one may be refused with
+	// ErrLimited.
+	Limited bool
+	// Wait is the time for which no request will be sent; 0 if one may be.
+	Wait time.Duration
+	// Pending counts the requests of this host that wait for a permit.
+	Pending int
+}
--- a/ladder/subsetter/subsetter.go
+++ b/ladder/subsetter/subsetter.go
@@ -38,15 +38,15 @@
 	if links <= 0 || len(entries) <= links {
 		return slices.Clone(entries)
 	}
-	ownZone, otherZones := splitByZone(rankByHash(target, entries), zone)
+	ownZone, otherZones := splitByZone(Rank(target, entries), zone)
 	otherZoneCount := min(otherZoneLinks, links-1, len(otherZones))
 	ownZoneCount := min(links-otherZoneCount, len(ownZone))
 	picked := append(ownZone[:ownZoneCount:ownZoneCount], otherZones[:links-ownZoneCount]...)
 	return picked
 }
 
-// rankByHash sorts entries by their rendezvous hash with target, highest first.
-func rankByHash(target identifier.TargetName, entries []Entry) []Entry {
+// Rank sorts entries by their rendezvous hash with target, highest first.
+func Rank(target identifier.TargetName, entries []Entry) []Entry {
 	type scored struct {
 		entry Entry
 		score uint64
--- /dev/null
+++ b/ladder/throttler/limits.go
@@ -0,0 +1,62 @@
+package throttler
+
+import (
+	"context"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
+)
+
+// Limits returns the limits in force that this host knows, for a host that has started.
+func (t *Throttler) Limits() (list []messenger.TargetLimit) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for of, known := range t.targets {
+		if known.limit.Limited {
+			list = append(list, t.toMessage(of, known))
+		}
+	}
+	return list
+}
+
+// collectLimits asks other hosts which limits they know. Without their answers, this host
+// hears of a limit with the first response of the target.
+func (t *Throttler) collectLimits(ctx context.Context, members []string) {
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	for _, address := range members {
+		if address == t.options.Self {
+			continue
+		}
+		tasks.Go(func() {
+			_ = recoverer.CatchPanic("collection of request limits", func() { // already logged
+				askCtx, cancel := context.WithTimeout(ctx, peerTimeout)
+				defer cancel()
+				if r, err := t.options.Peers.Ask(askCtx, address, messenger.Question{Limits: true}); err == nil {
+					t.learnLimits(r.Limits)
+				}
+			})
+		})
+	}
+}
+
+func (t *Throttler) learnLimits(list []messenger.TargetLimit) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, l := range list {
+		t.learn(incarnation{l.Target, l.StartID}, fromMessage(l.Limit), t.heardAt(l.Limit))
+	}
+}
+
+// reportWithdrawal tells the host that grants the target's permits that the limit is
+// withdrawn. That host tells all others when they ask for a permit; otherwise each would
+// hear of it only with a permit of its own.
+func (t *Throttler) reportWithdrawal(l messenger.TargetLimit) {
+	go func() {
+		_ = recoverer.CatchPanic("report of a withdrawn limit", func() { // already logged
+			t.ask(context.Background(), messenger.PermitCall{Target: l})
+		})
+	}()
+}
--- /dev/null
+++ b/ladder/throttler/permits.go
@@ -0,0 +1,165 @@
+package throttler
+
+import (
+	"context"
+	"time"
+
+	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/permitter"
+	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
+	"github.com/lycheeladder/lycheeladder/ladder/sender"
+)
+
+const (
+	// askTimeout bounds the wait for one host's answer to a question for a permit. It
+	// also bounds the age of a permit when it is used.
+	askTimeout = permitter.PermitLifetime
+	// peerTimeout is the silence after which a peer counts as unreachable, for all
+	// questions. It is longer than askTimeout, since a busy host may answer late.
+	peerTimeout = time.Second
+	// unreachableWait is how long no permit is asked for after no host has answered.
+	unreachableWait = 250 * time.Millisecond
+)
+
+// acquire returns nil if a request may be sent to the target, sender.ErrLimited if not.
+func (t *Throttler) acquire(ctx context.Context, to cataloger.Target) error {
+	call, needed, err := t.beginAsking(to)
+	if err != nil || !needed {
+		return err
+	}
+	answer := t.ask(ctx, call)
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known := t.learn(incarnationOf(to), fromMessage(answer.Limit), t.heardAt(answer.Limit))
+	known.pending--
+	if known.limit.Limited {
+		known.report.add(t.clock.Now(), to.Name, known.limit.Rate, answer.Granted)
+	}
+	if !answer.Granted {
+		known.deniedUntil = t.clock.Now().Add(answer.Wait)
+		return sender.ErrLimited
+	}
+	return nil
+}
+
+// charge takes a permit for a request that is sent in any case.
+func (t *Throttler) charge(ctx context.Context, to cataloger.Target) {
+	t.mutex.Lock()
+	known, ok := t.targets[incarnationOf(to)]
+	if !ok || !known.limit.Limited {
+		t.mutex.Unlock()
+		return
+	}
+	call := messenger.PermitCall{Target: t.toMessage(incarnationOf(to), known), Charge: true}
+	t.mutex.Unlock()
+	t.ask(ctx, call)
+}
+
+// beginAsking returns the question for a permit, if one is needed, and counts the request
+// as pending.
+func (t *Throttler) beginAsking(to cataloger.Target) (call messenger.PermitCall, needed bool, err error) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known, ok := t.targets[incarnationOf(to)]
+	if !ok || !known.limit.Limited {
+		return call, false, nil
+	}
+	if known.deniedUntil.After(t.clock.Now()) {
+		known.report.add(t.clock.Now(), to.Name, known.limit.Rate, false)
+		return call, false, sender.ErrLimited
+	}
+	known.pending++
+	return messenger.PermitCall{Target: t.toMessage(incarnationOf(to), known)}, true, nil
+}
+
+// ask asks the hosts that may grant a permit, in order, until one answers.
+func (t *Throttler) ask(ctx context.Context, call messenger.PermitCall) messenger.PermitAnswer {
+	t.mutex.Lock()
+	granters := t.roster.Granters(call.Target.Target)
+	t.mutex.Unlock()
+	for _, address := range granters {
+		if address == t.options.Self {
+			return t.Answer(call)
+		}
+		if answer, ok := t.askPeer(ctx, address, call); ok {
+			return answer
+		}
+	}
+	return messenger.PermitAnswer{Wait: unreachableWait, Limit: call.Target.Limit}
+}
+
+// askPeer returns false if the peer doesn't answer within askTimeout or doesn't know the
+// question.
+func (t *Throttler) askPeer(ctx context.Context, address string, call messenger.PermitCall) (messenger.PermitAnswer, bool) {
+	answers := make(chan *messenger.PermitAnswer, 1)
+	// The question outlives the wait, so that a slow answer doesn't close the link.
+	go func() {
+		var answer *messenger.PermitAnswer
+		defer func() { answers <- answer }()
+		// CatchPanic logs the panic; without an answer the next host is asked.
+		_ = recoverer.CatchPanic("question for a permit", func() {
+			askCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), peerTimeout)
+			defer cancel()
+			if r, err := t.options.Peers.Ask(askCtx, address, messenger.Question{Permit: &call}); err == nil {
+				answer = r.Permit
+			}
+		})
+	}()
+	select {
+	case answer := <-answers:
+		if answer != nil {
+			return *answer, true
+		}
+	case <-t.clock.After(askTimeout):
+	case <-ctx.Done():
+	}
+	return messenger.PermitAnswer{}, false
+}
+
+// Answer grants or denies a permit to another host or to this one.
+func (t *Throttler) Answer(call messenger.PermitCall) messenger.PermitAnswer {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	now := t.clock.Now()
+	of := incarnation{call.Target.Target, call.Target.StartID}
+	known := t.learn(of, fromMessage(call.Target.Limit), t.heardAt(call.Target.Limit))
+	answer := messenger.PermitAnswer{Limit: t.toMessage(of, known).Limit}
+	standing := t.roster.Standing(now, of.name)
+	switch {
+	case !known.limit.Limited:
+		answer.Granted = true
+	case call.Charge:
+		known.bucket.Charge(now, known.limit.Rate, standing)
+		answer.Granted = true
+	default:
+		answer.Wait, answer.Granted = known.bucket.Grant(now, known.limit.Rate, standing)
+	}
+	return answer
+}
+
+// toMessage returns a target's limit for another host. The caller holds the mutex.
+func (t *Throttler) toMessage(of incarnation, known *target) messenger.TargetLimit {
+	return messenger.TargetLimit{Target: of.name, StartID: of.startID, Limit: messenger.RequestLimit{
+		Limited: known.limit.Limited, Rate: known.limit.Rate, Age: t.clock.Since(known.heardAt),
+	}}
+}
+
+// heardAt returns when another host heard of a limit, by the clock of this one.
+func (t *Throttler) heardAt(l messenger.RequestLimit) time.Time {
+	return t.clock.Now().Add(-max(0, l.Age))
+}
+
+// fromMessage returns a limit that another host has heard of. What can't be a rate counts
+// as a limit of 0.
+func fromMessage(l messenger.RequestLimit) sender.RequestLimit {
+	rate := l.Rate
+	if !(rate > 0) {
+		rate = 0
+	}
+	return sender.RequestLimit{Limited: l.Limited, Rate: min(rate, maxRate)}
+}
+
+// maxRate bounds what another host may report as a limit, in requests per second.
+const maxRate identifier.RequestRate = 1e6
--- a/ladder/throttler/throttler.go
+++ b/ladder/throttler/throttler.go
@@ -12,17 +12,43 @@
 
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/permitter"
 	"github.com/lycheeladder/lycheeladder/ladder/sender"
 )
 
-// Throttler sends requests and follows the limits that targets name in their
-// responses. It implements sender.Sender.
+// A target tells its limit in its responses, so a host knows it from the first response
+// on. From then on each request to the target needs a permit. The host that ranks first
+// for the target grants the permits of all hosts, the next one while that one can't be
+// reached. Hosts exchange what they have heard of the limit with each permit.
+
+// Peers sends questions to other hosts; *querier.Querier implements it.
+type Peers interface {
+	Ask(ctx context.Context, address string, q messenger.Question) (messenger.Reply, error)
+}
+
+// Options are the settings of a Throttler.
+type Options struct {
+	// Self is this host's address as a peer.
+	Self string
+	// Members returns the addresses of the hosts that may grant permits, this one
+	// included, and when the list was read.
+	Members func() (list []string, readAt time.Time)
+	Peers   Peers
+}
+
+// Throttler sends requests within the limits of their targets and grants permits to
+// other hosts. It implements sender.Sender.
 type Throttler struct {
-	sender.Sender
-	clock clockwork.Clock
+	sender.Transport
+	clock   clockwork.Clock
+	options Options
 
-	mutex   sync.Mutex
-	targets map[incarnation]*target
+	mutex sync.Mutex
+	// introduced is set once the hosts that grant permits have been asked for limits.
+	introduced bool
+	roster     *permitter.Roster
+	targets    map[incarnation]*target
 }
 
 // incarnation identifies one start of a target: a restarted target has named no limit.
@@ -36,74 +62,122 @@
 // target is what is known of one target that has named a limit.
 type target struct {
 	limit sender.RequestLimit
-	// heardAt is when limit was heard.
+	// heardAt is when limit was heard, here or at another host.
 	heardAt time.Time
-	// sent has the times of the requests that were sent within the last reportInterval.
-	sent []time.Time
-	// reportedAt is when sent was last logged.
-	reportedAt time.Time
+	// deniedUntil is the time until which no permit is asked for.
+	deniedUntil time.Time
+	// pending counts the requests that wait for a permit; never negative.
+	pending int
+	// bucket has the permits that this host may grant.
+	bucket permitter.Bucket
+	report report
 }
 
-// reportInterval is the interval at which the number of requests sent to a limited
-// target is logged, and the period for which they are counted.
-const reportInterval = 4 * time.Second
+const (
+	// updateInterval is the interval at which the list of members is read.
+	updateInterval = time.Second
+	// retention is how long the limit of a target is known that is no longer heard of.
+	retention = 5 * time.Minute
+)
 
 // New returns a Throttler that knows no limits.
-func New(clock clockwork.Clock, s sender.Sender) *Throttler {
-	return &Throttler{Sender: s, clock: clock, targets: make(map[incarnation]*target)}
+func New(clock clockwork.Clock, t sender.Transport, o Options) *Throttler {
+	return &Throttler{
+		Transport: t, clock: clock, options: o,
+		roster: permitter.NewRoster(o.Self), targets: make(map[incarnation]*target),
+	}
+}
+
+// Run keeps the list of members up to date and forgets targets until ctx ends.
+func (t *Throttler) Run(ctx context.Context) {
+	for {
+		if members, ok := t.update(); ok {
+			go t.collectLimits(ctx, members)
+		}
+		select {
+		case <-t.clock.After(updateInterval):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// update returns true, and the members, when they have become known.
+func (t *Throttler) update() (members []string, first bool) {
+	members, readAt := t.options.Members()
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.roster.Update(t.clock.Now(), members, readAt)
+	for i, known := range t.targets {
+		if known.pending == 0 && t.clock.Since(known.heardAt) > retention {
+			delete(t.targets, i)
+		}
+	}
+	first = !t.introduced && len(members) > 0
+	t.introduced = t.introduced || first
+	return members, first
 }
 
 // Send implements sender.Sender.
 func (t *Throttler) Send(ctx context.Context, to cataloger.Target, c sender.Call) (*sender.Response, error) {
+	if err := t.acquire(ctx, to); err != nil {
+		return nil, err
+	}
 	sentAt := t.clock.Now()
-	t.countSent(to, sentAt)
-	r, err := t.Sender.Send(ctx, to, c)
+	r, err := t.Transport.Send(ctx, to, c)
 	if err == nil && r.RequestLimit != nil {
-		t.learn(to, *r.RequestLimit, sentAt)
+		t.learnResponse(to, *r.RequestLimit, sentAt)
 	}
 	return r, err
 }
 
-func (t *Throttler) countSent(to cataloger.Target, now time.Time) {
+// Allowance implements sender.Sender.
+func (t *Throttler) Allowance(of cataloger.Target) (a sender.Allowance) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	known, ok := t.targets[incarnationOf(to)]
+	known, ok := t.targets[incarnationOf(of)]
 	if !ok || !known.limit.Limited {
-		return
-	}
-	for len(known.sent) > 0 && now.Sub(known.sent[0]) > reportInterval {
-		known.sent = known.sent[1:]
-	}
-	known.sent = append(known.sent, now)
-	if now.Sub(known.reportedAt) >= reportInterval {
-		known.reportedAt = now
-		klog.InfoS("requests sent to a limited target", "target", to.Name, "limit", known.limit.Rate, "count", len(known.sent), "within", reportInterval)
+		return a
 	}
+	return sender.Allowance{Limited: true, Wait: max(0, known.deniedUntil.Sub(t.clock.Now())), Pending: known.pending}
 }
 
-// learn records what a response to a request sent at sentAt says about the target's
-// limit. A response without a limit withdraws only a limit that was heard before the
-// request was sent, since responses may overtake each other.
-func (t *Throttler) learn(to cataloger.Target, limit sender.RequestLimit, sentAt time.Time) {
+// learnResponse records what a response to a request sent at sentAt tells about the
+// target's limit. A response without a limit withdraws only a limit that was heard before
+// the request was sent, since responses may overtake each other.
+func (t *Throttler) learnResponse(to cataloger.Target, limit sender.RequestLimit, sentAt time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	now := t.clock.Now()
 	known, ok := t.targets[incarnationOf(to)]
-	switch {
-	case !ok && !limit.Limited:
-		return
-	case !ok:
-		known = &target{reportedAt: now}
-		t.targets[incarnationOf(to)] = known
-	case !limit.Limited && !sentAt.After(known.heardAt):
+	if !limit.Limited && (!ok || !sentAt.After(known.heardAt)) {
 		return
 	}
+	withdrawn := ok && known.limit.Limited && !limit.Limited
+	known = t.learn(incarnationOf(to), limit, t.clock.Now())
+	if withdrawn {
+		t.reportWithdrawal(t.toMessage(incarnationOf(to), known))
+	}
+}
+
+// learn records a limit that was heard at the given time, unless a newer one is known. The
+// caller holds the mutex.
+func (t *Throttler) learn(of incarnation, limit sender.RequestLimit, heardAt time.Time) *target {
+	known, ok := t.targets[of]
+	if !ok {
+		known = &target{}
+		t.targets[of] = known
+	}
+	if ok && !heardAt.After(known.heardAt) {
+		return known
+	}
 	switch {
 	case limit.Limited && !known.limit.Limited:
-		klog.InfoS("request limit named", "target", to.Name, "limit", limit.Rate)
+		klog.InfoS("request limit named", "target", of.name, "limit", limit.Rate)
+		known.report.start(t.clock.Now())
 	case !limit.Limited && known.limit.Limited:
-		klog.InfoS("request limit withdrawn", "target", to.Name, "limit", known.limit.Rate)
-		known.sent = nil
+		klog.InfoS("request limit withdrawn", "target", of.name, "limit", known.limit.Rate)
+		known.deniedUntil = time.Time{}
 	}
-	known.limit, known.heardAt = limit, now
+	known.limit, known.heardAt = limit, heardAt
+	return known
 }
