--- a/ladder/cataloger/cataloger.go
+++ b/ladder/cataloger/cataloger.go
@@ -294,7 +294,7 @@
 		return
 	}
 	if !known || old.State != t.State || old.StartID != t.StartID {
-		klog.InfoS("target listed", "target", name, "service", t.Service, "address", t.Address, "state", t.State, "offset", r.Offset)
+		klog.InfoS("target listed", "target", name, "service", t.Service, "address", t.Address, "software", t.Software, "state", t.State, "offset", r.Offset)
 	}
 	s.targets[name] = t
 }
--- a/ladder/cataloger/target.go
+++ b/ladder/cataloger/target.go
@@ -26,6 +26,9 @@
 	// Slots is the number of requests that the target runs at once.
 	Slots int
 	State TargetState
+	// Software is the version of the target's software. What two versions generate
+	// doesn't fit together.
+	Software identifier.SoftwareVersion
 	// Weights is the last reported version of each loaded model.
 	Weights map[identifier.ModelName]identifier.WeightVersion
 }
--- a/ladder/explainer/events.go
+++ b/ladder/explainer/events.go
@@ -172,7 +172,7 @@
 	},
 	{
 		Name: "item placed", Level: LevelInfo, Scope: ScopeJob,
-		Fields:  []string{"job", "item", "target", "after", "waited", "candidates", "in-flight", "slowness"},
+		Fields:  []string{"job", "item", "target", "software", "after", "waited", "candidates", "in-flight", "slowness"},
 		Meaning: "a target with a free slot took it; `waited` is since it was ready",
 		Action:  "long waits: too few targets have the weights, see `load ordered`",
 	},
@@ -350,7 +350,7 @@
 	},
 	{
 		Name: "stream goes on at another target", Level: LevelInfo, Scope: ScopeRequest,
-		Fields:  []string{"request", "target", "after", "cause"},
+		Fields:  []string{"request", "target", "software", "after", "cause"},
 		Meaning: "a resumable stream was interrupted after event `after`",
 	},
 	{
@@ -365,7 +365,7 @@
 	},
 	{
 		Name: "target listed", Level: LevelInfo, Scope: ScopeTarget,
-		Fields:  []string{"target", "service", "address", "state", "offset"},
+		Fields:  []string{"target", "service", "address", "software", "state", "offset"},
 		Meaning: "the target is new, restarted or in another state",
 	},
 	{
--- a/ladder/forwarder/stream.go
+++ b/ladder/forwarder/stream.go
@@ -224,7 +224,7 @@
 			s.endAttempt()
 			continue
 		}
-		klog.InfoS("stream goes on at another target", "request", s.request.ID, "target", s.target.Name, "after", s.request.ResumeAfter, "cause", cause)
+		klog.InfoS("stream goes on at another target", "request", s.request.ID, "target", s.target.Name, "software", s.target.Software, "after", s.request.ResumeAfter, "cause", cause)
 		s.events = s.forwarder.sender.Events(response)
 		s.response.Body.Close()
 		response.Header, response.Signature = s.response.Header, s.response.Signature
--- a/ladder/identifier/identifier.go
+++ b/ladder/identifier/identifier.go
@@ -78,6 +78,9 @@
 	// EventNumber numbers the events of a streamed response, from 1. 0 means
 	// none.
 	EventNumber uint64
+	// SoftwareVersion is the version of a target's software, as it names it; empty if it
+	// names none.
+	SoftwareVersion string
 	// RequestRate is a number of requests per second.
 	RequestRate float64
 	// Fingerprint is the xxHash64 of the service, call and body of a request.
--- a/ladder/scheduler/place.go
+++ b/ladder/scheduler/place.go
@@ -64,7 +64,7 @@
 		s.router.Done(name, router.Monitored)
 		return
 	}
-	klog.InfoS("item placed", "job", t.key.job, "item", t.key.item, "target", name, "after", t.lastEvent, "waited", s.clock.Since(t.waitingSince),
+	klog.InfoS("item placed", "job", t.key.job, "item", t.key.item, "target", name, "software", target.Software, "after", t.lastEvent, "waited", s.clock.Since(t.waitingSince),
 		"candidates", len(candidates), "in-flight", s.router.InFlight(name), "slowness", s.router.Slowness(name))
 	runCtx := t.begin(ctx, route)
 	tasks.Go(func() { t.catchPanic(func() { t.run(runCtx, target) }) })
