Ask peers briefly in one place

The wait for a peer that outlives the question was part of throttler; it is querier.AskBriefly now, for the next user. subsetter.Rank takes any key. Behaviour is unchanged.

--- a/ladder/permitter/roster.go
+++ b/ladder/permitter/roster.go
@@ -96,7 +96,7 @@
 	for _, m := range members {
 		entries = append(entries, subsetter.Entry{Address: m})
 	}
-	for _, e := range subsetter.Rank(t, entries) {
+	for _, e := range subsetter.Rank(string(t), entries) {
 		if len(granters) < granterCount {
 			granters = append(granters, e.Address)
 		}
--- a/ladder/subsetter/subsetter.go
+++ b/ladder/subsetter/subsetter.go
@@ -38,22 +38,22 @@
 	if links <= 0 || len(entries) <= links {
 		return slices.Clone(entries)
 	}
-	ownZone, otherZones := splitByZone(Rank(target, entries), zone)
+	ownZone, otherZones := splitByZone(Rank(string(target), entries), zone)
 	otherZoneCount := min(otherZoneLinks, links-1, len(otherZones))
 	ownZoneCount := min(links-otherZoneCount, len(ownZone))
 	picked := append(ownZone[:ownZoneCount:ownZoneCount], otherZones[:links-ownZoneCount]...)
 	return picked
 }
 
-// Rank sorts entries by their rendezvous hash with target, highest first.
-func Rank(target identifier.TargetName, entries []Entry) []Entry {
+// Rank sorts entries by their rendezvous hash with key, highest first.
+func Rank(key string, entries []Entry) []Entry {
 	type scored struct {
 		entry Entry
 		score uint64
 	}
 	ranking := make([]scored, 0, len(entries))
 	for _, e := range entries {
-		ranking = append(ranking, scored{e, xxhash.Sum64String(string(target) + "\x00" + e.Address)})
+		ranking = append(ranking, scored{e, xxhash.Sum64String(key + "\x00" + e.Address)})
 	}
 	slices.SortFunc(ranking, func(a, b scored) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.entry.Address, b.entry.Address))
--- a/ladder/throttler/limits.go
+++ b/ladder/throttler/limits.go
@@ -2,13 +2,18 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sourcegraph/conc"
 
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/querier"
 	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
 )
 
+// limitsTimeout bounds the wait for the limits that another host knows.
+const limitsTimeout = time.Second
+
 // Limits returns the limits in force that this host knows, for a host that has started.
 func (t *Throttler) Limits() (list []messenger.TargetLimit) {
 	t.mutex.Lock()
@@ -31,13 +36,9 @@
 			continue
 		}
 		tasks.Go(func() {
-			_ = recoverer.CatchPanic("collection of request limits", func() { // already logged
-				askCtx, cancel := context.WithTimeout(ctx, peerTimeout)
-				defer cancel()
-				if r, err := t.options.Peers.Ask(askCtx, address, messenger.Question{Limits: true}); err == nil {
-					t.learnLimits(r.Limits)
-				}
-			})
+			if r, ok := querier.AskBriefly(ctx, t.clock, t.options.Peers, address, messenger.Question{Limits: true}, limitsTimeout); ok {
+				t.learnLimits(r.Limits)
+			}
 		})
 	}
 }
--- a/ladder/throttler/permits.go
+++ b/ladder/throttler/permits.go
@@ -8,7 +8,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 	"github.com/lycheeladder/lycheeladder/ladder/permitter"
-	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
+	"github.com/lycheeladder/lycheeladder/ladder/querier"
 	"github.com/lycheeladder/lycheeladder/ladder/sender"
 )
 
@@ -16,9 +16,6 @@
 	// askTimeout bounds the wait for one host's answer to a question for a permit. It
 	// also bounds the age of a permit when it is used.
 	askTimeout = permitter.PermitLifetime
-	// peerTimeout is the silence after which a peer counts as unreachable, for all
-	// questions. It is longer than askTimeout, since a busy host may answer late.
-	peerTimeout = time.Second
 	// unreachableWait is how long no permit is asked for after no host has answered.
 	unreachableWait = 250 * time.Millisecond
 )
@@ -93,29 +90,11 @@
 // askPeer returns false if the peer doesn't answer within askTimeout or doesn't know the
 // question.
 func (t *Throttler) askPeer(ctx context.Context, address string, call messenger.PermitCall) (messenger.PermitAnswer, bool) {
-	answers := make(chan *messenger.PermitAnswer, 1)
-	// The question outlives the wait, so that a slow answer doesn't close the link.
-	go func() {
-		var answer *messenger.PermitAnswer
-		defer func() { answers <- answer }()
-		// CatchPanic logs the panic; without an answer the next host is asked.
-		_ = recoverer.CatchPanic("question for a permit", func() {
-			askCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), peerTimeout)
-			defer cancel()
-			if r, err := t.options.Peers.Ask(askCtx, address, messenger.Question{Permit: &call}); err == nil {
-				answer = r.Permit
-			}
-		})
-	}()
-	select {
-	case answer := <-answers:
-		if answer != nil {
-			return *answer, true
-		}
-	case <-t.clock.After(askTimeout):
-	case <-ctx.Done():
+	r, ok := querier.AskBriefly(ctx, t.clock, t.options.Peers, address, messenger.Question{Permit: &call}, askTimeout)
+	if !ok || r.Permit == nil {
+		return messenger.PermitAnswer{}, false
 	}
-	return messenger.PermitAnswer{}, false
+	return *r.Permit, true
 }
 
 // Answer grants or denies a permit to another host or to this one.
--- a/ladder/throttler/throttler.go
+++ b/ladder/throttler/throttler.go
@@ -12,8 +12,8 @@
 
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
-	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 	"github.com/lycheeladder/lycheeladder/ladder/permitter"
+	"github.com/lycheeladder/lycheeladder/ladder/querier"
 	"github.com/lycheeladder/lycheeladder/ladder/sender"
 )
 
@@ -22,11 +22,6 @@
 // for the target grants the permits of all hosts, the next one while that one can't be
 // reached. Hosts exchange what they have heard of the limit with each permit.
 
-// Peers sends questions to other hosts; *querier.Querier implements it.
-type Peers interface {
-	Ask(ctx context.Context, address string, q messenger.Question) (messenger.Reply, error)
-}
-
 // Options are the settings of a Throttler.
 type Options struct {
 	// Self is this host's address as a peer.
@@ -34,7 +29,7 @@
 	// Members returns the addresses of the hosts that may grant permits, this one
 	// included, and when the list was read.
 	Members func() (list []string, readAt time.Time)
-	Peers   Peers
+	Peers   querier.Peers
 }
 
 // Throttler sends requests within the limits of their targets and grants permits to
--- a/ladder/throttler/throttler_test.go
+++ b/ladder/throttler/throttler_test.go
@@ -172,7 +172,7 @@
 	host string
 }
 
-// Ask implements Peers.
+// Ask implements querier.Peers.
 func (h hostPeers) Ask(ctx context.Context, address string, q messenger.Question) (messenger.Reply, error) {
 	h.mutex.Lock()
 	peer, ok := h.hosts[address]
@@ -278,7 +278,7 @@
 		test(t, f)
 		f.end()
 		f.tasks.Wait()
-		time.Sleep(2 * peerTimeout) // questions without an answer end
+		time.Sleep(2 * time.Second) // questions without an answer end
 	})
 }
 
