Processes that start together know each other within a second or so

Cause: the first list of members is read before anyone has joined, the next one 3 s later. A process joins six times at 0.4 s first. The group of job owners is not concerned.

--- a/ladder/joiner/joiner.go
+++ b/ladder/joiner/joiner.go
@@ -49,6 +49,9 @@
 	// presenceTTL and presenceInterval are the same for a group that only lists the
 	// running processes.
 	presenceTTL, presenceInterval = 10 * time.Second, 3 * time.Second
+	// A process that starts joins a group of all processes earlyJoins times at
+	// earlyInterval, so that processes that start together soon know each other.
+	earlyJoins, earlyInterval = 6, 400 * time.Millisecond
 	// joinTimeout bounds one join.
 	joinTimeout = 700 * time.Millisecond
 	// maxTimeWithoutStore is how long partitions are kept without an answer of the store.
@@ -144,10 +147,14 @@
 
 // Run maintains the membership until ctx ends, and then leaves the group.
 func (j *Joiner) Run(ctx context.Context) {
-	for ctx.Err() == nil {
+	for round := 0; ctx.Err() == nil; round++ {
 		j.joinOrLeave(ctx)
+		interval := j.renewal.Interval
+		if j.wantedMembers == nil && round < earlyJoins {
+			interval = min(interval, earlyInterval)
+		}
 		select {
-		case <-j.clock.After(j.renewal.Interval):
+		case <-j.clock.After(interval):
 		case <-ctx.Done():
 		}
 	}
