Streams and items go on only at the software version that began them

Cause: the version in a target's entry was not read, so whatever went on did so at any target of the service: moves, retries, stalled streams, the next owner, a later job with the same item, a caller at another host.

Change: a text carries its software version, in memory, in drafts and in the store's record of its progress; it goes on only at targets of that version, and starts anew where they are gone or have had no room for as long as the text took. A stream keeps to its version within one response. Package registrar keeps where a stream began, at its host and two others; a caller that takes it up is sent there, or refused where nobody can tell and the service had several versions lately. Events of a target that was listed anew since the attempt began are dropped.

--- a/ladder/cataloger/cataloger.go
+++ b/ladder/cataloger/cataloger.go
@@ -61,6 +61,9 @@
 	desired map[identifier.ModelName]identifier.WeightVersion
 	// changed is closed and replaced at each change.
 	changed chan struct{}
+	// softwareSeen has, for each service, when a target of each software version was last
+	// listed or changed its entry.
+	softwareSeen map[identifier.ServiceName]map[identifier.SoftwareVersion]time.Time
 	// ready caches the results of ReadyTargets since the last change, by service.
 	ready map[identifier.ServiceName][]Target
 }
@@ -69,11 +72,12 @@
 func New(clock clockwork.Clock, d Decoder) *Cataloger {
 	return &Cataloger{
 		clock: clock, decoder: d,
-		targets: make(map[identifier.TargetName]Target),
-		lapsed:  make(map[identifier.TargetName]time.Time),
-		desired: make(map[identifier.ModelName]identifier.WeightVersion),
-		changed: make(chan struct{}),
-		ready:   make(map[identifier.ServiceName][]Target),
+		targets:      make(map[identifier.TargetName]Target),
+		lapsed:       make(map[identifier.TargetName]time.Time),
+		desired:      make(map[identifier.ModelName]identifier.WeightVersion),
+		changed:      make(chan struct{}),
+		softwareSeen: make(map[identifier.ServiceName]map[identifier.SoftwareVersion]time.Time),
+		ready:        make(map[identifier.ServiceName][]Target),
 	}
 }
 
@@ -128,6 +132,7 @@
 		return
 	}
 	klog.InfoS("target gone", "target", name, "offset", offset)
+	c.seeSoftware(c.targets[name])
 	delete(c.targets, name)
 }
 
@@ -296,5 +301,8 @@
 	if !known || old.State != t.State || old.StartID != t.StartID {
 		klog.InfoS("target listed", "target", name, "service", t.Service, "address", t.Address, "software", t.Software, "state", t.State, "offset", r.Offset)
 	}
+	if known {
+		s.seeSoftware(old)
+	}
 	s.targets[name] = t
 }
--- a/ladder/draftcacher/draftcacher.go
+++ b/ladder/draftcacher/draftcacher.go
@@ -111,7 +111,7 @@
 
 // FromProgress returns the draft of a stored partial text.
 func FromProgress(i *jobstorer.Item, p jobstorer.Progress) messenger.Draft {
-	return messenger.Draft{Item: i.ID, Prompt: PromptFingerprint(i), Text: p.Text, LastEvent: p.LastEvent, Versions: p.Versions}
+	return messenger.Draft{Item: i.ID, Prompt: PromptFingerprint(i), Text: p.Text, LastEvent: p.LastEvent, Versions: p.Versions, Software: p.Software}
 }
 
 func (c *DraftCacher) cachedDrafts(m identifier.ModelName) (list []messenger.Draft) {
--- a/ladder/explainer/events.go
+++ b/ladder/explainer/events.go
@@ -178,8 +178,13 @@
 	},
 	{
 		Name: "item starts anew, its version is gone", Level: LevelInfo, Scope: ScopeJob,
-		Fields:  []string{"job", "item", "version", "after"},
-		Meaning: "a text must come from one version of the weights, and no target has that version any more",
+		Fields:  []string{"job", "item", "versions", "software", "after"},
+		Meaning: "a text must come from one software version, and on some routes from one version of the weights, and no target has that version any more",
+	},
+	{
+		Name: "item starts anew, the targets of its software version have no room", Level: LevelInfo, Scope: ScopeJob,
+		Fields:  []string{"job", "item", "software", "after", "waited"},
+		Meaning: "the item has waited for as long as its text took, and targets of another software version have room",
 	},
 	{
 		Name: "item waits at a full engine", Level: LevelDetail, Scope: ScopeJob,
@@ -353,6 +358,12 @@
 		Fields:  []string{"request", "target", "software", "after", "cause"},
 		Meaning: "a resumable stream was interrupted after event `after`",
 	},
+	{
+		Name: "stream not taken up, its software version is unknown", Level: LevelInfo, Scope: ScopeRequest,
+		Fields:  []string{"request", "resumes", "after"},
+		Meaning: "a caller takes up a stream that none of the hosts asked knows, and targets of several software versions have served lately",
+		Action:  "many: hosts lose their memory or can't reach each other",
+	},
 	{
 		Name: "target gone", Level: LevelInfo, Scope: ScopeTarget,
 		Fields:  []string{"target", "offset"},
--- a/ladder/forwarder/forward.go
+++ b/ladder/forwarder/forward.go
@@ -158,7 +158,7 @@
 	if left < minTimeLeft {
 		return false
 	}
-	name, ok := w.router.Choose(w.candidates(w.service, w.tried, in), router.Monitored)
+	name, ok := w.router.Choose(w.candidates(w.service, selection{scope: in, tried: w.tried}), router.Monitored)
 	if !ok {
 		return false
 	}
@@ -272,7 +272,7 @@
 // retryTriedTargets allows all targets again after a pause, unless all of them have
 // reached their limits.
 func (w *forwarding) retryTriedTargets(ctx context.Context) (o Outcome, done bool) {
-	if w.deadline.Sub(w.clock.Now()) < 2*retryPause || len(w.tried) == 0 || len(w.candidates(w.service, nil, w.retryScope())) == 0 {
+	if w.deadline.Sub(w.clock.Now()) < 2*retryPause || len(w.tried) == 0 || len(w.candidates(w.service, selection{scope: w.retryScope()})) == 0 {
 		return w.noTargetOutcome(), true
 	}
 	select {
--- a/ladder/forwarder/forwarder.go
+++ b/ladder/forwarder/forwarder.go
@@ -3,6 +3,7 @@
 package forwarder
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/limiter"
+	"github.com/lycheeladder/lycheeladder/ladder/registrar"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
 	"github.com/lycheeladder/lycheeladder/ladder/sender"
 )
@@ -28,6 +30,9 @@
 	TimeLeft time.Duration
 	// ResumeAfter is the last event that the caller has received.
 	ResumeAfter identifier.EventNumber
+	// Resumes is the attempt that brought the first event of a stream that the caller
+	// takes up.
+	Resumes registrar.StreamID
 }
 
 // Outcome is a Response, a *Stream, a NotRun or an Unknown.
@@ -101,6 +106,14 @@
 	Convicted(f identifier.Fingerprint) bool
 }
 
+// Origins knows where streams began; *registrar.Registrar implements it.
+type Origins interface {
+	// Record keeps the origin of a stream.
+	Record(id registrar.StreamID, o registrar.Origin)
+	// Find returns the origin of a stream, which may have begun at another host.
+	Find(ctx context.Context, id registrar.StreamID) (registrar.Origin, bool)
+}
+
 // blockedRetryAfter is sent to callers of a blocked request.
 const blockedRetryAfter = 30 * time.Second
 
@@ -112,14 +125,15 @@
 	router    *router.Router
 	budget    *limiter.RetryBudget
 	blocklist Blocklist
+	origins   Origins
 	random    router.Random
 	memory    *memoryBudget
 }
 
 // New returns a Forwarder. random must be safe for concurrent use.
-func New(clock clockwork.Clock, c *cataloger.Cataloger, s sender.Sender, b Blocklist, random router.Random) *Forwarder {
+func New(clock clockwork.Clock, c *cataloger.Cataloger, s sender.Sender, b Blocklist, o Origins, random router.Random) *Forwarder {
 	return &Forwarder{
-		clock: clock, catalog: c, sender: s, blocklist: b, random: random,
+		clock: clock, catalog: c, sender: s, blocklist: b, origins: o, random: random,
 		router: router.New(clock, random, router.LeastExpectedWait{}),
 		budget: limiter.NewRetryBudget(retryShare, retryBurst), memory: newMemoryBudget(sharedBudgetBytes),
 	}
@@ -157,13 +171,26 @@
 	unlimitedTargets
 )
 
-// candidates returns the service's targets in scope without those already tried.
-func (f *Forwarder) candidates(s identifier.ServiceName, tried map[identifier.TargetName]bool, in scope) []router.Candidate {
-	targets := f.catalog.ReadyTargets(s)
+// selection says which targets of a service a request may use.
+type selection struct {
+	scope scope
+	// tried targets are left out.
+	tried map[identifier.TargetName]bool
+	// software admits only targets of that version; nil admits all.
+	software *identifier.SoftwareVersion
+}
+
+func (s selection) hasSoftware(t cataloger.Target) bool {
+	return s.software == nil || t.Software == *s.software
+}
+
+// candidates returns the targets of a service that a request may use.
+func (f *Forwarder) candidates(service identifier.ServiceName, s selection) []router.Candidate {
+	targets := f.catalog.ReadyTargets(service)
 	list := make([]router.Candidate, 0, len(targets))
 	for _, t := range targets {
 		a := f.sender.Allowance(t)
-		if tried[t.Name] || a.Wait > 0 || (a.Limited && in == unlimitedTargets) {
+		if s.tried[t.Name] || !s.hasSoftware(t) || a.Wait > 0 || (a.Limited && s.scope == unlimitedTargets) {
 			continue
 		}
 		list = append(list, router.Candidate{Target: t.Name, Service: t.Service, Zone: t.Zone, Warm: f.sender.Warm(t)})
@@ -171,10 +198,13 @@
 	return list
 }
 
-// limitWait returns how long to wait until a target of the service accepts a request
-// again, if they all have reached their limits, and 0 otherwise.
-func (f *Forwarder) limitWait(s identifier.ServiceName) (shortest time.Duration) {
-	for _, t := range f.catalog.ReadyTargets(s) {
+// limitWait returns how long to wait until a selected target of the service accepts a
+// request again, if they all have reached their limits, and 0 otherwise.
+func (f *Forwarder) limitWait(service identifier.ServiceName, s selection) (shortest time.Duration) {
+	for _, t := range f.catalog.ReadyTargets(service) {
+		if !s.hasSoftware(t) {
+			continue
+		}
 		wait := f.sender.Allowance(t).Wait
 		if wait == 0 {
 			return 0
@@ -188,7 +218,7 @@
 
 // notRun returns the outcome of a request that no target has accepted.
 func (f *Forwarder) notRun(s identifier.ServiceName) NotRun {
-	if wait := f.limitWait(s); wait > 0 {
+	if wait := f.limitWait(s, selection{}); wait > 0 {
 		return NotRun{RetryAfter: max(overloadRetryAfter, wait), Reason: "all targets have reached their request limits"}
 	}
 	return NotRun{RetryAfter: overloadRetryAfter, Reason: "no target accepted the request"}
--- a/ladder/forwarder/forwarder_test.go
+++ b/ladder/forwarder/forwarder_test.go
@@ -16,18 +16,31 @@
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/faker"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/registrar"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
 	"github.com/lycheeladder/lycheeladder/ladder/sender"
 	"github.com/lycheeladder/lycheeladder/ladder/storer"
 )
 
-// nameDecoder decodes target records that consist of a name only.
+// knownOrigins knows the streams that it was told of.
+type knownOrigins map[registrar.StreamID]registrar.Origin
+
+// Record implements Origins.
+func (k knownOrigins) Record(id registrar.StreamID, o registrar.Origin) { k[id] = o }
+
+// Find implements Origins.
+func (k knownOrigins) Find(_ context.Context, id registrar.StreamID) (registrar.Origin, bool) {
+	o, ok := k[id]
+	return o, ok
+}
+
+// nameDecoder decodes target records that consist of the software version only.
 type nameDecoder struct{}
 
 func (nameDecoder) Published(string, []byte) (cataloger.PublishedRecord, error) { return nil, nil }
 
-func (nameDecoder) Target(key string, _ []byte) (cataloger.Target, error) {
-	return cataloger.Target{Name: identifier.TargetName(key), Service: "s", State: cataloger.StateReady}, nil
+func (nameDecoder) Target(key string, value []byte) (cataloger.Target, error) {
+	return cataloger.Target{Name: identifier.TargetName(key), Service: "s", Software: identifier.SoftwareVersion(value), State: cataloger.StateReady}, nil
 }
 
 // countingBlocklist blocks every request after three failures.
@@ -48,7 +61,7 @@
 	}
 	c.TargetSink().Reset(records)
 	targets := faker.NewTargets(clock, b)
-	return New(clock, c, targets, &countingBlocklist{}, router.NewSharedRandom(1)), targets
+	return New(clock, c, targets, &countingBlocklist{}, knownOrigins{}, router.NewSharedRandom(1)), targets
 }
 
 func route(kind cataloger.RouteKind, attempts int) cataloger.Route {
--- /dev/null
+++ b/ladder/forwarder/origin.go
@@ -0,0 +1,93 @@
+package forwarder
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/registrar"
+)
+
+// What two software versions of a target generate doesn't fit together, and targets don't
+// check which version began a stream. A stream therefore goes on only at targets of the
+// version that began it, here or at the host where its caller takes it up.
+
+// originRetryAfter is sent to callers whose stream can't go on: its version may be listed
+// again, or its origin be found, after a restart.
+const originRetryAfter = 500 * time.Millisecond
+
+// takeUp finds out where a stream that the caller takes up may go on. It returns nil if
+// there is such a place, or for a new stream.
+func (s *Stream) takeUp() Outcome {
+	if s.request.ResumeAfter == 0 || !s.route.Resumable {
+		return nil
+	}
+	o, ok := s.forwarder.origins.Find(s.ctx, s.request.Resumes)
+	if !ok {
+		o, ok = s.forwarder.soleOrigin(s.route)
+	}
+	switch {
+	case !ok:
+		klog.InfoS("stream not taken up, its software version is unknown", "request", s.request.ID, "resumes", s.request.Resumes, "after", s.request.ResumeAfter)
+		return NotRun{RetryAfter: originRetryAfter, Reason: "the software version of the stream is unknown"}
+	case !hasShare(s.route, o.Service):
+		return NotRun{RetryAfter: originRetryAfter, Reason: "the stream's service is no longer on its route"}
+	}
+	s.service, s.software = o.Service, &o.Software
+	return nil
+}
+
+// soleOrigin returns the only place where a stream of the route can have begun, if there
+// is only one.
+func (f *Forwarder) soleOrigin(r cataloger.Route) (o registrar.Origin, ok bool) {
+	if len(r.Shares) != 1 {
+		return o, false
+	}
+	o.Service = r.Shares[0].Service
+	o.Software, ok = f.catalog.OnlySoftware(o.Service)
+	return o, ok
+}
+
+func hasShare(r cataloger.Route, s identifier.ServiceName) bool {
+	for _, share := range r.Shares {
+		if share.Service == s {
+			return true
+		}
+	}
+	return false
+}
+
+// errTargetReplaced says that another incarnation of the target has been listed since the
+// attempt began, which may be of another software version.
+var errTargetReplaced = errors.New("target has been replaced")
+
+// beginEvents handles the first event of an attempt, before it is passed on.
+func (s *Stream) beginEvents() error {
+	if !s.route.Resumable {
+		s.awaitsEvent = false
+		return nil
+	}
+	f := s.forwarder
+	current, ok := f.catalog.Target(s.target.Name)
+	if ok && (current.StartID != s.target.StartID || current.Software != s.target.Software) {
+		return errTargetReplaced
+	}
+	s.awaitsEvent = false
+	if s.software == nil {
+		software := s.target.Software
+		s.software = &software
+	}
+	f.origins.Record(s.streamID(), registrar.Origin{Service: s.service, Software: *s.software})
+	return nil
+}
+
+// streamID returns the id under which a caller takes the stream up.
+func (s *Stream) streamID() registrar.StreamID {
+	if s.request.Resumes != "" {
+		return s.request.Resumes
+	}
+	return registrar.StreamID(s.request.ID)
+}
--- /dev/null
+++ b/ladder/forwarder/origin_test.go
@@ -0,0 +1,167 @@
+package forwarder
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
+	"github.com/lycheeladder/lycheeladder/ladder/faker"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/registrar"
+	"github.com/lycheeladder/lycheeladder/ladder/sender"
+	"github.com/lycheeladder/lycheeladder/ladder/storer"
+)
+
+// listSoftware replaces the list of targets; the value is the software version.
+func listSoftware(f *Forwarder, targets map[string]string) {
+	var records []storer.Record
+	for name, software := range targets {
+		records = append(records, storer.Record{Key: name, Value: []byte(software)})
+	}
+	f.catalog.TargetSink().Reset(records)
+}
+
+func streamRoute() cataloger.Route {
+	r := route(cataloger.KindStream, 6)
+	r.Resumable, r.Timeout = true, 5*time.Second
+	return r
+}
+
+// softwareOf returns the software version of the target of each call.
+func softwareOf(calls []faker.SentCall, running map[string]string) (versions []string) {
+	for _, c := range calls {
+		versions = append(versions, running[string(c.Target)])
+	}
+	return versions
+}
+
+// breakEach breaks each run off after two events.
+func breakEach(_ cataloger.Target, c sender.Call, _ int) faker.Behaviour {
+	return faker.Behaviour{Events: 8, Gap: 10 * time.Millisecond, BreakAfter: c.ResumeAfter + 2}
+}
+
+// Guards against a stream that goes on at another software version within one response.
+func TestForwardStream_GoesOnAtOneSoftwareVersion(t *testing.T) {
+	running := map[string]string{"a": "v1", "b": "v1", "c": "v2", "d": "v2", "e": "v2", "f": "v1"}
+	for n := range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			f, targets := newForwarder(breakEach)
+			listSoftware(f, running)
+			s, ok := f.ForwardStream(context.Background(), streamRoute(), Request{ID: fmt.Sprint(n)}).(*Stream)
+			if !ok {
+				t.Fatal("no stream")
+			}
+			defer s.Close()
+			if numbers, _ := readAll(s); len(numbers) < 6 {
+				t.Errorf("%d events from three targets of the version", len(numbers))
+			}
+			for _, version := range softwareOf(targets.Calls(), running) {
+				if begun := running[string(targets.Calls()[0].Target)]; version != begun {
+					t.Errorf("a stream that %s began went on at %s", begun, version)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a stream that its caller takes up at another software version.
+func TestForwardStream_TakesUpAStreamWhereItBegan(t *testing.T) {
+	mixed := map[string]string{"a": "v1", "b": "v1", "c": "v2", "d": "v2"}
+	for name, c := range map[string]struct {
+		listed  map[string]string
+		resumes registrar.StreamID
+		// want is the software version at which the stream goes on, empty if it doesn't.
+		want string
+	}{
+		"known, both versions listed":   {mixed, "first", "v1"},
+		"known, its version is gone":    {map[string]string{"c": "v2", "d": "v2"}, "first", ""},
+		"known, the last of its kind":   {map[string]string{"a": "v1", "c": "v2", "d": "v2"}, "first", "v1"},
+		"unknown, both versions listed": {mixed, "lost", ""},
+		"unknown, one version listed":   {map[string]string{"c": "v2", "d": "v2"}, "lost", "v2"},
+		"not named, one version listed": {map[string]string{"c": "v2", "d": "v2"}, "", "v2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, targets := newForwarder(func(cataloger.Target, sender.Call, int) faker.Behaviour {
+					return faker.Behaviour{Events: 8, Gap: 10 * time.Millisecond}
+				})
+				f.origins = knownOrigins{"first": {Service: "s", Software: "v1"}}
+				f.catalog = cataloger.New(f.clock, nameDecoder{})
+				listSoftware(f, c.listed)
+				o := f.ForwardStream(context.Background(), streamRoute(), Request{ID: "second", ResumeAfter: 4, Resumes: c.resumes})
+				s, ok := o.(*Stream)
+				if _, refused := o.(NotRun); !ok && !refused {
+					t.Fatalf("outcome %+v", o)
+				}
+				got := ""
+				if ok {
+					defer s.Close()
+					if numbers, _ := readAll(s); !cmp.Equal(numbers, []identifier.EventNumber{5, 6, 7, 8}) {
+						t.Errorf("events %v", numbers)
+					}
+					got = softwareOf(targets.Calls(), c.listed)[0]
+				}
+				if got != c.want {
+					t.Errorf("goes on at %q, want %q", got, c.want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against an unknown stream that goes on because its version has just left the list.
+func TestForwardStream_AVersionThatHasJustLeftStillCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, _ := newForwarder(breakEach)
+		listSoftware(f, map[string]string{"a": "v1", "b": "v1"})
+		listSoftware(f, map[string]string{"c": "v2", "d": "v2"})
+		request := Request{ID: "second", ResumeAfter: 2, Resumes: "lost"}
+		if o, ok := f.ForwardStream(context.Background(), streamRoute(), request).(NotRun); !ok {
+			t.Errorf("outcome %+v", o)
+		}
+		time.Sleep(3 * time.Minute)
+		s, ok := f.ForwardStream(context.Background(), streamRoute(), request).(*Stream)
+		if !ok {
+			t.Fatal("no stream three minutes later")
+		}
+		s.Close()
+	})
+}
+
+// Guards against events of a target that has restarted with other software under its name.
+func TestForwardStream_DropsAnAttemptAtATargetThatWasReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		running := map[string]string{"a": "v1", "b": "v1", "c": "v1"}
+		var f *Forwarder
+		f, targets := newForwarder(func(t cataloger.Target, _ sender.Call, n int) faker.Behaviour {
+			b := faker.Behaviour{Events: 4, Gap: 10 * time.Millisecond}
+			if n == 1 { // it is listed anew before its first event
+				replaced := map[string]string{"a": "v1", "b": "v1", "c": "v1"}
+				replaced[string(t.Name)] = "v2"
+				go listSoftware(f, replaced)
+			}
+			if n == 0 {
+				b.BreakAfter = 2
+			}
+			return b
+		})
+		listSoftware(f, running)
+		s, ok := f.ForwardStream(context.Background(), streamRoute(), Request{ID: "x"}).(*Stream)
+		if !ok {
+			t.Fatal("no stream")
+		}
+		defer s.Close()
+		numbers, _ := readAll(s)
+		if diff := cmp.Diff([]identifier.EventNumber{1, 2, 3, 4}, numbers); diff != "" {
+			t.Error(diff)
+		}
+		if n := len(targets.Calls()); n != 3 {
+			t.Errorf("%d calls, want a third one instead of the events of the second", n)
+		}
+	})
+}
--- a/ladder/forwarder/stream.go
+++ b/ladder/forwarder/stream.go
@@ -41,6 +41,11 @@
 	// retries counts the attempts after the first.
 	retries int
 	tried   map[identifier.TargetName]bool
+	// software is the version that began the stream, which may only go on at targets of
+	// that version; nil before the first event.
+	software *identifier.SoftwareVersion
+	// awaitsEvent is set until the first event of an attempt.
+	awaitsEvent bool
 }
 
 const (
@@ -69,7 +74,10 @@
 		forwarder: f, ctx: ctx, cancel: cancel, request: r, route: route,
 		deadline: f.clock.Now().Add(limit), service: f.drawService(route), tried: make(map[identifier.TargetName]bool),
 	}
-	o := s.open()
+	o := s.takeUp()
+	if o == nil {
+		o = s.open()
+	}
 	if o != Outcome(s) {
 		s.Close()
 	}
@@ -126,7 +134,7 @@
 func (s *Stream) startAttempt(after identifier.EventNumber) (*sender.Response, error) {
 	f := s.forwarder
 	left := s.deadline.Sub(f.clock.Now())
-	name, ok := f.router.Choose(f.candidates(s.service, s.tried, anyTarget), router.Unmonitored)
+	name, ok := f.router.Choose(f.candidates(s.service, selection{tried: s.tried, software: s.software}), router.Unmonitored)
 	if !ok || left < minTimeLeft {
 		if ok {
 			f.router.Done(name, router.Unmonitored)
@@ -135,11 +143,11 @@
 	}
 	s.tried[name] = true
 	t, ok := f.catalog.Target(name)
-	if !ok {
+	if !ok || !(selection{software: s.software}).hasSoftware(t) { // the list has changed meanwhile
 		f.router.Done(name, router.Unmonitored)
 		return nil, sender.ErrNotSent
 	}
-	s.target = t
+	s.target, s.awaitsEvent = t, true
 	s.attempt, s.cancelAttempt = context.WithCancelCause(s.ctx)
 	s.startStallTimer()
 	call := s.request.call(left)
@@ -163,10 +171,10 @@
 	if !s.route.Resumable || s.retries+1 >= s.route.MaxAttempts {
 		return
 	}
-	f, tried, cancelAttempt := s.forwarder, maps.Clone(s.tried), s.cancelAttempt
+	f, tried, software, cancelAttempt := s.forwarder, maps.Clone(s.tried), s.software, s.cancelAttempt
 	s.stallTimeout = streamStallTimeout << s.retries
 	s.stallTimer = f.clock.AfterFunc(max(s.stallTimeout, firstEventGoals*s.route.LatencyGoal), func() {
-		if len(f.candidates(s.service, tried, unlimitedTargets)) > 0 {
+		if len(f.candidates(s.service, selection{scope: unlimitedTargets, tried: tried, software: software})) > 0 {
 			cancelAttempt(sender.ErrStalled)
 		}
 	})
@@ -190,6 +198,9 @@
 func (s *Stream) Next() (sender.Event, error) {
 	for {
 		e, err := s.events.Next()
+		if err == nil && s.awaitsEvent {
+			err = s.beginEvents()
+		}
 		if err == nil {
 			s.request.ResumeAfter = e.Number
 			if s.stallTimer != nil {
@@ -240,7 +251,7 @@
 	f := s.forwarder
 	for start := f.clock.Now(); ; {
 		response, err := s.startAttempt(after)
-		wait := f.limitWait(s.service)
+		wait := f.limitWait(s.service, selection{software: s.software})
 		switch {
 		case errors.Is(err, sender.ErrLimited):
 			continue
--- a/ladder/jobstorer/progress.go
+++ b/ladder/jobstorer/progress.go
@@ -26,6 +26,8 @@
 	Text      []byte                 `cbor:"3,keyasint"`
 	// Versions are the weight versions that generated the text, in ascending order.
 	Versions []identifier.WeightVersion `cbor:"4,keyasint"`
+	// Software is the version of the software that generated the text.
+	Software identifier.SoftwareVersion `cbor:"5,keyasint,omitempty"`
 }
 
 // SaveProgress stores the partial text of an item on a best-effort basis. A Progress
--- a/ladder/messenger/draft.go
+++ b/ladder/messenger/draft.go
@@ -24,4 +24,7 @@
 	// Versions has every weight version that generated an event of the text, in
 	// ascending order.
 	Versions []identifier.WeightVersion `cbor:"6,keyasint"`
+	// Software is the version of the software that generated the text. Only targets of
+	// the same version may continue it.
+	Software identifier.SoftwareVersion `cbor:"7,keyasint,omitempty"`
 }
--- a/ladder/messenger/question.go
+++ b/ladder/messenger/question.go
@@ -48,6 +48,10 @@
 	Permit *PermitCall `cbor:"6,keyasint,omitempty"`
 	// Limits requests the limits of targets that the peer knows.
 	Limits bool `cbor:"7,keyasint,omitempty"`
+	// RecordOrigin asks the peer to keep the origin of a stream.
+	RecordOrigin *StreamOrigin `cbor:"8,keyasint,omitempty"`
+	// FindOrigin asks for the origin of the stream with this id.
+	FindOrigin string `cbor:"9,keyasint,omitempty"`
 }
 
 // Reply is the response to the Question with the same ID. No part is set if the
@@ -64,6 +68,16 @@
 	Permit *PermitAnswer `cbor:"6,keyasint,omitempty"`
 	// Limits are the limits in force that the peer knows, in no particular order.
 	Limits []TargetLimit `cbor:"7,keyasint,omitempty"`
+	// Origin is nil if the peer doesn't know the stream.
+	Origin *StreamOrigin `cbor:"8,keyasint,omitempty"`
+}
+
+// StreamOrigin says where a stream began.
+type StreamOrigin struct {
+	// Stream is the id of the attempt that brought the first event.
+	Stream   string                     `cbor:"1,keyasint"`
+	Service  identifier.ServiceName     `cbor:"2,keyasint"`
+	Software identifier.SoftwareVersion `cbor:"3,keyasint,omitempty"`
 }
 
 // RequestLimit is the newest limit of a target that the sender has heard of.
--- /dev/null
+++ b/ladder/registrar/registrar_test.go
@@ -0,0 +1,140 @@
+package registrar
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+)
+
+// fleet is a number of hosts; those that have died or are silent answer nothing.
+type fleet struct {
+	hosts  map[string]*Registrar
+	listed []string
+	dead   map[string]bool
+	silent map[string]bool
+}
+
+func newFleet(hosts, listed int) *fleet {
+	f := &fleet{hosts: make(map[string]*Registrar), dead: make(map[string]bool), silent: make(map[string]bool)}
+	for n := range hosts {
+		name := fmt.Sprint("host-", n)
+		f.hosts[name] = New(clockwork.NewRealClock(), Options{Self: name, Peers: f, Members: func() []string { return f.listed }})
+		if n < listed {
+			f.listed = append(f.listed, name)
+		}
+	}
+	return f
+}
+
+// Ask implements querier.Peers.
+func (f *fleet) Ask(ctx context.Context, address string, q messenger.Question) (r messenger.Reply, err error) {
+	time.Sleep(time.Millisecond)
+	if f.silent[address] {
+		<-ctx.Done()
+	}
+	if f.dead[address] || f.silent[address] {
+		return r, errors.New("no answer")
+	}
+	h := f.hosts[address]
+	if q.RecordOrigin != nil {
+		h.Keep(*q.RecordOrigin)
+		return r, nil
+	}
+	if o, ok := h.Known(StreamID(q.FindOrigin)); ok {
+		r.Origin = &messenger.StreamOrigin{Stream: q.FindOrigin, Service: o.Service, Software: o.Software}
+	}
+	return r, nil
+}
+
+func (f *fleet) begin(streams int) {
+	for n := range streams {
+		f.hosts[fmt.Sprint("host-", n%len(f.hosts))].Record(StreamID(fmt.Sprint(n)), Origin{"s", "v1"})
+	}
+	time.Sleep(10 * time.Millisecond)
+}
+
+// found counts the streams that a host finds.
+func (f *fleet) found(host string, streams int) (count int) {
+	for n := range streams {
+		if o, ok := f.hosts[host].Find(context.Background(), StreamID(fmt.Sprint(n))); ok && o == (Origin{"s", "v1"}) {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against streams that can't be taken up because the host where they began has died.
+func TestFind_AtAnyHostAfterOthersHaveDied(t *testing.T) {
+	const streams = 60
+	for name, c := range map[string]struct {
+		hosts, listed int
+		disturb       func(f *fleet)
+		// least is how many streams must be found at the last host.
+		least int
+	}{
+		"all alive":                   {6, 6, func(*fleet) {}, streams},
+		"large fleet":                 {330, 12, func(*fleet) {}, streams},
+		"one died":                    {6, 6, func(f *fleet) { f.dead["host-0"] = true }, streams},
+		"one is silent":               {6, 6, func(f *fleet) { f.silent["host-0"] = true }, streams},
+		"two of six died":             {6, 6, func(f *fleet) { f.dead["host-0"], f.dead["host-1"] = true, true }, streams * 3 / 4},
+		"the others list another one": {6, 5, func(f *fleet) { f.listed = append(f.listed, "host-5") }, streams * 3 / 4},
+		"alone":                       {1, 1, func(*fleet) {}, streams},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(c.hosts, c.listed)
+				f.begin(streams)
+				c.disturb(f)
+				start := time.Now()
+				found := f.found(fmt.Sprint("host-", c.hosts-1), streams)
+				if found < c.least {
+					t.Errorf("%d of %d streams found, want at least %d", found, streams, c.least)
+				}
+				if took := time.Since(start); took > streams*findTimeout {
+					t.Errorf("took %s", took)
+				}
+				time.Sleep(3 * storeTimeout) // questions without an answer end
+			})
+		})
+	}
+}
+
+func TestFind_UntilItExpires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2, 2)
+		f.begin(1)
+		time.Sleep(retention / 2)
+		f.hosts["host-1"].Record("0", Origin{"s", "v1"}) // taken up
+		time.Sleep(retention * 3 / 4)
+		if n := f.found("host-1", 1); n != 1 {
+			t.Error("a stream that was taken up has expired")
+		}
+		time.Sleep(retention)
+		if n := f.found("host-0", 1); n != 0 {
+			t.Error("the stream has not expired")
+		}
+	})
+}
+
+func TestKeep_DropsTheOldestBeyondItsBound(t *testing.T) {
+	r := New(clockwork.NewFakeClock(), Options{})
+	for n := range maxOrigins + 10 {
+		r.Keep(messenger.StreamOrigin{Stream: fmt.Sprint(n)})
+	}
+	if len(r.origins) != maxOrigins || len(r.order) != maxOrigins {
+		t.Errorf("%d origins, %d in order, want %d", len(r.origins), len(r.order), maxOrigins)
+	}
+	if _, ok := r.Known("9"); ok {
+		t.Error("the oldest origin is still there")
+	}
+	if _, ok := r.Known(StreamID(fmt.Sprint(maxOrigins + 9))); !ok {
+		t.Error("the newest origin is missing")
+	}
+}
--- a/ladder/scheduler/draft.go
+++ b/ladder/scheduler/draft.go
@@ -80,7 +80,7 @@
 		return
 	}
 	t.text, t.textBytes, t.lastEvent, t.textComplete = [][]byte{d.Text}, len(d.Text)+1, d.LastEvent, d.Complete
-	t.versions, t.savedEvent = slices.Clone(d.Versions), d.LastEvent
+	t.versions, t.software, t.savedEvent = slices.Clone(d.Versions), d.Software, d.LastEvent
 }
 
 // canUseVersions reports whether a job may use the versions of a draft. A partial
@@ -113,7 +113,7 @@
 	}
 	s.drafts.Keep(t.job.Model, messenger.Draft{
 		Item: t.key.item, Prompt: draftcacher.PromptFingerprint(t.item), Text: bytes.Join(t.text, []byte("\n")),
-		LastEvent: t.lastEvent, Complete: t.textComplete, Versions: slices.Clone(t.versions),
+		LastEvent: t.lastEvent, Complete: t.textComplete, Versions: slices.Clone(t.versions), Software: t.software,
 	})
 }
 
--- a/ladder/scheduler/place.go
+++ b/ladder/scheduler/place.go
@@ -55,12 +55,18 @@
 	}
 	t.restartIfVersionGone(s.catalog, route)
 	candidates := s.candidates(t, route, c, anyTarget)
+	if len(candidates) == 0 && s.shouldRestart(t, route, c) {
+		klog.InfoS("item starts anew, the targets of its software version have no room", "job", t.key.job, "item", t.key.item, "software", t.software,
+			"after", t.lastEvent, "waited", s.clock.Since(t.waitingSince))
+		t.discardText()
+		candidates = s.candidates(t, route, c, anyTarget)
+	}
 	name, ok := s.router.Choose(candidates, router.Monitored)
 	if !ok {
 		return
 	}
 	target, ok := s.catalog.Target(name)
-	if !ok {
+	if !ok || !t.canRunOn(target) { // the list may have changed since candidates was made
 		s.router.Done(name, router.Monitored)
 		return
 	}
@@ -134,35 +140,66 @@
 	return 1
 }
 
-// canRunOn reports whether the target serves weights that may continue the text.
+// canRunOn reports whether the target may continue the text and has the weights that the
+// job asks for.
 func (t *task) canRunOn(target cataloger.Target) bool {
-	if t.job.Model == "" {
-		return true
+	if t.job.Model != "" && target.Weights[t.job.Model] < t.job.MinVersion {
+		return false
 	}
-	version := target.Weights[t.job.Model]
-	if version < t.job.MinVersion {
+	return t.continuesOn(target, t.route)
+}
+
+// continuesOn reports whether what the target generates fits the text.
+func (t *task) continuesOn(target cataloger.Target, route cataloger.Route) bool {
+	if t.lastEvent > 0 && target.Software != t.software {
 		return false
 	}
-	return !t.route.SingleVersion || len(t.versions) == 0 || t.versions[0] == version
+	return t.job.Model == "" || !route.SingleVersion || len(t.versions) == 0 || t.versions[0] == target.Weights[t.job.Model]
 }
 
-// restartIfVersionGone discards the text of an item on a single-version route if no
-// target serves its version any more.
+// restartIfVersionGone discards the text of an item if no target is left that can
+// continue it.
 func (t *task) restartIfVersionGone(c *cataloger.Cataloger, route cataloger.Route) {
-	if !route.SingleVersion || len(t.versions) == 0 {
+	if t.lastEvent == 0 {
 		return
 	}
 	for _, share := range route.Shares {
 		for _, target := range c.ReadyTargets(share.Service) {
-			if target.Weights[t.job.Model] == t.versions[0] {
+			if t.continuesOn(target, route) {
 				return
 			}
 		}
 	}
-	klog.InfoS("item starts anew, its version is gone", "job", t.key.job, "item", t.key.item, "version", t.versions[0], "after", t.lastEvent)
+	klog.InfoS("item starts anew, its version is gone", "job", t.key.job, "item", t.key.item, "versions", t.versions, "software", t.software, "after", t.lastEvent)
 	t.discardText()
 }
 
+// shouldRestart reports whether an item has waited for the targets of its software version
+// for as long as its text took, while another version has room. Waiting longer would cost
+// more than generating the text again.
+func (s *Scheduler) shouldRestart(t *task, route cataloger.Route, c *cataloger.Configuration) bool {
+	if t.lastEvent == 0 {
+		return false
+	}
+	var usualGap time.Duration
+	for _, share := range route.Shares {
+		usualGap = max(usualGap, s.router.MeanChunkInterval(share.Service))
+	}
+	if s.clock.Since(t.waitingSince) < max(minRestartWait, time.Duration(t.lastEvent)*usualGap) {
+		return false
+	}
+	fresh := *t
+	fresh.lastEvent, fresh.versions = 0, nil
+	return slices.ContainsFunc(s.candidates(&fresh, route, c, anyTarget), func(candidate router.Candidate) bool {
+		target, ok := s.catalog.Target(candidate.Target)
+		return ok && target.Software != t.software
+	})
+}
+
+// minRestartWait is the least time that an item waits for its software version. A target
+// that refuses is left alone for as long.
+const minRestartWait = refusalCooldown
+
 // avoid keeps all items away from a target for d.
 func (s *Scheduler) avoid(name identifier.TargetName, d time.Duration) {
 	s.mutex.Lock()
--- a/ladder/scheduler/scheduler_test.go
+++ b/ladder/scheduler/scheduler_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,6 +23,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/jobstorer"
 	"github.com/lycheeladder/lycheeladder/ladder/joiner"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/registrar"
 	"github.com/lycheeladder/lycheeladder/ladder/relayer"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
 	"github.com/lycheeladder/lycheeladder/ladder/sender"
@@ -29,7 +31,8 @@
 )
 
 // testDecoder decodes the records of the tests. The value of a target record is its
-// service, and any key but that of the configuration announces version 3.
+// service, with a software version after an @, and any key but that of the configuration
+// announces version 3.
 type testDecoder struct{ configuration *cataloger.Configuration }
 
 func (p testDecoder) Published(key string, _ []byte) (cataloger.PublishedRecord, error) {
@@ -40,8 +43,9 @@
 }
 
 func (testDecoder) Target(key string, value []byte) (cataloger.Target, error) {
+	service, software, _ := strings.Cut(string(value), "@")
 	return cataloger.Target{
-		Name: identifier.TargetName(key), Service: identifier.ServiceName(value), State: cataloger.StateReady, Slots: 4,
+		Name: identifier.TargetName(key), Service: identifier.ServiceName(service), Software: identifier.SoftwareVersion(software), State: cataloger.StateReady, Slots: 4,
 		Weights: map[identifier.ModelName]identifier.WeightVersion{"m": 2},
 	}, nil
 }
@@ -123,7 +127,8 @@
 		SinceStoreAnswer: func() time.Duration { return 0 },
 	})
 	random := router.NewSharedRandom(1)
-	f := forwarder.New(env.clock, env.catalog, env.targets, blocklister.New(env.clock, env.store, storer.Partition{Topic: "breaks"}), random)
+	f := forwarder.New(env.clock, env.catalog, env.targets, blocklister.New(env.clock, env.store, storer.Partition{Topic: "breaks"}),
+		registrar.New(env.clock, registrar.Options{Members: func() []string { return nil }}), random)
 	e.draftCacher = draftcacher.New(env.clock, e.jobs)
 	collector := relayer.NewDraftCollector(e.draftCacher.Drafts, func(identifier.JobID) []string { return addresses }, env)
 	owner := joiner.New(env.clock, env.group.Member(name), joiner.Options{
--- a/ladder/scheduler/task.go
+++ b/ladder/scheduler/task.go
@@ -100,6 +100,9 @@
 	savedEvent identifier.EventNumber
 	// versions are the weight versions that generated the text, in ascending order.
 	versions []identifier.WeightVersion
+	// software is the version of the software that generated the text. Only targets of
+	// the same version may continue it.
+	software identifier.SoftwareVersion
 	// failures counts the error responses of targets.
 	failures int
 	// leftTarget is the target that the item left last, and leftUntil when it may
@@ -164,7 +167,7 @@
 
 // discardText makes the item start over.
 func (t *task) discardText() {
-	t.text, t.textBytes, t.lastEvent, t.versions = nil, 0, 0, nil
+	t.text, t.textBytes, t.lastEvent, t.versions, t.software = nil, 0, 0, nil, ""
 	if t.savedEvent > 0 {
 		t.savedEvent = 0
 		t.scheduler.jobs.SaveProgress(t.key.job, jobstorer.Progress{Item: t.key.item})
@@ -180,6 +183,7 @@
 	t.savedEvent = t.lastEvent
 	t.scheduler.jobs.SaveProgress(t.key.job, jobstorer.Progress{
 		Item: t.key.item, LastEvent: t.lastEvent, Text: bytes.Join(t.text, []byte("\n")), Versions: slices.Clone(t.versions),
+		Software: t.software,
 	})
 }
 
