Scoring calls that met crashes are sent again

What trainers saw: an item whose scoring call three scorers had crashed under was complete and never listed: the call was blocked at all hosts for five minutes.

Cause: scoring calls went through the blocklist of requests that crash targets, which is meant for callers. What is handed in for later is owed whatever happens under it. Items themselves were not concerned.

--- a/ladder/forwarder/forward.go
+++ b/ladder/forwarder/forward.go
@@ -93,7 +93,7 @@
 func (w *forwarding) run(ctx context.Context) Outcome {
 	w.service = w.drawService(w.route)
 	w.fingerprint = identifier.NewFingerprint("", identifier.CallName(w.request.Path), w.request.Body)
-	if w.blocklist.Convicted(w.fingerprint) {
+	if w.isBlocked() {
 		return NotRun{RetryAfter: blockedRetryAfter, Reason: "the request is blocked because it crashes targets"}
 	}
 	if !w.startAttempt(ctx, anyTarget) {
@@ -117,6 +117,10 @@
 	}
 }
 
+func (w *forwarding) isBlocked() bool {
+	return !w.request.Owed && w.blocklist.Convicted(w.fingerprint)
+}
+
 // hedgeDelay returns how long the first target may be silent before a second one
 // is asked. It is bounded by the route's latency goal, since a service may receive
 // calls of several kinds and the slowest ones raise its usual response time.
@@ -234,8 +238,10 @@
 	case r.err != nil:
 		w.executed++
 		w.mayHaveRun = true
-		w.blocklist.BrokeOff(w.fingerprint, r.target)
-		retry = w.mayRepeat() && w.executed < max(1, w.route.MaxAttempts) && !w.blocklist.Convicted(w.fingerprint)
+		if !w.request.Owed {
+			w.blocklist.BrokeOff(w.fingerprint, r.target)
+		}
+		retry = w.mayRepeat() && w.executed < max(1, w.route.MaxAttempts) && !w.isBlocked()
 	case r.response.NotRun:
 		retry = true
 	case r.response.Succeeded():
--- a/ladder/forwarder/forwarder.go
+++ b/ladder/forwarder/forwarder.go
@@ -30,6 +30,9 @@
 	TimeLeft time.Duration
 	// ResumeAfter is the last event that the caller has received.
 	ResumeAfter identifier.EventNumber
+	// Owed requests are sent again whatever happened to targets under them. They are part
+	// of a batch job, whose requests don't crash targets by themselves.
+	Owed bool
 	// Resumes is the attempt that brought the first event of a stream that the caller
 	// takes up.
 	Resumes registrar.StreamID
--- a/ladder/scheduler/scheduler_test.go
+++ b/ladder/scheduler/scheduler_test.go
@@ -59,6 +59,8 @@
 	group   *faker.Group
 	targets *faker.Targets
 	catalog *cataloger.Cataloger
+	// scorers defines the behaviour of the scorers, if it is set.
+	scorers behaviourFunc
 	*entry
 	// others are entries that were started later.
 	others []*entry
@@ -103,6 +105,9 @@
 		{Key: "y", Value: []byte("scorers")},
 	})
 	env.targets = faker.NewTargets(clock, func(t cataloger.Target, c sender.Call, n int) faker.Behaviour {
+		if t.Service == "scorers" && env.scorers != nil {
+			return env.scorers(t, c, n)
+		}
 		if t.Service == "scorers" {
 			return faker.Behaviour{Delay: 50 * time.Millisecond}
 		}
@@ -127,7 +132,8 @@
 		SinceStoreAnswer: func() time.Duration { return 0 },
 	})
 	random := router.NewSharedRandom(1)
-	f := forwarder.New(env.clock, env.catalog, env.targets, blocklister.New(env.clock, env.store, storer.Partition{Topic: "breaks"}),
+	blocklist := blocklister.New(env.clock, env.store, storer.Partition{Topic: "breaks"})
+	f := forwarder.New(env.clock, env.catalog, env.targets, blocklist,
 		registrar.New(env.clock, registrar.Options{Members: func() []string { return nil }}), random)
 	e.draftCacher = draftcacher.New(env.clock, e.jobs)
 	collector := relayer.NewDraftCollector(e.draftCacher.Drafts, func(identifier.JobID) []string { return addresses }, env)
@@ -140,6 +146,7 @@
 	var tasks conc.WaitGroup
 	tasks.Go(func() { owner.Run(member) })
 	tasks.Go(func() { e.jobs.Run(working, owner.Owns) })
+	tasks.Go(func() { blocklist.Run(working) })
 	tasks.Go(func() { e.Run(working) })
 	e.resign = resign
 	e.stop = func() { end(); tasks.Wait() }
--- a/ladder/scheduler/score.go
+++ b/ladder/scheduler/score.go
@@ -96,7 +96,7 @@
 		if routed {
 			outcome := s.forwarder.Forward(ctx, route, forwarder.Request{
 				ID: scorer.ID, Method: http.MethodPost, Path: scorer.Path, Host: scorer.Host,
-				Header: http.Header{}, Body: scorer.Body, TimeLeft: scorerTimeout,
+				Header: http.Header{}, Body: scorer.Body, TimeLeft: scorerTimeout, Owed: true,
 			})
 			if refusal, ok := outcome.(forwarder.NotRun); ok {
 				delay = max(delay, refusal.RetryAfter)
