--- a/ladder/throttler/throttler_test.go
+++ b/ladder/throttler/throttler_test.go
@@ -464,3 +464,16 @@
 		}
 	})
 }
+
+func BenchmarkAnswer(b *testing.B) {
+	members := make([]string, maxListed)
+	for n := range members {
+		members[n] = fmt.Sprintf("10.0.0.%d:7080", n)
+	}
+	t := New(clockwork.NewRealClock(), nil, Options{Self: members[0]})
+	t.roster.Update(time.Now(), members, time.Now())
+	call := messenger.PermitCall{Target: messenger.TargetLimit{Target: "i-7f3a91c2", Limit: messenger.RequestLimit{Limited: true, Rate: 1e6}}}
+	for b.Loop() {
+		t.Answer(call)
+	}
+}
