Items use what limited targets allow

Cause, from the logs: one pass placed up to eight items on an engine with one permit, the others were denied and backed off for up to a second each, while other engines had permits; a host was told to wait for all that had been denied before it; a load asked a limited engine every 0.5 s whether it was idle.

Change: at most two items wait for permits of one engine, a denied item backs off no further, a host waits for the next permit only, limited engines aren't polled until they are idle, and a host that has not settled grants 0.3 instead of 0.25 of a limit (0.33 failed the property at 60,000 cases, 0.3 did not).

--- a/ladder/permitter/bucket.go
+++ b/ladder/permitter/bucket.go
@@ -33,7 +33,7 @@
 // exceed 6 s, and that of the capacities not 5.
 var termsByStanding = map[Standing]terms{
 	Settled:   {share: 1, capacity: 2},
-	Unsettled: {share: 0.25, capacity: 1},
+	Unsettled: {share: 0.3, capacity: 1},
 	StandIn:   {share: 0.125, capacity: 1},
 }
 
@@ -46,6 +46,9 @@
 	// minWait and maxWait bound how long a host that was denied a permit waits before
 	// it asks again.
 	minWait, maxWait = 10 * time.Millisecond, time.Second
+	// denialSpread is the time between the next questions of two hosts that were denied,
+	// so that a large fleet doesn't ask for the next permit all at once.
+	denialSpread = 3 * time.Millisecond
 )
 
 // Bucket holds the permits that one host may grant for one target. The zero value is
@@ -62,7 +65,7 @@
 }
 
 // Grant takes a permit. If there is none, it returns how long to wait before the next
-// attempt: as long as it takes to serve all that were denied.
+// attempt: until there is one, or longer if many were denied.
 func (b *Bucket) Grant(now time.Time, limit identifier.RequestRate, s Standing) (wait time.Duration, granted bool) {
 	rate := b.refill(now, limit, s)
 	if b.permits >= 1 {
@@ -71,8 +74,8 @@
 		return 0, true
 	}
 	b.denied++
-	seconds := (float64(b.denied) - b.permits) / rate
-	return min(max(minWait, time.Duration(min(seconds, maxWait.Seconds())*float64(time.Second))), maxWait), false
+	next := time.Duration(min((1-b.permits)/rate, maxWait.Seconds()) * float64(time.Second))
+	return min(max(minWait, next, time.Duration(b.denied)*denialSpread), maxWait), false
 }
 
 // Charge takes a permit whether or not there is one, for a request that must be sent.
--- a/ladder/scheduler/place.go
+++ b/ladder/scheduler/place.go
@@ -70,6 +70,9 @@
 		s.router.Done(name, router.Monitored)
 		return
 	}
+	if s.sender.Allowance(target).Limited {
+		s.placedWithLimit[name]++
+	}
 	klog.InfoS("item placed", "job", t.key.job, "item", t.key.item, "target", name, "software", target.Software, "after", t.lastEvent, "waited", s.clock.Since(t.waitingSince),
 		"candidates", len(candidates), "in-flight", s.router.InFlight(name), "slowness", s.router.Slowness(name))
 	runCtx := t.begin(ctx, route)
@@ -87,8 +90,9 @@
 	unlimitedTargets
 )
 
-// maxPendingPermits is how many items may wait for a permit of one target.
-const maxPendingPermits = 3
+// maxPendingPermits is how many items may wait for a permit of one target. More would be
+// denied and could have gone elsewhere meanwhile.
+const maxPendingPermits = 2
 
 // mayReceive reports whether a target in scope accepts a request now.
 func (s *Scheduler) mayReceive(target cataloger.Target, in scope) bool {
@@ -96,7 +100,7 @@
 	if !a.Limited {
 		return true
 	}
-	return in == anyTarget && a.Wait == 0 && a.Pending < maxPendingPermits
+	return in == anyTarget && a.Wait == 0 && a.Pending+s.placedWithLimit[target.Name] < maxPendingPermits
 }
 
 // candidates returns the targets in scope that may run the task now.
--- a/ladder/scheduler/scheduler.go
+++ b/ladder/scheduler/scheduler.go
@@ -71,6 +71,9 @@
 	mutex sync.Mutex
 	// tasks holds every item that this process works on.
 	tasks map[taskKey]*task
+	// placedWithLimit counts the items that the current pass has placed on targets that
+	// limit their requests.
+	placedWithLimit map[identifier.TargetName]int
 	// avoidedUntil is when a target may get items again.
 	avoidedUntil map[identifier.TargetName]time.Time
 }
@@ -121,6 +124,7 @@
 	jobs := s.openJobs(configuration)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.placedWithLimit = make(map[identifier.TargetName]int)
 	for _, j := range jobs {
 		if added := s.addTasks(j); len(added) > 0 {
 			s.collectDrafts(ctx, j, added, tasks)
--- a/ladder/scheduler/task.go
+++ b/ladder/scheduler/task.go
@@ -6,12 +6,14 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/jobstorer"
 	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
+	"github.com/lycheeladder/lycheeladder/ladder/sender"
 )
 
 const (
@@ -192,7 +194,7 @@
 	s := t.scheduler
 	s.mutex.Lock()
 	t.running, t.waitingSince = false, s.clock.Now()
-	t.updateBackoff(err != nil && t.lastEvent <= startEvent)
+	t.updateBackoff(err != nil && !errors.Is(err, sender.ErrLimited) && t.lastEvent <= startEvent)
 	t.cancel()
 	s.mutex.Unlock()
 	s.Wake()
--- a/ladder/throttler/control.go
+++ b/ladder/throttler/control.go
@@ -24,7 +24,9 @@
 	if err := c.throttler.acquire(ctx, t); err != nil {
 		return updater.TargetStatus{}, err
 	}
-	return c.client.Status(ctx, t)
+	status, err := c.client.Status(ctx, t)
+	status.Limited = c.throttler.Allowance(t).Limited
+	return status, err
 }
 
 // Load implements updater.TargetClient. It is charged rather than denied, since without
--- a/ladder/updater/updater.go
+++ b/ladder/updater/updater.go
@@ -67,6 +67,9 @@
 	// Running is the number of running requests; it may be some hundred milliseconds
 	// old.
 	Running int
+	// Limited is set if the target limits its requests, so that asking it again until it
+	// is idle would use up what it accepts.
+	Limited bool
 	Weights map[identifier.ModelName]identifier.WeightVersion
 }
 
@@ -287,7 +290,7 @@
 	if r.OrderInProgress {
 		return errors.Wrap(ErrRefused, "target is carrying out another order")
 	}
-	if preferIdle && r.Running > 0 {
+	if preferIdle && r.Running > 0 && !r.Limited {
 		return errors.Wrapf(ErrRefused, "target runs %d requests", r.Running)
 	}
 	var holds bool
