--- a/ladder/forwarder/forward.go
+++ b/ladder/forwarder/forward.go
@@ -96,7 +96,7 @@
 	if w.isBlocked() {
 		return NotRun{RetryAfter: blockedRetryAfter, Reason: "the request is blocked because it crashes targets"}
 	}
-	if !w.startAttempt(ctx, anyTarget) {
+	if !w.startAttempt(ctx, sender.Required) {
 		return w.noTargetOutcome()
 	}
 	hedge := w.clock.After(w.hedgeDelay())
@@ -108,7 +108,7 @@
 			}
 		case <-hedge:
 			hedge = nil
-			if w.mayRepeat() && w.executed+len(w.open) < w.route.MaxAttempts && w.budget.TrySpend() && w.startAttempt(ctx, unlimitedTargets) {
+			if w.mayRepeat() && w.executed+len(w.open) < w.route.MaxAttempts && w.budget.TrySpend() && w.startAttempt(ctx, sender.Optional) {
 				klog.InfoS("second target asked, the first is silent", "request", w.request.ID, "service", w.service)
 			}
 		case <-ctx.Done():
@@ -155,14 +155,13 @@
 	return NotRun{RetryAfter: overloadRetryAfter, Reason: "time limit expired"}
 }
 
-// startAttempt sends the request to one more target in scope. It returns false if there is
-// none.
-func (w *forwarding) startAttempt(ctx context.Context, in scope) bool {
+// startAttempt sends the request to one more target. It returns false if there is none.
+func (w *forwarding) startAttempt(ctx context.Context, n sender.Need) bool {
 	left := w.deadline.Sub(w.clock.Now())
 	if left < minTimeLeft {
 		return false
 	}
-	name, ok := w.router.Choose(w.candidates(w.service, selection{scope: in, tried: w.tried}), router.Monitored)
+	name, ok := w.router.Choose(w.candidates(w.service, selection{need: n, tried: w.tried}), router.Monitored)
 	if !ok {
 		return false
 	}
@@ -260,25 +259,25 @@
 	if !retry {
 		return w.noTargetOutcome(), true
 	}
-	if w.startAttempt(ctx, w.retryScope()) {
+	if w.startAttempt(ctx, w.retryNeed()) {
 		return nil, false
 	}
 	return w.retryTriedTargets(ctx)
 }
 
-// retryScope returns the scope of further attempts. Each denied permit costs a round trip
-// to another host.
-func (w *forwarding) retryScope() scope {
+// retryNeed returns the need of further attempts. Each denied permit costs a round trip to
+// another host, so that after some of them only targets without a limit are tried.
+func (w *forwarding) retryNeed() sender.Need {
 	if w.denials >= maxDenials {
-		return unlimitedTargets
+		return sender.Optional
 	}
-	return anyTarget
+	return sender.Required
 }
 
 // retryTriedTargets allows all targets again after a pause, unless all of them have
 // reached their limits.
 func (w *forwarding) retryTriedTargets(ctx context.Context) (o Outcome, done bool) {
-	if w.deadline.Sub(w.clock.Now()) < 2*retryPause || len(w.tried) == 0 || len(w.candidates(w.service, selection{scope: w.retryScope()})) == 0 {
+	if w.deadline.Sub(w.clock.Now()) < 2*retryPause || len(w.tried) == 0 || len(w.candidates(w.service, selection{need: w.retryNeed()})) == 0 {
 		return w.noTargetOutcome(), true
 	}
 	select {
@@ -287,7 +286,7 @@
 		return w.timeoutOutcome(), true
 	}
 	clear(w.tried)
-	if !w.startAttempt(ctx, w.retryScope()) {
+	if !w.startAttempt(ctx, w.retryNeed()) {
 		return w.noTargetOutcome(), true
 	}
 	return nil, false
--- a/ladder/forwarder/stream.go
+++ b/ladder/forwarder/stream.go
@@ -174,7 +174,7 @@
 	f, tried, software, cancelAttempt := s.forwarder, maps.Clone(s.tried), s.software, s.cancelAttempt
 	s.stallTimeout = streamStallTimeout << s.retries
 	s.stallTimer = f.clock.AfterFunc(max(s.stallTimeout, firstEventGoals*s.route.LatencyGoal), func() {
-		if len(f.candidates(s.service, selection{scope: unlimitedTargets, tried: tried, software: software})) > 0 {
+		if len(f.candidates(s.service, selection{need: sender.Optional, tried: tried, software: software})) > 0 {
 			cancelAttempt(sender.ErrStalled)
 		}
 	})
--- a/ladder/scheduler/place.go
+++ b/ladder/scheduler/place.go
@@ -13,6 +13,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/jobstorer"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
+	"github.com/lycheeladder/lycheeladder/ladder/sender"
 )
 
 // readyTasks returns the tasks that wait for a target, in the order in which they
@@ -54,12 +55,12 @@
 		return
 	}
 	t.restartIfVersionGone(s.catalog, route)
-	candidates := s.candidates(t, route, c, anyTarget)
+	candidates := s.candidates(t, route, c, sender.Required)
 	if len(candidates) == 0 && s.shouldRestart(t, route, c) {
 		klog.InfoS("item starts anew, the targets of its software version have no room", "job", t.key.job, "item", t.key.item, "software", t.software,
 			"after", t.lastEvent, "waited", s.clock.Since(t.waitingSince))
 		t.discardText()
-		candidates = s.candidates(t, route, c, anyTarget)
+		candidates = s.candidates(t, route, c, sender.Required)
 	}
 	name, ok := s.router.Choose(candidates, router.Monitored)
 	if !ok {
@@ -79,37 +80,23 @@
 	tasks.Go(func() { t.catchPanic(func() { t.run(runCtx, target) }) })
 }
 
-// scope says which targets may run a task.
-type scope int
-
-const (
-	// anyTarget admits all targets that accept a request now.
-	anyTarget scope = iota
-	// unlimitedTargets admits only those that name no request limit. It applies to moves,
-	// which are useful but not needed.
-	unlimitedTargets
-)
-
 // maxPendingPermits is how many items may wait for a permit of one target. More would be
 // denied and could have gone elsewhere meanwhile.
 const maxPendingPermits = 2
 
-// mayReceive reports whether a target in scope accepts a request now.
-func (s *Scheduler) mayReceive(target cataloger.Target, in scope) bool {
+// mayReceive reports whether a target accepts an item now. The caller must hold the mutex.
+func (s *Scheduler) mayReceive(target cataloger.Target, n sender.Need) bool {
 	a := s.sender.Allowance(target)
-	if !a.Limited {
-		return true
-	}
-	return in == anyTarget && a.Wait == 0 && a.Pending+s.placedWithLimit[target.Name] < maxPendingPermits
+	return a.Admits(n) && (!a.Limited || a.Pending+s.placedWithLimit[target.Name] < maxPendingPermits)
 }
 
-// candidates returns the targets in scope that may run the task now.
-func (s *Scheduler) candidates(t *task, route cataloger.Route, c *cataloger.Configuration, in scope) (list []router.Candidate) {
+// candidates returns the targets that may run the task now. Moves are optional.
+func (s *Scheduler) candidates(t *task, route cataloger.Route, c *cataloger.Configuration, n sender.Need) (list []router.Candidate) {
 	now := s.clock.Now()
 	for _, share := range route.Shares {
 		for _, target := range s.catalog.ReadyTargets(share.Service) {
 			switch {
-			case !s.mayReceive(target, in):
+			case !s.mayReceive(target, n):
 			case !t.canRunOn(target), s.avoidedUntil[target.Name].After(now):
 			case t.leftTarget == target.Name && t.leftUntil.After(now):
 			case s.router.InFlight(target.Name) >= slotsOf(target, c):
@@ -130,7 +117,7 @@
 	c := s.catalog.Configuration()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.router.HasFasterCandidate(current.Name, s.candidates(t, t.route, c, unlimitedTargets), minMoveSpeedup)
+	return s.router.HasFasterCandidate(current.Name, s.candidates(t, t.route, c, sender.Optional), minMoveSpeedup)
 }
 
 // slotsOf returns how many requests a target runs concurrently.
@@ -194,7 +181,7 @@
 	}
 	fresh := *t
 	fresh.lastEvent, fresh.versions = 0, nil
-	return slices.ContainsFunc(s.candidates(&fresh, route, c, anyTarget), func(candidate router.Candidate) bool {
+	return slices.ContainsFunc(s.candidates(&fresh, route, c, sender.Required), func(candidate router.Candidate) bool {
 		target, ok := s.catalog.Target(candidate.Target)
 		return ok && target.Software != t.software
 	})
--- a/ladder/scheduler/watchdog.go
+++ b/ladder/scheduler/watchdog.go
@@ -99,7 +99,7 @@
 	c := s.catalog.Configuration()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return slices.ContainsFunc(s.candidates(t, t.route, c, unlimitedTargets), func(candidate router.Candidate) bool {
+	return slices.ContainsFunc(s.candidates(t, t.route, c, sender.Optional), func(candidate router.Candidate) bool {
 		return candidate.Target != current.Name && s.router.HasFreeSlot(candidate)
 	})
 }
--- a/ladder/sender/sender.go
+++ b/ladder/sender/sender.go
@@ -144,3 +144,19 @@
 	// Pending counts the requests of this host that wait for a permit.
 	Pending int
 }
+
+// Need says whether a request must be sent.
+type Need int
+
+const (
+	// Required requests use any target that accepts one now.
+	Required Need = iota
+	// Optional requests are useful but not needed, such as hedges. They don't use up what
+	// a limited target accepts.
+	Optional
+)
+
+// Admits reports whether a request may be sent now.
+func (a Allowance) Admits(n Need) bool {
+	return !a.Limited || (n == Required && a.Wait == 0)
+}
