A stream returns to the last target of its software version

What callers saw: a stream whose target lost its connection broke off if no other target of its software version served, though the target was well. TestForwardStream_ReturnsToTheLastTargetOfItsVersion failed before.

--- a/ladder/forwarder/origin_test.go
+++ b/ladder/forwarder/origin_test.go
@@ -165,3 +165,27 @@
 		}
 	})
 }
+
+// Guards against a stream that breaks off because the last target of its version has lost a
+// connection.
+func TestForwardStream_ReturnsToTheLastTargetOfItsVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, targets := newForwarder(breakEach)
+		listSoftware(f, map[string]string{"a": "v1"})
+		s, ok := f.ForwardStream(context.Background(), streamRoute(), Request{ID: "x"}).(*Stream)
+		if !ok {
+			t.Fatal("no stream")
+		}
+		defer s.Close()
+		listSoftware(f, map[string]string{"a": "v1", "c": "v2", "d": "v2"})
+		numbers, _ := readAll(s)
+		if diff := cmp.Diff([]identifier.EventNumber{1, 2, 3, 4, 5, 6, 7, 8}, numbers); diff != "" {
+			t.Error(diff)
+		}
+		for _, c := range targets.Calls() {
+			if c.Target != "a" {
+				t.Errorf("a stream of v1 went on at %s", c.Target)
+			}
+		}
+	})
+}
--- a/ladder/forwarder/stream.go
+++ b/ladder/forwarder/stream.go
@@ -224,6 +224,9 @@
 	s.endAttempt()
 	for s.countRetry() {
 		response, err := s.startPermittedAttempt(s.request.ResumeAfter)
+		if errors.Is(err, errNoTarget) && s.allowTriedTargets() {
+			response, err = s.startPermittedAttempt(s.request.ResumeAfter)
+		}
 		if errors.Is(err, errNoTarget) {
 			return false
 		}
@@ -245,6 +248,22 @@
 	return false
 }
 
+// allowTriedTargets allows all targets of the stream's software version again after a
+// pause. It returns false if there are none. The last target of a version may have lost
+// nothing but a connection.
+func (s *Stream) allowTriedTargets() bool {
+	if s.software == nil || len(s.tried) == 0 {
+		return false
+	}
+	clear(s.tried)
+	select {
+	case <-s.forwarder.clock.After(retryPause):
+	case <-s.ctx.Done():
+		return false
+	}
+	return len(s.forwarder.candidates(s.service, selection{software: s.software})) > 0
+}
+
 // startPermittedAttempt is startAttempt for a stream that has begun: it tries other targets
 // and waits while they have reached their limits, since an answer that breaks off is lost.
 func (s *Stream) startPermittedAttempt(after identifier.EventNumber) (*sender.Response, error) {
