The watchdog of an item reads a copy of where it may run

It has a copy now, renewed when an event changes the answer. Two tests of mine shared maps without a lock; mended. -race, twice: no race left.

--- a/ladder/registrar/registrar_test.go
+++ b/ladder/registrar/registrar_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,7 +16,9 @@
 
 // fleet is a number of hosts; those that have died or are silent answer nothing.
 type fleet struct {
-	hosts  map[string]*Registrar
+	hosts map[string]*Registrar
+	// mutex guards the fields below.
+	mutex  sync.Mutex
 	listed []string
 	dead   map[string]bool
 	silent map[string]bool
@@ -25,7 +28,7 @@
 	f := &fleet{hosts: make(map[string]*Registrar), dead: make(map[string]bool), silent: make(map[string]bool)}
 	for n := range hosts {
 		name := fmt.Sprint("host-", n)
-		f.hosts[name] = New(clockwork.NewRealClock(), Options{Self: name, Peers: f, Members: func() []string { return f.listed }})
+		f.hosts[name] = New(clockwork.NewRealClock(), Options{Self: name, Peers: f, Members: f.members})
 		if n < listed {
 			f.listed = append(f.listed, name)
 		}
@@ -33,13 +36,22 @@
 	return f
 }
 
+func (f *fleet) members() []string {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.listed
+}
+
 // Ask implements querier.Peers.
 func (f *fleet) Ask(ctx context.Context, address string, q messenger.Question) (r messenger.Reply, err error) {
 	time.Sleep(time.Millisecond)
-	if f.silent[address] {
+	f.mutex.Lock()
+	dead, silent := f.dead[address], f.silent[address]
+	f.mutex.Unlock()
+	if silent {
 		<-ctx.Done()
 	}
-	if f.dead[address] || f.silent[address] {
+	if dead || silent {
 		return r, errors.New("no answer")
 	}
 	h := f.hosts[address]
@@ -91,7 +103,9 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := newFleet(c.hosts, c.listed)
 				f.begin(streams)
+				f.mutex.Lock()
 				c.disturb(f)
+				f.mutex.Unlock()
 				start := time.Now()
 				found := f.found(fmt.Sprint("host-", c.hosts-1), streams)
 				if found < c.least {
--- a/ladder/scheduler/generate.go
+++ b/ladder/scheduler/generate.go
@@ -135,7 +135,6 @@
 		}
 		s.router.RecordChunk(target.Name, now.Sub(lastEventAt), first)
 		lastEventAt, first = now, false
-		watch.eventReceived(stallTimeoutFor(usualGap))
 		if e.Version > 0 {
 			version = e.Version
 			s.catalog.RecordWeights(target.Name, t.job.Model, version)
@@ -150,6 +149,7 @@
 			t.discardText()
 			return false, errMixedVersions
 		}
+		watch.eventReceived(stallTimeoutFor(usualGap))
 		if t.textBytes > s.jobs.MaxTextBytes() {
 			t.discardText()
 			return false, errTextTooLarge
--- a/ladder/scheduler/software_test.go
+++ b/ladder/scheduler/software_test.go
@@ -156,6 +156,8 @@
 	l := newSoftwareLog()
 	breakOnce := func(t cataloger.Target, c sender.Call, n int) faker.Behaviour {
 		l.behave(t, c, n)
+		l.mutex.Lock()
+		defer l.mutex.Unlock()
 		b := healthy()
 		if c.ResumeAfter == 0 && t.Name != "s" && l.running[t.Name] == "v1" {
 			b.BreakAfter = 10
--- a/ladder/scheduler/watchdog.go
+++ b/ladder/scheduler/watchdog.go
@@ -38,7 +38,9 @@
 	cancel context.CancelCauseFunc
 
 	mutex sync.Mutex
-	timer clockwork.Timer
+	// placement says where the item may go on; the task itself belongs to the call.
+	placement *task
+	timer     clockwork.Timer
 	// lastHeard is when the last event arrived or, before the first one, when the
 	// call began.
 	lastHeard time.Time
@@ -49,7 +51,7 @@
 // startWatchdog watches a call that begins now.
 func (t *task) startWatchdog(target cataloger.Target, cancel context.CancelCauseFunc) *watchdog {
 	clock := t.scheduler.clock
-	w := &watchdog{task: t, target: target, cancel: cancel, lastHeard: clock.Now()}
+	w := &watchdog{task: t, target: target, cancel: cancel, placement: t.placement(), lastHeard: clock.Now()}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.timer = clock.AfterFunc(firstEventTimeout, func() {
@@ -60,10 +62,22 @@
 	return w
 }
 
-// eventReceived restarts the timer; the next event may take limit.
+// placement returns a copy with the fields that decide where the item may run.
+func (t *task) placement() *task {
+	return &task{
+		scheduler: t.scheduler, key: t.key, job: t.job, item: t.item, route: t.route, lastEvent: t.lastEvent, versions: slices.Clone(t.versions),
+		software: t.software, leftTarget: t.leftTarget, leftUntil: t.leftUntil,
+	}
+}
+
+// eventReceived restarts the timer after an event was added to the text; the next one may
+// take limit. It is called by the task's run.
 func (w *watchdog) eventReceived(limit time.Duration) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	if w.placement.lastEvent == 0 || len(w.placement.versions) != len(w.task.versions) {
+		w.placement = w.task.placement()
+	}
 	w.lastHeard = w.task.scheduler.clock.Now()
 	w.timer.Reset(limit)
 }
@@ -79,9 +93,9 @@
 func (w *watchdog) check() {
 	s := w.task.scheduler
 	w.mutex.Lock()
-	silence := s.clock.Since(w.lastHeard)
+	silence, placement := s.clock.Since(w.lastHeard), w.placement
 	w.mutex.Unlock()
-	if silence >= maxSilence || !s.router.ReceivedWithin(w.target.Name, stallTimeoutFor(s.router.MeanChunkInterval(w.target.Service))) || s.hasRoomElsewhere(w.task, w.target) {
+	if silence >= maxSilence || !s.router.ReceivedWithin(w.target.Name, stallTimeoutFor(s.router.MeanChunkInterval(w.target.Service))) || s.hasRoomElsewhere(placement, w.target) {
 		w.cancel(sender.ErrStalled)
 		return
 	}
