Calls back off while all targets of a service refuse them

Cause: a call that all targets had refused tried them again each 25 ms until its deadline, and scoring calls began anew after 0.1 s. With one target left that hits one.

Change: the pause doubles from 25 to 200 ms; scoring calls don't wait in the forwarder but with their item, 50 to 400 ms.

--- a/ladder/forwarder/forwarder.go
+++ b/ladder/forwarder/forwarder.go
@@ -30,8 +30,9 @@
 	TimeLeft time.Duration
 	// ResumeAfter is the last event that the caller has received.
 	ResumeAfter identifier.EventNumber
-	// Owed requests are sent again whatever happened to targets under them. They are part
-	// of a batch job, whose requests don't crash targets by themselves.
+	// Owed requests are part of a batch job. They are sent again whatever happened to
+	// targets under them, since they don't crash targets by themselves. Their sender
+	// repeats them, so that they don't wait here for targets that have refused them.
 	Owed bool
 	// Resumes is the attempt that brought the first event of a stream that the caller
 	// takes up.
@@ -87,8 +88,8 @@
 	// first target, one for the second.
 	goalParts = 2
 	// retryPause is the pause before the targets of a service are tried again
-	// after all have refused.
-	retryPause = 25 * time.Millisecond
+	// after all have refused. It doubles each time, up to maxRetryPause.
+	retryPause, maxRetryPause = 25 * time.Millisecond, 200 * time.Millisecond
 	// overloadRetryAfter is sent to callers when all targets are full. The
 	// users' plain calls take 20 to 80 ms, and a queue holds four times as many
 	// calls as run at once.
--- a/ladder/scheduler/score.go
+++ b/ladder/scheduler/score.go
@@ -85,11 +85,15 @@
 	t.addResult(r)
 }
 
+// maxScorerRefusals bounds the refusals that are counted; the delay has reached its
+// maximum before.
+const maxScorerRefusals = 8
+
 // callScorer retries until the scorer succeeds or has failed as often as its route
 // allows.
 func (t *task) callScorer(ctx context.Context) (signature string, ok bool) {
 	s, scorer := t.scheduler, t.item.Scorer
-	for failures := 0; ctx.Err() == nil; {
+	for failures, refusals := 0, 0; ctx.Err() == nil; {
 		delay := scorerRetryDelay
 		configuration := s.catalog.Configuration()
 		route, routed := configuration.MatchRoute(scorer.Host, scorer.Path)
@@ -98,8 +102,11 @@
 				ID: scorer.ID, Method: http.MethodPost, Path: scorer.Path, Host: scorer.Host,
 				Header: http.Header{}, Body: scorer.Body, TimeLeft: scorerTimeout, Owed: true,
 			})
-			if refusal, ok := outcome.(forwarder.NotRun); ok {
-				delay = max(delay, refusal.RetryAfter)
+			if _, ok := outcome.(forwarder.NotRun); ok {
+				delay = min(scorerRetryDelay<<refusals, maxScorerRetryDelay)
+				refusals = min(refusals+1, maxScorerRefusals)
+			} else {
+				refusals = 0
 			}
 			if response, ok := outcome.(forwarder.Response); ok {
 				if response.Status >= 200 && response.Status < 300 && response.Signature != "" {
--- a/ladder/scheduler/task.go
+++ b/ladder/scheduler/task.go
@@ -52,8 +52,9 @@
 	// scorerTimeout bounds one call of a scorer; the users' scorers are expected to
 	// answer within 400 ms.
 	scorerTimeout = 2 * time.Second
-	// scorerRetryDelay is the delay before calling a scorer again after a failure.
-	scorerRetryDelay = 100 * time.Millisecond
+	// scorerRetryDelay is the delay before calling a scorer again after a failure. While
+	// no scorer takes the call, it doubles each time, up to maxScorerRetryDelay.
+	scorerRetryDelay, maxScorerRetryDelay = 50 * time.Millisecond, 400 * time.Millisecond
 )
 
 type taskKey struct {
