A caller that leaves denies nobody else a limited target

Not seen, found by reading: a call whose caller left while it waited for a permit counted as denied by all granters, and its host asked for no permit of that target for 250 ms. It counts as not sent now. TestSend_ACallerThatLeavesDeniesNobodyElse failed before.

--- a/ladder/throttler/permits.go
+++ b/ladder/throttler/permits.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
@@ -34,11 +36,14 @@
 	if known.limit.Limited {
 		known.report.add(t.clock.Now(), to.Name, known.limit.Rate, answer.Granted)
 	}
-	if !answer.Granted {
-		known.deniedUntil = t.clock.Now().Add(answer.Wait)
-		return sender.ErrLimited
+	switch {
+	case answer.Granted:
+		return nil
+	case ctx.Err() != nil: // nobody waits for the answer any more, which says nothing about the target
+		return errors.Wrap(sender.ErrNotSent, ctx.Err().Error())
 	}
-	return nil
+	known.deniedUntil = t.clock.Now().Add(answer.Wait)
+	return sender.ErrLimited
 }
 
 // charge takes a permit for a request that is sent in any case.
--- a/ladder/throttler/throttler_test.go
+++ b/ladder/throttler/throttler_test.go
@@ -430,6 +430,28 @@
 	})
 }
 
+// Guards against a caller that leaves and thereby keeps the others from a target.
+func TestSend_ACallerThatLeavesDeniesNobodyElse(t *testing.T) {
+	run(t, 2, func(t *testing.T, f *fleet) {
+		var h *fleetHost
+		for _, candidate := range f.hosts {
+			if candidate.roster.Granters("a")[0] != candidate.name {
+				h = candidate
+			}
+		}
+		to := cataloger.Target{Name: "a"}
+		h.learnResponse(to, sender.RequestLimit{Limited: true, Rate: 5}, f.clock.Now())
+		ctx, leave := context.WithCancel(f.ctx)
+		leave()
+		if _, err := h.Send(ctx, to, sender.Call{}); !errors.Is(err, sender.ErrNotSent) || errors.Is(err, sender.ErrLimited) {
+			t.Errorf("call that was abandoned: %v", err)
+		}
+		if a := h.Allowance(to); a.Wait != 0 || a.Pending != 0 {
+			t.Errorf("allowance for the others %+v", a)
+		}
+	})
+}
+
 // countingControl counts the requests of lycheeladder itself.
 type countingControl struct{ status, load int }
 
