--- a/ladder/throttler/throttler_test.go
+++ b/ladder/throttler/throttler_test.go
@@ -101,6 +101,13 @@
 	return f
 }
 
+// granterOf returns the host that ranks first for a target.
+func (h *fleetHost) granterOf(name identifier.TargetName) string {
+	h.Throttler.mutex.Lock()
+	defer h.Throttler.mutex.Unlock()
+	return h.roster.Granters(name)[0]
+}
+
 // start adds a host, or restarts the one of that name.
 func (f *fleet) start(name string) *fleetHost {
 	h := &fleetHost{name: name}
@@ -366,8 +373,9 @@
 				f.name("a", rate)
 				start := f.clock.Now()
 				f.load(100*time.Millisecond, 6*time.Second)
+				granter := f.hosts[f.listed[0]].granterOf("a")
 				f.mutex.Lock()
-				c.disturb(f, f.hosts[f.listed[0]].roster.Granters("a")[0])
+				c.disturb(f, granter)
 				f.mutex.Unlock()
 				synctest.Wait()
 				f.load(100*time.Millisecond, 20*time.Second)
@@ -435,7 +443,7 @@
 	run(t, 2, func(t *testing.T, f *fleet) {
 		var h *fleetHost
 		for _, candidate := range f.hosts {
-			if candidate.roster.Granters("a")[0] != candidate.name {
+			if candidate.granterOf("a") != candidate.name {
 				h = candidate
 			}
 		}
