--- a/ladder/throttler/throttler_test.go
+++ b/ladder/throttler/throttler_test.go
@@ -103,8 +103,8 @@
 
 // granterOf returns the host that ranks first for a target.
 func (h *fleetHost) granterOf(name identifier.TargetName) string {
-	h.Throttler.mutex.Lock()
-	defer h.Throttler.mutex.Unlock()
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
 	return h.roster.Granters(name)[0]
 }
 
