A call that all targets refuse is tried until its time limit

Found by reading the change: the pause before the targets are tried again was shifted once more each round and overflowed after 39 rounds, so that a call with a time limit of a minute was refused, truthfully, after 7.5 s. Routes of the users' sites allow 2 s at most, so it was not seen. The pause itself is kept and doubled now, as for scoring calls, whose count of refusals goes. TestForward_TriesUntilItsTimeLimit failed before.

--- a/ladder/forwarder/forward.go
+++ b/ladder/forwarder/forward.go
@@ -47,8 +47,8 @@
 	denials int
 	// service is the one that the request is sent to.
 	service identifier.ServiceName
-	// rounds counts how often all targets have been allowed again.
-	rounds int
+	// pause is how long to wait before all targets are allowed again.
+	pause time.Duration
 	// executed counts the attempts that their target may have run.
 	executed int
 	// lastFailure is the last error response of a target.
@@ -279,13 +279,12 @@
 // retryTriedTargets allows all targets again after a pause, unless all of them have
 // reached their limits.
 func (w *forwarding) retryTriedTargets(ctx context.Context) (o Outcome, done bool) {
-	pause := min(retryPause<<w.rounds, maxRetryPause)
-	if w.request.Owed || w.deadline.Sub(w.clock.Now()) < 2*pause || len(w.tried) == 0 || len(w.candidates(w.service, selection{need: w.retryNeed()})) == 0 {
+	w.pause = min(max(retryPause, 2*w.pause), maxRetryPause)
+	if w.request.Owed || w.deadline.Sub(w.clock.Now()) < 2*w.pause || len(w.tried) == 0 || len(w.candidates(w.service, selection{need: w.retryNeed()})) == 0 {
 		return w.noTargetOutcome(), true
 	}
-	w.rounds++
 	select {
-	case <-w.clock.After(pause):
+	case <-w.clock.After(w.pause):
 	case <-ctx.Done():
 		return w.timeoutOutcome(), true
 	}
--- a/ladder/forwarder/limit_test.go
+++ b/ladder/forwarder/limit_test.go
@@ -163,3 +163,28 @@
 		}
 	})
 }
+
+// Guards against a pause that overflows after many refusals, so that the call ends early.
+func TestForward_TriesUntilItsTimeLimit(t *testing.T) {
+	const limit = time.Minute
+	refusing := func(cataloger.Target, sender.Call, int) faker.Behaviour {
+		return faker.Behaviour{Status: 503, NotRun: true, Delay: time.Millisecond}
+	}
+	synctest.Test(t, func(t *testing.T) {
+		f, targets := newForwarder(refusing)
+		r := route(cataloger.KindAtMostOnce, 1)
+		r.Timeout = limit
+		start := time.Now()
+		if o, ok := f.Forward(context.Background(), r, Request{ID: "x", Method: "POST", Path: "/p"}).(NotRun); !ok {
+			t.Errorf("outcome %+v", o)
+		}
+		if took := time.Since(start); took < limit-2*maxRetryPause || took > limit {
+			t.Errorf("took %s, want about %s", took, limit)
+		}
+		// Three targets in each maxRetryPause, and a few times more at first.
+		if n, most := len(targets.Calls()), 3*int(limit/maxRetryPause+5); n > most {
+			t.Errorf("%d calls in %s, want at most %d", n, limit, most)
+		}
+		synctest.Wait()
+	})
+}
--- a/ladder/scheduler/score.go
+++ b/ladder/scheduler/score.go
@@ -85,15 +85,11 @@
 	t.addResult(r)
 }
 
-// maxScorerRefusals bounds the refusals that are counted; the delay has reached its
-// maximum before.
-const maxScorerRefusals = 8
-
 // callScorer retries until the scorer succeeds or has failed as often as its route
 // allows.
 func (t *task) callScorer(ctx context.Context) (signature string, ok bool) {
 	s, scorer := t.scheduler, t.item.Scorer
-	for failures, refusals := 0, 0; ctx.Err() == nil; {
+	for failures, refusalDelay := 0, scorerRetryDelay; ctx.Err() == nil; {
 		delay := scorerRetryDelay
 		configuration := s.catalog.Configuration()
 		route, routed := configuration.MatchRoute(scorer.Host, scorer.Path)
@@ -103,10 +99,9 @@
 				Header: http.Header{}, Body: scorer.Body, TimeLeft: scorerTimeout, Owed: true,
 			})
 			if _, ok := outcome.(forwarder.NotRun); ok {
-				delay = min(scorerRetryDelay<<refusals, maxScorerRetryDelay)
-				refusals = min(refusals+1, maxScorerRefusals)
+				delay, refusalDelay = refusalDelay, min(2*refusalDelay, maxScorerRetryDelay)
 			} else {
-				refusals = 0
+				refusalDelay = scorerRetryDelay
 			}
 			if response, ok := outcome.(forwarder.Response); ok {
 				if response.Status >= 200 && response.Status < 300 && response.Signature != "" {
