The list of members and its time are read together

Both come from one lock now, and Members, members and PeerAddresses share one loop over the owners. PeerAddresses is in order now instead of in that of a map.

--- a/ladder/joiner/member.go
+++ b/ladder/joiner/member.go
@@ -77,13 +77,19 @@
 func (j *Joiner) members() (list []Member, member bool) {
 	j.mutex.Lock()
 	defer j.mutex.Unlock()
+	list = j.distinctOwners()
+	return list, !j.joinSentAt.IsZero() || slices.Contains(list, j.self)
+}
+
+// distinctOwners returns the owners of partitions in order. The caller holds the mutex.
+func (j *Joiner) distinctOwners() (list []Member) {
 	for _, o := range j.owners {
 		if !slices.Contains(list, o) {
 			list = append(list, o)
 		}
 	}
 	slices.Sort(list)
-	return list, !j.joinSentAt.IsZero() || slices.Contains(list, j.self)
+	return list
 }
 
 func (j *Joiner) lacksMember(members []Member) bool {
@@ -149,24 +155,17 @@
 
 // PeerAddresses returns the addresses of the other members that own partitions.
 func (j *Joiner) PeerAddresses() (list []string) {
-	j.mutex.Lock()
-	defer j.mutex.Unlock()
-	for _, o := range j.owners {
-		if o != j.self && !slices.Contains(list, string(o)) {
-			list = append(list, string(o))
-		}
-	}
-	return list
+	members, _ := j.Members()
+	return slices.DeleteFunc(members, func(m string) bool { return m == string(j.self) })
 }
 
 // Members returns the addresses of all members that own partitions, and when the list was
 // read from the store.
 func (j *Joiner) Members() (list []string, readAt time.Time) {
-	members, _ := j.members()
-	for _, m := range members {
-		list = append(list, string(m))
-	}
 	j.mutex.Lock()
 	defer j.mutex.Unlock()
+	for _, m := range j.distinctOwners() {
+		list = append(list, string(m))
+	}
 	return list, j.ownersAt
 }
