One way to take ports for processes under test

The change had written again what standin/endtoend already did: ports below those that the system gives out.

--- a/ladder/faker/listener/listener.go
+++ b/ladder/faker/listener/listener.go
@@ -1,5 +1,5 @@
 // Package listener provides TCP servers for tests that answer with arbitrary bytes, to
-// simulate faulty targets.
+// simulate faulty targets, and addresses for processes under test.
 package listener
 
 import (
--- a/platform/standin/ports.go
+++ b/ladder/faker/listener/ports.go
@@ -1,9 +1,10 @@
-package standin
+package listener
 
 import (
 	"fmt"
 	"net"
 	"sync"
+	"testing"
 
 	"github.com/pkg/errors"
 )
@@ -28,22 +29,24 @@
 	claims    []net.Listener
 }
 
-// FreeAddress returns a loopback address, IP:port, that no other caller of FreeAddress on
-// this machine gets while this process runs.
-func FreeAddress() (address string, err error) {
+// FreeAddress returns a loopback address, IP:port, for a process that may start later and
+// more than once. No other caller of FreeAddress on this machine gets it while this process
+// runs.
+func FreeAddress(t testing.TB) string {
+	t.Helper()
 	portBlock.Lock()
 	defer portBlock.Unlock()
 	for {
 		if portBlock.next == portBlock.end {
 			if err := claimBlock(); err != nil {
-				return "", err
+				t.Fatal(err)
 			}
 		}
 		address := loopback(portBlock.next)
 		portBlock.next++
 		if l, err := net.Listen("tcp", address); err == nil {
 			l.Close()
-			return address, nil
+			return address
 		}
 	}
 }
--- a/standin/endtoend/processes_test.go
+++ b/standin/endtoend/processes_test.go
@@ -4,15 +4,15 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/lycheeladder/lycheeladder/ladder/faker/listener"
 )
 
 const (
@@ -156,34 +156,12 @@
 	t.Fatalf("timed out waiting for %s", description)
 }
 
-// lastPort is the port that was handed out last. Ports are handed out in
-// ascending order, so that concurrent tests get different ones.
-var lastPort = struct {
-	sync.Mutex
-	port int
-}{port: lowestPort + os.Getpid()*37%(highestPort-lowestPort)}
-
-// The ports are below the range of ports for outgoing connections, so that no
-// connection takes the port of a process while it restarts.
-const lowestPort, highestPort = 15000, 32000
-
 // freeAddresses returns loopback addresses whose ports are free.
 func freeAddresses(t *testing.T, count int) []string {
 	t.Helper()
-	lastPort.Lock()
-	defer lastPort.Unlock()
 	var addresses []string
-	for len(addresses) < count {
-		if lastPort.port++; lastPort.port >= highestPort {
-			lastPort.port = lowestPort
-		}
-		address := fmt.Sprintf("127.0.0.1:%d", lastPort.port)
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		defer listener.Close()
-		addresses = append(addresses, address)
+	for range count {
+		addresses = append(addresses, listener.FreeAddress(t))
 	}
 	return addresses
 }
