Hosts are ranked for a key in one place

permitter and registrar each turned addresses into entries and back; subsetter.Rank takes addresses. A field of faker.Behaviour that nothing set is gone. Behaviour is unchanged.

--- a/ladder/faker/targets.go
+++ b/ladder/faker/targets.go
@@ -45,8 +45,6 @@
 	Pause      time.Duration
 	// Version is the weight version in the answer.
 	Version identifier.WeightVersion
-	// RequestLimit is the limit that the answer names; nil means that it tells nothing.
-	RequestLimit *sender.RequestLimit
 }
 
 // SentCall is a call that reached a target.
@@ -130,7 +128,7 @@
 	case <-ctx.Done():
 		return nil, sender.ErrNoResponse
 	}
-	a := &sender.Response{Status: b.Status, NotRun: b.NotRun, Signature: "by " + string(t.Name), Version: b.Version, RequestLimit: b.RequestLimit, Header: http.Header{}}
+	a := &sender.Response{Status: b.Status, NotRun: b.NotRun, Signature: "by " + string(t.Name), Version: b.Version, Header: http.Header{}}
 	if a.Status == 0 {
 		a.Status = http.StatusOK
 	}
--- a/ladder/permitter/roster.go
+++ b/ladder/permitter/roster.go
@@ -91,15 +91,7 @@
 
 // rank returns the first granterCount members in the target's order, which is the same
 // on all hosts.
-func rank(t identifier.TargetName, members []string) (granters []string) {
-	entries := make([]subsetter.Entry, 0, len(members))
-	for _, m := range members {
-		entries = append(entries, subsetter.Entry{Address: m})
-	}
-	for _, e := range subsetter.Rank(string(t), entries) {
-		if len(granters) < granterCount {
-			granters = append(granters, e.Address)
-		}
-	}
-	return granters
+func rank(t identifier.TargetName, members []string) []string {
+	ranked := subsetter.Rank(string(t), members)
+	return ranked[:min(granterCount, len(ranked))]
 }
--- a/ladder/registrar/registrar.go
+++ b/ladder/registrar/registrar.go
@@ -146,14 +146,8 @@
 }
 
 // keepers returns the other hosts that keep the origin of a stream.
-func (r *Registrar) keepers(id StreamID) (addresses []string) {
-	var entries []subsetter.Entry
-	for _, address := range r.options.Members() {
-		entries = append(entries, subsetter.Entry{Address: address})
-	}
-	for _, e := range subsetter.Rank(string(id), entries) {
-		addresses = append(addresses, e.Address)
-	}
+func (r *Registrar) keepers(id StreamID) []string {
+	addresses := subsetter.Rank(string(id), r.options.Members())
 	addresses = slices.DeleteFunc(addresses, func(a string) bool { return a == r.options.Self })
 	return addresses[:min(copyCount, len(addresses))]
 }
--- a/ladder/subsetter/subsetter.go
+++ b/ladder/subsetter/subsetter.go
@@ -38,15 +38,29 @@
 	if links <= 0 || len(entries) <= links {
 		return slices.Clone(entries)
 	}
-	ownZone, otherZones := splitByZone(Rank(string(target), entries), zone)
+	ownZone, otherZones := splitByZone(rankByHash(string(target), entries), zone)
 	otherZoneCount := min(otherZoneLinks, links-1, len(otherZones))
 	ownZoneCount := min(links-otherZoneCount, len(ownZone))
 	picked := append(ownZone[:ownZoneCount:ownZoneCount], otherZones[:links-ownZoneCount]...)
 	return picked
 }
 
-// Rank sorts entries by their rendezvous hash with key, highest first.
-func Rank(key string, entries []Entry) []Entry {
+// Rank sorts addresses by their rendezvous hash with key, highest first: in the same order
+// on all hosts, where an address that is added or removed changes that of no others.
+func Rank(key string, addresses []string) []string {
+	entries := make([]Entry, 0, len(addresses))
+	for _, a := range addresses {
+		entries = append(entries, Entry{Address: a})
+	}
+	ranked := make([]string, 0, len(addresses))
+	for _, e := range rankByHash(key, entries) {
+		ranked = append(ranked, e.Address)
+	}
+	return ranked
+}
+
+// rankByHash sorts entries by their rendezvous hash with key, highest first.
+func rankByHash(key string, entries []Entry) []Entry {
 	type scored struct {
 		entry Entry
 		score uint64
