--- a/ladder/querier/brief.go
+++ b/ladder/querier/peers.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
 
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
@@ -15,6 +17,28 @@
 	Ask(ctx context.Context, address string, q messenger.Question) (messenger.Reply, error)
 }
 
+// AskAll asks all addresses concurrently and passes the replies to take, one at a time.
+// Peers that do not reply until ctx ends are left out. It returns when all peers have
+// replied or failed.
+func AskAll(ctx context.Context, p Peers, addresses []string, q messenger.Question, take func(r messenger.Reply)) {
+	var mutex sync.Mutex
+	var questions conc.WaitGroup
+	defer questions.Wait()
+	for _, address := range addresses {
+		questions.Go(func() {
+			_ = recoverer.CatchPanic("answer of a peer", func() { // already logged
+				r, err := p.Ask(ctx, address, q)
+				if err != nil {
+					return
+				}
+				mutex.Lock()
+				defer mutex.Unlock()
+				take(r)
+			})
+		})
+	}
+}
+
 // peerTimeout is the silence after which a peer that was asked briefly counts as
 // unreachable, for all questions.
 const peerTimeout = time.Second
--- a/ladder/registrar/registrar.go
+++ b/ladder/registrar/registrar.go
@@ -86,9 +86,11 @@
 func (r *Registrar) Record(id StreamID, o Origin) {
 	r.keep(id, o)
 	q := messenger.Question{RecordOrigin: &messenger.StreamOrigin{Stream: string(id), Service: o.Service, Software: o.Software}}
-	for _, address := range r.keepers(id) {
-		go querier.AskBriefly(context.Background(), r.clock, r.options.Peers, address, q, storeTimeout)
-	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+		defer cancel()
+		querier.AskAll(ctx, r.options.Peers, r.keepers(id), q, func(messenger.Reply) {})
+	}()
 }
 
 // Keep keeps an origin that another host has recorded.
--- a/ladder/relayer/demand.go
+++ b/ladder/relayer/demand.go
@@ -10,6 +10,7 @@
 
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/querier"
 )
 
 // demandInterval is the minimum time between two queries of the owners' demand.
@@ -23,7 +24,7 @@
 	localDemand func() map[identifier.ModelName]identifier.TokenCount
 	// owners returns the addresses of the other owners.
 	owners func() []string
-	peers  Peers
+	peers  querier.Peers
 
 	mutex sync.Mutex
 	sum   map[identifier.ModelName]identifier.TokenCount
@@ -32,7 +33,7 @@
 }
 
 // NewTally returns a DemandAggregator that has not queried the owners yet.
-func NewTally(clock clockwork.Clock, localDemand func() map[identifier.ModelName]identifier.TokenCount, owners func() []string, p Peers) *DemandAggregator {
+func NewTally(clock clockwork.Clock, localDemand func() map[identifier.ModelName]identifier.TokenCount, owners func() []string, p querier.Peers) *DemandAggregator {
 	return &DemandAggregator{clock: clock, localDemand: localDemand, owners: owners, peers: p}
 }
 
@@ -55,7 +56,7 @@
 	}
 	// Owners that do not answer are left out; the shares of the others are a fair
 	// sample.
-	queryAll(context.Background(), a.peers, a.owners(), messenger.Question{Demand: true}, func(r messenger.Reply) {
+	askAll(context.Background(), a.peers, a.owners(), messenger.Question{Demand: true}, func(r messenger.Reply) {
 		for m, n := range r.Demand {
 			sum[m] += n
 		}
--- a/ladder/relayer/drafts.go
+++ b/ladder/relayer/drafts.go
@@ -5,6 +5,7 @@
 
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/querier"
 )
 
 // DraftCollector requests drafts from the processes that may have some: all owners,
@@ -14,11 +15,11 @@
 	localDrafts func(m identifier.ModelName) []messenger.Draft
 	// peersOf returns the addresses of the peers to query about a job.
 	peersOf func(id identifier.JobID) []string
-	peers   Peers
+	peers   querier.Peers
 }
 
 // NewDraftCollector returns a DraftCollector.
-func NewDraftCollector(localDrafts func(m identifier.ModelName) []messenger.Draft, peersOf func(id identifier.JobID) []string, p Peers) *DraftCollector {
+func NewDraftCollector(localDrafts func(m identifier.ModelName) []messenger.Draft, peersOf func(id identifier.JobID) []string, p querier.Peers) *DraftCollector {
 	return &DraftCollector{localDrafts: localDrafts, peersOf: peersOf, peers: p}
 }
 
@@ -28,5 +29,5 @@
 func (c *DraftCollector) Collect(ctx context.Context, id identifier.JobID, m identifier.ModelName, take func([]messenger.Draft)) {
 	take(c.localDrafts(m))
 	q := messenger.Question{Drafts: &messenger.DraftCall{Job: id, Model: m}}
-	queryAll(ctx, c.peers, c.peersOf(id), q, func(r messenger.Reply) { take(r.Drafts) })
+	askAll(ctx, c.peers, c.peersOf(id), q, func(r messenger.Reply) { take(r.Drafts) })
 }
--- a/ladder/relayer/relayer.go
+++ b/ladder/relayer/relayer.go
@@ -14,6 +14,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/jobstorer"
 	"github.com/lycheeladder/lycheeladder/ladder/joiner"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/querier"
 )
 
 // The owner of a partition has a copy of it; any other entry would have to read the
@@ -41,21 +42,16 @@
 	OwnerOf(n identifier.PartitionNumber) (joiner.Member, bool)
 }
 
-// Peers sends queries to other entries; implemented by *querier.Querier.
-type Peers interface {
-	Ask(ctx context.Context, address string, q messenger.Question) (messenger.Reply, error)
-}
-
 // Relayer answers requests for jobs through their owners.
 type Relayer struct {
 	jobs      Books
 	ownership Owners
 	self      joiner.Member
-	peers     Peers
+	peers     querier.Peers
 }
 
 // New returns a Relayer for the process self.
-func New(jobs Books, ownership Owners, p Peers, self joiner.Member) *Relayer {
+func New(jobs Books, ownership Owners, p querier.Peers, self joiner.Member) *Relayer {
 	return &Relayer{jobs: jobs, ownership: ownership, self: self, peers: p}
 }
 
--- a/ladder/scheduler/scheduler_test.go
+++ b/ladder/scheduler/scheduler_test.go
@@ -75,7 +75,7 @@
 	resign, stop func()
 }
 
-// Ask implements relayer.Peers; every address leads to the first entry.
+// Ask implements querier.Peers; every address leads to the first entry.
 func (env *testEnv) Ask(ctx context.Context, _ string, q messenger.Question) (messenger.Reply, error) {
 	env.HandOver(ctx, q.Drafts.Job)
 	return messenger.Reply{Drafts: env.draftCacher.Drafts(q.Drafts.Model)}, nil
--- a/ladder/throttler/limits.go
+++ b/ladder/throttler/limits.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 	"github.com/lycheeladder/lycheeladder/ladder/querier"
 	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
@@ -29,18 +28,10 @@
 // collectLimits asks other hosts which limits they know. Without their answers, this host
 // hears of a limit with the first response of the target.
 func (t *Throttler) collectLimits(ctx context.Context, members []string) {
-	var tasks conc.WaitGroup
-	defer tasks.Wait()
-	for _, address := range members {
-		if address == t.options.Self {
-			continue
-		}
-		tasks.Go(func() {
-			if r, ok := querier.AskBriefly(ctx, t.clock, t.options.Peers, address, messenger.Question{Limits: true}, limitsTimeout); ok {
-				t.learnLimits(r.Limits)
-			}
-		})
-	}
+	ctx, cancel := context.WithTimeout(ctx, limitsTimeout)
+	defer cancel()
+	others := slices.DeleteFunc(slices.Clone(members), func(m string) bool { return m == t.options.Self })
+	querier.AskAll(ctx, t.options.Peers, others, messenger.Question{Limits: true}, func(r messenger.Reply) { t.learnLimits(r.Limits) })
 }
 
 func (t *Throttler) learnLimits(list []messenger.TargetLimit) {
