--- a/ladder/forwarder/forwarder.go
+++ b/ladder/forwarder/forwarder.go
@@ -12,7 +12,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/limiter"
-	"github.com/lycheeladder/lycheeladder/ladder/registrar"
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
 	"github.com/lycheeladder/lycheeladder/ladder/sender"
 )
@@ -36,7 +36,7 @@
 	Owed bool
 	// Resumes is the attempt that brought the first event of a stream that the caller
 	// takes up.
-	Resumes registrar.StreamID
+	Resumes identifier.StreamID
 }
 
 // Outcome is a Response, a *Stream, a NotRun or an Unknown.
@@ -113,9 +113,10 @@
 // Origins knows where streams began; *registrar.Registrar implements it.
 type Origins interface {
 	// Record keeps the origin of a stream.
-	Record(id registrar.StreamID, o registrar.Origin)
-	// Find returns the origin of a stream, which may have begun at another host.
-	Find(ctx context.Context, id registrar.StreamID) (registrar.Origin, bool)
+	Record(o messenger.StreamOrigin)
+	// Find returns the origin of a stream, which may have begun at another host, or nil if
+	// it is unknown.
+	Find(ctx context.Context, id identifier.StreamID) *messenger.StreamOrigin
 }
 
 // blockedRetryAfter is sent to callers of a blocked request.
--- a/ladder/forwarder/forwarder_test.go
+++ b/ladder/forwarder/forwarder_test.go
@@ -16,22 +16,24 @@
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/faker"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
-	"github.com/lycheeladder/lycheeladder/ladder/registrar"
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
 	"github.com/lycheeladder/lycheeladder/ladder/sender"
 	"github.com/lycheeladder/lycheeladder/ladder/storer"
 )
 
 // knownOrigins knows the streams that it was told of.
-type knownOrigins map[registrar.StreamID]registrar.Origin
+type knownOrigins map[identifier.StreamID]messenger.StreamOrigin
 
 // Record implements Origins.
-func (k knownOrigins) Record(id registrar.StreamID, o registrar.Origin) { k[id] = o }
+func (k knownOrigins) Record(o messenger.StreamOrigin) { k[o.Stream] = o }
 
 // Find implements Origins.
-func (k knownOrigins) Find(_ context.Context, id registrar.StreamID) (registrar.Origin, bool) {
-	o, ok := k[id]
-	return o, ok
+func (k knownOrigins) Find(_ context.Context, id identifier.StreamID) *messenger.StreamOrigin {
+	if o, ok := k[id]; ok {
+		return &o
+	}
+	return nil
 }
 
 // nameDecoder decodes target records that consist of the software version only.
--- a/ladder/forwarder/origin.go
+++ b/ladder/forwarder/origin.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -8,7 +9,7 @@
 
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
-	"github.com/lycheeladder/lycheeladder/ladder/registrar"
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 )
 
 // What two software versions of a target generate doesn't fit together, and targets don't
@@ -25,39 +26,34 @@
 	if s.request.ResumeAfter == 0 || !s.route.Resumable {
 		return nil
 	}
-	o, ok := s.forwarder.origins.Find(s.ctx, s.request.Resumes)
-	if !ok {
-		o, ok = s.forwarder.soleOrigin(s.route)
+	f := s.forwarder
+	o := f.origins.Find(s.ctx, s.request.Resumes)
+	if o == nil {
+		o = f.soleOrigin(s.route)
 	}
 	switch {
-	case !ok:
+	case o == nil:
 		klog.InfoS("stream not taken up, its software version is unknown", "request", s.request.ID, "resumes", s.request.Resumes, "after", s.request.ResumeAfter)
 		return NotRun{RetryAfter: originRetryAfter, Reason: "the software version of the stream is unknown"}
-	case !hasShare(s.route, o.Service):
+	case !slices.ContainsFunc(s.route.Shares, func(share cataloger.TrafficShare) bool { return share.Service == o.Service }):
 		return NotRun{RetryAfter: originRetryAfter, Reason: "the stream's service is no longer on its route"}
 	}
 	s.service, s.software = o.Service, &o.Software
 	return nil
 }
 
-// soleOrigin returns the only place where a stream of the route can have begun, if there
-// is only one.
-func (f *Forwarder) soleOrigin(r cataloger.Route) (o registrar.Origin, ok bool) {
+// soleOrigin returns the only place where a stream of the route can have begun, or nil if
+// there are several.
+func (f *Forwarder) soleOrigin(r cataloger.Route) *messenger.StreamOrigin {
 	if len(r.Shares) != 1 {
-		return o, false
+		return nil
 	}
-	o.Service = r.Shares[0].Service
-	o.Software, ok = f.catalog.OnlySoftware(o.Service)
-	return o, ok
-}
-
-func hasShare(r cataloger.Route, s identifier.ServiceName) bool {
-	for _, share := range r.Shares {
-		if share.Service == s {
-			return true
-		}
+	service := r.Shares[0].Service
+	software, ok := f.catalog.OnlySoftware(service)
+	if !ok {
+		return nil
 	}
-	return false
+	return &messenger.StreamOrigin{Service: service, Software: software}
 }
 
 // errTargetReplaced says that another incarnation of the target has been listed since the
@@ -80,14 +76,14 @@
 		software := s.target.Software
 		s.software = &software
 	}
-	f.origins.Record(s.streamID(), registrar.Origin{Service: s.service, Software: *s.software})
+	f.origins.Record(messenger.StreamOrigin{Stream: s.streamID(), Service: s.service, Software: *s.software})
 	return nil
 }
 
 // streamID returns the id under which a caller takes the stream up.
-func (s *Stream) streamID() registrar.StreamID {
+func (s *Stream) streamID() identifier.StreamID {
 	if s.request.Resumes != "" {
 		return s.request.Resumes
 	}
-	return registrar.StreamID(s.request.ID)
+	return identifier.StreamID(s.request.ID)
 }
--- a/ladder/forwarder/origin_test.go
+++ b/ladder/forwarder/origin_test.go
@@ -12,7 +12,6 @@
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/faker"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
-	"github.com/lycheeladder/lycheeladder/ladder/registrar"
 	"github.com/lycheeladder/lycheeladder/ladder/sender"
 	"github.com/lycheeladder/lycheeladder/ladder/storer"
 )
@@ -74,7 +73,7 @@
 	mixed := map[string]string{"a": "v1", "b": "v1", "c": "v2", "d": "v2"}
 	for name, c := range map[string]struct {
 		listed  map[string]string
-		resumes registrar.StreamID
+		resumes identifier.StreamID
 		// want is the software version at which the stream goes on, empty if it doesn't.
 		want string
 	}{
--- a/ladder/identifier/identifier.go
+++ b/ladder/identifier/identifier.go
@@ -78,6 +78,9 @@
 	// EventNumber numbers the events of a streamed response, from 1. 0 means
 	// none.
 	EventNumber uint64
+	// StreamID identifies a stream that callers may take up: the id of the caller's
+	// attempt that brought its first event.
+	StreamID string
 	// SoftwareVersion is the version of a target's software, as it names it; empty if it
 	// names none.
 	SoftwareVersion string
--- a/ladder/messenger/question.go
+++ b/ladder/messenger/question.go
@@ -50,8 +50,8 @@
 	Limits bool `cbor:"7,keyasint,omitempty"`
 	// RecordOrigin asks the peer to keep the origin of a stream.
 	RecordOrigin *StreamOrigin `cbor:"8,keyasint,omitempty"`
-	// FindOrigin asks for the origin of the stream with this id.
-	FindOrigin string `cbor:"9,keyasint,omitempty"`
+	// FindOrigin asks for the origin of a stream.
+	FindOrigin identifier.StreamID `cbor:"9,keyasint,omitempty"`
 }
 
 // Reply is the response to the Question with the same ID. No part is set if the
@@ -74,8 +74,7 @@
 
 // StreamOrigin says where a stream began.
 type StreamOrigin struct {
-	// Stream is the id of the attempt that brought the first event.
-	Stream   string                     `cbor:"1,keyasint"`
+	Stream   identifier.StreamID        `cbor:"1,keyasint"`
 	Service  identifier.ServiceName     `cbor:"2,keyasint"`
 	Software identifier.SoftwareVersion `cbor:"3,keyasint,omitempty"`
 }
--- a/ladder/registrar/registrar.go
+++ b/ladder/registrar/registrar.go
@@ -37,15 +37,6 @@
 	storeTimeout = time.Second
 )
 
-// StreamID identifies a stream: the id of the attempt that brought its first event.
-type StreamID string
-
-// Origin is where a stream began.
-type Origin struct {
-	Service  identifier.ServiceName
-	Software identifier.SoftwareVersion
-}
-
 // Options are the settings of a Registrar.
 type Options struct {
 	// Self is this host's address as a peer.
@@ -61,49 +52,44 @@
 	options Options
 
 	mutex   sync.Mutex
-	origins map[StreamID]entry
+	origins map[identifier.StreamID]entry
 	// order has the ids by the time of their entries, the oldest first. An id whose entry
 	// has been renewed is in it more than once.
 	order []orderedID
 }
 
 type entry struct {
-	origin Origin
+	origin messenger.StreamOrigin
 	at     time.Time
 }
 
 type orderedID struct {
-	id StreamID
+	id identifier.StreamID
 	at time.Time
 }
 
 // New returns an empty Registrar.
 func New(clock clockwork.Clock, o Options) *Registrar {
-	return &Registrar{clock: clock, options: o, origins: make(map[StreamID]entry)}
+	return &Registrar{clock: clock, options: o, origins: make(map[identifier.StreamID]entry)}
 }
 
 // Record keeps the origin of a stream here and, in the background, at other hosts.
-func (r *Registrar) Record(id StreamID, o Origin) {
-	r.keep(id, o)
-	q := messenger.Question{RecordOrigin: &messenger.StreamOrigin{Stream: string(id), Service: o.Service, Software: o.Software}}
+func (r *Registrar) Record(o messenger.StreamOrigin) {
+	r.Keep(o)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 		defer cancel()
-		querier.AskAll(ctx, r.options.Peers, r.keepers(id), q, func(messenger.Reply) {})
+		querier.AskAll(ctx, r.options.Peers, r.keepers(o.Stream), messenger.Question{RecordOrigin: &o}, func(messenger.Reply) {})
 	}()
 }
 
-// Keep keeps an origin that another host has recorded.
+// Keep keeps an origin here, also one that another host has recorded.
 func (r *Registrar) Keep(o messenger.StreamOrigin) {
-	r.keep(StreamID(o.Stream), Origin{Service: o.Service, Software: o.Software})
-}
-
-func (r *Registrar) keep(id StreamID, o Origin) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := r.clock.Now()
-	r.origins[id] = entry{o, now}
-	r.order = append(r.order, orderedID{id, now})
+	r.origins[o.Stream] = entry{o, now}
+	r.order = append(r.order, orderedID{o.Stream, now})
 	for len(r.order) > maxOrigins || now.Sub(r.order[0].at) > retention {
 		if oldest := r.order[0]; r.origins[oldest.id].at.Equal(oldest.at) {
 			delete(r.origins, oldest.id)
@@ -112,43 +98,41 @@
 	}
 }
 
-// Known returns an origin that is kept here.
-func (r *Registrar) Known(id StreamID) (Origin, bool) {
+// Known returns an origin that is kept here, or nil.
+func (r *Registrar) Known(id identifier.StreamID) *messenger.StreamOrigin {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	e, ok := r.origins[id]
-	return e.origin, ok && r.clock.Since(e.at) <= retention
+	if e, ok := r.origins[id]; ok && r.clock.Since(e.at) <= retention {
+		return &e.origin
+	}
+	return nil
 }
 
-// Find returns the origin of a stream, which may have begun at any host.
-func (r *Registrar) Find(ctx context.Context, id StreamID) (Origin, bool) {
-	if o, ok := r.Known(id); ok || id == "" {
-		return o, ok
+// Find returns the origin of a stream, which may have begun at any host, or nil if it is
+// unknown.
+func (r *Registrar) Find(ctx context.Context, id identifier.StreamID) *messenger.StreamOrigin {
+	if o := r.Known(id); o != nil || id == "" {
+		return o
 	}
 	addresses := r.keepers(id)
-	found := make(chan *Origin, len(addresses))
+	replies := make(chan messenger.Reply, len(addresses))
 	for _, address := range addresses {
-		go func() { found <- r.askFor(ctx, address, id) }()
+		go func() {
+			r, _ := querier.AskBriefly(ctx, r.clock, r.options.Peers, address, messenger.Question{FindOrigin: id}, findTimeout)
+			replies <- r
+		}()
 	}
 	for range addresses {
-		if o := <-found; o != nil {
-			r.keep(id, *o)
-			return *o, true
+		if o := (<-replies).Origin; o != nil {
+			r.Keep(*o)
+			return o
 		}
 	}
-	return Origin{}, false
-}
-
-func (r *Registrar) askFor(ctx context.Context, address string, id StreamID) *Origin {
-	reply, ok := querier.AskBriefly(ctx, r.clock, r.options.Peers, address, messenger.Question{FindOrigin: string(id)}, findTimeout)
-	if !ok || reply.Origin == nil {
-		return nil
-	}
-	return &Origin{Service: reply.Origin.Service, Software: reply.Origin.Software}
+	return nil
 }
 
 // keepers returns the other hosts that keep the origin of a stream.
-func (r *Registrar) keepers(id StreamID) []string {
+func (r *Registrar) keepers(id identifier.StreamID) []string {
 	addresses := subsetter.Rank(string(id), r.options.Members())
 	addresses = slices.DeleteFunc(addresses, func(a string) bool { return a == r.options.Self })
 	return addresses[:min(copyCount, len(addresses))]
--- a/ladder/registrar/registrar_test.go
+++ b/ladder/registrar/registrar_test.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 )
 
@@ -59,15 +60,18 @@
 		h.Keep(*q.RecordOrigin)
 		return r, nil
 	}
-	if o, ok := h.Known(StreamID(q.FindOrigin)); ok {
-		r.Origin = &messenger.StreamOrigin{Stream: q.FindOrigin, Service: o.Service, Software: o.Software}
-	}
+	r.Origin = h.Known(q.FindOrigin)
 	return r, nil
 }
 
+// origin returns the origin of stream n.
+func origin(n int) messenger.StreamOrigin {
+	return messenger.StreamOrigin{Stream: identifier.StreamID(fmt.Sprint(n)), Service: "s", Software: "v1"}
+}
+
 func (f *fleet) begin(streams int) {
 	for n := range streams {
-		f.hosts[fmt.Sprint("host-", n%len(f.hosts))].Record(StreamID(fmt.Sprint(n)), Origin{"s", "v1"})
+		f.hosts[fmt.Sprint("host-", n%len(f.hosts))].Record(origin(n))
 	}
 	time.Sleep(10 * time.Millisecond)
 }
@@ -75,7 +79,7 @@
 // found counts the streams that a host finds.
 func (f *fleet) found(host string, streams int) (count int) {
 	for n := range streams {
-		if o, ok := f.hosts[host].Find(context.Background(), StreamID(fmt.Sprint(n))); ok && o == (Origin{"s", "v1"}) {
+		if o := f.hosts[host].Find(context.Background(), origin(n).Stream); o != nil && *o == origin(n) {
 			count++
 		}
 	}
@@ -125,7 +129,7 @@
 		f := newFleet(2, 2)
 		f.begin(1)
 		time.Sleep(retention / 2)
-		f.hosts["host-1"].Record("0", Origin{"s", "v1"}) // taken up
+		f.hosts["host-1"].Record(origin(0)) // taken up
 		time.Sleep(retention * 3 / 4)
 		if n := f.found("host-1", 1); n != 1 {
 			t.Error("a stream that was taken up has expired")
@@ -140,15 +144,15 @@
 func TestKeep_DropsTheOldestBeyondItsBound(t *testing.T) {
 	r := New(clockwork.NewFakeClock(), Options{})
 	for n := range maxOrigins + 10 {
-		r.Keep(messenger.StreamOrigin{Stream: fmt.Sprint(n)})
+		r.Keep(origin(n))
 	}
 	if len(r.origins) != maxOrigins || len(r.order) != maxOrigins {
 		t.Errorf("%d origins, %d in order, want %d", len(r.origins), len(r.order), maxOrigins)
 	}
-	if _, ok := r.Known("9"); ok {
+	if r.Known(origin(9).Stream) != nil {
 		t.Error("the oldest origin is still there")
 	}
-	if _, ok := r.Known(StreamID(fmt.Sprint(maxOrigins + 9))); !ok {
+	if r.Known(origin(maxOrigins+9).Stream) == nil {
 		t.Error("the newest origin is missing")
 	}
 }
