One check for a target that was replaced; a stream keeps its selection

scheduler and forwarder each compared a target with its entry and had an error for it; cataloger.CheckListed serves both. A stream kept the two parts of its selection apart and put them together in five places; it keeps the selection itself, and asks for the wait of limited targets only where it found none.

--- a/ladder/cataloger/software.go
+++ b/ladder/cataloger/software.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 )
 
@@ -42,3 +44,17 @@
 	}
 	return only, ok
 }
+
+// ErrReplaced means that another incarnation of a target has been listed since a request was
+// sent to it, which may be of another software version.
+var ErrReplaced = errors.New("target has been replaced")
+
+// CheckListed returns ErrReplaced if the target is known to have been replaced. A target that
+// is no longer listed may still be serving.
+func (c *Cataloger) CheckListed(t Target) error {
+	current, ok := c.Target(t.Name)
+	if ok && (current.StartID != t.StartID || current.Software != t.Software) {
+		return ErrReplaced
+	}
+	return nil
+}
--- a/ladder/forwarder/origin.go
+++ b/ladder/forwarder/origin.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
@@ -38,7 +37,7 @@
 	case !slices.ContainsFunc(s.route.Shares, func(share cataloger.TrafficShare) bool { return share.Service == o.Service }):
 		return NotRun{RetryAfter: originRetryAfter, Reason: "the stream's service is no longer on its route"}
 	}
-	s.service, s.software = o.Service, &o.Software
+	s.service, s.selection.software = o.Service, &o.Software
 	return nil
 }
 
@@ -56,10 +55,6 @@
 	return &messenger.StreamOrigin{Service: service, Software: software}
 }
 
-// errTargetReplaced says that another incarnation of the target has been listed since the
-// attempt began, which may be of another software version.
-var errTargetReplaced = errors.New("target has been replaced")
-
 // beginEvents handles the first event of an attempt, before it is passed on.
 func (s *Stream) beginEvents() error {
 	if !s.route.Resumable {
@@ -67,16 +62,15 @@
 		return nil
 	}
 	f := s.forwarder
-	current, ok := f.catalog.Target(s.target.Name)
-	if ok && (current.StartID != s.target.StartID || current.Software != s.target.Software) {
-		return errTargetReplaced
+	if err := f.catalog.CheckListed(s.target); err != nil {
+		return err
 	}
 	s.awaitsEvent = false
-	if s.software == nil {
+	if s.selection.software == nil {
 		software := s.target.Software
-		s.software = &software
+		s.selection.software = &software
 	}
-	f.origins.Record(messenger.StreamOrigin{Stream: s.streamID(), Service: s.service, Software: *s.software})
+	f.origins.Record(messenger.StreamOrigin{Stream: s.streamID(), Service: s.service, Software: *s.selection.software})
 	return nil
 }
 
--- a/ladder/forwarder/stream.go
+++ b/ladder/forwarder/stream.go
@@ -40,10 +40,9 @@
 	stallTimeout time.Duration
 	// retries counts the attempts after the first.
 	retries int
-	tried   map[identifier.TargetName]bool
-	// software is the version that began the stream, which may only go on at targets of
-	// that version; nil before the first event.
-	software *identifier.SoftwareVersion
+	// selection has the targets tried and, after the first event, the software version
+	// that began the stream, which may only go on at targets of that version.
+	selection selection
 	// awaitsEvent is set until the first event of an attempt.
 	awaitsEvent bool
 }
@@ -72,7 +71,7 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	s := &Stream{
 		forwarder: f, ctx: ctx, cancel: cancel, request: r, route: route,
-		deadline: f.clock.Now().Add(limit), service: f.drawService(route), tried: make(map[identifier.TargetName]bool),
+		deadline: f.clock.Now().Add(limit), service: f.drawService(route), selection: selection{tried: make(map[identifier.TargetName]bool)},
 	}
 	o := s.takeUp()
 	if o == nil {
@@ -134,16 +133,16 @@
 func (s *Stream) startAttempt(after identifier.EventNumber) (*sender.Response, error) {
 	f := s.forwarder
 	left := s.deadline.Sub(f.clock.Now())
-	name, ok := f.router.Choose(f.candidates(s.service, selection{tried: s.tried, software: s.software}), router.Unmonitored)
+	name, ok := f.router.Choose(f.candidates(s.service, s.selection), router.Unmonitored)
 	if !ok || left < minTimeLeft {
 		if ok {
 			f.router.Done(name, router.Unmonitored)
 		}
 		return nil, errNoTarget
 	}
-	s.tried[name] = true
+	s.selection.tried[name] = true
 	t, ok := f.catalog.Target(name)
-	if !ok || !(selection{software: s.software}).hasSoftware(t) { // the list has changed meanwhile
+	if !ok || !s.selection.hasSoftware(t) { // the list has changed meanwhile
 		f.router.Done(name, router.Unmonitored)
 		return nil, sender.ErrNotSent
 	}
@@ -171,10 +170,11 @@
 	if !s.route.Resumable || s.retries+1 >= s.route.MaxAttempts {
 		return
 	}
-	f, tried, software, cancelAttempt := s.forwarder, maps.Clone(s.tried), s.software, s.cancelAttempt
+	f, others, cancelAttempt := s.forwarder, s.selection, s.cancelAttempt
+	others.need, others.tried = sender.Optional, maps.Clone(others.tried)
 	s.stallTimeout = streamStallTimeout << s.retries
 	s.stallTimer = f.clock.AfterFunc(max(s.stallTimeout, firstEventGoals*s.route.LatencyGoal), func() {
-		if len(f.candidates(s.service, selection{need: sender.Optional, tried: tried, software: software})) > 0 {
+		if len(f.candidates(s.service, others)) > 0 {
 			cancelAttempt(sender.ErrStalled)
 		}
 	})
@@ -252,16 +252,16 @@
 // pause. It returns false if there are none. The last target of a version may have lost
 // nothing but a connection.
 func (s *Stream) allowTriedTargets() bool {
-	if s.software == nil || len(s.tried) == 0 {
+	if s.selection.software == nil || len(s.selection.tried) == 0 {
 		return false
 	}
-	clear(s.tried)
+	clear(s.selection.tried)
 	select {
 	case <-s.forwarder.clock.After(retryPause):
 	case <-s.ctx.Done():
 		return false
 	}
-	return len(s.forwarder.candidates(s.service, selection{software: s.software})) > 0
+	return len(s.forwarder.candidates(s.service, s.selection)) > 0
 }
 
 // startPermittedAttempt is startAttempt for a stream that has begun: it tries other targets
@@ -270,16 +270,19 @@
 	f := s.forwarder
 	for start := f.clock.Now(); ; {
 		response, err := s.startAttempt(after)
-		wait := f.limitWait(s.service, selection{software: s.software})
-		switch {
-		case errors.Is(err, sender.ErrLimited):
+		if errors.Is(err, sender.ErrLimited) {
 			continue
-		case !errors.Is(err, errNoTarget), wait == 0, f.clock.Since(start)+wait > maxLimitWait:
+		}
+		if !errors.Is(err, errNoTarget) {
+			return response, err
+		}
+		wait := f.limitWait(s.service, s.selection)
+		if wait == 0 || f.clock.Since(start)+wait > maxLimitWait {
 			return response, err
 		}
 		select {
 		case <-f.clock.After(wait):
-			clear(s.tried)
+			clear(s.selection.tried)
 		case <-s.ctx.Done():
 			return response, err
 		}
--- a/ladder/scheduler/generate.go
+++ b/ladder/scheduler/generate.go
@@ -72,7 +72,7 @@
 	done, err = t.readEvents(s.sender.Events(answer), answer.Version, target, start, watch)
 	if err != nil && itemCtx.Err() == nil {
 		t.leaveTarget(target.Name)
-		if !errors.Is(err, errMixedVersions) && !errors.Is(err, errSlowTarget) && !errors.Is(err, errTargetReplaced) {
+		if !errors.Is(err, errMixedVersions) && !errors.Is(err, errSlowTarget) && !errors.Is(err, cataloger.ErrReplaced) {
 			t.targetFailed(target, 0)
 		}
 	}
@@ -99,16 +99,6 @@
 // target never stops generating.
 var errTextTooLarge = errors.New("text too large for a result record")
 
-// errTargetReplaced says that another incarnation of the target has been listed since the
-// item was placed, which may be of another software version.
-var errTargetReplaced = errors.New("target has been replaced")
-
-// isListed reports whether the target is not known to have been replaced.
-func (s *Scheduler) isListed(target cataloger.Target) bool {
-	current, ok := s.catalog.Target(target.Name)
-	return !ok || (current.StartID == target.StartID && current.Software == target.Software)
-}
-
 var errMixedVersions = errors.New("text would mix weight versions")
 
 // readEvents appends events to the text until the response ends.
@@ -123,8 +113,10 @@
 		if err != nil {
 			return false, err
 		}
-		if first && !s.isListed(target) {
-			return false, errTargetReplaced
+		if first {
+			if err := s.catalog.CheckListed(target); err != nil {
+				return false, err
+			}
 		}
 		now := s.clock.Now()
 		usualGap := s.router.MeanChunkInterval(target.Service)
