What decides where an item may run is a type of its own

The change copied whole tasks, once field by field, to ask where an item could run with another text or while its run goes on. These fields are placement now, which a task embeds; candidates takes one. The limit of a target is asked for last, since it takes a lock and the other checks don't. Behaviour is unchanged.

--- a/ladder/scheduler/place.go
+++ b/ladder/scheduler/place.go
@@ -55,12 +55,12 @@
 		return
 	}
 	t.restartIfVersionGone(s.catalog, route)
-	candidates := s.candidates(t, route, c, sender.Required)
+	candidates := s.candidates(&t.placement, route, c, sender.Required)
 	if len(candidates) == 0 && s.shouldRestart(t, route, c) {
 		klog.InfoS("item starts anew, the targets of its software version have no room", "job", t.key.job, "item", t.key.item, "software", t.software,
 			"after", t.lastEvent, "waited", s.clock.Since(t.waitingSince))
 		t.discardText()
-		candidates = s.candidates(t, route, c, sender.Required)
+		candidates = s.candidates(&t.placement, route, c, sender.Required)
 	}
 	name, ok := s.router.Choose(candidates, router.Monitored)
 	if !ok {
@@ -90,16 +90,16 @@
 	return a.Admits(n) && (!a.Limited || a.Pending+s.placedWithLimit[target.Name] < maxPendingPermits)
 }
 
-// candidates returns the targets that may run the task now. Moves are optional.
-func (s *Scheduler) candidates(t *task, route cataloger.Route, c *cataloger.Configuration, n sender.Need) (list []router.Candidate) {
+// candidates returns the targets where an item may run now. Moves are optional.
+func (s *Scheduler) candidates(p *placement, route cataloger.Route, c *cataloger.Configuration, n sender.Need) (list []router.Candidate) {
 	now := s.clock.Now()
 	for _, share := range route.Shares {
 		for _, target := range s.catalog.ReadyTargets(share.Service) {
 			switch {
-			case !s.mayReceive(target, n):
-			case !t.canRunOn(target), s.avoidedUntil[target.Name].After(now):
-			case t.leftTarget == target.Name && t.leftUntil.After(now):
+			case !p.canRunOn(target), s.avoidedUntil[target.Name].After(now):
+			case p.leftTarget == target.Name && p.leftUntil.After(now):
 			case s.router.InFlight(target.Name) >= slotsOf(target, c):
+			case !s.mayReceive(target, n):
 			default:
 				list = append(list, router.Candidate{
 					Target: target.Name, Service: target.Service, Zone: target.Zone, Slots: slotsOf(target, c), Warm: s.sender.Warm(target),
@@ -117,7 +117,7 @@
 	c := s.catalog.Configuration()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.router.HasFasterCandidate(current.Name, s.candidates(t, t.route, c, sender.Optional), minMoveSpeedup)
+	return s.router.HasFasterCandidate(current.Name, s.candidates(&t.placement, t.route, c, sender.Optional), minMoveSpeedup)
 }
 
 // slotsOf returns how many requests a target runs concurrently.
@@ -133,19 +133,19 @@
 
 // canRunOn reports whether the target may continue the text and has the weights that the
 // job asks for.
-func (t *task) canRunOn(target cataloger.Target) bool {
-	if t.job.Model != "" && target.Weights[t.job.Model] < t.job.MinVersion {
+func (p *placement) canRunOn(target cataloger.Target) bool {
+	if p.job.Model != "" && target.Weights[p.job.Model] < p.job.MinVersion {
 		return false
 	}
-	return t.continuesOn(target, t.route)
+	return p.continuesOn(target, p.route)
 }
 
 // continuesOn reports whether what the target generates fits the text.
-func (t *task) continuesOn(target cataloger.Target, route cataloger.Route) bool {
-	if t.lastEvent > 0 && target.Software != t.software {
+func (p *placement) continuesOn(target cataloger.Target, route cataloger.Route) bool {
+	if p.lastEvent > 0 && target.Software != p.software {
 		return false
 	}
-	return t.job.Model == "" || !route.SingleVersion || len(t.versions) == 0 || t.versions[0] == target.Weights[t.job.Model]
+	return p.job.Model == "" || !route.SingleVersion || len(p.versions) == 0 || p.versions[0] == target.Weights[p.job.Model]
 }
 
 // restartIfVersionGone discards the text of an item if no target is left that can
@@ -179,7 +179,7 @@
 	if s.clock.Since(t.waitingSince) < max(minRestartWait, time.Duration(t.lastEvent)*usualGap) {
 		return false
 	}
-	fresh := *t
+	fresh := t.placement
 	fresh.lastEvent, fresh.versions = 0, nil
 	return slices.ContainsFunc(s.candidates(&fresh, route, c, sender.Required), func(candidate router.Candidate) bool {
 		target, ok := s.catalog.Target(candidate.Target)
--- a/ladder/scheduler/task.go
+++ b/ladder/scheduler/task.go
@@ -62,16 +62,38 @@
 	item identifier.ItemID
 }
 
+// placement is what decides on which targets an item may run.
+type placement struct {
+	job   *job
+	route cataloger.Route
+	// lastEvent is the last event of the text; 0 means that there is none.
+	lastEvent identifier.EventNumber
+	// versions are the weight versions that generated the text, in ascending order.
+	versions []identifier.WeightVersion
+	// software is the version of the software that generated the text. Only targets of
+	// the same version may continue it.
+	software identifier.SoftwareVersion
+	// leftTarget is the target that the item left last, and leftUntil when it may
+	// return there, as it may be the only one that serves the required weights.
+	leftTarget identifier.TargetName
+	leftUntil  time.Time
+}
+
+// clonePlacement returns a copy that doesn't change with the text.
+func (p placement) clonePlacement() placement {
+	p.versions = slices.Clone(p.versions)
+	return p
+}
+
 // task is one item of a job that does not have a result yet.
 type task struct {
+	placement
 	scheduler *Scheduler
 	key       taskKey
-	job       *job
 	item      *jobstorer.Item
 	// position is the index of the item in its job.
 	position     int
 	lengthBounds lengthBounds
-	route        cataloger.Route
 
 	// wanted becomes false for good when the item has a result or belongs to another
 	// owner. It is guarded by the scheduler's mutex, as are running, textComplete,
@@ -92,26 +114,16 @@
 	notBefore time.Time
 	backoff   time.Duration
 
-	// The fields below belong to run, and to the scheduler while the task is not
-	// running.
+	// The fields below and placement belong to run, and to the scheduler while the task is
+	// not running.
 
 	// text holds the data of the events up to lastEvent, textBytes its size.
 	text      [][]byte
 	textBytes int
-	lastEvent identifier.EventNumber
 	// savedEvent is the last event of the text passed to the job storer.
 	savedEvent identifier.EventNumber
-	// versions are the weight versions that generated the text, in ascending order.
-	versions []identifier.WeightVersion
-	// software is the version of the software that generated the text. Only targets of
-	// the same version may continue it.
-	software identifier.SoftwareVersion
 	// failures counts the error responses of targets.
 	failures int
-	// leftTarget is the target that the item left last, and leftUntil when it may
-	// return there, as it may be the only one that serves the required weights.
-	leftTarget identifier.TargetName
-	leftUntil  time.Time
 	// moves counts how often the item was moved for speed.
 	moves int
 }
--- a/ladder/scheduler/watchdog.go
+++ b/ladder/scheduler/watchdog.go
@@ -38,8 +38,8 @@
 	cancel context.CancelCauseFunc
 
 	mutex sync.Mutex
-	// placement says where the item may go on; the task itself belongs to the call.
-	placement *task
+	// placement is a copy, as that of the task belongs to the call.
+	placement placement
 	timer     clockwork.Timer
 	// lastHeard is when the last event arrived or, before the first one, when the
 	// call began.
@@ -51,7 +51,7 @@
 // startWatchdog watches a call that begins now.
 func (t *task) startWatchdog(target cataloger.Target, cancel context.CancelCauseFunc) *watchdog {
 	clock := t.scheduler.clock
-	w := &watchdog{task: t, target: target, cancel: cancel, placement: t.placement(), lastHeard: clock.Now()}
+	w := &watchdog{task: t, target: target, cancel: cancel, placement: t.clonePlacement(), lastHeard: clock.Now()}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.timer = clock.AfterFunc(firstEventTimeout, func() {
@@ -62,21 +62,13 @@
 	return w
 }
 
-// placement returns a copy with the fields that decide where the item may run.
-func (t *task) placement() *task {
-	return &task{
-		scheduler: t.scheduler, key: t.key, job: t.job, item: t.item, route: t.route, lastEvent: t.lastEvent, versions: slices.Clone(t.versions),
-		software: t.software, leftTarget: t.leftTarget, leftUntil: t.leftUntil,
-	}
-}
-
 // eventReceived restarts the timer after an event was added to the text; the next one may
 // take limit. It is called by the task's run.
 func (w *watchdog) eventReceived(limit time.Duration) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if w.placement.lastEvent == 0 || len(w.placement.versions) != len(w.task.versions) {
-		w.placement = w.task.placement()
+		w.placement = w.task.clonePlacement()
 	}
 	w.lastHeard = w.task.scheduler.clock.Now()
 	w.timer.Reset(limit)
@@ -95,7 +87,7 @@
 	w.mutex.Lock()
 	silence, placement := s.clock.Since(w.lastHeard), w.placement
 	w.mutex.Unlock()
-	if silence >= maxSilence || !s.router.ReceivedWithin(w.target.Name, stallTimeoutFor(s.router.MeanChunkInterval(w.target.Service))) || s.hasRoomElsewhere(placement, w.target) {
+	if silence >= maxSilence || !s.router.ReceivedWithin(w.target.Name, stallTimeoutFor(s.router.MeanChunkInterval(w.target.Service))) || s.hasRoomElsewhere(&placement, w.target) {
 		w.cancel(sender.ErrStalled)
 		return
 	}
@@ -107,13 +99,13 @@
 	}
 }
 
-// hasRoomElsewhere reports whether another target that may run the task is known to
-// have a free slot.
-func (s *Scheduler) hasRoomElsewhere(t *task, current cataloger.Target) bool {
+// hasRoomElsewhere reports whether another target where an item may run is known to have a
+// free slot.
+func (s *Scheduler) hasRoomElsewhere(p *placement, current cataloger.Target) bool {
 	c := s.catalog.Configuration()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return slices.ContainsFunc(s.candidates(t, t.route, c, sender.Optional), func(candidate router.Candidate) bool {
+	return slices.ContainsFunc(s.candidates(p, p.route, c, sender.Optional), func(candidate router.Candidate) bool {
 		return candidate.Target != current.Name && s.router.HasFreeSlot(candidate)
 	})
 }
