--- a/ladder/forwarder/selection.go
+++ b/ladder/forwarder/selection.go
@@ -35,7 +35,7 @@
 	return list
 }
 
-// limitWait returns how long to wait until a selected target of the service accepts a
+// limitWait returns how long to wait until a selected target, tried or not, accepts a
 // request again, if they all have reached their limits, and 0 otherwise.
 func (f *Forwarder) limitWait(service identifier.ServiceName, s selection) (shortest time.Duration) {
 	for _, t := range f.catalog.ReadyTargets(service) {
--- a/ladder/permitter/permitter_test.go
+++ b/ladder/permitter/permitter_test.go
@@ -10,19 +10,13 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/lycheeladder/lycheeladder/ladder/faker"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 )
 
 // The fixed seed gives the same cases in every run.
 func init() { _ = flag.Set("rapid.seed", "1") }
 
-// The users' bounds for requests to a target that limits them.
-const (
-	limitPeriod = 4 * time.Second
-	limitFactor = 1.5
-	limitSlack  = 5
-)
-
 var start = time.Unix(1_700_000_000, 0)
 
 // limitChange is the limit that is in force from a time on.
@@ -49,15 +43,15 @@
 func checkUses(t interface{ Fatalf(string, ...any) }, uses []time.Duration, changes []limitChange) {
 	slices.Sort(uses)
 	for n, end := range uses {
-		begin := end - limitPeriod
+		begin := end - faker.LimitPeriod
 		count := 0
 		for _, at := range uses[:n+1] {
 			if at > begin {
 				count++
 			}
 		}
-		if allowed := limitFactor*allowedBetween(changes, begin, end) + limitSlack; float64(count) > allowed {
-			t.Fatalf("%d permits used in the %s to %s, at most %.1f are allowed", count, limitPeriod, end, allowed)
+		if allowed := faker.MaxLimited(allowedBetween(changes, begin, end)); float64(count) > allowed {
+			t.Fatalf("%d permits used in the %s to %s, at most %.1f are allowed", count, faker.LimitPeriod, end, allowed)
 		}
 	}
 }
--- a/ladder/throttler/throttler_test.go
+++ b/ladder/throttler/throttler_test.go
@@ -17,23 +17,13 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
+	"github.com/lycheeladder/lycheeladder/ladder/faker"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 	"github.com/lycheeladder/lycheeladder/ladder/sender"
 	"github.com/lycheeladder/lycheeladder/ladder/updater"
 )
 
-// The users' bounds for a target that names a limit: from limitNotice after it first did,
-// the hosts that it told at least tellingTime before send it at most limitFactor times
-// the limit plus limitSlack requests within limitPeriod.
-const (
-	limitNotice = 3 * time.Second
-	tellingTime = 500 * time.Millisecond
-	limitPeriod = 4 * time.Second
-	limitFactor = 1.5
-	limitSlack  = 5
-)
-
 const (
 	peerDelay, targetDelay = time.Millisecond, 20 * time.Millisecond
 	// settled is how long a new fleet needs to grant whole limits.
@@ -163,7 +153,7 @@
 	h.mutex.Lock()
 	target, now := h.targets[to.Name], h.clock.Now()
 	told, ok := target.toldAt[h.host]
-	target.arrivals = append(target.arrivals, arrival{h.host, now, ok && now.Sub(told) >= tellingTime})
+	target.arrivals = append(target.arrivals, arrival{h.host, now, ok && now.Sub(told) >= faker.LimitTellingTime})
 	limit := target.limit
 	if limit.Limited && !ok {
 		target.toldAt[h.host] = now.Add(targetDelay)
@@ -241,38 +231,28 @@
 	callers.Wait()
 }
 
-// most returns the greatest number of requests that count within limitPeriod at a target,
-// from the given time on.
+// most returns the greatest number of requests that count within the users' period at a
+// target, and the number of all, from the given time on.
 func (f *fleet) most(name identifier.TargetName, from time.Time) (most, all int) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	target := f.targets[name]
-	first, count := 0, 0
-	var counted []arrival
-	for _, a := range target.arrivals {
+	var counted []time.Time
+	for _, a := range f.targets[name].arrivals {
 		if a.counts && !a.at.Before(from) {
-			counted = append(counted, a)
-		}
-	}
-	for _, a := range counted {
-		count++
-		for a.at.Sub(counted[first].at) >= limitPeriod {
-			first++
-			count--
+			counted = append(counted, a.at)
 		}
-		most = max(most, count)
 	}
-	return most, len(counted)
+	return faker.MostWithinLimitPeriod(counted), len(counted)
 }
 
 // check checks the requests from the given time on against a limit.
 func (f *fleet) check(name identifier.TargetName, rate identifier.RequestRate, from time.Time) {
 	f.t.Helper()
 	most, all := f.most(name, from)
-	allowed := limitFactor*float64(rate)*limitPeriod.Seconds() + limitSlack
-	f.t.Logf("%s: %d requests, most in %s %d, allowed %.0f", name, all, limitPeriod, most, allowed)
+	allowed := faker.MaxLimited(float64(rate) * faker.LimitPeriod.Seconds())
+	f.t.Logf("%s: %d requests, most in %s %d, allowed %.0f", name, all, faker.LimitPeriod, most, allowed)
 	if float64(most) > allowed {
-		f.t.Errorf("%s got %d requests in %s, at most %.0f are allowed", name, most, limitPeriod, allowed)
+		f.t.Errorf("%s got %d requests in %s, at most %.0f are allowed", name, most, faker.LimitPeriod, allowed)
 	}
 }
 
@@ -301,7 +281,7 @@
 				start := f.clock.Now()
 				f.load(100*time.Millisecond, 20*time.Second)
 				for name, rate := range limits {
-					from := start.Add(limitNotice)
+					from := start.Add(faker.LimitNotice)
 					f.check(name, rate, from)
 					// One host alone calls each target only 3 times a second.
 					want := 0.7 * min(float64(rate), 10*float64(hosts)/3) * f.clock.Since(from).Seconds()
@@ -323,8 +303,8 @@
 		f.name("b", 5)
 		lowered := f.clock.Now()
 		f.load(100*time.Millisecond, 15*time.Second)
-		f.check("a", 1, lowered.Add(limitNotice))
-		f.check("b", 5, lowered.Add(limitNotice))
+		f.check("a", 1, lowered.Add(faker.LimitNotice))
+		f.check("b", 5, lowered.Add(faker.LimitNotice))
 		if _, all := f.most("b", lowered); all < 20 {
 			t.Errorf("%d requests in 15 s to the target that accepts 5 a second again", all)
 		}
@@ -379,7 +359,7 @@
 				f.mutex.Unlock()
 				synctest.Wait()
 				f.load(100*time.Millisecond, 20*time.Second)
-				f.check("a", rate, start.Add(limitNotice))
+				f.check("a", rate, start.Add(faker.LimitNotice))
 				if _, all := f.most("a", f.clock.Now().Add(-5*time.Second)); all == 0 {
 					t.Error("the target gets no requests in the end")
 				}
