--- a/ladder/cataloger/cataloger.go
+++ b/ladder/cataloger/cataloger.go
@@ -64,6 +64,8 @@
 	// softwareSeen has, for each service, when a target of each software version was last
 	// listed or changed its entry.
 	softwareSeen map[identifier.ServiceName]map[identifier.SoftwareVersion]time.Time
+	// saidLeaving has when targets first said in a response that they leave.
+	saidLeaving map[incarnation]time.Time
 	// ready caches the results of ReadyTargets since the last change, by service.
 	ready map[identifier.ServiceName][]Target
 }
@@ -77,6 +79,7 @@
 		desired:      make(map[identifier.ModelName]identifier.WeightVersion),
 		changed:      make(chan struct{}),
 		softwareSeen: make(map[identifier.ServiceName]map[identifier.SoftwareVersion]time.Time),
+		saidLeaving:  make(map[incarnation]time.Time),
 		ready:        make(map[identifier.ServiceName][]Target),
 	}
 }
--- a/ladder/explainer/events.go
+++ b/ladder/explainer/events.go
@@ -364,6 +364,16 @@
 		Meaning: "a caller takes up a stream that none of the hosts asked knows, and targets of several software versions have served lately",
 		Action:  "many: hosts lose their memory or can't reach each other",
 	},
+	{
+		Name: "target says that it leaves", Level: LevelInfo, Scope: ScopeTarget,
+		Fields:  []string{"target", "service", "state"},
+		Meaning: "a response of the target says so; `state` is the one in its entry",
+	},
+	{
+		Name: "request sent to a target that leaves", Level: LevelInfo, Scope: ScopeRequest,
+		Fields:  []string{"request", "target", "since"},
+		Meaning: "the target has said so `since` ago to this host; it goes on serving for a short time",
+	},
 	{
 		Name: "target gone", Level: LevelInfo, Scope: ScopeTarget,
 		Fields:  []string{"target", "offset"},
