One type says which start of a target is meant

throttler had its own type for the name and start id of a target; what is kept of targets that leave needs the same. No behaviour is changed.

--- a/ladder/cataloger/target.go
+++ b/ladder/cataloger/target.go
@@ -14,6 +14,12 @@
 	StateLeaving TargetState = "leaving"
 )
 
+// Incarnation identifies one start of a target.
+type Incarnation struct {
+	Name    identifier.TargetName
+	StartID int64
+}
+
 // Target is one live incarnation of a back end.
 type Target struct {
 	// Name usually changes when the target restarts.
@@ -32,3 +38,6 @@
 	// Weights is the last reported version of each loaded model.
 	Weights map[identifier.ModelName]identifier.WeightVersion
 }
+
+// Incarnation returns which start of the target this is.
+func (t Target) Incarnation() Incarnation { return Incarnation{t.Name, t.StartID} }
--- a/ladder/throttler/limits.go
+++ b/ladder/throttler/limits.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 	"github.com/lycheeladder/lycheeladder/ladder/querier"
 	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
@@ -38,7 +39,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	for _, l := range list {
-		t.learn(incarnation{l.Target, l.StartID}, fromMessage(l.Limit), t.heardAt(l.Limit))
+		t.learn(cataloger.Incarnation{Name: l.Target, StartID: l.StartID}, fromMessage(l.Limit), t.heardAt(l.Limit))
 	}
 }
 
--- a/ladder/throttler/permits.go
+++ b/ladder/throttler/permits.go
@@ -31,7 +31,7 @@
 	answer := t.ask(ctx, call)
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	known := t.learn(incarnationOf(to), fromMessage(answer.Limit), t.heardAt(answer.Limit))
+	known := t.learn(to.Incarnation(), fromMessage(answer.Limit), t.heardAt(answer.Limit))
 	known.pending--
 	if known.limit.Limited {
 		known.report.add(t.clock.Now(), to.Name, known.limit.Rate, answer.Granted)
@@ -49,12 +49,12 @@
 // charge takes a permit for a request that is sent in any case.
 func (t *Throttler) charge(ctx context.Context, to cataloger.Target) {
 	t.mutex.Lock()
-	known, ok := t.targets[incarnationOf(to)]
+	known, ok := t.targets[to.Incarnation()]
 	if !ok || !known.limit.Limited {
 		t.mutex.Unlock()
 		return
 	}
-	call := messenger.PermitCall{Target: t.toMessage(incarnationOf(to), known), Charge: true}
+	call := messenger.PermitCall{Target: t.toMessage(to.Incarnation(), known), Charge: true}
 	t.mutex.Unlock()
 	t.ask(ctx, call)
 }
@@ -64,7 +64,7 @@
 func (t *Throttler) beginAsking(to cataloger.Target) (call messenger.PermitCall, needed bool, err error) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	known, ok := t.targets[incarnationOf(to)]
+	known, ok := t.targets[to.Incarnation()]
 	if !ok || !known.limit.Limited {
 		return call, false, nil
 	}
@@ -73,7 +73,7 @@
 		return call, false, sender.ErrLimited
 	}
 	known.pending++
-	return messenger.PermitCall{Target: t.toMessage(incarnationOf(to), known)}, true, nil
+	return messenger.PermitCall{Target: t.toMessage(to.Incarnation(), known)}, true, nil
 }
 
 // ask asks the hosts that may grant a permit, in order, until one answers.
@@ -107,10 +107,10 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	now := t.clock.Now()
-	of := incarnation{call.Target.Target, call.Target.StartID}
+	of := cataloger.Incarnation{Name: call.Target.Target, StartID: call.Target.StartID}
 	known := t.learn(of, fromMessage(call.Target.Limit), t.heardAt(call.Target.Limit))
 	answer := messenger.PermitAnswer{Limit: t.toMessage(of, known).Limit}
-	standing := t.roster.Standing(now, of.name)
+	standing := t.roster.Standing(now, of.Name)
 	switch {
 	case !known.limit.Limited:
 		answer.Granted = true
@@ -124,8 +124,8 @@
 }
 
 // toMessage returns a target's limit for another host. The caller holds the mutex.
-func (t *Throttler) toMessage(of incarnation, known *target) messenger.TargetLimit {
-	return messenger.TargetLimit{Target: of.name, StartID: of.startID, Limit: messenger.RequestLimit{
+func (t *Throttler) toMessage(of cataloger.Incarnation, known *target) messenger.TargetLimit {
+	return messenger.TargetLimit{Target: of.Name, StartID: of.StartID, Limit: messenger.RequestLimit{
 		Limited: known.limit.Limited, Rate: known.limit.Rate, Age: t.clock.Since(known.heardAt),
 	}}
 }
--- a/ladder/throttler/throttler.go
+++ b/ladder/throttler/throttler.go
@@ -11,7 +11,6 @@
 	"k8s.io/klog/v2"
 
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
-	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/permitter"
 	"github.com/lycheeladder/lycheeladder/ladder/querier"
 	"github.com/lycheeladder/lycheeladder/ladder/sender"
@@ -43,17 +42,9 @@
 	// introduced is set once the hosts that grant permits have been asked for limits.
 	introduced bool
 	roster     *permitter.Roster
-	targets    map[incarnation]*target
+	targets    map[cataloger.Incarnation]*target
 }
 
-// incarnation identifies one start of a target: a restarted target has named no limit.
-type incarnation struct {
-	name    identifier.TargetName
-	startID int64
-}
-
-func incarnationOf(t cataloger.Target) incarnation { return incarnation{t.Name, t.StartID} }
-
 // target is what is known of one target that has named a limit.
 type target struct {
 	limit sender.RequestLimit
@@ -79,7 +70,7 @@
 func New(clock clockwork.Clock, t sender.Transport, o Options) *Throttler {
 	return &Throttler{
 		Transport: t, clock: clock, options: o,
-		roster: permitter.NewRoster(o.Self), targets: make(map[incarnation]*target),
+		roster: permitter.NewRoster(o.Self), targets: make(map[cataloger.Incarnation]*target),
 	}
 }
 
@@ -130,7 +121,7 @@
 func (t *Throttler) Allowance(of cataloger.Target) (a sender.Allowance) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	known, ok := t.targets[incarnationOf(of)]
+	known, ok := t.targets[of.Incarnation()]
 	if !ok || !known.limit.Limited {
 		return a
 	}
@@ -143,20 +134,20 @@
 func (t *Throttler) learnResponse(to cataloger.Target, limit sender.RequestLimit, sentAt time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	known, ok := t.targets[incarnationOf(to)]
+	known, ok := t.targets[to.Incarnation()]
 	if !limit.Limited && (!ok || !sentAt.After(known.heardAt)) {
 		return
 	}
 	withdrawn := ok && known.limit.Limited && !limit.Limited
-	known = t.learn(incarnationOf(to), limit, t.clock.Now())
+	known = t.learn(to.Incarnation(), limit, t.clock.Now())
 	if withdrawn {
-		t.reportWithdrawal(t.toMessage(incarnationOf(to), known))
+		t.reportWithdrawal(t.toMessage(to.Incarnation(), known))
 	}
 }
 
 // learn records a limit that was heard at the given time, unless a newer one is known. The
 // caller holds the mutex.
-func (t *Throttler) learn(of incarnation, limit sender.RequestLimit, heardAt time.Time) *target {
+func (t *Throttler) learn(of cataloger.Incarnation, limit sender.RequestLimit, heardAt time.Time) *target {
 	known, ok := t.targets[of]
 	if !ok {
 		known = &target{}
@@ -167,10 +158,10 @@
 	}
 	switch {
 	case limit.Limited && !known.limit.Limited:
-		klog.InfoS("request limit named", "target", of.name, "limit", limit.Rate)
+		klog.InfoS("request limit named", "target", of.Name, "limit", limit.Rate)
 		known.report.start(t.clock.Now())
 	case !limit.Limited && known.limit.Limited:
-		klog.InfoS("request limit withdrawn", "target", of.name, "limit", known.limit.Rate)
+		klog.InfoS("request limit withdrawn", "target", of.Name, "limit", known.limit.Rate)
 		known.deniedUntil = time.Time{}
 	}
 	known.limit, known.heardAt = limit, heardAt
