Targets that say that they leave get no more requests

Cause: the header Server-Leaving was not read; a target left for a host only when its entry in the store said so. The log had the header in the host's hands long before each of those calls began.

Now it is heard in every response, in one place, and checked there again before a request is written. It holds for that start of the target, whatever its entry says.

--- a/ladder/cataloger/cataloger.go
+++ b/ladder/cataloger/cataloger.go
@@ -65,23 +65,32 @@
 	// listed or changed its entry.
 	softwareSeen map[identifier.ServiceName]map[identifier.SoftwareVersion]time.Time
 	// saidLeaving has when targets first said in a response that they leave.
-	saidLeaving map[incarnation]time.Time
+	saidLeaving map[Incarnation]time.Time
+	// leaveGrace is how long such targets are used if their service has no other.
+	leaveGrace time.Duration
 	// ready caches the results of ReadyTargets since the last change, by service.
 	ready map[identifier.ServiceName][]Target
 }
 
+// Option is a setting of a Cataloger.
+type Option func(*Cataloger)
+
 // New returns an empty Cataloger.
-func New(clock clockwork.Clock, d Decoder) *Cataloger {
-	return &Cataloger{
+func New(clock clockwork.Clock, d Decoder, options ...Option) *Cataloger {
+	c := &Cataloger{
 		clock: clock, decoder: d,
 		targets:      make(map[identifier.TargetName]Target),
 		lapsed:       make(map[identifier.TargetName]time.Time),
 		desired:      make(map[identifier.ModelName]identifier.WeightVersion),
 		changed:      make(chan struct{}),
 		softwareSeen: make(map[identifier.ServiceName]map[identifier.SoftwareVersion]time.Time),
-		saidLeaving:  make(map[incarnation]time.Time),
+		saidLeaving:  make(map[Incarnation]time.Time),
 		ready:        make(map[identifier.ServiceName][]Target),
 	}
+	for _, set := range options {
+		set(c)
+	}
+	return c
 }
 
 // Configuration returns the configuration in force, or nil.
@@ -150,15 +159,19 @@
 		return list
 	}
 	for _, t := range c.targets {
-		if t.Service == s && t.State == StateReady {
+		if _, leaving := c.saidLeaving[t.Incarnation()]; !leaving && t.Service == s && t.State == StateReady {
 			list = append(list, t)
 		}
 	}
-	slices.SortFunc(list, func(a, b Target) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	sortByName(list)
 	c.ready[s] = list
 	return list
 }
 
+func sortByName(list []Target) {
+	slices.SortFunc(list, func(a, b Target) int { return strings.Compare(string(a.Name), string(b.Name)) })
+}
+
 // EngineCount returns the number of model engines that accept work.
 func (c *Cataloger) EngineCount() (count int) {
 	configuration := c.Configuration()
--- a/ladder/cataloger/leaving.go
+++ b/ladder/cataloger/leaving.go
@@ -8,30 +8,86 @@
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 )
 
-// incarnation identifies one start of a target.
-type incarnation struct {
-	name    identifier.TargetName
-	startID int64
-}
+// A target that leaves says so in its responses, also while the store is away and its entry
+// is out of date. It can't take that back: only another incarnation of it stays.
+
+// leavingRetention is how long it is known that a target leaves that is no longer listed. Its
+// entry may come back for a moment after an outage of the store.
+const leavingRetention = 10 * time.Minute
 
-func incarnationOf(t Target) incarnation { return incarnation{t.Name, t.StartID} }
+// WithLeaveGrace sets how long a target that says that it leaves is still used if its
+// service has no other.
+func WithLeaveGrace(d time.Duration) Option {
+	return func(c *Cataloger) { c.leaveGrace = d }
+}
 
-// RecordLeaving records that a response of the target says that it leaves.
-func (c *Cataloger) RecordLeaving(t Target) {
+// RecordLeaving records that an incarnation of a target said at the given time that it
+// leaves. It returns false if that is known already.
+func (c *Cataloger) RecordLeaving(i Incarnation, at time.Time) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if _, known := c.saidLeaving[incarnationOf(t)]; known {
-		return
+	if _, known := c.saidLeaving[i]; known {
+		return false
 	}
-	c.saidLeaving[incarnationOf(t)] = c.clock.Now()
-	klog.InfoS("target says that it leaves", "target", t.Name, "service", t.Service, "state", c.targets[t.Name].State)
+	for other, saidAt := range c.saidLeaving {
+		if c.clock.Since(saidAt) > leavingRetention && c.targets[other.Name].Incarnation() != other {
+			delete(c.saidLeaving, other)
+		}
+	}
+	c.saidLeaving[i] = at
+	klog.InfoS("target says that it leaves", "target", i.Name, "since", c.clock.Since(at), "state", c.targets[i.Name].State)
+	c.notify()
+	return true
 }
 
-// LeavingFor returns how long ago the target first said that it leaves, and false if it
+// LeavingFor returns how long ago a target first said that it leaves, and false if it
 // hasn't said so.
-func (c *Cataloger) LeavingFor(t Target) (time.Duration, bool) {
+func (c *Cataloger) LeavingFor(i Incarnation) (time.Duration, bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	at, known := c.saidLeaving[incarnationOf(t)]
+	at, known := c.saidLeaving[i]
 	return c.clock.Since(at), known
 }
+
+// MayReceive reports whether requests may be sent to a target: it stays as far as is known,
+// or has said that it leaves only just now.
+func (c *Cataloger) MayReceive(i Incarnation) bool {
+	since, leaving := c.LeavingFor(i)
+	return !leaving || since < c.leaveGrace
+}
+
+// LeavingTargets returns the targets of a service that have said that they leave and that may
+// receive requests for a moment.
+func (c *Cataloger) LeavingTargets(s identifier.ServiceName) (list []Target) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for i, at := range c.saidLeaving {
+		t, listed := c.targets[i.Name]
+		if listed && t.Incarnation() == i && t.Service == s && t.State == StateReady && c.clock.Since(at) < c.leaveGrace {
+			list = append(list, t)
+		}
+	}
+	sortByName(list)
+	return list
+}
+
+// Departures returns the targets that are known to leave, with the time since they said so,
+// up to the given one.
+func (c *Cataloger) Departures(within time.Duration) map[Incarnation]time.Duration {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	leaving := make(map[Incarnation]time.Duration)
+	for i, at := range c.saidLeaving {
+		if since := c.clock.Since(at); since <= within {
+			leaving[i] = since
+		}
+	}
+	return leaving
+}
+
+// StoreFailedWithin reports whether the list of targets couldn't be read within d.
+func (c *Cataloger) StoreFailedWithin(d time.Duration) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return !c.failedAt.IsZero() && c.clock.Since(c.failedAt) <= d
+}
--- a/ladder/explainer/events.go
+++ b/ladder/explainer/events.go
@@ -366,13 +366,8 @@
 	},
 	{
 		Name: "target says that it leaves", Level: LevelInfo, Scope: ScopeTarget,
-		Fields:  []string{"target", "service", "state"},
-		Meaning: "a response of the target says so; `state` is the one in its entry",
-	},
-	{
-		Name: "request sent to a target that leaves", Level: LevelInfo, Scope: ScopeRequest,
-		Fields:  []string{"request", "target", "since"},
-		Meaning: "the target has said so `since` ago to this host; it goes on serving for a short time",
+		Fields:  []string{"target", "since", "state"},
+		Meaning: "a response of the target said so `since` ago, here or at another host; `state` is the one in its entry. It gets no more requests until it has started again",
 	},
 	{
 		Name: "target gone", Level: LevelInfo, Scope: ScopeTarget,
--- a/ladder/faker/targets.go
+++ b/ladder/faker/targets.go
@@ -45,6 +45,14 @@
 	Pause      time.Duration
 	// Version is the weight version in the answer.
 	Version identifier.WeightVersion
+	// Leaves says that the target leaves.
+	Leaves bool
+}
+
+// Departures knows which targets leave; *cataloger.Cataloger implements it.
+type Departures interface {
+	RecordLeaving(i cataloger.Incarnation, at time.Time) bool
+	MayReceive(i cataloger.Incarnation) bool
 }
 
 // SentCall is a call that reached a target.
@@ -62,6 +70,8 @@
 	behave func(t cataloger.Target, c sender.Call, n int) Behaviour
 	// slots is nil if targets run any number of requests at once.
 	slots *slots
+	// departures is nil if the targets' word that they leave is not heard.
+	departures Departures
 
 	mutex sync.Mutex
 	// attempts counts the calls, including those that were not sent.
@@ -82,6 +92,10 @@
 	f.slots = &slots{perTarget: perTarget, running: make(map[identifier.TargetName]int), waiting: make(map[identifier.TargetName][]waiter)}
 }
 
+// TellDepartures makes the targets' word that they leave known to d. It must be called before
+// the first call.
+func (f *Targets) TellDepartures(d Departures) { f.departures = d }
+
 // Calls returns the calls that have reached a target.
 func (f *Targets) Calls() []SentCall {
 	f.mutex.Lock()
@@ -107,6 +121,10 @@
 	f.mutex.Lock()
 	b := f.behave(t, c, f.attempts)
 	f.attempts++
+	if f.departures != nil && !f.departures.MayReceive(t.Incarnation()) {
+		f.mutex.Unlock()
+		return nil, sender.ErrNotSent
+	}
 	if b.NotSent || b.Panics {
 		f.mutex.Unlock()
 		if b.Panics {
@@ -128,6 +146,9 @@
 	case <-ctx.Done():
 		return nil, sender.ErrNoResponse
 	}
+	if b.Leaves && f.departures != nil {
+		f.departures.RecordLeaving(t.Incarnation(), f.clock.Now())
+	}
 	a := &sender.Response{Status: b.Status, NotRun: b.NotRun, Signature: "by " + string(t.Name), Version: b.Version, Header: http.Header{}}
 	if a.Status == 0 {
 		a.Status = http.StatusOK
--- a/ladder/forwarder/selection.go
+++ b/ladder/forwarder/selection.go
@@ -22,9 +22,17 @@
 	return s.software == nil || t.Software == *s.software
 }
 
-// candidates returns the targets of a service that a request may use.
+// candidates returns the targets of a service that a request may use. Those that have just
+// said that they leave are used only if there are no others.
 func (f *Forwarder) candidates(service identifier.ServiceName, s selection) []router.Candidate {
-	targets := f.catalog.ReadyTargets(service)
+	list := f.filter(f.catalog.ReadyTargets(service), s)
+	if len(list) == 0 && s.need == sender.Required {
+		list = f.filter(f.catalog.LeavingTargets(service), s)
+	}
+	return list
+}
+
+func (f *Forwarder) filter(targets []cataloger.Target, s selection) []router.Candidate {
 	list := make([]router.Candidate, 0, len(targets))
 	for _, t := range targets {
 		if s.tried[t.Name] || !s.hasSoftware(t) || !f.sender.Allowance(t).Admits(s.need) {
--- a/ladder/messenger/question.go
+++ b/ladder/messenger/question.go
@@ -52,6 +52,10 @@
 	RecordOrigin *StreamOrigin `cbor:"8,keyasint,omitempty"`
 	// FindOrigin asks for the origin of a stream.
 	FindOrigin identifier.StreamID `cbor:"9,keyasint,omitempty"`
+	// Announcement tells the peer which targets leave.
+	Announcement *Announcement `cbor:"10,keyasint,omitempty"`
+	// Departures asks for the targets that said within that time that they leave.
+	Departures time.Duration `cbor:"11,keyasint,omitempty"`
 }
 
 // Reply is the response to the Question with the same ID. No part is set if the
@@ -70,6 +74,24 @@
 	Limits []TargetLimit `cbor:"7,keyasint,omitempty"`
 	// Origin is nil if the peer doesn't know the stream.
 	Origin *StreamOrigin `cbor:"8,keyasint,omitempty"`
+	// Departures are the targets that leave, in no particular order.
+	Departures []Departure `cbor:"9,keyasint,omitempty"`
+}
+
+// Announcement says which targets leave.
+type Announcement struct {
+	Departures []Departure `cbor:"1,keyasint,omitempty"`
+	// PassOn asks the peer to tell all others what it didn't know.
+	PassOn bool `cbor:"2,keyasint,omitempty"`
+}
+
+// Departure says that an incarnation of a target leaves.
+type Departure struct {
+	Target identifier.TargetName `cbor:"1,keyasint"`
+	// StartID distinguishes incarnations with the same name.
+	StartID int64 `cbor:"2,keyasint"`
+	// Age is the time since the target said so.
+	Age time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // StreamOrigin says where a stream began.
