--- a/ladder/explainer/events.go
+++ b/ladder/explainer/events.go
@@ -358,6 +358,11 @@
 		Fields:  []string{"request", "target", "software", "after", "cause"},
 		Meaning: "a resumable stream was interrupted after event `after`",
 	},
+	{
+		Name: "stream taken up", Level: LevelInfo, Scope: ScopeRequest,
+		Fields:  []string{"request", "resumes", "after", "software", "source"},
+		Meaning: "a caller takes up a stream; it goes on at targets of the version `software`, which `source` tells",
+	},
 	{
 		Name: "stream not taken up, its software version is unknown", Level: LevelInfo, Scope: ScopeRequest,
 		Fields:  []string{"request", "resumes", "after"},
--- a/ladder/forwarder/origin.go
+++ b/ladder/forwarder/origin.go
@@ -26,9 +26,9 @@
 		return nil
 	}
 	f := s.forwarder
-	o := f.origins.Find(s.ctx, s.request.Resumes)
+	o, source := f.origins.Find(s.ctx, s.request.Resumes), "a host that kept it"
 	if o == nil {
-		o = f.soleOrigin(s.route)
+		o, source = f.soleOrigin(s.route), "the only version listed"
 	}
 	switch {
 	case o == nil:
@@ -37,6 +37,7 @@
 	case !slices.ContainsFunc(s.route.Shares, func(share cataloger.TrafficShare) bool { return share.Service == o.Service }):
 		return NotRun{RetryAfter: originRetryAfter, Reason: "the stream's service is no longer on its route"}
 	}
+	klog.InfoS("stream taken up", "request", s.request.ID, "resumes", s.request.Resumes, "after", s.request.ResumeAfter, "software", o.Software, "source", source)
 	s.service, s.selection.software = o.Service, &o.Software
 	return nil
 }
