Streams go on at their software version after all hosts were killed

Callers that took streams up after all hosts were killed got text of two software versions, 8 to 20 of 20 streams, where a version had left, and were all refused while both versions served.

Cause: where a stream began was known in memory only; a host without that memory took the versions listed since its own start for all there ever were. In the log all streams that went on had the source 'the only version listed'.

Now the store has a base version for each service, and a record for each stream that begins at another one, written before its first event is passed on. What no host knows and has no record began at the base version. A service of one version costs nothing; a rollout at most 160 appends a second in a fleet of any size.

In TestForwardStream_TakesUpAStreamWhereItBegan the two cases in which an unknown stream goes on at the only version listed now need a host that has read the list for as long as versions are remembered: a host that has just started was what joined the streams. Two cases for such hosts are added.

--- /dev/null
+++ b/ladder/archiver/archiver_test.go
@@ -0,0 +1,426 @@
+package archiver
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
+	"github.com/lycheeladder/lycheeladder/ladder/faker"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/storer"
+)
+
+const testService identifier.ServiceName = "s"
+
+const (
+	testPartitions = 12
+	// maxListed is the number of hosts that the store lists.
+	maxListed = 12
+)
+
+// softwareDecoder decodes target records that consist of the software version.
+type softwareDecoder struct{}
+
+func (softwareDecoder) Published(string, []byte) (cataloger.PublishedRecord, error) {
+	return &cataloger.Configuration{Version: 1, Routes: []cataloger.Route{
+		{Name: "r", Kind: cataloger.KindStream, Resumable: true, Shares: []cataloger.TrafficShare{{Service: testService, Weight: 1}}},
+	}}, nil
+}
+
+func (softwareDecoder) Target(key string, value []byte) (cataloger.Target, error) {
+	return cataloger.Target{Name: identifier.TargetName(key), Service: testService, Software: identifier.SoftwareVersion(value), State: cataloger.StateReady}, nil
+}
+
+// countingLog counts the calls to the store.
+type countingLog struct {
+	*faker.Store
+	mutex         sync.Mutex
+	appends       int
+	reads, record int
+}
+
+func (l *countingLog) Append(ctx context.Context, p storer.Partition, at identifier.LogOffset, records []storer.Record) (identifier.LogOffset, error) {
+	l.mutex.Lock()
+	l.appends++
+	l.record += len(records)
+	l.mutex.Unlock()
+	time.Sleep(4 * time.Millisecond)
+	return l.Store.Append(ctx, p, at, records)
+}
+
+func (l *countingLog) Newest(ctx context.Context, p storer.Partition, after string) (storer.SnapshotPage, error) {
+	l.mutex.Lock()
+	l.reads++
+	l.mutex.Unlock()
+	time.Sleep(4 * time.Millisecond)
+	return l.Store.Newest(ctx, p, after)
+}
+
+// fleet is a number of hosts that lose their memory when they are restarted.
+type fleet struct {
+	t      *testing.T
+	clock  clockwork.Clock
+	log    *countingLog
+	size   int
+	listed []string
+	down   bool
+
+	ctx   context.Context
+	end   context.CancelFunc
+	tasks *conc.WaitGroup
+	// mutex guards hosts and silent.
+	mutex  sync.Mutex
+	hosts  map[string]*host
+	silent map[string]bool
+	// software is the version of each listed target.
+	software map[string]string
+}
+
+type host struct {
+	*Archiver
+	catalog *cataloger.Cataloger
+}
+
+func newFleet(t *testing.T, size int, software map[string]string) *fleet {
+	clock := clockwork.NewRealClock()
+	f := &fleet{t: t, clock: clock, log: &countingLog{Store: faker.NewStore(clock)}, size: size, software: software, silent: make(map[string]bool)}
+	for n := range min(size, maxListed) {
+		f.listed = append(f.listed, hostName(n))
+	}
+	f.start()
+	return f
+}
+
+func hostName(n int) string { return fmt.Sprint("host-", n) }
+
+// start starts all hosts without any memory.
+func (f *fleet) start() {
+	f.ctx, f.end = context.WithCancel(context.Background())
+	f.tasks = &conc.WaitGroup{}
+	f.hosts = make(map[string]*host)
+	for n := range f.size {
+		h := &host{catalog: cataloger.New(f.clock, softwareDecoder{})}
+		h.catalog.PublishedSink().Reset([]storer.Record{{Key: "config", Value: []byte("x")}})
+		h.Archiver = New(f.clock, f.log, h.catalog, Options{
+			Topic: "origins", Partitions: testPartitions, Self: hostName(n), Members: func() []string { return f.listed }, Peers: f,
+		})
+		f.hosts[hostName(n)] = h
+	}
+	f.list(f.software)
+	for _, h := range f.hosts {
+		f.tasks.Go(func() { h.Run(f.ctx) })
+	}
+}
+
+// kill ends all hosts.
+func (f *fleet) kill() { f.end(); f.tasks.Wait() }
+
+// list replaces the targets, as all hosts see them.
+func (f *fleet) list(software map[string]string) {
+	f.software = software
+	var records []storer.Record
+	for name, s := range software {
+		records = append(records, storer.Record{Key: name, Value: []byte(s)})
+	}
+	for _, h := range f.hosts {
+		h.catalog.TargetSink().Reset(records)
+	}
+}
+
+// setDown starts or ends an outage of the store.
+func (f *fleet) setDown(down bool) {
+	f.log.SetDown(down)
+	f.down = down
+	if down {
+		for _, h := range f.hosts {
+			h.catalog.StoreFailed()
+		}
+	}
+}
+
+// Ask implements querier.Peers.
+func (f *fleet) Ask(ctx context.Context, address string, q messenger.Question) (r messenger.Reply, err error) {
+	time.Sleep(time.Millisecond)
+	f.mutex.Lock()
+	h, silent := f.hosts[address], f.silent[address]
+	f.mutex.Unlock()
+	if silent {
+		<-ctx.Done()
+		return r, errors.New("no answer")
+	}
+	switch {
+	case q.ArchiveOrigin != nil:
+		r.Archived = h.SaveForPeer(ctx, *q.ArchiveOrigin)
+	case q.FindArchived != "":
+		r.Origin, r.Archived = h.FindForPeer(ctx, q.FindArchived)
+	}
+	return r, nil
+}
+
+// begin begins a stream at a host and returns the version that began it.
+func (f *fleet) begin(h *host, id identifier.StreamID, random *rand.Rand) identifier.SoftwareVersion {
+	listed := h.catalog.ListedSoftware(testService)
+	software := listed[random.IntN(len(listed))]
+	if preferred, ok := h.Preferred(testService); ok && slices.Contains(listed, preferred) {
+		software = preferred
+	}
+	h.Save(context.Background(), messenger.StreamOrigin{Stream: id, Service: testService, Software: software})
+	return software
+}
+
+// beginMany begins streams at all hosts in turn.
+func (f *fleet) beginMany(count int, random *rand.Rand) map[identifier.StreamID]identifier.SoftwareVersion {
+	begun := make(map[identifier.StreamID]identifier.SoftwareVersion)
+	for n := range count {
+		id := identifier.StreamID(fmt.Sprint(f.clock.Now().UnixNano(), "-", n))
+		begun[id] = f.begin(f.hosts[hostName(n%f.size)], id, random)
+	}
+	return begun
+}
+
+// takeUp takes streams up at all hosts in turn. It returns how many go on, and how many of
+// them at a version that didn't begin them.
+func (f *fleet) takeUp(begun map[identifier.StreamID]identifier.SoftwareVersion) (goOn, joined int) {
+	n := 0
+	for id, software := range begun {
+		h := f.hosts[hostName(n%f.size)]
+		n++
+		o := h.Find(context.Background(), id, testService)
+		if o == nil || !slices.Contains(h.catalog.ListedSoftware(testService), o.Software) {
+			continue
+		}
+		goOn++
+		if o.Software != software {
+			joined++
+		}
+	}
+	return goOn, joined
+}
+
+// Guards against streams that are joined of two versions, or refused, after all hosts have
+// lost their memory.
+func TestFind_AfterAllHostsWereKilled(t *testing.T) {
+	const streams = 60
+	v1, v2 := map[string]string{"a": "v1", "b": "v1"}, map[string]string{"c": "v2", "d": "v2"}
+	both := map[string]string{"a": "v1", "b": "v1", "c": "v2", "d": "v2"}
+	for name, c := range map[string]struct {
+		first, second, third map[string]string
+		// outage says when the store is away: while streams begin, are taken up, or both.
+		outage string
+		// goOn is how many streams have to go on.
+		goOn int
+	}{
+		"one version":                               {v1, v1, v1, "", streams},
+		"both versions":                             {both, both, both, "", streams},
+		"a new one comes":                           {v1, both, both, "", streams},
+		"a new one comes after the kill":            {v1, v1, both, "", streams},
+		"the old one leaves before the kill":        {v1, v2, v2, "", streams},
+		"the old one leaves after the kill":         {both, both, v2, "", streams / 4},
+		"all are replaced after the kill":           {v1, v1, v2, "", 0},
+		"rolled back before the kill":               {v1, both, v1, "", streams / 4},
+		"both, store away while streams begin":      {both, both, both, "begin", streams},
+		"one, store away while streams begin":       {v1, v1, v1, "begin", streams},
+		"replaced, store away while streams begin":  {v1, v1, v2, "begin", 0},
+		"both, store away when they are taken up":   {both, both, both, "take up", 0},
+		"one, store away when they are taken up":    {v1, v1, v1, "take up", 0},
+		"replaced, store away when taken up":        {v1, v1, v2, "take up", 0},
+		"both, store away until after the take-ups": {both, both, both, "both", 0},
+	} {
+		for _, size := range []int{1, 2, 7, 30} {
+			t.Run(fmt.Sprint(name, ", hosts: ", size), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					random := rand.New(rand.NewPCG(1, uint64(size)))
+					f := newFleet(t, size, c.first)
+					time.Sleep(3 * time.Second)
+					f.list(c.second)
+					f.setDown(c.outage == "begin" || c.outage == "both")
+					begun := f.beginMany(streams, random)
+					f.kill()
+					f.setDown(c.outage == "take up" || c.outage == "both")
+					f.software = c.third
+					f.start()
+					defer f.kill()
+					goOn, joined := f.takeUp(begun)
+					if joined > 0 || goOn < c.goOn {
+						t.Errorf("%d of %d streams go on, at least %d have to; %d are joined", goOn, streams, c.goOn, joined)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against a version that is taken for that of all unknown streams while another one
+// may have begun them.
+func TestFind_AtAnyMomentOfRolloutsAndKills(t *testing.T) {
+	lists := []map[string]string{
+		{"a": "v1", "b": "v1"}, {"a": "v1", "b": "v1", "c": "v2"}, {"b": "v1", "c": "v2", "d": "v2"}, {"c": "v2", "d": "v2"}, {"c": "v2", "e": "v3"}, {"a": "v1", "e": "v3"},
+	}
+	goneOn, all := 0, 0
+	for seed := range uint64(60) {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 2))
+			f := newFleet(t, 1+random.IntN(6), lists[0])
+			defer func() { f.kill() }()
+			time.Sleep(time.Second)
+			begun := make(map[identifier.StreamID]identifier.SoftwareVersion)
+			for range 40 {
+				switch random.IntN(6) {
+				case 0, 1:
+					f.list(lists[random.IntN(len(lists))])
+				case 2:
+					f.kill()
+					f.software = lists[random.IntN(len(lists))]
+					f.start()
+					goOn, joined := f.takeUp(begun)
+					if joined > 0 {
+						t.Errorf("seed %d: %d of %d streams are joined", seed, joined, len(begun))
+					}
+					goneOn, all = goneOn+goOn, all+len(begun)
+					clear(begun)
+				case 3:
+					time.Sleep(time.Duration(random.IntN(150)) * time.Second)
+					clear(begun) // the longest stream lasts a minute
+				default:
+					for id, software := range f.beginMany(1+random.IntN(5), random) {
+						begun[id] = software
+					}
+				}
+				time.Sleep(time.Duration(random.IntN(700)) * time.Millisecond)
+			}
+		})
+	}
+	t.Logf("%d of %d streams went on", goneOn, all)
+}
+
+// Guards against answers that are lost, refused or late while origins are written.
+func TestSave_WritesWhenAppendsFail(t *testing.T) {
+	both := map[string]string{"a": "v1", "b": "v2"}
+	for name, faults := range map[string][]faker.AppendFault{
+		"refused":     {faker.RefuseAppend{}, faker.RefuseAppend{}},
+		"answer lost": {faker.LoseAnswer{}},
+		"late":        {faker.DelayAppend{By: 2 * time.Second}},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 3, both)
+			time.Sleep(3 * time.Second)
+			f.log.Fail(faults...)
+			o := messenger.StreamOrigin{Stream: "x", Service: testService, Software: "v2"}
+			start := time.Now()
+			f.hosts[hostName(0)].Save(context.Background(), o)
+			if took := time.Since(start); took > 2*saveTimeout {
+				t.Errorf("%s: the first event waits for %s", name, took)
+			}
+			time.Sleep(5 * time.Second)
+			f.kill()
+			f.start()
+			defer f.kill()
+			if diff := cmp.Diff(&o, f.hosts[hostName(1)].Find(context.Background(), "x", testService)); diff != "" {
+				t.Errorf("%s: %s", name, diff)
+			}
+		})
+	}
+}
+
+// Guards against origins that can't be written or found because one host is silent.
+func TestFind_WhileHostsAreSilent(t *testing.T) {
+	const streams = 40
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 6, map[string]string{"a": "v1", "b": "v2"})
+		defer func() { f.kill() }()
+		time.Sleep(3 * time.Second)
+		f.silent[hostName(2)], f.silent[hostName(4)] = true, true
+		begun := f.beginMany(streams, rand.New(rand.NewPCG(1, 1)))
+		f.kill()
+		f.start()
+		if goOn, joined := f.takeUp(begun); goOn != streams || joined > 0 {
+			t.Errorf("%d of %d streams go on, %d joined", goOn, streams, joined)
+		}
+		time.Sleep(2 * time.Second) // until the questions to silent hosts have ended
+	})
+}
+
+// Guards against writes for each stream of a service of one version, and against writes that
+// grow with the fleet.
+func TestSave_WritesLittle(t *testing.T) {
+	for _, size := range []int{7, 133, 330} {
+		for name, c := range map[string]struct {
+			software map[string]string
+			begin    identifier.SoftwareVersion
+			appends  int
+		}{
+			"one version":                 {map[string]string{"a": "v1"}, "v1", 0},
+			"base version during rollout": {map[string]string{"a": "v1", "b": "v1", "c": "v2"}, "v1", 0},
+			"new version during rollout":  {map[string]string{"a": "v1", "b": "v1", "c": "v2"}, "v2", 160},
+		} {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, size, c.software)
+				defer f.kill()
+				time.Sleep(3 * time.Second)
+				f.log.appends, f.log.record, f.log.reads = 0, 0, 0
+				var streams conc.WaitGroup
+				var slowest time.Duration
+				var mutex sync.Mutex
+				for n := range size {
+					for k := range 10 {
+						streams.Go(func() {
+							time.Sleep(time.Duration(k*100+n%100) * time.Millisecond)
+							start := time.Now()
+							f.hosts[hostName(n)].Save(context.Background(), messenger.StreamOrigin{Stream: identifier.StreamID(fmt.Sprint(n, "-", k)), Service: testService, Software: c.begin})
+							mutex.Lock()
+							slowest = max(slowest, time.Since(start))
+							mutex.Unlock()
+						})
+					}
+				}
+				streams.Wait()
+				if f.log.appends > c.appends || f.log.reads > 0 || slowest > saveTimeout {
+					t.Errorf("%d hosts, %s: %d appends and %d reads in a second, at most %d and 0 are allowed; first events wait for up to %s", size, name, f.log.appends, f.log.reads, c.appends, slowest)
+				}
+				t.Logf("%d hosts, %s: %d streams, %d records in %d appends, first events wait for up to %s", size, name, 10*size, f.log.record, f.log.appends, slowest)
+			})
+		}
+	}
+}
+
+func TestRun_DeletesOldRecordsAndReplacesTheBaseVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4, map[string]string{"a": "v1", "b": "v1", "c": "v2"})
+		defer f.kill()
+		time.Sleep(3 * time.Second)
+		for n := range 500 {
+			f.hosts[hostName(n%4)].Save(context.Background(), messenger.StreamOrigin{Stream: identifier.StreamID(fmt.Sprint(n)), Service: testService, Software: "v2"})
+		}
+		f.list(map[string]string{"c": "v2"})
+		time.Sleep(time.Minute)
+		for _, h := range f.hosts {
+			if base, _ := h.Base(testService); base != "v1" {
+				t.Errorf("base version %s a minute after the last target of v1", base)
+			}
+		}
+		time.Sleep(retention + 2*sweepInterval)
+		for _, h := range f.hosts {
+			if base, _ := h.Base(testService); base != "v2" || !h.isBase(testService, "v2") {
+				t.Errorf("base version %s long after the last target of v1", base)
+			}
+		}
+		for n := range testPartitions {
+			page, err := f.log.Newest(context.Background(), storer.Partition{Topic: "origins", Number: identifier.PartitionNumber(n)}, "stream/")
+			if err != nil || len(page.Records) > 0 {
+				t.Errorf("partition %d: %d records left, %v", n, len(page.Records), err)
+			}
+		}
+	})
+}
--- a/ladder/cataloger/cataloger.go
+++ b/ladder/cataloger/cataloger.go
@@ -68,6 +68,10 @@
 	saidLeaving map[Incarnation]time.Time
 	// leaveGrace is how long such targets are used if their service has no other.
 	leaveGrace time.Duration
+	// listedSince is when the targets were first listed.
+	listedSince time.Time
+	// software caches the results of ListedSoftware since the last change, by service.
+	software map[identifier.ServiceName][]identifier.SoftwareVersion
 	// ready caches the results of ReadyTargets since the last change, by service.
 	ready map[identifier.ServiceName][]Target
 }
@@ -85,6 +89,7 @@
 		changed:      make(chan struct{}),
 		softwareSeen: make(map[identifier.ServiceName]map[identifier.SoftwareVersion]time.Time),
 		saidLeaving:  make(map[Incarnation]time.Time),
+		software:     make(map[identifier.ServiceName][]identifier.SoftwareVersion),
 		ready:        make(map[identifier.ServiceName][]Target),
 	}
 	for _, set := range options {
@@ -128,7 +133,7 @@
 			klog.InfoS("target gone, its entry isn't back", "target", name)
 			delete(c.targets, name)
 			delete(c.lapsed, name)
-			clear(c.ready)
+			c.clearCaches()
 		}
 	}
 }
@@ -211,8 +216,13 @@
 	c.notify()
 }
 
-func (c *Cataloger) notify() {
+func (c *Cataloger) clearCaches() {
 	clear(c.ready)
+	clear(c.software)
+}
+
+func (c *Cataloger) notify() {
+	c.clearCaches()
 	close(c.changed)
 	c.changed = make(chan struct{})
 }
@@ -270,6 +280,9 @@
 func (s targetSink) Reset(records []storer.Record) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if s.listedSince.IsZero() {
+		s.listedSince = s.clock.Now()
+	}
 	listed := make(map[identifier.TargetName]bool, len(records))
 	for _, r := range records {
 		s.applyRecovered(r)
--- a/ladder/cataloger/software.go
+++ b/ladder/cataloger/software.go
@@ -1,6 +1,8 @@
 package cataloger
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,11 +25,70 @@
 	seen[t.Software] = c.clock.Now()
 }
 
+// ListedSoftware returns the software versions of a service's targets in ascending order. The
+// caller must not modify the list.
+func (c *Cataloger) ListedSoftware(s identifier.ServiceName) []identifier.SoftwareVersion {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.removeLapsed()
+	list, ok := c.software[s]
+	if ok {
+		return list
+	}
+	list = slices.Sorted(maps.Keys(c.countSoftware(s)))
+	c.software[s] = list
+	return list
+}
+
+// countSoftware returns how many targets of a service have each software version. The caller
+// holds the mutex.
+func (c *Cataloger) countSoftware(s identifier.ServiceName) map[identifier.SoftwareVersion]int {
+	count := make(map[identifier.SoftwareVersion]int)
+	for _, t := range c.targets {
+		if t.Service == s {
+			count[t.Software]++
+		}
+	}
+	return count
+}
+
+// MostListedSoftware returns the software version that most targets of a service have, and
+// false if it has none.
+func (c *Cataloger) MostListedSoftware(s identifier.ServiceName) (most identifier.SoftwareVersion, ok bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	count := c.countSoftware(s)
+	for _, software := range slices.Sorted(maps.Keys(count)) {
+		if !ok || count[software] > count[most] {
+			most, ok = software, true
+		}
+	}
+	return most, ok
+}
+
+// SoftwareGone reports whether no target of a service with the software version has been
+// listed within softwareMemory.
+func (c *Cataloger) SoftwareGone(s identifier.ServiceName, software identifier.SoftwareVersion) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	seenAt, seen := c.softwareSeen[s][software]
+	return c.knowsSoftware() && c.countSoftware(s)[software] == 0 && (!seen || c.clock.Since(seenAt) > softwareMemory)
+}
+
+// knowsSoftware reports whether the targets have been listed for as long as softwareMemory.
+// The caller holds the mutex.
+func (c *Cataloger) knowsSoftware() bool {
+	return !c.listedSince.IsZero() && c.clock.Since(c.listedSince) >= softwareMemory
+}
+
 // OnlySoftware returns the software version of a service's targets if all that were listed
-// within softwareMemory had the same one.
+// within softwareMemory had the same one. A host that started after that can't tell.
 func (c *Cataloger) OnlySoftware(s identifier.ServiceName) (only identifier.SoftwareVersion, ok bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if !c.knowsSoftware() {
+		return "", false
+	}
 	for _, t := range c.targets {
 		if t.Service != s {
 			continue
--- a/ladder/explainer/events.go
+++ b/ladder/explainer/events.go
@@ -358,6 +358,55 @@
 		Fields:  []string{"request", "target", "software", "after", "cause"},
 		Meaning: "a resumable stream was interrupted after event `after`",
 	},
+	{
+		Name: "base version of software", Level: LevelInfo, Scope: ScopeHost,
+		Fields:  []string{"service", "software", "offset"},
+		Meaning: "streams of the service that begin at this version need no record in the store; another one takes its place 2 minutes after its last target",
+	},
+	{
+		Name: "base version not named yet", Level: LevelInfo, Scope: ScopeHost,
+		Fields:  []string{"service", "software", "err"},
+		Meaning: "it couldn't be written to the store; each stream is recorded until then",
+	},
+	{
+		Name: "base version can't be encoded", Level: LevelError, Scope: ScopeHost,
+		Fields:  []string{"service"},
+		Meaning: "each stream of the service is recorded",
+		Action:  "report it",
+	},
+	{
+		Name: "unreadable base version", Level: LevelError, Scope: ScopeHost,
+		Fields:  []string{"key", "offset"},
+		Meaning: "each stream of the service is recorded, and those without a record can't be taken up",
+		Action:  "find out who else writes to the topic",
+	},
+	{
+		Name: "stream's origin can't be encoded", Level: LevelError, Scope: ScopeRequest,
+		Fields:  []string{"stream"},
+		Meaning: "it is not recorded",
+		Action:  "report it",
+	},
+	{
+		Name: "unreadable origin of a stream", Level: LevelError, Scope: ScopeRequest,
+		Fields:  []string{"stream"},
+		Meaning: "the stream can't be taken up",
+		Action:  "find out who else writes to the topic",
+	},
+	{
+		Name: "origins of streams not recorded yet", Level: LevelInfo, Scope: ScopeHost,
+		Fields:  []string{"partition", "count", "err"},
+		Meaning: "the store doesn't take them; they are written later, unless all hosts end before",
+	},
+	{
+		Name: "origins of streams can't be read", Level: LevelInfo, Scope: ScopeHost,
+		Fields:  []string{"partition", "err"},
+		Meaning: "a stream that no host knows can't be taken up until the store answers",
+	},
+	{
+		Name: "old origins of streams not deleted yet", Level: LevelInfo, Scope: ScopeHost,
+		Fields:  []string{"err"},
+		Meaning: "tried again in a minute",
+	},
 	{
 		Name: "stream taken up", Level: LevelInfo, Scope: ScopeRequest,
 		Fields:  []string{"request", "resumes", "after", "software", "source"},
--- a/ladder/forwarder/forwarder.go
+++ b/ladder/forwarder/forwarder.go
@@ -112,11 +112,17 @@
 
 // Origins knows where streams began; *registrar.Registrar implements it.
 type Origins interface {
-	// Record keeps the origin of a stream.
-	Record(o messenger.StreamOrigin)
+	// Record keeps the origin of a stream, before its first event is passed on.
+	Record(ctx context.Context, o messenger.StreamOrigin)
 	// Find returns the origin of a stream, which may have begun at another host, or nil if
 	// it is unknown.
 	Find(ctx context.Context, id identifier.StreamID) *messenger.StreamOrigin
+	// FindArchived returns the origin of a stream that no host knows, or nil. If it has no
+	// record, the stream is taken to be of the service.
+	FindArchived(ctx context.Context, id identifier.StreamID, s identifier.ServiceName) *messenger.StreamOrigin
+	// Preferred returns the software version at which streams should begin now, and false if
+	// that makes no difference.
+	Preferred(s identifier.ServiceName) (identifier.SoftwareVersion, bool)
 }
 
 // blockedRetryAfter is sent to callers of a blocked request.
--- a/ladder/forwarder/forwarder_test.go
+++ b/ladder/forwarder/forwarder_test.go
@@ -26,7 +26,17 @@
 type knownOrigins map[identifier.StreamID]messenger.StreamOrigin
 
 // Record implements Origins.
-func (k knownOrigins) Record(o messenger.StreamOrigin) { k[o.Stream] = o }
+func (k knownOrigins) Record(_ context.Context, o messenger.StreamOrigin) { k[o.Stream] = o }
+
+// FindArchived implements Origins.
+func (k knownOrigins) FindArchived(context.Context, identifier.StreamID, identifier.ServiceName) *messenger.StreamOrigin {
+	return nil
+}
+
+// Preferred implements Origins.
+func (k knownOrigins) Preferred(identifier.ServiceName) (identifier.SoftwareVersion, bool) {
+	return "", false
+}
 
 // Find implements Origins.
 func (k knownOrigins) Find(_ context.Context, id identifier.StreamID) *messenger.StreamOrigin {
--- a/ladder/forwarder/origin.go
+++ b/ladder/forwarder/origin.go
@@ -9,6 +9,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/router"
 )
 
 // What two software versions of a target generate doesn't fit together, and targets don't
@@ -27,6 +28,9 @@
 	}
 	f := s.forwarder
 	o, source := f.origins.Find(s.ctx, s.request.Resumes), "a host that kept it"
+	if o == nil {
+		o, source = f.origins.FindArchived(s.ctx, s.request.Resumes, soleService(s.route)), "the store"
+	}
 	if o == nil {
 		o, source = f.soleOrigin(s.route), "the only version listed"
 	}
@@ -42,13 +46,18 @@
 	return nil
 }
 
+// soleService returns the only service of a route, or "" if there are several.
+func soleService(r cataloger.Route) identifier.ServiceName {
+	if len(r.Shares) != 1 {
+		return ""
+	}
+	return r.Shares[0].Service
+}
+
 // soleOrigin returns the only place where a stream of the route can have begun, or nil if
 // there are several.
 func (f *Forwarder) soleOrigin(r cataloger.Route) *messenger.StreamOrigin {
-	if len(r.Shares) != 1 {
-		return nil
-	}
-	service := r.Shares[0].Service
+	service := soleService(r)
 	software, ok := f.catalog.OnlySoftware(service)
 	if !ok {
 		return nil
@@ -56,6 +65,21 @@
 	return &messenger.StreamOrigin{Service: service, Software: software}
 }
 
+// candidates returns the targets for the next attempt.
+func (s *Stream) candidates() []router.Candidate {
+	f := s.forwarder
+	if s.route.Resumable && s.selection.software == nil {
+		if software, ok := f.origins.Preferred(s.service); ok {
+			preferred := s.selection
+			preferred.software = &software
+			if list := f.candidates(s.service, preferred); len(list) > 0 {
+				return list
+			}
+		}
+	}
+	return f.candidates(s.service, s.selection)
+}
+
 // beginEvents handles the first event of an attempt, before it is passed on.
 func (s *Stream) beginEvents() error {
 	if !s.route.Resumable {
@@ -71,7 +95,7 @@
 		software := s.target.Software
 		s.selection.software = &software
 	}
-	f.origins.Record(messenger.StreamOrigin{Stream: s.streamID(), Service: s.service, Software: *s.selection.software})
+	f.origins.Record(s.ctx, messenger.StreamOrigin{Stream: s.streamID(), Service: s.service, Software: *s.selection.software})
 	return nil
 }
 
--- a/ladder/forwarder/origin_test.go
+++ b/ladder/forwarder/origin_test.go
@@ -70,19 +70,26 @@
 
 // Guards against a stream that its caller takes up at another software version.
 func TestForwardStream_TakesUpAStreamWhereItBegan(t *testing.T) {
+	// longUp is longer than a host remembers which versions were listed.
+	const longUp = 3 * time.Minute
 	mixed := map[string]string{"a": "v1", "b": "v1", "c": "v2", "d": "v2"}
 	for name, c := range map[string]struct {
 		listed  map[string]string
 		resumes identifier.StreamID
+		// up is how long the host has known the list.
+		up time.Duration
 		// want is the software version at which the stream goes on, empty if it doesn't.
 		want string
 	}{
-		"known, both versions listed":   {mixed, "first", "v1"},
-		"known, its version is gone":    {map[string]string{"c": "v2", "d": "v2"}, "first", ""},
-		"known, the last of its kind":   {map[string]string{"a": "v1", "c": "v2", "d": "v2"}, "first", "v1"},
-		"unknown, both versions listed": {mixed, "lost", ""},
-		"unknown, one version listed":   {map[string]string{"c": "v2", "d": "v2"}, "lost", "v2"},
-		"not named, one version listed": {map[string]string{"c": "v2", "d": "v2"}, "", "v2"},
+		"known, both versions listed":        {mixed, "first", longUp, "v1"},
+		"known, its version is gone":         {map[string]string{"c": "v2", "d": "v2"}, "first", longUp, ""},
+		"known, the last of its kind":        {map[string]string{"a": "v1", "c": "v2", "d": "v2"}, "first", longUp, "v1"},
+		"unknown, both versions listed":      {mixed, "lost", longUp, ""},
+		"unknown, one version listed":        {map[string]string{"c": "v2", "d": "v2"}, "lost", longUp, "v2"},
+		"not named, one version listed":      {map[string]string{"c": "v2", "d": "v2"}, "", longUp, "v2"},
+		"known, just started":                {mixed, "first", 0, "v1"},
+		"unknown, one version, just started": {map[string]string{"c": "v2", "d": "v2"}, "lost", 0, ""},
+		"unknown, one version, up a minute":  {map[string]string{"c": "v2", "d": "v2"}, "lost", time.Minute, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -92,6 +99,7 @@
 				f.origins = knownOrigins{"first": {Service: "s", Software: "v1"}}
 				f.catalog = cataloger.New(f.clock, nameDecoder{})
 				listSoftware(f, c.listed)
+				time.Sleep(c.up)
 				o := f.ForwardStream(context.Background(), streamRoute(), Request{ID: "second", ResumeAfter: 4, Resumes: c.resumes})
 				s, ok := o.(*Stream)
 				if _, refused := o.(NotRun); !ok && !refused {
--- a/ladder/forwarder/stream.go
+++ b/ladder/forwarder/stream.go
@@ -133,7 +133,7 @@
 func (s *Stream) startAttempt(after identifier.EventNumber) (*sender.Response, error) {
 	f := s.forwarder
 	left := s.deadline.Sub(f.clock.Now())
-	name, ok := f.router.Choose(f.candidates(s.service, s.selection), router.Unmonitored)
+	name, ok := f.router.Choose(s.candidates(), router.Unmonitored)
 	if !ok || left < minTimeLeft {
 		if ok {
 			f.router.Done(name, router.Unmonitored)
--- a/ladder/messenger/question.go
+++ b/ladder/messenger/question.go
@@ -56,6 +56,10 @@
 	Announcement *Announcement `cbor:"10,keyasint,omitempty"`
 	// Departures asks for the targets that said within that time that they leave.
 	Departures time.Duration `cbor:"11,keyasint,omitempty"`
+	// ArchiveOrigin asks the peer to write the origin of a stream to the store.
+	ArchiveOrigin *StreamOrigin `cbor:"12,keyasint,omitempty"`
+	// FindArchived asks for the origin of a stream according to the store.
+	FindArchived identifier.StreamID `cbor:"13,keyasint,omitempty"`
 }
 
 // Reply is the response to the Question with the same ID. No part is set if the
@@ -74,6 +78,8 @@
 	Limits []TargetLimit `cbor:"7,keyasint,omitempty"`
 	// Origin is nil if the peer doesn't know the stream.
 	Origin *StreamOrigin `cbor:"8,keyasint,omitempty"`
+	// Archived means that the store has the origin, or that it was looked up there.
+	Archived bool `cbor:"10,keyasint,omitempty"`
 	// Departures are the targets that leave, in no particular order.
 	Departures []Departure `cbor:"9,keyasint,omitempty"`
 }
--- a/ladder/registrar/registrar.go
+++ b/ladder/registrar/registrar.go
@@ -18,8 +18,8 @@
 
 // A stream's origin is kept by the host that passed its first event on, and by copyCount
 // of the hosts that the platform's store lists, chosen by a hash of the stream's id. Any
-// host finds it there, also when the first one has died. Nothing is written to the store:
-// streams begin while it is away.
+// host finds it there, also when the first one has died. Package archiver writes to the store
+// what must outlive all hosts.
 
 const (
 	// copyCount is how many other hosts keep an origin. Two may be lost at once.
@@ -44,6 +44,35 @@
 	// Members returns the addresses of the hosts that may keep origins.
 	Members func() []string
 	Peers   querier.Peers
+	Archive Archive
+}
+
+// Archive keeps what has to outlive the memory of all hosts; *archiver.Archiver implements it.
+type Archive interface {
+	// Save writes where a stream began, as far as need be.
+	Save(ctx context.Context, o messenger.StreamOrigin)
+	// Find returns where a stream began that no host knows, or nil. If it has no record, the
+	// stream is taken to be of the service.
+	Find(ctx context.Context, id identifier.StreamID, s identifier.ServiceName) *messenger.StreamOrigin
+	// Preferred returns the software version at which streams should begin while nothing can
+	// be written, and false if that makes no difference.
+	Preferred(s identifier.ServiceName) (identifier.SoftwareVersion, bool)
+}
+
+// NoArchive keeps nothing.
+type NoArchive struct{}
+
+// Save implements Archive.
+func (NoArchive) Save(context.Context, messenger.StreamOrigin) {}
+
+// Find implements Archive.
+func (NoArchive) Find(context.Context, identifier.StreamID, identifier.ServiceName) *messenger.StreamOrigin {
+	return nil
+}
+
+// Preferred implements Archive.
+func (NoArchive) Preferred(identifier.ServiceName) (identifier.SoftwareVersion, bool) {
+	return "", false
 }
 
 // Registrar keeps the origins of streams.
@@ -70,12 +99,17 @@
 
 // New returns an empty Registrar.
 func New(clock clockwork.Clock, o Options) *Registrar {
+	if o.Archive == nil {
+		o.Archive = NoArchive{}
+	}
 	return &Registrar{clock: clock, options: o, origins: make(map[identifier.StreamID]entry)}
 }
 
-// Record keeps the origin of a stream here and, in the background, at other hosts.
-func (r *Registrar) Record(o messenger.StreamOrigin) {
+// Record keeps the origin of a stream here and, in the background, at other hosts. It waits a
+// short time until the archive has what it needs.
+func (r *Registrar) Record(ctx context.Context, o messenger.StreamOrigin) {
 	r.Keep(o)
+	defer r.options.Archive.Save(ctx, o)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 		defer cancel()
@@ -131,6 +165,22 @@
 	return nil
 }
 
+// FindArchived returns the origin of a stream that no host knows, or nil. If it has no
+// record, the stream is taken to be of the service.
+func (r *Registrar) FindArchived(ctx context.Context, id identifier.StreamID, s identifier.ServiceName) *messenger.StreamOrigin {
+	o := r.options.Archive.Find(ctx, id, s)
+	if o != nil {
+		r.Keep(*o)
+	}
+	return o
+}
+
+// Preferred returns the software version at which streams should begin while nothing can be
+// archived, and false if that makes no difference.
+func (r *Registrar) Preferred(s identifier.ServiceName) (identifier.SoftwareVersion, bool) {
+	return r.options.Archive.Preferred(s)
+}
+
 // keepers returns the other hosts that keep the origin of a stream.
 func (r *Registrar) keepers(id identifier.StreamID) []string {
 	addresses := subsetter.Rank(string(id), r.options.Members())
