Records that have to reach the store are appended in one place

The writer of archiver becomes package batcher, for others that write records until the store has them. Ids of callers of over 128 bytes are hashed in the keys of origins, as a key's length is one byte: a longer one would have spoilt the record (TestKeyOf_FitsIntoARecord).

--- a/ladder/archiver/archiver.go
+++ b/ladder/archiver/archiver.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -14,6 +16,7 @@
 	"github.com/jonboulle/clockwork"
 	"k8s.io/klog/v2"
 
+	"github.com/lycheeladder/lycheeladder/ladder/batcher"
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
@@ -46,6 +49,10 @@
 	saveTimeout = 80 * time.Millisecond
 	// askTimeout bounds the wait for another host's look-up, readTimeout for the store.
 	askTimeout, readTimeout = 400 * time.Millisecond, 500 * time.Millisecond
+	// maxIDBytes is the length up to which an id is part of a key as it is.
+	maxIDBytes = 128
+	// maxDeletions bounds the records that are deleted at once.
+	maxDeletions = 1000
 	// snapshotAge is how long what was read of a partition is used.
 	snapshotAge = time.Second
 )
@@ -68,7 +75,7 @@
 	log     storer.Log
 	catalog *cataloger.Cataloger
 	options Options
-	writers []*writer
+	writers []*batcher.Batcher
 	// snapshots has what was read of each partition of streams.
 	snapshots []*snapshot
 
@@ -91,7 +98,7 @@
 func New(clock clockwork.Clock, log storer.Log, c *cataloger.Cataloger, o Options) *Archiver {
 	a := &Archiver{clock: clock, log: log, catalog: c, options: o, bases: make(map[identifier.ServiceName]base)}
 	for range min(streamPartitions, max(1, o.Partitions-1)) {
-		a.writers = append(a.writers, newWriter(clock, log, a.partition(len(a.writers))))
+		a.writers = append(a.writers, batcher.New(clock, log, a.partition(len(a.writers))))
 		a.snapshots = append(a.snapshots, &snapshot{reading: make(chan struct{}, 1)})
 	}
 	return a
@@ -140,7 +147,18 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, saveTimeout)
 	defer cancel()
-	return a.writers[a.numberOf(o.Stream)].add(ctx, storer.Record{Key: streamKey + string(o.Stream), Value: value})
+	w := a.writers[a.numberOf(o.Stream)]
+	failing := w.Failing()
+	saved := w.Add(storer.Record{Key: keyOf(o.Stream), Value: value})
+	if failing {
+		return false
+	}
+	select {
+	case <-saved:
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // Find returns where a stream began that no host knows: according to its record, or else at
@@ -183,7 +201,7 @@
 		klog.InfoS("origins of streams can't be read", "partition", a.partition(n).String(), "err", err)
 		return nil, false
 	}
-	value, ok := records[streamKey+string(id)]
+	value, ok := records[keyOf(id)]
 	if !ok {
 		return nil, true
 	}
@@ -195,6 +213,15 @@
 	return &messenger.StreamOrigin{Stream: id, Service: r.Service, Software: r.Software}, true
 }
 
+// keyOf returns the key of a stream's record. Callers choose the ids, and keys have at most 255
+// bytes.
+func keyOf(id identifier.StreamID) string {
+	if len(id) <= maxIDBytes {
+		return streamKey + string(id)
+	}
+	return streamKey + fmt.Sprintf("%x", sha256.Sum256([]byte(id)))
+}
+
 // read returns the newest records of a partition.
 func (a *Archiver) read(ctx context.Context, p storer.Partition) (map[string][]byte, error) {
 	records := make(map[string][]byte)
@@ -230,7 +257,7 @@
 				old = append(old, storer.Record{Key: key})
 			}
 		}
-		for batch := range slices.Chunk(old, maxBatch) {
+		for batch := range slices.Chunk(old, maxDeletions) {
 			if _, err := a.log.Append(ctx, a.partition(n), storer.AnyOffset, batch); err != nil {
 				klog.InfoS("old origins of streams not deleted yet", "err", err)
 				break
--- a/ladder/archiver/archiver_test.go
+++ b/ladder/archiver/archiver_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -334,6 +335,17 @@
 	}
 }
 
+// Guards against records of callers' overlong ids that spoil the records after them.
+func TestKeyOf_FitsIntoARecord(t *testing.T) {
+	long := strings.Repeat("x", 5000)
+	keys := []string{keyOf("a"), keyOf(identifier.StreamID(long)), keyOf(identifier.StreamID(long + "y")), keyOf(identifier.StreamID(long[:maxIDBytes]))}
+	for n, key := range keys {
+		if len(key) > 255 || slices.Contains(keys[:n], key) {
+			t.Errorf("key %d has %d bytes: %.40s", n, len(key), key)
+		}
+	}
+}
+
 // Guards against origins that can't be written or found because one host is silent.
 func TestFind_WhileHostsAreSilent(t *testing.T) {
 	const streams = 40
--- a/ladder/archiver/base.go
+++ b/ladder/archiver/base.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 	"k8s.io/klog/v2"
 
+	"github.com/lycheeladder/lycheeladder/ladder/batcher"
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
@@ -62,7 +63,7 @@
 // Preferred returns the base version of a service while nothing can be recorded, and false
 // otherwise.
 func (a *Archiver) Preferred(s identifier.ServiceName) (identifier.SoftwareVersion, bool) {
-	if !slices.ContainsFunc(a.writers, (*writer).isFailing) && !a.catalog.StoreFailedWithin(snapshotAge) {
+	if !slices.ContainsFunc(a.writers, (*batcher.Batcher).Failing) && !a.catalog.StoreFailedWithin(snapshotAge) {
 		return "", false
 	}
 	return a.Base(s)
@@ -74,7 +75,7 @@
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
 	for _, w := range a.writers {
-		tasks.Go(func() { recoverer.RestartOnPanic(ctx, a.clock, "record origins of streams", w.run) })
+		tasks.Go(func() { recoverer.RestartOnPanic(ctx, a.clock, "record origins of streams", w.Run) })
 	}
 	sweepAt := a.clock.Now().Add(sweepInterval)
 	for {
--- a/ladder/explainer/events.go
+++ b/ladder/explainer/events.go
@@ -393,9 +393,9 @@
 		Action:  "find out who else writes to the topic",
 	},
 	{
-		Name: "origins of streams not recorded yet", Level: LevelInfo, Scope: ScopeHost,
+		Name: "records not written yet", Level: LevelInfo, Scope: ScopeHost,
 		Fields:  []string{"partition", "count", "err"},
-		Meaning: "the store doesn't take them; they are written later, unless all hosts end before",
+		Meaning: "the store doesn't take them; they are written later, unless this host ends before",
 	},
 	{
 		Name: "origins of streams can't be read", Level: LevelInfo, Scope: ScopeHost,
