Failures of targets count although the store is away when they are seen

A request that crashes each target that runs it was sent on and on: what a host saw while the store was away was dropped ('break not shared') and counted nowhere, not at that host either.

A host counts what it has seen itself at once, and the record is written when the store is back. TestConvicted_CountsFailuresSeenDuringAnOutage failed before at the host itself and at the other one, and passes now. The bound of 16 records being written at once goes: they are written together.

--- a/ladder/blocklister/blocklister.go
+++ b/ladder/blocklister/blocklister.go
@@ -5,14 +5,17 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
 	"k8s.io/klog/v2"
 
+	"github.com/lycheeladder/lycheeladder/ladder/batcher"
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
@@ -33,41 +36,50 @@
 	failuresToBlock = 3
 	// retention is how long a failure counts.
 	retention = 5 * time.Minute
-	// writeTimeout bounds the writing of a record.
-	writeTimeout = 2 * time.Second
-	// maxWrites bounds the records being written at once. If more targets fail
-	// at the same time, the requests are not the cause.
-	maxWrites = 16
 )
 
 // Blocklister knows the failures seen by all hosts.
 type Blocklister struct {
 	clock      clockwork.Clock
-	log        storer.Log
-	partition  storer.Partition
 	replicator *replicator.Replicator
-	writes     chan struct{}
+	batcher    *batcher.Batcher
 
 	mutex sync.Mutex
-	// failures has, for each request, when each incarnation of a target failed.
-	failures map[identifier.Fingerprint]map[string]time.Time
+	// failures has, for each request, when each incarnation of a target failed, according to
+	// the store; own has those that this host has seen, which the store may not have yet.
+	failures, own failureTimes
+}
+
+// failureTimes has when each incarnation of a target failed, by request.
+type failureTimes map[identifier.Fingerprint]map[string]time.Time
+
+func (f failureTimes) add(request identifier.Fingerprint, incarnation string, at time.Time) {
+	if f[request] == nil {
+		f[request] = make(map[string]time.Time)
+	}
+	f[request][incarnation] = at
 }
 
 // New returns a Blocklister that knows no failures until Run.
 func New(clock clockwork.Clock, log storer.Log, p storer.Partition) *Blocklister {
-	b := &Blocklister{clock: clock, log: log, partition: p, writes: make(chan struct{}, maxWrites)}
+	b := &Blocklister{clock: clock, batcher: batcher.New(clock, log, p), own: make(failureTimes)}
 	b.replicator = replicator.New(clock, log, p, b, func() {})
 	b.Reset(nil)
 	return b
 }
 
-// Run follows the stored failures until ctx ends.
-func (b *Blocklister) Run(ctx context.Context) { b.replicator.Run(ctx) }
+// Run writes failures and follows the stored ones until ctx ends.
+func (b *Blocklister) Run(ctx context.Context) {
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	tasks.Go(func() { recoverer.RestartOnPanic(ctx, b.clock, "records of target failures", b.batcher.Run) })
+	b.replicator.Run(ctx)
+}
 
 // Reset implements storer.Sink.
 func (b *Blocklister) Reset(records []storer.Record) {
 	b.mutex.Lock()
-	b.failures = make(map[identifier.Fingerprint]map[string]time.Time)
+	b.failures = make(failureTimes)
 	b.mutex.Unlock()
 	b.Apply(records)
 }
@@ -88,10 +100,7 @@
 			delete(b.failures[f], incarnation)
 			continue
 		}
-		if b.failures[f] == nil {
-			b.failures[f] = make(map[string]time.Time)
-		}
-		b.failures[f][incarnation] = b.clock.Now()
+		b.failures.add(f, incarnation, b.clock.Now())
 		if len(b.failures[f]) == failuresToBlock {
 			klog.InfoS("request convicted, targets break off under it", "fingerprint", hash, "targets", len(b.failures[f]), "offset", r.Offset)
 		}
@@ -100,36 +109,26 @@
 
 // BrokeOff records that the target failed without a response while it ran the request.
 func (b *Blocklister) BrokeOff(f identifier.Fingerprint, t cataloger.Target) {
-	select {
-	case b.writes <- struct{}{}:
-	default:
-		return
-	}
-	r := storer.Record{Key: fmt.Sprintf("%016x/%s/%d", uint64(f), t.Name, t.StartID), Value: []byte("1")}
-	go func() {
-		defer func() { <-b.writes }()
-		// CatchPanic logs the panic.
-		_ = recoverer.CatchPanic("record of a target failure", func() {
-			ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
-			defer cancel()
-			if _, err := b.log.Append(ctx, b.partition, storer.AnyOffset, []storer.Record{r}); err != nil {
-				klog.InfoS("break not shared", "fingerprint", f, "target", t.Name, "err", err)
-			}
-		})
-	}()
+	incarnation := fmt.Sprintf("%s/%d", t.Name, t.StartID)
+	b.mutex.Lock()
+	b.own.add(f, incarnation, b.clock.Now())
+	b.mutex.Unlock()
+	b.batcher.Add(storer.Record{Key: fmt.Sprintf("%016x/%s", uint64(f), incarnation), Value: []byte("1")})
 }
 
 // Convicted reports whether the request must not be sent to any target.
 func (b *Blocklister) Convicted(f identifier.Fingerprint) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	recent := 0
-	for _, at := range b.failures[f] {
-		if b.clock.Since(at) < retention {
-			recent++
+	recent := make(map[string]bool)
+	for _, failures := range []failureTimes{b.failures, b.own} {
+		for incarnation, at := range failures[f] {
+			if b.clock.Since(at) < retention {
+				recent[incarnation] = true
+			}
 		}
 	}
-	return recent >= failuresToBlock
+	return len(recent) >= failuresToBlock
 }
 
 // Sweep deletes the records of failures that no longer count, until ctx ends.
@@ -140,6 +139,7 @@
 		case <-ctx.Done():
 			return
 		}
+		b.forgetOwn()
 		err := b.replicator.Append(ctx, b.expired)
 		if err != nil && ctx.Err() == nil {
 			klog.InfoS("old breaks not dropped yet", "err", err)
@@ -147,6 +147,18 @@
 	}
 }
 
+// forgetOwn drops what this host has seen and what no longer counts.
+func (b *Blocklister) forgetOwn() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for f, failures := range b.own {
+		maps.DeleteFunc(failures, func(_ string, at time.Time) bool { return b.clock.Since(at) >= retention })
+		if len(failures) == 0 {
+			delete(b.own, f)
+		}
+	}
+}
+
 func (b *Blocklister) expired() (records []storer.Record) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
--- a/ladder/blocklister/blocklister_test.go
+++ b/ladder/blocklister/blocklister_test.go
@@ -59,3 +59,46 @@
 		tasks.Wait()
 	})
 }
+
+// Guards against failures that are forgotten because the store was away when they were seen.
+func TestConvicted_CountsFailuresSeenDuringAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := clockwork.NewRealClock()
+		store := faker.NewStore(clock)
+		ctx, cancel := context.WithCancel(context.Background())
+		var tasks conc.WaitGroup
+		var hosts []*Blocklister
+		for range 2 {
+			b := New(clock, store, partition)
+			tasks.Go(func() { b.Run(ctx) })
+			tasks.Go(func() { b.Sweep(ctx) })
+			hosts = append(hosts, b)
+		}
+		time.Sleep(time.Second)
+		store.SetDown(true)
+		const poison = identifier.Fingerprint(7)
+		for n := range failuresToBlock {
+			hosts[0].BrokeOff(poison, cataloger.Target{Name: "a", StartID: int64(n)})
+			time.Sleep(time.Second)
+		}
+		if !hosts[0].Convicted(poison) {
+			t.Error("the host that has seen all failures doesn't block the request")
+		}
+		time.Sleep(10 * time.Second)
+		store.SetDown(false)
+		time.Sleep(2 * time.Second)
+		for n, h := range hosts {
+			if !h.Convicted(poison) {
+				t.Errorf("host %d doesn't block the request after the outage", n)
+			}
+		}
+		time.Sleep(3 * retention)
+		for n, h := range hosts {
+			if h.Convicted(poison) {
+				t.Errorf("host %d still blocks the request after the retention period", n)
+			}
+		}
+		cancel()
+		tasks.Wait()
+	})
+}
--- a/ladder/explainer/events.go
+++ b/ladder/explainer/events.go
@@ -102,11 +102,6 @@
 		Fields:  []string{"job", "items", "model", "oldest-version", "offset"},
 		Meaning: "the job is in this entry's copy of the store",
 	},
-	{
-		Name: "break not shared", Level: LevelInfo, Scope: ScopeTarget,
-		Fields:  []string{"fingerprint", "target", "err"},
-		Meaning: "writing to the store failed, or the store was busy",
-	},
 	{
 		Name: "callers' connections not closed in order", Level: LevelInfo, Scope: ScopeHost,
 		Fields:  []string{"err"},
