--- a/ladder/announcer/announcer_test.go
+++ b/ladder/announcer/announcer_test.go
@@ -40,9 +40,14 @@
 	listed []string
 	// unreachable hosts reach no others and are reached by none.
 	unreachable map[string]bool
-	messages    int
-	bytes       int
-	// received counts the bytes that each host received.
+	traffic     traffic
+}
+
+// traffic counts the messages between hosts.
+type traffic struct {
+	messages, bytes int
+	// most is the number of bytes that the busiest host received, received that of each.
+	most     int
 	received map[string]int
 }
 
@@ -53,7 +58,8 @@
 }
 
 func newFleet(hosts, listed int) *fleet {
-	f := &fleet{clock: clockwork.NewRealClock(), unreachable: make(map[string]bool), received: make(map[string]int)}
+	f := &fleet{clock: clockwork.NewRealClock(), unreachable: make(map[string]bool)}
+	f.takeTraffic()
 	f.ctx, f.end = context.WithCancel(context.Background())
 	for n := range listed {
 		f.listed = append(f.listed, hostName(n))
@@ -64,6 +70,24 @@
 	return f
 }
 
+// takeTraffic returns what was counted since the last call.
+func (f *fleet) takeTraffic() traffic {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	counted := f.traffic
+	f.traffic = traffic{received: make(map[string]int)}
+	return counted
+}
+
+// setReachable cuts hosts off from all others or ends that.
+func (f *fleet) setReachable(reachable bool, names ...string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, name := range names {
+		f.unreachable[name] = !reachable
+	}
+}
+
 func hostName(n int) string { return fmt.Sprintf("10.0.%d.%d:7080", n/250, n%250) }
 
 func (f *fleet) start(name string) *fleetHost {
@@ -114,9 +138,10 @@
 	}
 	time.Sleep(time.Millisecond)
 	f.mutex.Lock()
-	f.messages++
-	f.bytes += len(size)
-	f.received[address] += len(size)
+	f.traffic.messages++
+	f.traffic.bytes += len(size)
+	f.traffic.received[address] += len(size)
+	f.traffic.most = max(f.traffic.most, f.traffic.received[address])
 	unreachable := f.unreachable[address] || f.unreachable[p.from]
 	var host *fleetHost
 	for _, h := range f.hosts {
@@ -149,25 +174,22 @@
 			f := newFleet(c.hosts, c.listed)
 			defer f.stop()
 			time.Sleep(3 * time.Second)
-			f.messages, f.bytes, f.received = 0, 0, make(map[string]int)
+			f.takeTraffic()
 			f.hosts[c.hosts-1].RecordLeaving(target("t-1"))
 			time.Sleep(50 * time.Millisecond)
 			if n := f.knowing("t-1"); n < min(c.hosts, c.listed) {
 				t.Errorf("%d of %d hosts know it, %d are listed", n, c.hosts, c.listed)
 			}
-			one := f.messages
+			one := f.takeTraffic()
 			for _, h := range f.hosts {
 				h.RecordLeaving(target("t-2"))
 			}
 			time.Sleep(50 * time.Millisecond)
-			if all := f.messages - one; all > c.hosts+c.listed {
-				t.Errorf("%d hosts that hear at the same moment send %d messages", c.hosts, all)
-			}
-			most := 0
-			for _, n := range f.received {
-				most = max(most, n)
+			all := f.takeTraffic()
+			if all.messages > c.hosts+c.listed {
+				t.Errorf("%d hosts that hear at the same moment send %d messages", c.hosts, all.messages)
 			}
-			t.Logf("%d hosts: %d messages if one hears, %d if all hear at once; %d bytes for both, %d at one host", c.hosts, one, f.messages-one, f.bytes, most)
+			t.Logf("%d hosts: one hears: %d messages, %d bytes; all hear at once: %d messages, %d bytes, %d of them at one host", c.hosts, one.messages, one.bytes, all.messages, all.bytes, all.most)
 			f.storeAway(3 * time.Second)
 			if n := f.knowing("t-1"); n != c.hosts {
 				t.Errorf("%d of %d hosts know it after the store was away for 3 s", n, c.hosts)
@@ -182,14 +204,10 @@
 		f := newFleet(40, 12)
 		defer f.stop()
 		time.Sleep(3 * time.Second)
-		f.mutex.Lock()
-		f.unreachable[hostName(3)] = true
-		f.mutex.Unlock()
+		f.setReachable(false, hostName(3))
 		f.hosts[30].RecordLeaving(target("t-1"))
 		time.Sleep(time.Second)
-		f.mutex.Lock()
-		f.unreachable[hostName(3)] = false
-		f.mutex.Unlock()
+		f.setReachable(true, hostName(3))
 		f.storeAway(4 * time.Second)
 		if n := f.knowing("t-1"); n != 40 {
 			t.Errorf("%d of 40 hosts know it", n)
@@ -212,15 +230,17 @@
 			time.Sleep(3 * time.Second)
 			for n := range 12 {
 				name := identifier.TargetName(fmt.Sprint("x-", n))
+				var hosts []string
 				for k := range away {
-					f.unreachable[hostName((n+k)%12)] = true
+					hosts = append(hosts, hostName((n+k)%12))
 				}
+				f.setReachable(false, hosts...)
 				f.hosts[(n+away)%12].RecordLeaving(target(name))
 				time.Sleep(4 * time.Second)
 				if got := f.knowing(name); got != 12-away {
 					t.Errorf("%d hosts away: %d of 12 know that %s leaves", away, got, name)
 				}
-				clear(f.unreachable)
+				f.setReachable(true, hosts...)
 			}
 		})
 	}
--- a/ladder/archiver/archiver_test.go
+++ b/ladder/archiver/archiver_test.go
@@ -47,24 +47,38 @@
 // countingLog counts the calls to the store.
 type countingLog struct {
 	*faker.Store
-	mutex         sync.Mutex
-	appends       int
-	reads, record int
+	mutex sync.Mutex
+	calls calls
 }
 
-func (l *countingLog) Append(ctx context.Context, p storer.Partition, at identifier.LogOffset, records []storer.Record) (identifier.LogOffset, error) {
+// calls counts the calls to the store.
+type calls struct{ appends, records, reads int }
+
+// takeCalls returns what was counted since the last call.
+func (l *countingLog) takeCalls() calls {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	counted := l.calls
+	l.calls = calls{}
+	return counted
+}
+
+func (l *countingLog) count(c calls) {
 	l.mutex.Lock()
-	l.appends++
-	l.record += len(records)
-	l.mutex.Unlock()
+	defer l.mutex.Unlock()
+	l.calls.appends += c.appends
+	l.calls.records += c.records
+	l.calls.reads += c.reads
+}
+
+func (l *countingLog) Append(ctx context.Context, p storer.Partition, at identifier.LogOffset, records []storer.Record) (identifier.LogOffset, error) {
+	l.count(calls{appends: 1, records: len(records)})
 	time.Sleep(4 * time.Millisecond)
 	return l.Store.Append(ctx, p, at, records)
 }
 
 func (l *countingLog) Newest(ctx context.Context, p storer.Partition, after string) (storer.SnapshotPage, error) {
-	l.mutex.Lock()
-	l.reads++
-	l.mutex.Unlock()
+	l.count(calls{reads: 1})
 	time.Sleep(4 * time.Millisecond)
 	return l.Store.Newest(ctx, p, after)
 }
@@ -76,7 +90,6 @@
 	log    *countingLog
 	size   int
 	listed []string
-	down   bool
 
 	ctx   context.Context
 	end   context.CancelFunc
@@ -110,15 +123,18 @@
 func (f *fleet) start() {
 	f.ctx, f.end = context.WithCancel(context.Background())
 	f.tasks = &conc.WaitGroup{}
-	f.hosts = make(map[string]*host)
+	hosts := make(map[string]*host)
 	for n := range f.size {
 		h := &host{catalog: cataloger.New(f.clock, softwareDecoder{})}
 		h.catalog.PublishedSink().Reset([]storer.Record{{Key: "config", Value: []byte("x")}})
 		h.Archiver = New(f.clock, f.log, h.catalog, Options{
 			Topic: "origins", Partitions: testPartitions, Self: hostName(n), Members: func() []string { return f.listed }, Peers: f,
 		})
-		f.hosts[hostName(n)] = h
+		hosts[hostName(n)] = h
 	}
+	f.mutex.Lock()
+	f.hosts = hosts
+	f.mutex.Unlock()
 	f.list(f.software)
 	for _, h := range f.hosts {
 		f.tasks.Go(func() { h.Run(f.ctx) })
@@ -140,10 +156,18 @@
 	}
 }
 
+// silence makes hosts answer nothing.
+func (f *fleet) silence(names ...string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, name := range names {
+		f.silent[name] = true
+	}
+}
+
 // setDown starts or ends an outage of the store.
 func (f *fleet) setDown(down bool) {
 	f.log.SetDown(down)
-	f.down = down
 	if down {
 		for _, h := range f.hosts {
 			h.catalog.StoreFailed()
@@ -353,7 +377,7 @@
 		f := newFleet(t, 6, map[string]string{"a": "v1", "b": "v2"})
 		defer func() { f.kill() }()
 		time.Sleep(3 * time.Second)
-		f.silent[hostName(2)], f.silent[hostName(4)] = true, true
+		f.silence(hostName(2), hostName(4))
 		begun := f.beginMany(streams, rand.New(rand.NewPCG(1, 1)))
 		f.kill()
 		f.start()
@@ -381,7 +405,7 @@
 				f := newFleet(t, size, c.software)
 				defer f.kill()
 				time.Sleep(3 * time.Second)
-				f.log.appends, f.log.record, f.log.reads = 0, 0, 0
+				f.log.takeCalls()
 				var streams conc.WaitGroup
 				var slowest time.Duration
 				var mutex sync.Mutex
@@ -398,10 +422,11 @@
 					}
 				}
 				streams.Wait()
-				if f.log.appends > c.appends || f.log.reads > 0 || slowest > saveTimeout {
-					t.Errorf("%d hosts, %s: %d appends and %d reads in a second, at most %d and 0 are allowed; first events wait for up to %s", size, name, f.log.appends, f.log.reads, c.appends, slowest)
+				counted := f.log.takeCalls()
+				if counted.appends > c.appends || counted.reads > 0 || slowest > saveTimeout {
+					t.Errorf("%d hosts, %s: %d appends and %d reads in a second, at most %d and 0 are allowed; first events wait for up to %s", size, name, counted.appends, counted.reads, c.appends, slowest)
 				}
-				t.Logf("%d hosts, %s: %d streams, %d records in %d appends, first events wait for up to %s", size, name, 10*size, f.log.record, f.log.appends, slowest)
+				t.Logf("%d hosts, %s: %d streams, %d records in %d appends, first events wait for up to %s", size, name, 10*size, counted.records, counted.appends, slowest)
 			})
 		}
 	}
