Streams whose version can't be recorded begin anew at the base version

Hosts notice a silent store each 1.5 s only, and went by its last second.

A stream whose record isn't written in time has passed nothing on yet: it begins anew at the base version and corrects its record. Hosts prefer that version for 3 s after a failure. The host that writes a partition is waited for 40 ms, so that a silent one leaves time for the store.

--- a/ladder/archiver/archiver.go
+++ b/ladder/archiver/archiver.go
@@ -44,9 +44,10 @@
 	retention = 3 * time.Minute
 	// sweepInterval is the interval at which old records are deleted.
 	sweepInterval = time.Minute
-	// saveTimeout bounds how long the first event of a stream waits for its record. The
-	// callers' requirements allow events to be 120 ms late.
-	saveTimeout = 80 * time.Millisecond
+	// saveTimeout bounds the wait for the store when the origin of a stream is written,
+	// peerSaveTimeout that for the host that writes it. The stream's first event waits for
+	// both; the callers' requirements allow it to be 120 ms late.
+	saveTimeout, peerSaveTimeout = 50 * time.Millisecond, 40 * time.Millisecond
 	// askTimeout bounds the wait for another host's look-up, readTimeout for the store.
 	askTimeout, readTimeout = 400 * time.Millisecond, 500 * time.Millisecond
 	// maxIDBytes is the length up to which an id is part of a key as it is.
@@ -81,6 +82,8 @@
 
 	mutex sync.Mutex
 	bases map[identifier.ServiceName]base
+	// failedAt is when this host last failed to write an origin in time.
+	failedAt time.Time
 	// ledgerReadAt is when the base versions were last read.
 	ledgerReadAt time.Time
 }
@@ -122,19 +125,25 @@
 }
 
 // Save writes where a stream began unless that follows from the base version. It waits a
-// short time for the store.
-func (a *Archiver) Save(ctx context.Context, o messenger.StreamOrigin) {
-	if a.isBase(o.Service, o.Software) {
-		return
+// short time for the store and reports whether the stream can be found. It has to be called
+// with corrects if it was called for the stream before with another version.
+func (a *Archiver) Save(ctx context.Context, o messenger.StreamOrigin, corrects bool) bool {
+	if !corrects && a.isBase(o.Service, o.Software) {
+		return true
 	}
-	ctx, cancel := context.WithTimeout(ctx, saveTimeout)
-	defer cancel()
 	if address := a.writerOf(a.numberOf(o.Stream)); address != a.options.Self {
-		if r, ok := querier.AskBriefly(ctx, a.clock, a.options.Peers, address, messenger.Question{ArchiveOrigin: &o}, saveTimeout); ok && r.Archived {
-			return
+		r, ok := querier.AskBriefly(ctx, a.clock, a.options.Peers, address, messenger.Question{ArchiveOrigin: &o}, peerSaveTimeout)
+		if ok && r.Archived {
+			return true
 		}
 	}
-	a.SaveForPeer(ctx, o)
+	if a.SaveForPeer(ctx, o) {
+		return true
+	}
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.failedAt = a.clock.Now()
+	return false
 }
 
 // SaveForPeer writes where a stream of this or another host began, and reports whether the
--- a/ladder/archiver/base.go
+++ b/ladder/archiver/base.go
@@ -25,6 +25,9 @@
 const (
 	// reviewInterval is the interval at which the versions listed are compared.
 	reviewInterval = 500 * time.Millisecond
+	// failureMemory is how long after a failure of the store streams begin at the base version.
+	// A host notices a silent store each 1.5 s.
+	failureMemory = 3 * time.Second
 	// rereadInterval is the interval at which the base versions are read while one of them
 	// isn't listed.
 	rereadInterval = 5 * time.Second
@@ -63,7 +66,10 @@
 // Preferred returns the base version of a service while nothing can be recorded, and false
 // otherwise.
 func (a *Archiver) Preferred(s identifier.ServiceName) (identifier.SoftwareVersion, bool) {
-	if !slices.ContainsFunc(a.writers, (*batcher.Batcher).Failing) && !a.catalog.StoreFailedWithin(snapshotAge) {
+	a.mutex.Lock()
+	failed := !a.failedAt.IsZero() && a.clock.Since(a.failedAt) < failureMemory
+	a.mutex.Unlock()
+	if !failed && !slices.ContainsFunc(a.writers, (*batcher.Batcher).Failing) && !a.catalog.StoreFailedWithin(failureMemory) {
 		return "", false
 	}
 	return a.Base(s)
--- a/ladder/forwarder/forwarder.go
+++ b/ladder/forwarder/forwarder.go
@@ -112,8 +112,10 @@
 
 // Origins knows where streams began; *registrar.Registrar implements it.
 type Origins interface {
-	// Record keeps the origin of a stream, before its first event is passed on.
-	Record(ctx context.Context, o messenger.StreamOrigin)
+	// Record keeps the origin of a stream, before its first event is passed on, and reports
+	// whether the stream can be found after all hosts have lost their memory. It may correct
+	// what was recorded before.
+	Record(ctx context.Context, o messenger.StreamOrigin, corrects bool) bool
 	// Find returns the origin of a stream, which may have begun at another host, or nil if
 	// it is unknown.
 	Find(ctx context.Context, id identifier.StreamID) *messenger.StreamOrigin
--- a/ladder/forwarder/origin.go
+++ b/ladder/forwarder/origin.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
@@ -67,19 +68,32 @@
 
 // candidates returns the targets for the next attempt.
 func (s *Stream) candidates() []router.Candidate {
+	if list := s.preferredCandidates(); len(list) > 0 {
+		return list
+	}
+	return s.forwarder.candidates(s.service, s.selection)
+}
+
+// preferredCandidates returns the targets at which a stream that has no software version yet
+// should begin, if that makes a difference.
+func (s *Stream) preferredCandidates() []router.Candidate {
 	f := s.forwarder
-	if s.route.Resumable && s.selection.software == nil {
-		if software, ok := f.origins.Preferred(s.service); ok {
-			preferred := s.selection
-			preferred.software = &software
-			if list := f.candidates(s.service, preferred); len(list) > 0 {
-				return list
-			}
-		}
+	if !s.route.Resumable || s.selection.software != nil {
+		return nil
+	}
+	software, ok := f.origins.Preferred(s.service)
+	if !ok {
+		return nil
 	}
-	return f.candidates(s.service, s.selection)
+	preferred := s.selection
+	preferred.software = &software
+	return f.candidates(s.service, preferred)
 }
 
+// errNotRecorded means that a stream that has passed nothing on begins anew at a software
+// version at which it can be taken up after all hosts have lost their memory.
+var errNotRecorded = errors.New("the stream's software version can't be recorded")
+
 // beginEvents handles the first event of an attempt, before it is passed on.
 func (s *Stream) beginEvents() error {
 	if !s.route.Resumable {
@@ -90,15 +104,24 @@
 	if err := f.catalog.CheckListed(s.target); err != nil {
 		return err
 	}
-	s.awaitsEvent = false
-	if s.selection.software == nil {
-		software := s.target.Software
-		s.selection.software = &software
+	origin := messenger.StreamOrigin{Stream: s.streamID(), Service: s.service, Software: s.target.Software}
+	if !f.origins.Record(s.ctx, origin, s.begunAnew) && !s.begunAnew && s.mayBeginAnew() {
+		s.begunAnew = true
+		return errNotRecorded
 	}
-	f.origins.Record(s.ctx, messenger.StreamOrigin{Stream: s.streamID(), Service: s.service, Software: *s.selection.software})
+	s.awaitsEvent, s.selection.software = false, &origin.Software
 	return nil
 }
 
+// mayBeginAnew reports whether the stream may begin at another software version at which it
+// should.
+func (s *Stream) mayBeginAnew() bool {
+	return s.retries+1 < s.route.MaxAttempts && slices.ContainsFunc(s.preferredCandidates(), func(c router.Candidate) bool {
+		t, ok := s.forwarder.catalog.Target(c.Target)
+		return ok && t.Software != s.target.Software
+	})
+}
+
 // streamID returns the id under which a caller takes the stream up.
 func (s *Stream) streamID() identifier.StreamID {
 	if s.request.Resumes != "" {
--- a/ladder/forwarder/origin_test.go
+++ b/ladder/forwarder/origin_test.go
@@ -12,6 +12,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/faker"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 	"github.com/lycheeladder/lycheeladder/ladder/sender"
 	"github.com/lycheeladder/lycheeladder/ladder/storer"
 )
@@ -196,3 +197,60 @@
 		}
 	})
 }
+
+// unsavedOrigins can't record any version but the preferred one.
+type unsavedOrigins struct {
+	knownOrigins
+	preferred identifier.SoftwareVersion
+}
+
+// Record implements Origins.
+func (u unsavedOrigins) Record(ctx context.Context, o messenger.StreamOrigin, corrects bool) bool {
+	return u.knownOrigins.Record(ctx, o, corrects) && o.Software == u.preferred
+}
+
+// Preferred implements Origins; it is known only once a record has failed.
+func (u unsavedOrigins) Preferred(identifier.ServiceName) (identifier.SoftwareVersion, bool) {
+	return u.preferred, len(u.knownOrigins) > 0
+}
+
+// Guards against streams that go on at a version that can't be found after all hosts have
+// lost their memory, and against ones that end because it can't be recorded.
+func TestForwardStream_BeginsAnewIfItsVersionCantBeRecorded(t *testing.T) {
+	for name, c := range map[string]struct {
+		listed   map[string]string
+		attempts int
+		want     string
+	}{
+		"base version listed":     {map[string]string{"a": "v2", "b": "v2", "c": "v1"}, 3, "v1"},
+		"base version not listed": {map[string]string{"a": "v2", "b": "v2"}, 3, "v2"},
+		"no attempt left":         {map[string]string{"a": "v2", "b": "v2", "c": "v1"}, 1, "v2"},
+	} {
+		for n := range 20 {
+			synctest.Test(t, func(t *testing.T) {
+				f, targets := newForwarder(func(cataloger.Target, sender.Call, int) faker.Behaviour {
+					return faker.Behaviour{Events: 8, Gap: 10 * time.Millisecond}
+				})
+				f.origins = unsavedOrigins{knownOrigins{}, "v1"}
+				listSoftware(f, c.listed)
+				route := streamRoute()
+				route.MaxAttempts = c.attempts
+				s, ok := f.ForwardStream(context.Background(), route, Request{ID: fmt.Sprint(n)}).(*Stream)
+				if !ok {
+					t.Fatalf("%s: no stream", name)
+				}
+				defer s.Close()
+				if numbers, _ := readAll(s); !cmp.Equal(numbers, []identifier.EventNumber{1, 2, 3, 4, 5, 6, 7, 8}) {
+					t.Errorf("%s: events %v", name, numbers)
+				}
+				versions := softwareOf(targets.Calls(), c.listed)
+				if last := versions[len(versions)-1]; last != c.want && versions[0] != "v1" {
+					t.Errorf("%s: the stream is of %s, by way of %v", name, last, versions)
+				}
+				if o := f.origins.Find(context.Background(), identifier.StreamID(fmt.Sprint(n))); o == nil || string(o.Software) != versions[len(versions)-1] {
+					t.Errorf("%s: kept as %+v", name, o)
+				}
+			})
+		}
+	}
+}
--- a/ladder/forwarder/stream.go
+++ b/ladder/forwarder/stream.go
@@ -43,6 +43,8 @@
 	// selection has the targets tried and, after the first event, the software version
 	// that began the stream, which may only go on at targets of that version.
 	selection selection
+	// begunAnew is set once the stream began anew because its version couldn't be recorded.
+	begunAnew bool
 	// awaitsEvent is set until the first event of an attempt.
 	awaitsEvent bool
 }
@@ -220,7 +222,9 @@
 
 // resume continues at another target after the last received event.
 func (s *Stream) resume(cause error) bool {
-	s.forwarder.router.RecordFailure(s.target.Name)
+	if !errors.Is(cause, errNotRecorded) {
+		s.forwarder.router.RecordFailure(s.target.Name)
+	}
 	s.endAttempt()
 	for s.countRetry() {
 		response, err := s.startPermittedAttempt(s.request.ResumeAfter)
--- a/ladder/registrar/registrar.go
+++ b/ladder/registrar/registrar.go
@@ -49,8 +49,9 @@
 
 // Archive keeps what has to outlive the memory of all hosts; *archiver.Archiver implements it.
 type Archive interface {
-	// Save writes where a stream began, as far as need be.
-	Save(ctx context.Context, o messenger.StreamOrigin)
+	// Save writes where a stream began, as far as need be, and reports whether the stream can
+	// be found by that. It corrects what it was called with before for the same stream.
+	Save(ctx context.Context, o messenger.StreamOrigin, corrects bool) bool
 	// Find returns where a stream began that no host knows, or nil. If it has no record, the
 	// stream is taken to be of the service.
 	Find(ctx context.Context, id identifier.StreamID, s identifier.ServiceName) *messenger.StreamOrigin
@@ -63,7 +64,7 @@
 type NoArchive struct{}
 
 // Save implements Archive.
-func (NoArchive) Save(context.Context, messenger.StreamOrigin) {}
+func (NoArchive) Save(context.Context, messenger.StreamOrigin, bool) bool { return true }
 
 // Find implements Archive.
 func (NoArchive) Find(context.Context, identifier.StreamID, identifier.ServiceName) *messenger.StreamOrigin {
@@ -105,16 +106,17 @@
 	return &Registrar{clock: clock, options: o, origins: make(map[identifier.StreamID]entry)}
 }
 
-// Record keeps the origin of a stream here and, in the background, at other hosts. It waits a
-// short time until the archive has what it needs.
-func (r *Registrar) Record(ctx context.Context, o messenger.StreamOrigin) {
+// Record keeps the origin of a stream here, in the archive and, in the background, at other
+// hosts. It waits a short time for the archive, and reports whether the stream can be found
+// after all hosts have lost their memory. It may correct what was recorded before.
+func (r *Registrar) Record(ctx context.Context, o messenger.StreamOrigin, corrects bool) bool {
 	r.Keep(o)
-	defer r.options.Archive.Save(ctx, o)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 		defer cancel()
 		querier.AskAll(ctx, r.options.Peers, r.keepers(o.Stream), messenger.Question{RecordOrigin: &o}, func(messenger.Reply) {})
 	}()
+	return r.options.Archive.Save(ctx, o, corrects)
 }
 
 // Keep keeps an origin here, also one that another host has recorded.
