--- a/ladder/forwarder/selection.go
+++ b/ladder/forwarder/selection.go
@@ -32,6 +32,7 @@
 	return list
 }
 
+// filter returns those of the targets that a request may use.
 func (f *Forwarder) filter(targets []cataloger.Target, s selection) []router.Candidate {
 	list := make([]router.Candidate, 0, len(targets))
 	for _, t := range targets {
