A stream's record is looked up in what was read after the question

A caller that took up a stream that had just begun at a new version, after the hosts that knew it had died, would have got the rest of it from the base version: a look-up used records read up to a second before, and a stream without a record counts as one of the base version. Found in reading the change; no run had shown it. TestFind_SeesRecordsWrittenSinceTheLastLookUp failed for 58 of 60 streams before. Look-ups that wait at the same time still share a read.

--- a/ladder/archiver/archiver.go
+++ b/ladder/archiver/archiver.go
@@ -54,8 +54,6 @@
 	maxIDBytes = 128
 	// maxDeletions bounds the records that are deleted at once.
 	maxDeletions = 1000
-	// snapshotAge is how long what was read of a partition is used.
-	snapshotAge = time.Second
 )
 
 // Options are the settings of an Archiver.
@@ -280,18 +278,21 @@
 	// reading is a semaphore: one read runs at a time.
 	reading chan struct{}
 	records map[string][]byte
-	readAt  time.Time
+	// readAt is when the read began.
+	readAt time.Time
 }
 
-// get returns what was read of the partition after the call, or lately before it.
+// get returns the records of the partition as of a moment after the call. Calls that wait at the
+// same time share a read.
 func (s *snapshot) get(ctx context.Context, clock clockwork.Clock, read func() (map[string][]byte, error)) (map[string][]byte, error) {
+	calledAt := clock.Now()
 	select {
 	case s.reading <- struct{}{}:
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
 	defer func() { <-s.reading }()
-	if s.records != nil && clock.Since(s.readAt) < snapshotAge {
+	if s.records != nil && s.readAt.After(calledAt) {
 		return s.records, nil
 	}
 	at := clock.Now()
--- a/ladder/archiver/archiver_test.go
+++ b/ladder/archiver/archiver_test.go
@@ -374,6 +374,32 @@
 	}
 }
 
+// Guards against a stream that is taken to have no record because the records were read
+// before it began.
+func TestFind_SeesRecordsWrittenSinceTheLastLookUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, map[string]string{"a": "v1", "b": "v1", "c": "v2"})
+		defer f.kill()
+		time.Sleep(3 * time.Second)
+		var lookUps conc.WaitGroup
+		for n := range 60 {
+			lookUps.Go(func() {
+				time.Sleep(time.Duration(n) * 7 * time.Millisecond)
+				o := messenger.StreamOrigin{Stream: identifier.StreamID(fmt.Sprint(n)), Service: testService, Software: "v2"}
+				h := f.hosts[hostName(n%2)]
+				h.Find(context.Background(), "unknown"+o.Stream, testService)
+				if !h.Save(context.Background(), o, false) {
+					t.Errorf("stream %d isn't recorded", n)
+				}
+				if diff := cmp.Diff(&o, f.hosts[hostName((n+1)%2)].Find(context.Background(), o.Stream, testService)); diff != "" {
+					t.Errorf("stream %d: %s", n, diff)
+				}
+			})
+		}
+		lookUps.Wait()
+	})
+}
+
 // Guards against records of callers' overlong ids that spoil the records after them.
 func TestKeyOf_FitsIntoARecord(t *testing.T) {
 	long := strings.Repeat("x", 5000)
