--- a/ladder/archiver/archiver.go
+++ b/ladder/archiver/archiver.go
@@ -231,20 +231,15 @@
 
 // read returns the newest records of a partition.
 func (a *Archiver) read(ctx context.Context, p storer.Partition) (map[string][]byte, error) {
-	records := make(map[string][]byte)
-	for after := ""; ; {
-		page, err := a.log.Newest(ctx, p, after)
-		if err != nil {
-			return nil, err
-		}
-		for _, r := range page.Records {
-			records[r.Key] = r.Value
-			after = r.Key
-		}
-		if !page.More {
-			return records, nil
-		}
+	list, _, err := storer.ReadPages(func(after string) (storer.SnapshotPage, error) { return a.log.Newest(ctx, p, after) })
+	if err != nil {
+		return nil, err
+	}
+	records := make(map[string][]byte, len(list))
+	for _, r := range list {
+		records[r.Key] = r.Value
 	}
+	return records, nil
 }
 
 // sweep deletes old records of the partitions that this host writes.
--- a/ladder/blocklister/blocklister_test.go
+++ b/ladder/blocklister/blocklister_test.go
@@ -17,20 +17,24 @@
 
 var partition = storer.Partition{Topic: "keyed.breaks"}
 
+// startHosts starts hosts that share a store and waits until they have read it.
+func startHosts(store *faker.Store, count int) (hosts []*Blocklister, stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var tasks conc.WaitGroup
+	for range count {
+		b := New(clockwork.NewRealClock(), store, partition)
+		tasks.Go(func() { b.Run(ctx) })
+		tasks.Go(func() { b.Sweep(ctx) })
+		hosts = append(hosts, b)
+	}
+	time.Sleep(time.Second)
+	return hosts, func() { cancel(); tasks.Wait() }
+}
+
 func TestConvicted_CountsFailuresSeenByAllHosts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		clock := clockwork.NewRealClock()
-		store := faker.NewStore(clock)
-		ctx, cancel := context.WithCancel(context.Background())
-		var tasks conc.WaitGroup
-		var hosts []*Blocklister
-		for range 3 {
-			b := New(clock, store, partition)
-			tasks.Go(func() { b.Run(ctx) })
-			tasks.Go(func() { b.Sweep(ctx) })
-			hosts = append(hosts, b)
-		}
-		time.Sleep(time.Second)
+		store := faker.NewStore(clockwork.NewRealClock())
+		hosts, stop := startHosts(store, 3)
 		const poison, bystander = identifier.Fingerprint(7), identifier.Fingerprint(8)
 		for n, h := range hosts {
 			h.BrokeOff(poison, cataloger.Target{Name: "a", StartID: int64(n)})
@@ -51,30 +55,19 @@
 				t.Errorf("host %d still blocks the request after the retention period", n)
 			}
 		}
-		page, err := store.Newest(ctx, partition, "")
+		page, err := store.Newest(context.Background(), partition, "")
 		if err != nil || len(page.Records) > 0 {
 			t.Errorf("%d records left, want none; err %v", len(page.Records), err)
 		}
-		cancel()
-		tasks.Wait()
+		stop()
 	})
 }
 
 // Guards against failures that are forgotten because the store was away when they were seen.
 func TestConvicted_CountsFailuresSeenDuringAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		clock := clockwork.NewRealClock()
-		store := faker.NewStore(clock)
-		ctx, cancel := context.WithCancel(context.Background())
-		var tasks conc.WaitGroup
-		var hosts []*Blocklister
-		for range 2 {
-			b := New(clock, store, partition)
-			tasks.Go(func() { b.Run(ctx) })
-			tasks.Go(func() { b.Sweep(ctx) })
-			hosts = append(hosts, b)
-		}
-		time.Sleep(time.Second)
+		store := faker.NewStore(clockwork.NewRealClock())
+		hosts, stop := startHosts(store, 2)
 		store.SetDown(true)
 		const poison = identifier.Fingerprint(7)
 		for n := range failuresToBlock {
@@ -98,7 +91,6 @@
 				t.Errorf("host %d still blocks the request after the retention period", n)
 			}
 		}
-		cancel()
-		tasks.Wait()
+		stop()
 	})
 }
--- a/ladder/cataloger/leaving.go
+++ b/ladder/cataloger/leaving.go
@@ -40,20 +40,13 @@
 	return true
 }
 
-// LeavingFor returns how long ago a target first said that it leaves, and false if it
-// hasn't said so.
-func (c *Cataloger) LeavingFor(i Incarnation) (time.Duration, bool) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	at, known := c.saidLeaving[i]
-	return c.clock.Since(at), known
-}
-
 // MayReceive reports whether requests may be sent to a target: it stays as far as is known,
 // or has said that it leaves only just now.
 func (c *Cataloger) MayReceive(i Incarnation) bool {
-	since, leaving := c.LeavingFor(i)
-	return !leaving || since < c.leaveGrace
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	at, leaving := c.saidLeaving[i]
+	return !leaving || c.clock.Since(at) < c.leaveGrace
 }
 
 // LeavingTargets returns the targets of a service that have said that they leave and that may
--- a/ladder/replicator/replicator.go
+++ b/ladder/replicator/replicator.go
@@ -166,20 +166,7 @@
 // readAll returns the newest record of each key and the partition's end at the first
 // page. Reading on from that offset returns every change that the pages lack.
 func (r *Replicator) readAll(ctx context.Context) (records []storer.Record, end identifier.LogOffset, err error) {
-	for after := ""; ; {
-		page, err := r.readPage(ctx, after)
-		if err != nil {
-			return nil, 0, err
-		}
-		if after == "" {
-			end = page.End
-		}
-		records = append(records, page.Records...)
-		if !page.More || len(page.Records) == 0 {
-			return records, end, nil
-		}
-		after = page.Records[len(page.Records)-1].Key
-	}
+	return storer.ReadPages(func(after string) (storer.SnapshotPage, error) { return r.readPage(ctx, after) })
 }
 
 func (r *Replicator) readPage(ctx context.Context, after string) (storer.SnapshotPage, error) {
