Targets that started again unlisted and leave get nothing once they are listed

Callers' requests reached a target that had told the same host more than drain_ms before that it leaves: it had started again under its name while the store was away, so that its word was taken for the start that was still listed, and its new entry read as that of a target that stays.

Responses don't say which start they come from.

--- a/ladder/cataloger/cataloger.go
+++ b/ladder/cataloger/cataloger.go
@@ -66,6 +66,10 @@
 	softwareSeen map[identifier.ServiceName]map[identifier.SoftwareVersion]time.Time
 	// saidLeaving has when targets first said in a response that they leave.
 	saidLeaving map[Incarnation]time.Time
+	// lastSaid has when a target of a name, whichever start of it, last said so.
+	lastSaid map[identifier.TargetName]time.Time
+	// confirmedAt has when targets that may have said so were last found to stay.
+	confirmedAt map[Incarnation]time.Time
 	// leaveGrace is how long such targets are used if their service has no other.
 	leaveGrace time.Duration
 	// listedSince is when the targets were first listed.
@@ -89,6 +93,8 @@
 		changed:      make(chan struct{}),
 		softwareSeen: make(map[identifier.ServiceName]map[identifier.SoftwareVersion]time.Time),
 		saidLeaving:  make(map[Incarnation]time.Time),
+		lastSaid:     make(map[identifier.TargetName]time.Time),
+		confirmedAt:  make(map[Incarnation]time.Time),
 		software:     make(map[identifier.ServiceName][]identifier.SoftwareVersion),
 		ready:        make(map[identifier.ServiceName][]Target),
 	}
@@ -164,7 +170,7 @@
 		return list
 	}
 	for _, t := range c.targets {
-		if _, leaving := c.saidLeaving[t.Incarnation()]; !leaving && t.Service == s && t.State == StateReady {
+		if t.Service == s && t.State == StateReady && c.stays(t) {
 			list = append(list, t)
 		}
 	}
--- a/ladder/cataloger/configuration.go
+++ b/ladder/cataloger/configuration.go
@@ -76,6 +76,8 @@
 	Name identifier.ServiceName
 	// MaxConnections bounds the connections of all callers to one target.
 	MaxConnections int
+	// HealthPath is the path of a target's health check; empty if there is none.
+	HealthPath string
 	// Engine is nil for plain services.
 	Engine *Engine
 }
--- a/ladder/cataloger/leaving.go
+++ b/ladder/cataloger/leaving.go
@@ -1,6 +1,7 @@
 package cataloger
 
 import (
+	"maps"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -15,6 +16,9 @@
 // entry may come back for a moment after an outage of the store.
 const leavingRetention = 10 * time.Minute
 
+// clockTolerance is how far the clocks of a host and of a target may differ.
+const clockTolerance = 5 * time.Second
+
 // WithLeaveGrace sets how long a target that says that it leaves is still used if its
 // service has no other.
 func WithLeaveGrace(d time.Duration) Option {
@@ -26,20 +30,73 @@
 func (c *Cataloger) RecordLeaving(i Incarnation, at time.Time) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if c.lastSaid[i.Name].Before(at) {
+		c.lastSaid[i.Name] = at
+	}
 	if _, known := c.saidLeaving[i]; known {
 		return false
 	}
-	for other, saidAt := range c.saidLeaving {
-		if c.clock.Since(saidAt) > leavingRetention && c.targets[other.Name].Incarnation() != other {
-			delete(c.saidLeaving, other)
-		}
-	}
+	c.forgetDepartures()
 	c.saidLeaving[i] = at
 	klog.InfoS("target says that it leaves", "target", i.Name, "since", c.clock.Since(at), "state", c.targets[i.Name].State)
 	c.notify()
 	return true
 }
 
+// forgetDepartures drops what is known of targets that are long gone. The caller holds the mutex.
+func (c *Cataloger) forgetDepartures() {
+	for i, saidAt := range c.saidLeaving {
+		if c.clock.Since(saidAt) > leavingRetention && c.targets[i.Name].Incarnation() != i {
+			delete(c.saidLeaving, i)
+		}
+	}
+	maps.DeleteFunc(c.lastSaid, func(_ identifier.TargetName, at time.Time) bool { return c.clock.Since(at) > leavingRetention })
+	maps.DeleteFunc(c.confirmedAt, func(_ Incarnation, at time.Time) bool { return c.clock.Since(at) > leavingRetention })
+}
+
+// stays reports whether a target is not known to leave. The caller holds the mutex.
+func (c *Cataloger) stays(t Target) bool {
+	_, leaving := c.saidLeaving[t.Incarnation()]
+	return !leaving && !c.isUnconfirmed(t)
+}
+
+// isUnconfirmed reports whether a target may have said that it leaves while the entry of its
+// start before was still listed. The caller holds the mutex.
+func (c *Cataloger) isUnconfirmed(t Target) bool {
+	i := t.Incarnation()
+	saidAt, said := c.lastSaid[t.Name]
+	if _, leaving := c.saidLeaving[i]; leaving || !said {
+		return false
+	}
+	return time.UnixMilli(t.StartID).Before(saidAt.Add(clockTolerance)) && c.confirmedAt[i].Before(saidAt)
+}
+
+// UnconfirmedTargets returns the listed targets of which it isn't known whether they have said
+// that they leave. They are in no other list until they have been asked.
+func (c *Cataloger) UnconfirmedTargets() (list []Target) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for name := range c.lastSaid {
+		if t, listed := c.targets[name]; listed && c.isUnconfirmed(t) {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
+// ConfirmStays records that a target has responded to a request that was sent at the given time,
+// and has not said that it leaves unless that is recorded.
+func (c *Cataloger) ConfirmStays(i Incarnation, sentAt time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if _, leaving := c.saidLeaving[i]; leaving {
+		return
+	}
+	klog.InfoS("target that was in doubt stays", "target", i.Name)
+	c.confirmedAt[i] = sentAt
+	c.notify()
+}
+
 // MayReceive reports whether requests may be sent to a target: it stays as far as is known,
 // or has said that it leaves only just now.
 func (c *Cataloger) MayReceive(i Incarnation) bool {
--- a/ladder/cataloger/target.go
+++ b/ladder/cataloger/target.go
@@ -24,7 +24,8 @@
 type Target struct {
 	// Name usually changes when the target restarts.
 	Name identifier.TargetName
-	// StartID distinguishes incarnations with the same name.
+	// StartID is when the target started by its own clock, in ms since 1970. It distinguishes
+	// incarnations with the same name.
 	StartID int64
 	Service identifier.ServiceName
 	Address string
--- a/ladder/explainer/events.go
+++ b/ladder/explainer/events.go
@@ -418,6 +418,16 @@
 		Fields:  []string{"target", "since", "state"},
 		Meaning: "a response of the target said so `since` ago, here or at another host; `state` is the one in its entry. It gets no more requests until it has started again",
 	},
+	{
+		Name: "target that was in doubt stays", Level: LevelInfo, Scope: ScopeTarget,
+		Fields:  []string{"target"},
+		Meaning: "its name was said to leave while the store still listed its start before; a health check found that this start stays, and it is used",
+	},
+	{
+		Name: "target in doubt doesn't answer", Level: LevelInfo, Scope: ScopeTarget,
+		Fields:  []string{"target", "err"},
+		Meaning: "the same, but the health check failed; it is not used and checked again each 500 ms",
+	},
 	{
 		Name: "target gone", Level: LevelInfo, Scope: ScopeTarget,
 		Fields:  []string{"target", "offset"},
