Streams and texts aren't joined with what an unlisted start of a target generates

Callers got streams of two software versions, with nothing to show it: a target had started again under its name with other software while its entry couldn't be read, so that its events counted as those of the version that was listed.

The start that responds is known by the connection: if the entry was more than 2 s old when it was opened, the target is asked for its report, which names its start.

--- a/ladder/cataloger/software.go
+++ b/ladder/cataloger/software.go
@@ -119,3 +119,14 @@
 	}
 	return nil
 }
+
+// maxEntryAge is the age above which a target's entry may be out of date. Targets write theirs
+// about every 1.2 s.
+const maxEntryAge = 2 * time.Second
+
+// WasCurrent reports whether the target that responded at a time was the start that is listed: its
+// entry had been read shortly before.
+func (c *Cataloger) WasCurrent(t Target, at time.Time) bool {
+	current, ok := c.Target(t.Name)
+	return ok && at.Sub(current.ReadAt) <= maxEntryAge
+}
--- a/ladder/cataloger/target.go
+++ b/ladder/cataloger/target.go
@@ -1,6 +1,8 @@
 package cataloger
 
 import (
+	"time"
+
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 )
 
@@ -38,6 +40,8 @@
 	Software identifier.SoftwareVersion
 	// Weights is the last reported version of each loaded model.
 	Weights map[identifier.ModelName]identifier.WeightVersion
+	// ReadAt is when this host last read an entry of the target.
+	ReadAt time.Time
 }
 
 // Incarnation returns which start of the target this is.
--- a/ladder/explainer/events.go
+++ b/ladder/explainer/events.go
@@ -418,6 +418,11 @@
 		Fields:  []string{"target", "since", "state"},
 		Meaning: "a response of the target said so `since` ago, here or at another host; `state` is the one in its entry. It gets no more requests until it has started again",
 	},
+	{
+		Name: "another start of a target responds than the listed one", Level: LevelInfo, Scope: ScopeTarget,
+		Fields:  []string{"target", "start", "listed"},
+		Meaning: "the target has started again and its entry is out of date; its software version isn't known, so that what began elsewhere doesn't go on there, nor what it begins elsewhere",
+	},
 	{
 		Name: "target that was in doubt stays", Level: LevelInfo, Scope: ScopeTarget,
 		Fields:  []string{"target"},
--- a/ladder/forwarder/origin.go
+++ b/ladder/forwarder/origin.go
@@ -11,6 +11,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
+	"github.com/lycheeladder/lycheeladder/ladder/sender"
 )
 
 // What two software versions of a target generate doesn't fit together, and targets don't
@@ -101,11 +102,15 @@
 		return nil
 	}
 	f := s.forwarder
-	if err := f.catalog.CheckListed(s.target); err != nil {
+	software, err := sender.SoftwareOf(s.attempt, f.catalog, f.sender, s.target, s.response)
+	if err != nil {
 		return err
 	}
-	origin := messenger.StreamOrigin{Stream: s.streamID(), Service: s.service, Software: s.target.Software}
-	if !f.origins.Record(s.ctx, origin, s.begunAnew) && !s.begunAnew && s.mayBeginAnew() {
+	if begun := s.selection.software; begun != nil && *begun != software {
+		return cataloger.ErrReplaced
+	}
+	origin := messenger.StreamOrigin{Stream: s.streamID(), Service: s.service, Software: software}
+	if !f.origins.Record(s.ctx, origin, s.begunAnew) && !s.begunAnew && s.mayBeginAnew(software) {
 		s.begunAnew = true
 		return errNotRecorded
 	}
@@ -113,12 +118,12 @@
 	return nil
 }
 
-// mayBeginAnew reports whether the stream may begin at another software version at which it
-// should.
-func (s *Stream) mayBeginAnew() bool {
+// mayBeginAnew reports whether the stream may begin at another software version than the given
+// one, at which it should.
+func (s *Stream) mayBeginAnew(software identifier.SoftwareVersion) bool {
 	return s.retries+1 < s.route.MaxAttempts && slices.ContainsFunc(s.preferredCandidates(), func(c router.Candidate) bool {
 		t, ok := s.forwarder.catalog.Target(c.Target)
-		return ok && t.Software != s.target.Software
+		return ok && t.Software != software
 	})
 }
 
--- a/ladder/scheduler/generate.go
+++ b/ladder/scheduler/generate.go
@@ -69,7 +69,7 @@
 			return false, errors.Errorf("weight version %d of the target is older than the job allows", answer.Version)
 		}
 	}
-	done, err = t.readEvents(s.sender.Events(answer), answer.Version, target, start, watch)
+	done, err = t.readEvents(ctx, answer, target, start, watch)
 	if err != nil && itemCtx.Err() == nil {
 		t.leaveTarget(target.Name)
 		if !errors.Is(err, errMixedVersions) && !errors.Is(err, errSlowTarget) && !errors.Is(err, cataloger.ErrReplaced) {
@@ -102,8 +102,9 @@
 var errMixedVersions = errors.New("text would mix weight versions")
 
 // readEvents appends events to the text until the response ends.
-func (t *task) readEvents(events sender.Events, version identifier.WeightVersion, target cataloger.Target, lastEventAt time.Time, watch *watchdog) (done bool, err error) {
+func (t *task) readEvents(ctx context.Context, answer *sender.Response, target cataloger.Target, lastEventAt time.Time, watch *watchdog) (done bool, err error) {
 	s := t.scheduler
+	events, version := s.sender.Events(answer), answer.Version
 	first, slowEvents := true, 0
 	for {
 		e, err := events.Next()
@@ -114,7 +115,7 @@
 			return false, err
 		}
 		if first {
-			if err := s.catalog.CheckListed(target); err != nil {
+			if err := t.checkSoftware(ctx, target, answer); err != nil {
 				return false, err
 			}
 		}
@@ -134,9 +135,6 @@
 		if e.Number != t.lastEvent+1 {
 			return false, errors.Errorf("received event %d after event %d", e.Number, t.lastEvent)
 		}
-		if t.lastEvent == 0 {
-			t.software = target.Software
-		}
 		if !t.appendEvent(e, version) {
 			t.discardText()
 			return false, errMixedVersions
@@ -154,6 +152,20 @@
 	}
 }
 
+// checkSoftware returns cataloger.ErrReplaced if the text can't go on at the target, which has begun
+// to respond.
+func (t *task) checkSoftware(ctx context.Context, target cataloger.Target, answer *sender.Response) error {
+	software, err := sender.SoftwareOf(ctx, t.scheduler.catalog, t.scheduler.sender, target, answer)
+	if err != nil {
+		return err
+	}
+	if t.lastEvent > 0 && software != t.software {
+		return cataloger.ErrReplaced
+	}
+	t.software = software
+	return nil
+}
+
 // stallTimeoutFor returns how long a target may be silent before the item moves to
 // another one.
 func stallTimeoutFor(usualGap time.Duration) time.Duration {
--- a/ladder/scheduler/software_test.go
+++ b/ladder/scheduler/software_test.go
@@ -121,6 +121,29 @@
 	}
 }
 
+// Guards against texts that are joined of two software versions because an engine started again
+// under its name, with other software, while its entry couldn't be read.
+func TestRun_TextsStayAtOneSoftwareVersionOfUnlistedStarts(t *testing.T) {
+	const items = 24
+	l := newSoftwareLog()
+	inTestEnv(t, false, l.behave, func(t *testing.T, env *testEnv) {
+		env.list(l, map[string]string{"a": "v1", "b": "v1", "c": "v1"})
+		time.Sleep(3 * time.Second)
+		l.mutex.Lock()
+		l.running["a"] = "v2"
+		l.mutex.Unlock()
+		env.targets.RestartUnlisted("a", 7)
+		env.submit(t, items)
+		time.Sleep(15 * time.Second)
+		if n := len(env.results(t)); n != items {
+			t.Errorf("%d of %d items are done", n, items)
+		}
+		if mixed, resumed := l.mixed(); mixed > 0 || resumed == 0 {
+			t.Errorf("%d of %d calls continued a text of another software version", mixed, resumed)
+		}
+	})
+}
+
 // Guards against a text that goes on at another software version because its owner died and
 // only the store knows it.
 func TestRun_TextsOfAKilledOwnerKeepTheirSoftwareVersion(t *testing.T) {
--- a/ladder/sender/sender.go
+++ b/ladder/sender/sender.go
@@ -59,6 +59,9 @@
 	Load *Load
 	// RequestLimit is nil if the response doesn't tell whether there is a limit.
 	RequestLimit *RequestLimit
+	// ConnectedAt is when the connection was opened that the response came over. One start of
+	// the target sends all that comes over it.
+	ConnectedAt time.Time
 }
 
 // RequestLimit is what a target says about the requests that it accepts.
@@ -123,6 +126,9 @@
 	Warm(t cataloger.Target) bool
 	// Events reads the body of r as events.
 	Events(r *Response) Events
+	// StartID asks a target which start of it is running. It returns 0 if the target
+	// doesn't say.
+	StartID(ctx context.Context, t cataloger.Target) (int64, error)
 }
 
 // Sender sends requests to targets within the limits that they name. Its errors are also
