--- a/ladder/cataloger/cataloger.go
+++ b/ladder/cataloger/cataloger.go
@@ -339,6 +339,6 @@
 	if known {
 		s.seeSoftware(old)
 	}
-	t.ReadAt = s.clock.Now()
+	t.SeenAt = s.clock.Now()
 	s.targets[name] = t
 }
--- a/ladder/cataloger/software.go
+++ b/ladder/cataloger/software.go
@@ -1,11 +1,13 @@
 package cataloger
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
 
 	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
 
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 )
@@ -120,13 +122,35 @@
 	return nil
 }
 
-// maxEntryAge is the age above which a target's entry may be out of date. Targets write theirs
-// about every 1.2 s.
-const maxEntryAge = 2 * time.Second
+// maxStartAge is how long after a start of a target was seen it counts as the one that is running.
+// Targets write their entries about every 1.2 s.
+const maxStartAge = 2 * time.Second
 
-// WasCurrent reports whether the target that responded at a time was the start that is listed: its
-// entry had been read shortly before.
-func (c *Cataloger) WasCurrent(t Target, at time.Time) bool {
+// IsCurrent reports whether the start of a target has been seen just now. Otherwise the target may
+// have started again.
+func (c *Cataloger) IsCurrent(t Target) bool {
 	current, ok := c.Target(t.Name)
-	return ok && at.Sub(current.ReadAt) <= maxEntryAge
+	return ok && current.StartID == t.StartID && c.clock.Since(current.SeenAt) <= maxStartAge
+}
+
+// RecordSeen records that a target has just named the start that is listed.
+func (c *Cataloger) RecordSeen(t Target) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if current, ok := c.targets[t.Name]; ok && current.StartID == t.StartID {
+		current.SeenAt = c.clock.Now()
+		c.targets[t.Name] = current
+	}
+}
+
+// RespondingSoftware returns the software version of a target that has begun to respond, or
+// ErrReplaced if it isn't the start that is listed any more. startID is the start that it named, 0
+// if it didn't. Another start than the listed one has a version of its own, as nothing else is known
+// of it.
+func (c *Cataloger) RespondingSoftware(t Target, startID int64) (identifier.SoftwareVersion, error) {
+	if err := c.CheckListed(t); err != nil || startID == 0 || startID == t.StartID {
+		return t.Software, err
+	}
+	klog.InfoS("another start of a target responds than the listed one", "target", t.Name, "start", startID, "listed", t.StartID)
+	return identifier.SoftwareVersion(fmt.Sprintf("of unlisted start %d of %s", startID, t.Name)), nil
 }
--- a/ladder/cataloger/target.go
+++ b/ladder/cataloger/target.go
@@ -40,8 +40,8 @@
 	Software identifier.SoftwareVersion
 	// Weights is the last reported version of each loaded model.
 	Weights map[identifier.ModelName]identifier.WeightVersion
-	// ReadAt is when this host last read an entry of the target.
-	ReadAt time.Time
+	// SeenAt is when the store or the target itself last named this start to this host.
+	SeenAt time.Time
 }
 
 // Incarnation returns which start of the target this is.
--- a/ladder/explainer/events.go
+++ b/ladder/explainer/events.go
@@ -423,6 +423,11 @@
 		Fields:  []string{"target", "start", "listed"},
 		Meaning: "the target has started again and its entry is out of date; its software version isn't known, so that what began elsewhere doesn't go on there, nor what it begins elsewhere",
 	},
+	{
+		Name: "target doesn't name its start", Level: LevelInfo, Scope: ScopeTarget,
+		Fields:  []string{"target", "err"},
+		Meaning: "the target may have started again, and its status report doesn't say; it counts as the start that is listed",
+	},
 	{
 		Name: "target that was in doubt stays", Level: LevelInfo, Scope: ScopeTarget,
 		Fields:  []string{"target"},
--- a/ladder/faker/targets.go
+++ b/ladder/faker/targets.go
@@ -81,8 +81,6 @@
 	running int
 	// unlisted has the starts of targets that are not the listed ones.
 	unlisted map[identifier.TargetName]int64
-	// startIDAsked counts the calls of StartID.
-	startIDAsked int
 }
 
 // NewTargets returns Targets with the behaviour that behave returns for each call.
@@ -114,7 +112,7 @@
 	return f.running
 }
 
-// RestartUnlisted makes StartID return another start of a target than the listed one.
+// RestartUnlisted makes another start of a target respond than the listed one.
 func (f *Targets) RestartUnlisted(name identifier.TargetName, id int64) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -124,22 +122,14 @@
 	f.unlisted[name] = id
 }
 
-// StartID implements sender.Sender.
-func (f *Targets) StartID(_ context.Context, t cataloger.Target) (int64, error) {
+// identify returns the start of a target that responds, if the call asks for it.
+func (f *Targets) identify(t cataloger.Target, c sender.Call) int64 {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.startIDAsked++
-	if id, ok := f.unlisted[t.Name]; ok {
-		return id, nil
+	if !c.Identify {
+		return 0
 	}
-	return t.StartID, nil
-}
-
-// StartIDAsked returns how often targets were asked which start of them is running.
-func (f *Targets) StartIDAsked() int {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	return f.startIDAsked
+	return f.unlisted[t.Name]
 }
 
 // Warm implements sender.Sender.
@@ -181,7 +171,7 @@
 	if b.Leaves && f.departures != nil {
 		f.departures.RecordLeaving(t.Incarnation(), f.clock.Now())
 	}
-	a := &sender.Response{Status: b.Status, NotRun: b.NotRun, Signature: "by " + string(t.Name), Version: b.Version, Header: http.Header{}, ConnectedAt: f.clock.Now()}
+	a := &sender.Response{Status: b.Status, NotRun: b.NotRun, Signature: "by " + string(t.Name), Version: b.Version, Header: http.Header{}, StartID: f.identify(t, c)}
 	if a.Status == 0 {
 		a.Status = http.StatusOK
 	}
--- a/ladder/forwarder/origin.go
+++ b/ladder/forwarder/origin.go
@@ -11,7 +11,6 @@
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
-	"github.com/lycheeladder/lycheeladder/ladder/sender"
 )
 
 // What two software versions of a target generate doesn't fit together, and targets don't
@@ -102,7 +101,7 @@
 		return nil
 	}
 	f := s.forwarder
-	software, err := sender.SoftwareOf(s.attempt, f.catalog, f.sender, s.target, s.response)
+	software, err := f.catalog.RespondingSoftware(s.target, s.response.StartID)
 	if err != nil {
 		return err
 	}
--- a/ladder/forwarder/stream.go
+++ b/ladder/forwarder/stream.go
@@ -152,7 +152,7 @@
 	s.attempt, s.cancelAttempt = context.WithCancelCause(s.ctx)
 	s.startStallTimer()
 	call := s.request.call(left)
-	call.ResumeAfter = after
+	call.ResumeAfter, call.Identify = after, s.route.Resumable
 	response, err := f.sender.Send(s.attempt, t, call)
 	if err != nil {
 		err = sender.Cause(s.attempt, err)
--- a/ladder/scheduler/generate.go
+++ b/ladder/scheduler/generate.go
@@ -26,7 +26,7 @@
 	}
 	return sender.Call{
 		ID: string(t.item.ID), Method: http.MethodPost, Path: t.item.Path, Host: t.job.Host,
-		Header: header, Body: t.item.Body, ResumeAfter: t.lastEvent, RequiredVersion: version, Urgency: t.urgency(),
+		Header: header, Body: t.item.Body, ResumeAfter: t.lastEvent, RequiredVersion: version, Urgency: t.urgency(), Identify: true,
 	}
 }
 
@@ -69,7 +69,7 @@
 			return false, errors.Errorf("weight version %d of the target is older than the job allows", answer.Version)
 		}
 	}
-	done, err = t.readEvents(ctx, answer, target, start, watch)
+	done, err = t.readEvents(answer, target, start, watch)
 	if err != nil && itemCtx.Err() == nil {
 		t.leaveTarget(target.Name)
 		if !errors.Is(err, errMixedVersions) && !errors.Is(err, errSlowTarget) && !errors.Is(err, cataloger.ErrReplaced) {
@@ -102,7 +102,7 @@
 var errMixedVersions = errors.New("text would mix weight versions")
 
 // readEvents appends events to the text until the response ends.
-func (t *task) readEvents(ctx context.Context, answer *sender.Response, target cataloger.Target, lastEventAt time.Time, watch *watchdog) (done bool, err error) {
+func (t *task) readEvents(answer *sender.Response, target cataloger.Target, lastEventAt time.Time, watch *watchdog) (done bool, err error) {
 	s := t.scheduler
 	events, version := s.sender.Events(answer), answer.Version
 	first, slowEvents := true, 0
@@ -115,7 +115,7 @@
 			return false, err
 		}
 		if first {
-			if err := t.checkSoftware(ctx, target, answer); err != nil {
+			if err := t.checkSoftware(target, answer.StartID); err != nil {
 				return false, err
 			}
 		}
@@ -152,10 +152,10 @@
 	}
 }
 
-// checkSoftware returns cataloger.ErrReplaced if the text can't go on at the target, which has begun
-// to respond.
-func (t *task) checkSoftware(ctx context.Context, target cataloger.Target, answer *sender.Response) error {
-	software, err := sender.SoftwareOf(ctx, t.scheduler.catalog, t.scheduler.sender, target, answer)
+// checkSoftware returns cataloger.ErrReplaced if the text can't go on at the target, of which the
+// given start has begun to respond.
+func (t *task) checkSoftware(target cataloger.Target, startID int64) error {
+	software, err := t.scheduler.catalog.RespondingSoftware(target, startID)
 	if err != nil {
 		return err
 	}
--- a/ladder/sender/sender.go
+++ b/ladder/sender/sender.go
@@ -32,6 +32,9 @@
 	// Urgency ranks the call among those that wait at the target; 0 leaves the
 	// default.
 	Urgency Urgency
+	// Identify asks for the start of the target that responds, if it isn't certain that it is
+	// the listed one.
+	Identify bool
 	// RequiredVersion asks for a response under this weight version only; 0
 	// accepts any.
 	RequiredVersion identifier.WeightVersion
@@ -59,9 +62,11 @@
 	Load *Load
 	// RequestLimit is nil if the response doesn't tell whether there is a limit.
 	RequestLimit *RequestLimit
-	// ConnectedAt is when the connection was opened that the response came over. One start of
-	// the target sends all that comes over it.
-	ConnectedAt time.Time
+	// StartID is the start of the target that has responded, 0 if it wasn't asked for or the
+	// target doesn't say.
+	StartID int64
+	// StartAsked is set if the target got a request of its own for that.
+	StartAsked bool
 }
 
 // RequestLimit is what a target says about the requests that it accepts.
@@ -126,9 +131,6 @@
 	Warm(t cataloger.Target) bool
 	// Events reads the body of r as events.
 	Events(r *Response) Events
-	// StartID asks a target which start of it is running. It returns 0 if the target
-	// doesn't say.
-	StartID(ctx context.Context, t cataloger.Target) (int64, error)
 }
 
 // Sender sends requests to targets within the limits that they name. Its errors are also
--- a/ladder/throttler/throttler.go
+++ b/ladder/throttler/throttler.go
@@ -111,19 +111,15 @@
 	}
 	sentAt := t.clock.Now()
 	r, err := t.Transport.Send(ctx, to, c)
+	if err == nil && r.StartAsked {
+		t.charge(ctx, to)
+	}
 	if err == nil && r.RequestLimit != nil {
 		t.learnResponse(to, *r.RequestLimit, sentAt)
 	}
 	return r, err
 }
 
-// StartID implements sender.Sender. It is charged rather than denied, since a request that is
-// under way waits for it.
-func (t *Throttler) StartID(ctx context.Context, of cataloger.Target) (int64, error) {
-	t.charge(ctx, of)
-	return t.Transport.StartID(ctx, of)
-}
-
 // Allowance implements sender.Sender.
 func (t *Throttler) Allowance(of cataloger.Target) (a sender.Allowance) {
 	t.mutex.Lock()
