--- a/ladder/cataloger/leaving.go
+++ b/ladder/cataloger/leaving.go
@@ -32,6 +32,7 @@
 	defer c.mutex.Unlock()
 	if c.lastSaid[i.Name].Before(at) {
 		c.lastSaid[i.Name] = at
+		c.clearCaches()
 	}
 	if _, known := c.saidLeaving[i]; known {
 		return false
