A start that is found to leave gets no second grace

The word that was heard under the old start counted for nothing once the health check had found the new one to leave: it was recorded as if said only then, so that d1, the last target that accepted calls, was used for another second.

It counts from when the name was first heard to leave, if the start may have run by then. TestUnconfirmedTargets_UntilTheyHaveAnswered, "answers that it leaves", failed before.

--- a/ladder/cataloger/leaving.go
+++ b/ladder/cataloger/leaving.go
@@ -38,12 +38,29 @@
 		return false
 	}
 	c.forgetDepartures()
+	at = c.firstSaid(i, at)
 	c.saidLeaving[i] = at
 	klog.InfoS("target says that it leaves", "target", i.Name, "since", c.clock.Since(at), "state", c.targets[i.Name].State)
 	c.notify()
 	return true
 }
 
+// firstSaid returns when an incarnation that says at the given time that it leaves may first have
+// said so, if only while its start before was still listed. The caller holds the mutex.
+func (c *Cataloger) firstSaid(i Incarnation, at time.Time) time.Time {
+	for other, saidAt := range c.saidLeaving {
+		if other.Name == i.Name && saidAt.Before(at) && mayHaveStartedBy(i, saidAt) {
+			at = saidAt
+		}
+	}
+	return at
+}
+
+// mayHaveStartedBy reports whether an incarnation may have started before the given time.
+func mayHaveStartedBy(i Incarnation, at time.Time) bool {
+	return time.UnixMilli(i.StartID).Before(at.Add(clockTolerance))
+}
+
 // forgetDepartures drops what is known of targets that are long gone. The caller holds the mutex.
 func (c *Cataloger) forgetDepartures() {
 	for i, saidAt := range c.saidLeaving {
@@ -69,7 +86,7 @@
 	if _, leaving := c.saidLeaving[i]; leaving || !said {
 		return false
 	}
-	return time.UnixMilli(t.StartID).Before(saidAt.Add(clockTolerance)) && c.confirmedAt[i].Before(saidAt)
+	return mayHaveStartedBy(i, saidAt) && c.confirmedAt[i].Before(saidAt)
 }
 
 // UnconfirmedTargets returns the listed targets of which it isn't known whether they have said
--- a/ladder/cataloger/leaving_test.go
+++ b/ladder/cataloger/leaving_test.go
@@ -169,6 +169,9 @@
 		if list := catalog.LeavingTargets("s"); c.unconfirmed && len(list) > 0 {
 			t.Errorf("%s: used as the last target: %v", name, list)
 		}
+		if may := catalog.MayReceive(after); name == "answers that it leaves" && may {
+			t.Errorf("%s: may receive requests long after it said so under its start before", name)
+		}
 		if name == "answers that it stays" {
 			select {
 			case <-changed:
