--- /dev/null
+++ b/review/kit/cases.go
@@ -0,0 +1,387 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const model = "daka510000"
+
+const services = `{"name":"huvo11a","health_path":"/healthz","max_conns":140,"protocol":"h1","tls":false,"engine":{"slots":8,"kv_capacity":82271,"kv_bytes":35136,"models":[{"name":"daka510000"}]}},
+	{"name":"wuno96b","health_path":"/healthz","max_conns":110,"protocol":"h1","tls":false}`
+
+func rolloutRoute(name, prefix string) string {
+	return fmt.Sprintf(`{"name":"%s","host":"%s","path_prefix":"%s","route_kind":"rollout","timeout_ms":10000,"goal_ms":500,"priority":1,"service":"huvo11a","max_attempts":3,"result_due_ms":7500,"retention_s":40}`, name, routeHost, prefix)
+}
+
+func plainRoute(name, prefix string, attempts int) string {
+	return fmt.Sprintf(`{"name":"%s","host":"%s","path_prefix":"%s","route_kind":"idempotent","timeout_ms":2000,"goal_ms":400,"priority":2,"service":"wuno96b","max_attempts":%d}`, name, routeHost, prefix, attempts)
+}
+
+func streamRoute(name, prefix string) string {
+	return fmt.Sprintf(`{"name":"%s","host":"%s","path_prefix":"%s","route_kind":"streaming","resumable":true,"sticky":true,"timeout_ms":20000,"goal_ms":400,"priority":1,"service":"huvo11a","max_attempts":3}`, name, routeHost, prefix)
+}
+
+// workTime is the usual time of a plain request.
+func workTime(string) time.Duration { return 80 * time.Millisecond }
+
+// addWorkers starts model workers and plain workers. The first one has the first version of the
+// software, all others the last one.
+func (w *world) addWorkers(engines, plain int, software ...string) (list []*worker, err error) {
+	for n := range engines {
+		list = append(list, &worker{world: w, id: fmt.Sprintf("i-engine%d", n), service: "huvo11a", model: model, events: 20, gap: 20 * time.Millisecond})
+	}
+	for n := range plain {
+		list = append(list, &worker{world: w, id: fmt.Sprintf("i-plain%d", n), service: "wuno96b", work: workTime})
+	}
+	for n, each := range list {
+		if err := each.start(software[min(n, len(software)-1)]); err != nil {
+			return nil, err
+		}
+	}
+	return list, nil
+}
+
+// addHosts starts hosts and waits until they are ready and share the batch jobs.
+func (w *world) addHosts(status int, names ...string) error {
+	for _, name := range names {
+		if _, err := w.addHost(name, status); err != nil {
+			return err
+		}
+	}
+	for _, h := range w.hosts {
+		if err := h.waitUntilReady(); err != nil {
+			return err
+		}
+	}
+	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		owners := make(map[string]bool)
+		for n := range partitions {
+			owners[w.store.ownerOf("job-owners", n)] = true
+		}
+		if !owners[""] && len(owners) >= min(2, len(names)) {
+			time.Sleep(2 * time.Second) // the hosts learn of each other
+			return nil
+		}
+	}
+	return fmt.Errorf("%w: nobody works on the batch jobs", errCannotRun)
+}
+
+// submit hands in a batch job until it is accepted, and returns false if it isn't.
+func (w *world) submit(h *host, job string, body []byte, path string) bool {
+	for range 3 {
+		status, _, _ := w.call(http.MethodPost, h.front, path+job, body, map[string]string{headerID: job, "Content-Type": "application/json"})
+		w.log("client hands in batch job %s at %s: %d", job, h.name, status)
+		switch status {
+		case http.StatusAccepted:
+			return true
+		case 0, http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusGatewayTimeout, http.StatusBadGateway:
+			time.Sleep(300 * time.Millisecond)
+		default:
+			return false
+		}
+	}
+	return false
+}
+
+// collect reads a batch job until all results are listed or the time is over.
+func (w *world) collect(h *host, job string, total int, limit time.Duration) (list []result) {
+	for end := time.Now().Add(limit); len(list) < total && time.Now().Before(end); {
+		status, p := w.readResults(h, job, len(list))
+		if status != http.StatusOK {
+			w.log("client reads batch job %s from position %d at %s: %d", job, len(list), h.name, status)
+			time.Sleep(300 * time.Millisecond)
+			continue
+		}
+		for _, r := range p.Results {
+			w.log("client reads batch job %s: item %s is %s, %d bytes", job, r.ID, r.State, len(r.Text))
+		}
+		list = append(list, p.Results...)
+	}
+	return list
+}
+
+func (w *world) end(h *host, job string) {
+	status, _, _ := w.call(http.MethodDelete, h.front, "/api/lots/"+job, nil, nil)
+	w.log("client ends batch job %s at %s: %d", job, h.name, status)
+}
+
+// itemsOf returns the items of a job.
+func itemsOf(job string, count int) (list []item) {
+	for n := range count {
+		list = append(list, item{id: fmt.Sprintf("%s-i%d", job, n), scorer: fmt.Sprintf("%s-s%d", job, n)})
+	}
+	return list
+}
+
+// playStaleConfiguration adds a route and hands in batch jobs there, while the connection on which
+// one host waits for the operator's records has gone silent.
+func playStaleConfiguration(w *world, trouble bool) (violations []string, err error) {
+	if _, err := w.addWorkers(4, 2, "v1"); err != nil {
+		return nil, err
+	}
+	before := plainRoute("r-score", "/pufi791/", 4) + "," + rolloutRoute("r-first", "/pule252/")
+	w.publish(1, before, services)
+	w.store.put("keyed.op", "version/"+model, []byte(`{"model":"`+model+`","version":1}`))
+	if err := w.addHosts(statusSeconds, "a", "b"); err != nil {
+		return nil, err
+	}
+	a := w.hosts[0]
+	if body := jobBody(0, model, "/pule252/", "/pufi791/", itemsOf("first", 4)); !w.submit(a, "first", body, "/pule252/") {
+		return nil, fmt.Errorf("%w: a batch job isn't accepted", errCannotRun)
+	}
+	if list := w.collect(a, "first", 4, 20*time.Second); len(list) < 4 || slices.ContainsFunc(list, func(r result) bool { return r.State != "completed" }) {
+		return nil, fmt.Errorf("%w: a batch job without a disruption isn't done", errCannotRun)
+	}
+	w.end(a, "first")
+	if trouble {
+		w.silenceNextRead("b", "keyed.op")
+	}
+	w.publish(2, before+","+rolloutRoute("r-second", "/zuz5v28q/"), services)
+	published := time.Now()
+	time.Sleep(500 * time.Millisecond)
+	var jobs []string
+	for n := range 8 {
+		job := fmt.Sprintf("second%d", n)
+		body := jobBody(n, model, "/zuz5v28q/", "/pufi791/", itemsOf(job, 4))
+		if w.submit(a, job, body, "/zuz5v28q/") {
+			jobs = append(jobs, job)
+			w.log("batch job %s lies in partition %d, which %s works on", job, w.store.partitionWithKey("keyed.jobs", "job/"+job), w.hostAt(w.store.ownerOf("job-owners", w.store.partitionWithKey("keyed.jobs", "job/"+job))))
+		}
+	}
+	if len(jobs) == 0 {
+		return nil, fmt.Errorf("%w: no batch job of the new route is accepted", errCannotRun)
+	}
+	for _, job := range jobs {
+		list := w.collect(a, job, 4, 30*time.Second)
+		for _, r := range list {
+			if r.State == "errored" {
+				violations = append(violations, fmt.Sprintf("MIXED: item %s of the open batch job %s is errored %.1f s after its route was added; no worker failed it", r.ID, job, time.Since(published).Seconds()))
+			}
+		}
+		if len(list) < 4 {
+			w.log("batch job %s: only %d of 4 items are listed", job, len(list))
+		}
+	}
+	return violations, nil
+}
+
+// hostAt returns the name of the host with a peers' address.
+func (w *world) hostAt(peer string) string {
+	for _, h := range w.hosts {
+		if h.peer == peer {
+			return h.name
+		}
+	}
+	return "nobody"
+}
+
+// silenceNextRead makes the connection of a host's next read of a topic go silent for good, and
+// returns when that read has arrived. New connections work.
+func (w *world) silenceNextRead(name, topic string) {
+	arrived := make(chan struct{})
+	var once sync.Once
+	w.store.setWithhold(func(c storeCall) (silent bool) {
+		if c.host == name && c.topic == topic && c.path == "/api/log-read" {
+			once.Do(func() {
+				silent = true
+				w.log("the connection of host %s to the store that reads %s goes silent", name, topic)
+				close(arrived)
+			})
+		}
+		return silent
+	})
+	<-arrived
+}
+
+// streamClient is a client of a resumable stream.
+type streamClient struct {
+	world *world
+	id    string
+	// last is the last event received; data has all of them.
+	last int
+	data []string
+	done bool
+	// begunAt is the stamp of the answer that brought the first event.
+	begunAt string
+}
+
+// attempt sends one client attempt and reads events until the answer ends.
+func (c *streamClient) attempt(h *host, number int) {
+	id := c.id
+	if number > 0 {
+		id = fmt.Sprintf("%s-%d", c.id, number)
+	}
+	r, err := http.NewRequest(http.MethodPost, "http://"+h.front+"/lohu930/"+c.id, strings.NewReader("prompt of "+c.id))
+	if err != nil {
+		return
+	}
+	r.Host = routeHost
+	r.Header.Set(headerID, id)
+	r.Header.Set(headerDeadline, "15000")
+	r.Header.Set("X-Lycheeladder-Model", model)
+	if c.last > 0 {
+		r.Header.Set("Last-Event-Id", strconv.Itoa(c.last))
+		r.Header.Set("Resumes", c.id)
+	}
+	response, err := c.world.client.Do(r)
+	if err != nil {
+		c.world.log("client attempt %s after event %d at %s: %v", id, c.last, h.name, err)
+		return
+	}
+	defer response.Body.Close()
+	c.world.log("client attempt %s after event %d at %s: %d from %s", id, c.last, h.name, response.StatusCode, response.Header.Get(headerStamp))
+	if response.StatusCode != http.StatusOK {
+		return
+	}
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		if text, ok := strings.CutPrefix(lines.Text(), "id: "); ok {
+			c.last, _ = strconv.Atoi(text)
+		}
+		if text, ok := strings.CutPrefix(lines.Text(), "data: "); ok {
+			if len(c.data) == 0 {
+				c.begunAt = response.Header.Get(headerStamp)
+			}
+			c.data = append(c.data, text)
+		}
+	}
+	c.done = lines.Err() == nil
+	c.world.log("client attempt %s ends after event %d, complete: %v", id, c.last, c.done)
+}
+
+// softwareSeen returns the software versions that made the events of the stream.
+func (c *streamClient) softwareSeen() (list []string) {
+	for _, data := range c.data {
+		parts := strings.Split(data, ":")
+		if v := parts[len(parts)-1]; !slices.Contains(list, v) {
+			list = append(list, v)
+		}
+	}
+	return list
+}
+
+// playMixedSoftware restarts a worker with the next version of its software while it is cut off from
+// the store.
+func playMixedSoftware(w *world, trouble bool) (violations []string, err error) {
+	const streams, engines = 40, 5
+	workers, err := w.addWorkers(engines, 1, "v1", "v2")
+	if err != nil {
+		return nil, err
+	}
+	for _, each := range workers[:engines] {
+		each.setLength(60, 50*time.Millisecond)
+	}
+	x := workers[0]
+	w.publish(1, plainRoute("r-score", "/pufi791/", 4)+","+streamRoute("r-chat", "/lohu930/"), services)
+	w.store.put("keyed.op", "version/"+model, []byte(`{"model":"`+model+`","version":1}`))
+	if err := w.addHosts(statusSeconds, "a", "b"); err != nil {
+		return nil, err
+	}
+	var clients []*streamClient
+	var tasks sync.WaitGroup
+	for n := range streams {
+		c := &streamClient{world: w, id: fmt.Sprintf("stream%d", n)}
+		clients = append(clients, c)
+		tasks.Go(func() {
+			for number := 0; number < 8 && !c.done; number++ {
+				c.attempt(w.hosts[(n+number)%2], number)
+				time.Sleep(300 * time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	for x.sinceHeartbeat() > heartbeat/4 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	time.Sleep(heartbeat / 4)
+	if trouble {
+		x.setCut(true)
+	}
+	x.crash()
+	time.Sleep(restartTime)
+	if err := x.start("v2"); err != nil {
+		return nil, err
+	}
+	tasks.Wait()
+	mixed, begun := 0, 0
+	for _, c := range clients {
+		seen := c.softwareSeen()
+		if strings.HasPrefix(c.begunAt, "stamp-"+x.id) {
+			begun++
+		}
+		w.log("client %s: %d events, of software %v, complete: %v", c.id, len(c.data), seen, c.done)
+		if len(seen) > 1 {
+			mixed++
+		}
+	}
+	w.log("%d of %d streams began at %s", begun, streams, x.id)
+	if begun <= 2 {
+		return nil, fmt.Errorf("%w: too few streams began at %s", errCannotRun, x.id)
+	}
+	if mixed > 2 {
+		violations = append(violations, fmt.Sprintf("ORDER: %d of %d streams hold events of two software versions", mixed, streams))
+	}
+	return violations, nil
+}
+
+// restartTime is how long a worker takes to start again.
+const restartTime = time.Second
+
+// playLateScorer makes all plain workers slow while an item's reward call is due.
+func playLateScorer(w *world, trouble bool) (violations []string, err error) {
+	const slowness, slowTime = 3.8, 8 * time.Second
+	const longWork = 600 * time.Millisecond
+	workers, err := w.addWorkers(4, 3, "v1")
+	if err != nil {
+		return nil, err
+	}
+	w.publish(1, plainRoute("r-score", "/pufi791/", 2)+","+rolloutRoute("r-first", "/pule252/"), services)
+	w.store.put("keyed.op", "version/"+model, []byte(`{"model":"`+model+`","version":1}`))
+	if err := w.addHosts(statusSeconds, "a", "b"); err != nil {
+		return nil, err
+	}
+	slowUntil := time.Now()
+	if trouble {
+		slowUntil = time.Now().Add(slowTime)
+		w.log("the plain workers are %.1f times slower for %v", slowness, slowTime)
+	}
+	for _, each := range workers[4:] {
+		each.mutex.Lock()
+		each.work = func(string) time.Duration {
+			if time.Now().Before(slowUntil) {
+				return time.Duration(float64(longWork) * slowness)
+			}
+			return longWork
+		}
+		each.mutex.Unlock()
+	}
+	a := w.hosts[0]
+	items := itemsOf("first", 60)
+	if !w.submit(a, "first", jobBody(0, model, "/pule252/", "/pufi791/", items), "/pule252/") {
+		return nil, fmt.Errorf("%w: a batch job isn't accepted", errCannotRun)
+	}
+	list := w.collect(a, "first", len(items), 30*time.Second)
+	for _, r := range list {
+		n := slices.IndexFunc(items, func(i item) bool { return i.id == r.ID })
+		failed := w.answersTo(items[n].scorer, http.StatusInternalServerError)
+		if r.State == "errored" && failed == 0 {
+			violations = append(violations, fmt.Sprintf("MIXED: item %s is errored; its reward call got %d answers of 500 and %d of 504", r.ID, failed, w.answersTo(items[n].scorer, http.StatusGatewayTimeout)))
+		}
+	}
+	if len(list) < len(items) {
+		w.log("only %d of %d items are listed", len(list), len(items))
+	}
+	return violations, nil
+}
+
+// playOpenJob reads a batch job that is still open after status_s.
+func playOpenJob(w *world, trouble bool) (violations []string, err error) {
+	return nil, fmt.Errorf("%w: not written", errCannotRun)
+}
--- /dev/null
+++ b/review/kit/world.go
@@ -0,0 +1,346 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// errCannotRun means that a case could not be played, so that nothing is known.
+var errCannotRun = errors.New("the case could not run")
+
+const (
+	routeHost  = "ficu95.example"
+	partitions = 12
+)
+
+// world is a small deployment: the store, workers, and the project's program on some hosts.
+type world struct {
+	start  time.Time
+	dir    string
+	store  *store
+	hosts  []*host
+	client *http.Client
+
+	mutex  sync.Mutex
+	record *bufio.Writer
+	// answers counts the answers of plain workers by request and status.
+	answers map[string]map[int]int
+}
+
+// newWorld returns a deployment without hosts that writes what happens to the file record.
+func newWorld(record string) (*world, error) {
+	file, err := os.Create(record)
+	if err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "review-")
+	if err != nil {
+		return nil, err
+	}
+	w := &world{
+		start: time.Now(), dir: dir, store: newStore(partitions), record: bufio.NewWriter(file), answers: make(map[string]map[int]int),
+		// Each call of a batch job arrives on a new connection.
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+	return w, nil
+}
+
+// log adds a line to the record.
+func (w *world) log(format string, values ...any) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	fmt.Fprintf(w.record, "%8.3f "+format+"\n", append([]any{time.Since(w.start).Seconds()}, values...)...)
+}
+
+func (w *world) countAnswer(id string, status int) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.answers[id] == nil {
+		w.answers[id] = make(map[int]int)
+	}
+	w.answers[id][status]++
+}
+
+// answersTo returns how often plain workers answered a request with a status.
+func (w *world) answersTo(id string, status int) int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.answers[id][status]
+}
+
+// host is one machine that runs the project's program.
+type host struct {
+	name, front, ready, peer string
+	settings                 string
+	world                    *world
+	command                  *exec.Cmd
+}
+
+func freePort() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	_, port, err := net.SplitHostPort(l.Addr().String())
+	return port, err
+}
+
+// settings lists the fields of a settings file as the platform writes them on the small sites.
+const settings = `node_name=%s
+role=entry
+machine_class=edge
+serves=edge
+ip=127.0.0.1
+zone=z
+region=r
+zones.z=r
+listen.front=%s
+listen.ready_addr=%s
+internal_ports=%s,%s
+bootstrap=true
+limits.cpu_share=0.8
+limits.cores=1
+limits.memory_mb=314
+limits.max_fds=8200
+limits.link_mbps=1000.0
+limits.disk_mb=0
+discovery=platform
+entry=vip
+heartbeat_ms=1200
+contracts=base,drain,config,cost,recover,samples,stream,engine,batch,platform
+bounds.seed_lag_s=3
+bounds.reuse_after_s=2
+bounds.contact_ms=3000
+bounds.ack_ms=4000
+bounds.catch_up_s=4.6
+bounds.drain_ms=2000
+bounds.grace_s=8
+bounds.loss_slack_ms=200
+bounds.config_apply_ms=2000
+bounds.revert_slack_ms=250
+bounds.max_skew_ms=5000
+bounds.recover_s=12
+bounds.pass_ms=120
+bounds.retry_after_s=0
+bounds.finish_s=10
+bounds.status_s=%d
+bounds.cancel_ms=3000
+bounds.settle_ms=1000
+bounds.quota_overage=0.1
+bounds.fencing_enforced=false
+bounds.lease_ms=3000
+bounds.thaw_ms=300
+platform.address=%s
+platform.form=log
+platform.writes_per_s=800
+platform.reads_per_s=2000
+platform.parts=12
+platform.append_ms=2.0
+platform.part_mb_s=20.0
+platform.read_mb_s=80.0
+platform.record_bytes=262144
+platform.call_bytes=2097152
+platform.retention_s=300
+platform.part_mb=200
+platform.ttl_min_ms=1000
+`
+
+// statusSeconds is status_s of the small sites.
+const statusSeconds = 120
+
+// addHost starts the project's program on one more host.
+func (w *world) addHost(name string, status int) (*host, error) {
+	var ports []string
+	for range 3 {
+		port, err := freePort()
+		if err != nil {
+			return nil, err
+		}
+		ports = append(ports, port)
+	}
+	storeAddress, err := w.store.listen(name)
+	if err != nil {
+		return nil, err
+	}
+	h := &host{
+		name: name, world: w, front: "127.0.0.1:" + ports[0], ready: "127.0.0.1:" + ports[1], peer: "127.0.0.1:" + ports[2],
+		settings: filepath.Join(w.dir, name+".conf"),
+	}
+	text := fmt.Sprintf(settings, name, h.front, h.ready, ports[2], ports[2], status, storeAddress)
+	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
+		return nil, err
+	}
+	w.hosts = append(w.hosts, h)
+	return h, h.run()
+}
+
+var runLine = regexp.MustCompile(`(?m)^run = "([^"]*)"`)
+
+// run starts the program with the command of the deploy file.
+func (h *host) run() error {
+	deploy, err := os.ReadFile("deploy/system.toml")
+	if err != nil {
+		return err
+	}
+	match := runLine.FindSubmatch(deploy)
+	if match == nil {
+		return errors.New("no command in the deploy file")
+	}
+	words := strings.Fields(string(match[1]))
+	output, err := os.OpenFile(filepath.Join(h.world.dir, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer output.Close()
+	h.command = exec.Command(words[0], words[1:]...)
+	h.command.Env = append(os.Environ(), "LYCHEELADDER_NODE_FILE="+h.settings)
+	h.command.Stdout, h.command.Stderr = output, output
+	h.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	h.world.log("host %s starts: callers at %s, peers at %s", h.name, h.front, h.peer)
+	return h.command.Start()
+}
+
+// waitUntilReady waits until the host says that it is ready.
+func (h *host) waitUntilReady() error {
+	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if status, _, _ := h.world.call(http.MethodGet, h.ready, "/api/readyz", nil, nil); status == http.StatusOK {
+			h.world.log("host %s is ready", h.name)
+			return nil
+		}
+	}
+	return fmt.Errorf("%w: host %s isn't ready", errCannotRun, h.name)
+}
+
+// stop makes the host stand still, resume ends that.
+func (h *host) stop() error {
+	h.world.log("host %s stands still", h.name)
+	return h.command.Process.Signal(syscall.SIGSTOP)
+}
+
+func (h *host) resume() error {
+	h.world.log("host %s goes on", h.name)
+	return h.command.Process.Signal(syscall.SIGCONT)
+}
+
+// close ends all processes and writes the record. The logs of the hosts are kept if keep is set.
+func (w *world) close(keep string) {
+	for _, h := range w.hosts {
+		if h.command != nil && h.command.Process != nil {
+			_ = h.command.Process.Signal(syscall.SIGCONT)
+			_ = h.command.Process.Kill()
+			_ = h.command.Wait()
+		}
+		if keep != "" {
+			if text, err := os.ReadFile(filepath.Join(w.dir, h.name+".log")); err == nil {
+				_ = os.WriteFile(filepath.Join(keep, h.name+".log"), text, 0o600)
+			}
+		}
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	_ = w.record.Flush()
+	_ = os.RemoveAll(w.dir)
+}
+
+// call sends a request and returns status, header and body. Status 0 means that no complete
+// response arrived.
+func (w *world) call(method, address, path string, body []byte, header map[string]string) (int, http.Header, []byte) {
+	r, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, nil
+	}
+	r.Host = routeHost
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	response, err := w.client.Do(r)
+	if err != nil {
+		return 0, nil, nil
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, response.Header, text
+	}
+	return response.StatusCode, response.Header, text
+}
+
+// publish writes a configuration as the operator does.
+func (w *world) publish(version int, routes, services string) {
+	text := fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[%s],"limits":{"max_header_bytes":16384,"max_body_bytes":33554432,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`, version, routes, services)
+	if !json.Valid([]byte(text)) {
+		panic("invalid configuration: " + text)
+	}
+	w.store.put("keyed.op", "config", []byte(text))
+	w.log("configuration %d acknowledged", version)
+}
+
+// item is an item of a batch job.
+type item struct{ id, scorer string }
+
+// jobBody returns the body of a batch job whose items are under itemPath and whose reward calls
+// are under scorerPath.
+func jobBody(step int, model, itemPath, scorerPath string, items []item) []byte {
+	type scorerBody struct {
+		ID   string `json:"id"`
+		Host string `json:"host"`
+		Path string `json:"path"`
+		Body []byte `json:"body"`
+	}
+	type itemBody struct {
+		ID      string            `json:"id"`
+		Path    string            `json:"path"`
+		Headers map[string]string `json:"headers"`
+		Body    []byte            `json:"body"`
+		Tokens  int               `json:"token_count"`
+		Group   string            `json:"group"`
+		Scorer  scorerBody        `json:"scorer"`
+	}
+	var list []itemBody
+	for _, i := range items {
+		list = append(list, itemBody{
+			ID: i.id, Path: itemPath + i.id, Headers: map[string]string{"X-Lycheeladder-Model": model, "X-Lycheeladder-Token-Usage": "100,100"},
+			Body: []byte("prompt of " + i.id), Tokens: 200, Group: "g-" + i.id[:4],
+			Scorer: scorerBody{ID: i.scorer, Host: routeHost, Path: scorerPath + i.scorer, Body: []byte("score " + i.id)},
+		})
+	}
+	text, err := json.Marshal(map[string]any{"step": step, "model": model, "min_version": 1, "target_groups": 1, "items": list})
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
+
+type result struct {
+	ID, State, Text, Score string
+	Versions               []int
+}
+
+type page struct {
+	Total, Next int
+	Results     []result
+}
+
+// readResults reads a batch job's results from a position on. Status 0 means no answer.
+func (w *world) readResults(h *host, job string, after int) (status int, p page) {
+	status, _, body := w.call(http.MethodGet, h.front, fmt.Sprintf("/api/lots/%s?after=%d", job, after), nil, map[string]string{"X-Lycheeladder-Wait-Ms": "1000"})
+	if status == http.StatusOK && json.Unmarshal(body, &p) != nil {
+		status = 0
+	}
+	return status, p
+}
