--- a/review/kit/cases.go
+++ b/review/kit/cases.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -385,3 +387,124 @@
 func playOpenJob(w *world, trouble bool) (violations []string, err error) {
 	return nil, fmt.Errorf("%w: not written", errCannotRun)
 }
+
+// playTornJob hands in batch jobs of 2,048 items, each of them twice. The second client leaves before
+// its answer. Then the hosts are stopped and started again, one after the other.
+func playTornJob(w *world, trouble bool) (violations []string, err error) {
+	const items = 2048
+	w.store.onAppend = func(c storeCall, records []record) {
+		if strings.HasPrefix(records[0].key, "piece/") {
+			w.log("the store appends %d records of host %s, %s to %s, %d bytes", len(records), c.host, records[0].key, records[len(records)-1].key, len(c.body))
+		}
+	}
+	workers, err := w.addWorkers(4, 3, "v1")
+	if err != nil {
+		return nil, err
+	}
+	for _, each := range workers {
+		each.setLength(20, 100*time.Millisecond)
+	}
+	w.publish(1, plainRoute("r-score", "/pufi791/", 2)+","+rolloutRoute("r-first", "/pule252/"), services)
+	w.store.put("keyed.op", "version/"+model, []byte(`{"model":"`+model+`","version":1}`))
+	if err := w.addHosts(statusSeconds, "a", "b"); err != nil {
+		return nil, err
+	}
+	a, b := w.hosts[0], w.hosts[1]
+	var accepted []string
+	for n, size := range promptSizes {
+		job := fmt.Sprintf("7c41e09b52d6a3%02x", n)
+		list := itemsOf(job, items)
+		for i := range list {
+			list[i].prefix, list[i].bodyBytes = promptPrefix(i), size
+		}
+		body := jobBody(n, model, "/pule252/", "/pufi791/", list)
+		if !w.submit(a, job, body, "/pule252/") {
+			continue
+		}
+		accepted = append(accepted, job)
+		patience := 5 * time.Second
+		if trouble {
+			patience = firstPatience + time.Duration(n)*patienceStep
+		}
+		w.resend(b, job, body, "/pule252/", patience)
+		status, p := w.readResults(b, job, 0)
+		w.log("client reads batch job %s at b: %d, %d items", job, status, p.Total)
+	}
+	if len(accepted) == 0 {
+		return nil, fmt.Errorf("%w: no batch job is accepted", errCannotRun)
+	}
+	for _, h := range w.hosts {
+		h.terminate()
+		if err := h.run(); err != nil {
+			return nil, err
+		}
+		if err := h.waitUntilReady(); err != nil {
+			return nil, err
+		}
+	}
+	time.Sleep(contactTime + time.Second)
+	for _, job := range accepted {
+		if w.isGone(job) {
+			violations = append(violations, fmt.Sprintf("LOST: batch job %s was accepted, both hosts answer 404 for it", job))
+		}
+	}
+	return violations, nil
+}
+
+const (
+	// firstPatience and patienceStep say when the second clients leave: at most half of goal_ms,
+	// 500, after they have begun.
+	firstPatience, patienceStep = 75 * time.Millisecond, 15 * time.Millisecond
+)
+
+// promptSizes are the sizes of the prompts of the batch jobs, in bytes. With one size in seven the
+// end of an append falls within the headers of an item; these are some of them.
+var promptSizes = []int{600, 616, 636, 645, 700, 712, 726, 737, 758, 780, 801, 802}
+
+// contactTime is contact_ms of the small sites.
+const contactTime = 3 * time.Second
+
+// promptPrefix returns the parts of a prompt: a conversation of some turns.
+func promptPrefix(n int) string {
+	var parts []string
+	for turn := range 12 {
+		parts = append(parts, fmt.Sprintf("%06x:%d", 0x9c2e41+1000*turn+n/8, 100+turn))
+	}
+	return strings.Join(parts, ",")
+}
+
+// resend hands in a batch job once more, and leaves after some time.
+func (w *world) resend(h *host, job string, body []byte, path string, patience time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.front+path+job, bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	r.Host = routeHost
+	r.Header.Set(headerID, job)
+	response, err := w.client.Do(r)
+	if err != nil {
+		w.log("another client hands in batch job %s again at %s and leaves after %v", job, h.name, patience)
+		return
+	}
+	defer response.Body.Close()
+	w.log("another client hands in batch job %s again at %s: %d", job, h.name, response.StatusCode)
+}
+
+// isGone reports whether both hosts answer 404 for a batch job, three times.
+func (w *world) isGone(job string) bool {
+	gone := true
+	for range 3 {
+		for _, h := range w.hosts {
+			status, p := w.readResults(h, job, 0)
+			w.log("client reads batch job %s at %s: %d, %d items", job, h.name, status, p.Total)
+			gone = gone && status == http.StatusNotFound
+		}
+		if !gone {
+			break
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return gone
+}
--- a/review/kit/store.go
+++ b/review/kit/store.go
@@ -17,8 +17,8 @@
 // The platform's store, as PROTOCOL.md describes it under "The platform's metadata store".
 
 const (
-	// appendTime is append_ms of the small sites.
-	appendTime = 2 * time.Millisecond
+	// appendTime and bytesPerSecond are append_ms and part_mb_s of the small sites.
+	appendTime, bytesPerSecond = 2 * time.Millisecond, 20 << 20
 	// maxPageRecords and maxPageBytes bound a page of log-newest.
 	maxPageRecords, maxPageBytes = 500, 1 << 20
 	// defaultReadKB is the default of max_read_kb.
@@ -37,6 +37,8 @@
 	newest map[string]int
 	// changed is closed at the next append.
 	changed chan struct{}
+	// appending is held by an append that is under way: a partition takes one at a time.
+	appending sync.Mutex
 }
 
 type partitionKey struct {
@@ -64,6 +66,8 @@
 	// withhold, if set, reports whether the connection of a call has gone silent: nothing more
 	// arrives on it.
 	withhold func(storeCall) bool
+	// onAppend, if set, is called for each append that is done. It must not call the store.
+	onAppend func(c storeCall, records []record)
 }
 
 func newStore(partitions int) *store {
@@ -207,15 +211,22 @@
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
-	time.Sleep(appendTime)
 	s.mutex.Lock()
-	defer s.mutex.Unlock()
 	p := s.partition(c.topic, c.part)
+	s.mutex.Unlock()
+	p.appending.Lock()
+	defer p.appending.Unlock()
+	time.Sleep(appendTime + time.Duration(float64(len(c.body))/bytesPerSecond*float64(time.Second)))
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	if at != "" && at != strconv.Itoa(len(p.records)) {
 		writeJSON(w, http.StatusPreconditionFailed, map[string]any{"end_offset": len(p.records)})
 		return
 	}
 	offset := len(p.records)
+	if s.onAppend != nil {
+		s.onAppend(c, records)
+	}
 	if len(records) > 0 {
 		p.append(records)
 	}
--- a/review/kit/world.go
+++ b/review/kit/world.go
@@ -226,22 +226,24 @@
 	return fmt.Errorf("%w: host %s isn't ready", errCannotRun, h.name)
 }
 
-// stop makes the host stand still, resume ends that.
-func (h *host) stop() error {
-	h.world.log("host %s stands still", h.name)
-	return h.command.Process.Signal(syscall.SIGSTOP)
-}
-
-func (h *host) resume() error {
-	h.world.log("host %s goes on", h.name)
-	return h.command.Process.Signal(syscall.SIGCONT)
+// terminate stops the host's process as the platform does, and waits until it is gone.
+func (h *host) terminate() {
+	const grace = 8 * time.Second
+	h.world.log("host %s gets SIGTERM", h.name)
+	_ = h.command.Process.Signal(syscall.SIGTERM)
+	timer := time.AfterFunc(grace, func() {
+		h.world.log("host %s gets SIGKILL", h.name)
+		_ = h.command.Process.Kill()
+	})
+	defer timer.Stop()
+	_ = h.command.Wait()
+	h.world.log("host %s has ended", h.name)
 }
 
 // close ends all processes and writes the record. The logs of the hosts are kept if keep is set.
 func (w *world) close(keep string) {
 	for _, h := range w.hosts {
 		if h.command != nil && h.command.Process != nil {
-			_ = h.command.Process.Signal(syscall.SIGCONT)
 			_ = h.command.Process.Kill()
 			_ = h.command.Wait()
 		}
@@ -290,8 +292,27 @@
 	w.log("configuration %d acknowledged", version)
 }
 
-// item is an item of a batch job.
-type item struct{ id, scorer string }
+// item is an item of a batch job. Its prompt and the body of its reward call have bodyBytes bytes,
+// or a few if that is 0.
+type item struct {
+	id, scorer string
+	prefix     string
+	bodyBytes  int
+}
+
+// padded returns text, filled up to size.
+func padded(text string, size int) []byte {
+	return []byte(text + strings.Repeat(".", max(0, size-len(text))))
+}
+
+func (i item) headers(model string) map[string]string {
+	headers := map[string]string{"X-Lycheeladder-Model": model, "X-Lycheeladder-Token-Usage": "100,100"}
+	if i.prefix != "" {
+		headers["X-Lycheeladder-Prompt-Prefix"] = i.prefix
+		headers["X-Lycheeladder-Length-Hint"] = "100"
+	}
+	return headers
+}
 
 // jobBody returns the body of a batch job whose items are under itemPath and whose reward calls
 // are under scorerPath.
@@ -314,9 +335,9 @@
 	var list []itemBody
 	for _, i := range items {
 		list = append(list, itemBody{
-			ID: i.id, Path: itemPath + i.id, Headers: map[string]string{"X-Lycheeladder-Model": model, "X-Lycheeladder-Token-Usage": "100,100"},
-			Body: []byte("prompt of " + i.id), Tokens: 200, Group: "g-" + i.id[:4],
-			Scorer: scorerBody{ID: i.scorer, Host: routeHost, Path: scorerPath + i.scorer, Body: []byte("score " + i.id)},
+			ID: i.id, Path: itemPath + i.id, Headers: i.headers(model),
+			Body: padded("prompt of "+i.id, i.bodyBytes), Tokens: 200, Group: "g-" + i.id[:4],
+			Scorer: scorerBody{ID: i.scorer, Host: routeHost, Path: scorerPath + i.scorer, Body: padded("score "+i.id, i.bodyBytes)},
 		})
 	}
 	text, err := json.Marshal(map[string]any{"step": step, "model": model, "min_version": 1, "target_groups": 1, "items": list})
