--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -25,6 +25,7 @@
 	"stale-configuration": playStaleConfiguration,
 	"mixed-software":      playMixedSoftware,
 	"late-scorer":         playLateScorer,
+	"late-origin":         playLateOrigin,
 	"torn-job":            playTornJob,
 	"open-job":            playOpenJob,
 }
--- a/review/kit/store.go
+++ b/review/kit/store.go
@@ -66,6 +66,8 @@
 	// withhold, if set, reports whether the connection of a call has gone silent: nothing more
 	// arrives on it.
 	withhold func(storeCall) bool
+	// postpone, if set, reports whether an append isn't answered and done only lateTime later.
+	postpone func(storeCall) bool
 	// onAppend, if set, is called for each append that is done. It must not call the store.
 	onAppend func(c storeCall, records []record)
 }
@@ -74,6 +76,23 @@
 	return &store{partitions: partitions, logs: make(map[partitionKey]*partition), groups: make(map[string]*group)}
 }
 
+// lateTime is how late an append is done that isn't answered.
+const lateTime = 3 * time.Second
+
+// discard is the http.ResponseWriter of an answer that nobody gets.
+type discard struct{}
+
+func (discard) Header() http.Header            { return make(http.Header) }
+func (discard) Write(text []byte) (int, error) { return len(text), nil }
+func (discard) WriteHeader(int)                {}
+
+// setPostpone sets the fault for the appends that arrive from now on.
+func (s *store) setPostpone(f func(storeCall) bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.postpone = f
+}
+
 // setWithhold sets the fault for the calls that arrive from now on.
 func (s *store) setWithhold(f func(storeCall) bool) {
 	s.mutex.Lock()
@@ -152,8 +171,13 @@
 	number, _ := strconv.Atoi(query.Get("part"))
 	call := storeCall{host: host, path: r.URL.Path, topic: query.Get("topic"), part: number, body: body}
 	s.mutex.Lock()
-	withhold := s.withhold
+	withhold, postpone := s.withhold, s.postpone
 	s.mutex.Unlock()
+	if r.URL.Path == "/api/log-append" && postpone != nil && postpone(call) {
+		time.AfterFunc(lateTime, func() { s.serveAppend(discard{}, call, query.Get("at")) })
+		<-r.Context().Done()
+		return
+	}
 	if withhold != nil && withhold(call) {
 		<-r.Context().Done()
 		return
--- a/review/kit/world.go
+++ b/review/kit/world.go
@@ -240,6 +240,13 @@
 	h.world.log("host %s has ended", h.name)
 }
 
+// kill ends the host's process at once, and waits until it is gone.
+func (h *host) kill() {
+	h.world.log("host %s is killed", h.name)
+	_ = h.command.Process.Kill()
+	_ = h.command.Wait()
+}
+
 // close ends all processes and writes the record. The logs of the hosts are kept if keep is set.
 func (w *world) close(keep string) {
 	for _, h := range w.hosts {
