--- a/review/kit/cases.go
+++ b/review/kit/cases.go
@@ -22,8 +22,11 @@
 	return fmt.Sprintf(`{"name":"%s","host":"%s","path_prefix":"%s","route_kind":"rollout","timeout_ms":10000,"goal_ms":500,"priority":1,"service":"huvo11a","max_attempts":3,"result_due_ms":7500,"retention_s":40}`, name, routeHost, prefix)
 }
 
-func plainRoute(name, prefix string, attempts int) string {
-	return fmt.Sprintf(`{"name":"%s","host":"%s","path_prefix":"%s","route_kind":"idempotent","timeout_ms":2000,"goal_ms":400,"priority":2,"service":"wuno96b","max_attempts":%d}`, name, routeHost, prefix, attempts)
+// plainTimeout is timeout_ms of the route of reward calls on the small sites.
+const plainTimeout = 2000
+
+func plainRoute(name, prefix string, attempts, timeoutMS int) string {
+	return fmt.Sprintf(`{"name":"%s","host":"%s","path_prefix":"%s","route_kind":"idempotent","timeout_ms":%d,"goal_ms":400,"priority":2,"service":"wuno96b","max_attempts":%d}`, name, routeHost, prefix, timeoutMS, attempts)
 }
 
 func streamRoute(name, prefix string) string {
@@ -128,7 +131,7 @@
 	if _, err := w.addWorkers(4, 2, "v1"); err != nil {
 		return nil, err
 	}
-	before := plainRoute("r-score", "/pufi791/", 4) + "," + rolloutRoute("r-first", "/pule252/")
+	before := plainRoute("r-score", "/pufi791/", 4, plainTimeout) + "," + rolloutRoute("r-first", "/pule252/")
 	w.publish(1, before, services)
 	w.store.put("keyed.op", "version/"+model, []byte(`{"model":"`+model+`","version":1}`))
 	if err := w.addHosts(statusSeconds, "a", "b"); err != nil {
@@ -281,7 +284,7 @@
 		each.setLength(60, 50*time.Millisecond)
 	}
 	x := workers[0]
-	w.publish(1, plainRoute("r-score", "/pufi791/", 4)+","+streamRoute("r-chat", "/lohu930/"), services)
+	w.publish(1, plainRoute("r-score", "/pufi791/", 4, plainTimeout)+","+streamRoute("r-chat", "/lohu930/"), services)
 	w.store.put("keyed.op", "version/"+model, []byte(`{"model":"`+model+`","version":1}`))
 	if err := w.addHosts(statusSeconds, "a", "b"); err != nil {
 		return nil, err
@@ -339,12 +342,12 @@
 // playLateScorer makes all plain workers slow while an item's reward call is due.
 func playLateScorer(w *world, trouble bool) (violations []string, err error) {
 	const slowness, slowTime = 3.8, 8 * time.Second
-	const longWork = 600 * time.Millisecond
+	const longWork = 150 * time.Millisecond
 	workers, err := w.addWorkers(4, 3, "v1")
 	if err != nil {
 		return nil, err
 	}
-	w.publish(1, plainRoute("r-score", "/pufi791/", 2)+","+rolloutRoute("r-first", "/pule252/"), services)
+	w.publish(1, plainRoute("r-score", "/pufi791/", 4, 500)+","+rolloutRoute("r-first", "/pule252/"), services)
 	w.store.put("keyed.op", "version/"+model, []byte(`{"model":"`+model+`","version":1}`))
 	if err := w.addHosts(statusSeconds, "a", "b"); err != nil {
 		return nil, err
@@ -365,7 +368,7 @@
 		each.mutex.Unlock()
 	}
 	a := w.hosts[0]
-	items := itemsOf("first", 60)
+	items := itemsOf("first", 40)
 	if !w.submit(a, "first", jobBody(0, model, "/pule252/", "/pufi791/", items), "/pule252/") {
 		return nil, fmt.Errorf("%w: a batch job isn't accepted", errCannotRun)
 	}
@@ -393,7 +396,7 @@
 	if _, err := w.addWorkers(4, 2, "v1"); err != nil {
 		return nil, err
 	}
-	w.publish(1, plainRoute("r-score", "/pufi791/", 4)+","+rolloutRoute("r-first", "/pule252/"), services)
+	w.publish(1, plainRoute("r-score", "/pufi791/", 4, plainTimeout)+","+rolloutRoute("r-first", "/pule252/"), services)
 	w.store.put("keyed.op", "version/"+model, []byte(`{"model":"`+model+`","version":1}`))
 	if err := w.addHosts(shortStatusSeconds, "a", "b"); err != nil {
 		return nil, err
@@ -447,7 +450,7 @@
 	for _, each := range workers {
 		each.setLength(20, 100*time.Millisecond)
 	}
-	w.publish(1, plainRoute("r-score", "/pufi791/", 2)+","+rolloutRoute("r-first", "/pule252/"), services)
+	w.publish(1, plainRoute("r-score", "/pufi791/", 2, plainTimeout)+","+rolloutRoute("r-first", "/pule252/"), services)
 	w.store.put("keyed.op", "version/"+model, []byte(`{"model":"`+model+`","version":1}`))
 	if err := w.addHosts(statusSeconds, "a", "b"); err != nil {
 		return nil, err
@@ -563,7 +566,7 @@
 	for _, each := range workers[:engines] {
 		each.setLength(60, 100*time.Millisecond)
 	}
-	w.publish(1, plainRoute("r-score", "/pufi791/", 4)+","+streamRoute("r-chat", "/lohu930/"), services)
+	w.publish(1, plainRoute("r-score", "/pufi791/", 4, plainTimeout)+","+streamRoute("r-chat", "/lohu930/"), services)
 	w.store.put("keyed.op", "version/"+model, []byte(`{"model":"`+model+`","version":1}`))
 	if err := w.addHosts(statusSeconds, "a", "b"); err != nil {
 		return nil, err
@@ -646,3 +649,30 @@
 
 // lossTime is for how long the store leaves writes unanswered.
 const lossTime = 4500 * time.Millisecond
+
+// playSmuggledItem hands in a batch job with an item whose path holds a second request.
+func playSmuggledItem(w *world, trouble bool) (violations []string, err error) {
+	if _, err := w.addWorkers(4, 2, "v1"); err != nil {
+		return nil, err
+	}
+	w.publish(1, plainRoute("r-score", "/pufi791/", 4, plainTimeout)+","+rolloutRoute("r-first", "/pule252/"), services)
+	w.store.put("keyed.op", "version/"+model, []byte(`{"model":"`+model+`","version":1}`))
+	if err := w.addHosts(statusSeconds, "a", "b"); err != nil {
+		return nil, err
+	}
+	a := w.hosts[0]
+	path := "/pule252/"
+	if trouble {
+		path += "x HTTP/1.1\r\nHost: other.example\r\nX-Lycheeladder-Attempt-Id: nobody-sent-this\r\nContent-Length: 0\r\n\r\nPOST /pule252/"
+	}
+	if !w.submit(a, "first", jobBody(0, model, path, "/pufi791/", itemsOf("first", 4)), "/pule252/") {
+		return nil, nil
+	}
+	w.collect(a, "first", 4, 10*time.Second)
+	for _, id := range w.ranIDs() {
+		if !strings.HasPrefix(id, "first-") {
+			violations = append(violations, fmt.Sprintf("UNASKED: a worker runs request %s, which no client sent", id))
+		}
+	}
+	return violations, nil
+}
--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -26,6 +26,7 @@
 	"mixed-software":      playMixedSoftware,
 	"late-scorer":         playLateScorer,
 	"late-origin":         playLateOrigin,
+	"smuggled-item":       playSmuggledItem,
 	"torn-job":            playTornJob,
 	"open-job":            playOpenJob,
 }
--- a/review/kit/worker.go
+++ b/review/kit/worker.go
@@ -263,6 +263,7 @@
 		first = n + 1
 	}
 	w.world.log("worker %s (software %s) runs %s from event %d", w.id, software, id, first)
+	w.world.ran(id)
 	h := rw.Header()
 	h.Set(headerStamp, "stamp-"+w.id+"-"+id)
 	h.Set(headerVersions, strconv.Itoa(version))
--- a/review/kit/world.go
+++ b/review/kit/world.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -39,6 +40,8 @@
 	record *bufio.Writer
 	// answers counts the answers of plain workers by request and status.
 	answers map[string]map[int]int
+	// runs has the ids of the requests that workers ran.
+	runs []string
 }
 
 // newWorld returns a deployment without hosts that writes what happens to the file record.
@@ -75,6 +78,20 @@
 	w.answers[id][status]++
 }
 
+// ran notes that a worker runs a request.
+func (w *world) ran(id string) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.runs = append(w.runs, id)
+}
+
+// ranIDs returns the ids of the requests that workers ran.
+func (w *world) ranIDs() []string {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return slices.Compact(slices.Sorted(slices.Values(w.runs)))
+}
+
 // answersTo returns how often plain workers answered a request with a status.
 func (w *world) answersTo(id string, status int) int {
 	w.mutex.Lock()
