--- a/review/kit/world.go
+++ b/review/kit/world.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -14,6 +15,7 @@
 	"path/filepath"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -107,14 +109,22 @@
 	command                  *exec.Cmd
 }
 
+// firstPort and portCount are a range of ports from which outgoing connections take none.
+const firstPort, portCount = 20000, 10000
+
+// freePort returns a port that nobody listens on.
 func freePort() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for {
+		port := strconv.Itoa(firstPort + rand.IntN(portCount))
+		l, err := net.Listen("tcp", "127.0.0.1:"+port)
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
+		if err != nil {
+			return "", err
+		}
+		return port, l.Close()
 	}
-	defer l.Close()
-	_, port, err := net.SplitHostPort(l.Addr().String())
-	return port, err
 }
 
 // settings lists the fields of a settings file as the platform writes them on the small sites.
