--- a/review/kit/cases.go
+++ b/review/kit/cases.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -676,3 +677,68 @@
 	}
 	return violations, nil
 }
+
+// playExtraRefusal sends requests that may run once to two workers that are often full, while one
+// of them sends some answers twice.
+func playExtraRefusal(w *world, trouble bool) (violations []string, err error) {
+	const windows, windowTime, gapTime = 9, 5 * time.Second, 3 * time.Second
+	const extra, slots, clients = 0.03, 6, 2
+	workers, err := w.addWorkers(1, 2, "v1")
+	if err != nil {
+		return nil, err
+	}
+	for _, each := range workers[1:] {
+		each.maxBusy = slots
+		each.work = func(string) time.Duration { return 50*time.Millisecond + rand.N(140*time.Millisecond) }
+	}
+	route := fmt.Sprintf(`{"name":"r-book","host":"%s","path_prefix":"/lohu930/","route_kind":"non_idempotent","timeout_ms":2000,"goal_ms":400,"priority":2,"service":"wuno96b","max_attempts":2}`, routeHost)
+	w.publish(1, route+","+rolloutRoute("r-first", "/pule252/"), services)
+	if err := w.addHosts(statusSeconds, "a", "b", "c", "d", "e", "f", "g"); err != nil {
+		return nil, err
+	}
+	stop := make(chan struct{})
+	var mutex sync.Mutex
+	statuses := make(map[string]int)
+	var tasks sync.WaitGroup
+	for n, h := range w.hosts {
+		for c := range clients {
+			tasks.Go(func() {
+				for k := 0; ; k++ {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					id := fmt.Sprintf("book-%d-%d-%d", n, c, k)
+					status, _, _ := w.call(http.MethodPost, h.front, "/lohu930/"+id, []byte("one seat"), map[string]string{headerID: id, headerDeadline: "2000"})
+					w.log("client gets %d for %s at %s", status, id, h.name)
+					mutex.Lock()
+					statuses[id] = status
+					mutex.Unlock()
+				}
+			})
+		}
+	}
+	for range windows {
+		if trouble {
+			workers[1].setExtra(extra)
+		}
+		time.Sleep(windowTime)
+		workers[1].setExtra(0)
+		time.Sleep(gapTime)
+	}
+	close(stop)
+	tasks.Wait()
+	time.Sleep(time.Second)
+	for id, count := range w.runCounts() {
+		status := statuses[id]
+		if count > 1 {
+			violations = append(violations, fmt.Sprintf("TWICE: request %s ran %d times, its client got %d", id, count, status))
+		}
+		if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+			w.log("also REFUSED: request %s ran %d times, its client got %d", id, count, status)
+		}
+	}
+	w.log("%d requests were sent", len(statuses))
+	return violations, nil
+}
--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -27,6 +27,7 @@
 	"late-scorer":         playLateScorer,
 	"late-origin":         playLateOrigin,
 	"smuggled-item":       playSmuggledItem,
+	"extra-refusal":       playExtraRefusal,
 	"torn-job":            playTornJob,
 	"open-job":            playOpenJob,
 }
--- a/review/kit/worker.go
+++ b/review/kit/worker.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -43,6 +44,11 @@
 	server   *http.Server
 	// work returns how long a plain request takes.
 	work func(id string) time.Duration
+	// busy counts the running requests of a worker that refuses requests beyond maxBusy, which is 0
+	// for one that takes all.
+	busy, maxBusy int
+	// extra is the share of the answers of which a second copy follows, late.
+	extra float64
 	// cut is set while the worker is partitioned from the store.
 	cut         bool
 	heartbeatAt time.Time
@@ -70,7 +76,9 @@
 	if w.version == 0 {
 		w.version = 1
 	}
-	w.listener, w.server = l, &http.Server{Handler: w}
+	w.listener, w.server = l, &http.Server{Handler: w, ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, connectionKey{}, &connectionState{})
+	}}
 	w.stopped = make(chan struct{})
 	server, stopped := w.server, w.stopped
 	w.mutex.Unlock()
@@ -184,6 +192,8 @@
 	case id == "":
 		rw.Header().Set(headerRefused, "1")
 		rw.WriteHeader(http.StatusBadRequest)
+	case w.maxBusy > 0:
+		w.serveOnce(rw, r, id)
 	case w.model != "":
 		w.serveStream(rw, r, id)
 	default:
@@ -296,3 +306,80 @@
 		return false
 	}
 }
+
+// connectionState is what a worker keeps of a connection.
+type connectionState struct {
+	// copy is a second copy of the last answer, which follows late: at the point where the next
+	// answer is expected.
+	copy string
+}
+
+type connectionKey struct{}
+
+// serveOnce runs a request that may run once, or refuses it if the worker is full. Some answers
+// are sent twice.
+func (w *worker) serveOnce(rw http.ResponseWriter, r *http.Request, id string) {
+	state, ok := r.Context().Value(connectionKey{}).(*connectionState)
+	if !ok {
+		return
+	}
+	connection, buffered, err := rw.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer connection.Close()
+	for {
+		if state.copy != "" {
+			w.world.log("worker %s sends the second copy of an answer, as %s waits for its own", w.id, id)
+			if _, err := connection.Write([]byte(state.copy)); err != nil {
+				return
+			}
+			state.copy = ""
+		}
+		answer := w.runOnce(id, "POST "+r.URL.RequestURI())
+		if _, err := connection.Write([]byte(answer)); err != nil {
+			return
+		}
+		w.mutex.Lock()
+		extra := w.extra
+		w.mutex.Unlock()
+		if rand.Float64() < extra {
+			state.copy = answer
+		}
+		_ = connection.SetReadDeadline(time.Now().Add(10 * time.Second))
+		if r, err = http.ReadRequest(buffered.Reader); err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		id = r.Header.Get(headerID)
+	}
+}
+
+// runOnce returns the answer to a request.
+func (w *worker) runOnce(id, text string) string {
+	w.mutex.Lock()
+	if w.busy >= w.maxBusy {
+		w.mutex.Unlock()
+		return fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: 1\r\nKeep-Alive: timeout=10\r\nContent-Length: 0\r\n\r\n", headerID, id, headerRefused)
+	}
+	w.busy++
+	work := w.work
+	w.mutex.Unlock()
+	w.world.log("worker %s runs %s", w.id, id)
+	w.world.ran(id)
+	time.Sleep(work(id))
+	w.mutex.Lock()
+	w.busy--
+	w.mutex.Unlock()
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: stamp-%s-%s\r\nKeep-Alive: timeout=10\r\nContent-Length: %d\r\n\r\n%s", headerID, id, headerStamp, w.id, id, len(text), text)
+}
+
+// setExtra sets the share of the answers that are sent twice.
+func (w *worker) setExtra(share float64) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.extra = share
+	w.world.log("worker %s sends %.2f of its answers twice", w.id, share)
+}
--- a/review/kit/world.go
+++ b/review/kit/world.go
@@ -87,6 +87,17 @@
 	w.runs = append(w.runs, id)
 }
 
+// runCounts returns how often workers ran each request.
+func (w *world) runCounts() map[string]int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	counts := make(map[string]int)
+	for _, id := range w.runs {
+		counts[id]++
+	}
+	return counts
+}
+
 // ranIDs returns the ids of the requests that workers ran.
 func (w *world) ranIDs() []string {
 	w.mutex.Lock()
