--- a/review/kit/world.go
+++ b/review/kit/world.go
@@ -37,6 +37,8 @@
 	store  *store
 	hosts  []*host
 	client *http.Client
+	// taken has the ports that hosts listen on.
+	taken map[string]bool
 
 	mutex  sync.Mutex
 	record *bufio.Writer
@@ -57,7 +59,7 @@
 		return nil, err
 	}
 	w := &world{
-		start: time.Now(), dir: dir, store: newStore(partitions), record: bufio.NewWriter(file), answers: make(map[string]map[int]int),
+		start: time.Now(), dir: dir, store: newStore(partitions), record: bufio.NewWriter(file), answers: make(map[string]map[int]int), taken: make(map[string]bool),
 		// Each call of a batch job arrives on a new connection.
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 	}
@@ -123,10 +125,14 @@
 // firstPort and portCount are a range of ports from which outgoing connections take none.
 const firstPort, portCount = 20000, 10000
 
-// freePort returns a port that nobody listens on.
-func freePort() (string, error) {
+// freePort returns a port that nobody listens on and that no other host of the case gets.
+func (w *world) freePort() (string, error) {
 	for {
 		port := strconv.Itoa(firstPort + rand.IntN(portCount))
+		if w.taken[port] {
+			continue
+		}
+		w.taken[port] = true
 		l, err := net.Listen("tcp", "127.0.0.1:"+port)
 		if errors.Is(err, syscall.EADDRINUSE) {
 			continue
@@ -205,7 +211,7 @@
 func (w *world) addHost(name string, status int) (*host, error) {
 	var ports []string
 	for range 3 {
-		port, err := freePort()
+		port, err := w.freePort()
 		if err != nil {
 			return nil, err
 		}
