--- a/review/kit/cases.go
+++ b/review/kit/cases.go
@@ -681,15 +681,15 @@
 // playExtraRefusal sends requests that may run once to two workers that are often full, while one
 // of them sends some answers twice.
 func playExtraRefusal(w *world, trouble bool) (violations []string, err error) {
-	const windows, windowTime, gapTime = 9, 5 * time.Second, 3 * time.Second
-	const extra, slots, clients = 0.03, 6, 2
+	const windows, windowTime, gapTime = 5, 5 * time.Second, 3 * time.Second
+	const extra, slots, clients = 0.03, 6, 3
 	workers, err := w.addWorkers(1, 2, "v1")
 	if err != nil {
 		return nil, err
 	}
 	for _, each := range workers[1:] {
 		each.maxBusy = slots
-		each.work = func(string) time.Duration { return 50*time.Millisecond + rand.N(140*time.Millisecond) }
+		each.work = func(string) time.Duration { return 10*time.Millisecond + rand.N(30*time.Millisecond) }
 	}
 	route := fmt.Sprintf(`{"name":"r-book","host":"%s","path_prefix":"/lohu930/","route_kind":"non_idempotent","timeout_ms":2000,"goal_ms":400,"priority":2,"service":"wuno96b","max_attempts":2}`, routeHost)
 	w.publish(1, route+","+rolloutRoute("r-first", "/pule252/"), services)
--- a/review/kit/worker.go
+++ b/review/kit/worker.go
@@ -353,7 +353,9 @@
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
-		id = r.Header.Get(headerID)
+		if id = r.Header.Get(headerID); id == "" || r.Header.Get(headerExpect) != w.id {
+			return // no request of a caller; the connection is closed
+		}
 	}
 }
 
