--- a/review/kit/cases.go
+++ b/review/kit/cases.go
@@ -20,18 +20,18 @@
 	{"name":"wuno96b","health_path":"/healthz","max_conns":110,"protocol":"h1","tls":false}`
 
 func rolloutRoute(name, prefix string) string {
-	return fmt.Sprintf(`{"name":"%s","host":"%s","path_prefix":"%s","route_kind":"rollout","timeout_ms":10000,"goal_ms":500,"priority":1,"service":"huvo11a","max_attempts":3,"result_due_ms":7500,"retention_s":40}`, name, routeHost, prefix)
+	return fmt.Sprintf(template("route-rollout.json"), name, routeHost, prefix)
 }
 
 // plainTimeout is timeout_ms of the route of reward calls on the small sites.
 const plainTimeout = 2000
 
 func plainRoute(name, prefix string, attempts, timeoutMS int) string {
-	return fmt.Sprintf(`{"name":"%s","host":"%s","path_prefix":"%s","route_kind":"idempotent","timeout_ms":%d,"goal_ms":400,"priority":2,"service":"wuno96b","max_attempts":%d}`, name, routeHost, prefix, timeoutMS, attempts)
+	return fmt.Sprintf(template("route-plain.json"), name, routeHost, prefix, timeoutMS, attempts)
 }
 
 func streamRoute(name, prefix string) string {
-	return fmt.Sprintf(`{"name":"%s","host":"%s","path_prefix":"%s","route_kind":"streaming","resumable":true,"sticky":true,"timeout_ms":20000,"goal_ms":400,"priority":1,"service":"huvo11a","max_attempts":3}`, name, routeHost, prefix)
+	return fmt.Sprintf(template("route-stream.json"), name, routeHost, prefix)
 }
 
 // workTime is the usual time of a plain request.
@@ -134,7 +134,7 @@
 	}
 	before := plainRoute("r-score", "/pufi791/", 4, plainTimeout) + "," + rolloutRoute("r-first", "/pule252/")
 	w.publish(1, before, services)
-	w.store.put("keyed.op", "version/"+model, []byte(`{"model":"`+model+`","version":1}`))
+	w.store.put(wire("operators"), "version/"+model, []byte(`{"model":"`+model+`","version":1}`))
 	if err := w.addHosts(statusSeconds, "a", "b"); err != nil {
 		return nil, err
 	}
@@ -147,7 +147,7 @@
 	}
 	w.end(a, "first")
 	if trouble {
-		w.silenceNextRead("b", "keyed.op")
+		w.silenceNextRead("b", wire("operators"))
 	}
 	w.publish(2, before+","+rolloutRoute("r-second", "/zuz5v28q/"), services)
 	published := time.Now()
@@ -194,7 +194,7 @@
 	arrived := make(chan struct{})
 	var once sync.Once
 	w.store.setWithhold(func(c storeCall) (silent bool) {
-		if c.host == name && c.topic == topic && c.path == "/api/log-read" {
+		if c.host == name && c.topic == topic && c.path == wire("read") {
 			once.Do(func() {
 				silent = true
 				w.log("the connection of host %s to the store that reads %s goes silent", name, topic)
@@ -231,7 +231,7 @@
 	r.Host = routeHost
 	r.Header.Set(headerID, id)
 	r.Header.Set(headerDeadline, "15000")
-	r.Header.Set("X-Lycheeladder-Model", model)
+	r.Header.Set(wire("x-lycheeladder-model"), model)
 	if c.last > 0 {
 		r.Header.Set("Last-Event-Id", strconv.Itoa(c.last))
 		r.Header.Set("Resumes", c.id)
@@ -286,7 +286,7 @@
 	}
 	x := workers[0]
 	w.publish(1, plainRoute("r-score", "/pufi791/", 4, plainTimeout)+","+streamRoute("r-chat", "/lohu930/"), services)
-	w.store.put("keyed.op", "version/"+model, []byte(`{"model":"`+model+`","version":1}`))
+	w.store.put(wire("operators"), "version/"+model, []byte(`{"model":"`+model+`","version":1}`))
 	if err := w.addHosts(statusSeconds, "a", "b"); err != nil {
 		return nil, err
 	}
@@ -349,7 +349,7 @@
 		return nil, err
 	}
 	w.publish(1, plainRoute("r-score", "/pufi791/", 4, 500)+","+rolloutRoute("r-first", "/pule252/"), services)
-	w.store.put("keyed.op", "version/"+model, []byte(`{"model":"`+model+`","version":1}`))
+	w.store.put(wire("operators"), "version/"+model, []byte(`{"model":"`+model+`","version":1}`))
 	if err := w.addHosts(statusSeconds, "a", "b"); err != nil {
 		return nil, err
 	}
@@ -398,7 +398,7 @@
 		return nil, err
 	}
 	w.publish(1, plainRoute("r-score", "/pufi791/", 4, plainTimeout)+","+rolloutRoute("r-first", "/pule252/"), services)
-	w.store.put("keyed.op", "version/"+model, []byte(`{"model":"`+model+`","version":1}`))
+	w.store.put(wire("operators"), "version/"+model, []byte(`{"model":"`+model+`","version":1}`))
 	if err := w.addHosts(shortStatusSeconds, "a", "b"); err != nil {
 		return nil, err
 	}
@@ -452,7 +452,7 @@
 		each.setLength(20, 100*time.Millisecond)
 	}
 	w.publish(1, plainRoute("r-score", "/pufi791/", 2, plainTimeout)+","+rolloutRoute("r-first", "/pule252/"), services)
-	w.store.put("keyed.op", "version/"+model, []byte(`{"model":"`+model+`","version":1}`))
+	w.store.put(wire("operators"), "version/"+model, []byte(`{"model":"`+model+`","version":1}`))
 	if err := w.addHosts(statusSeconds, "a", "b"); err != nil {
 		return nil, err
 	}
@@ -568,7 +568,7 @@
 		each.setLength(60, 100*time.Millisecond)
 	}
 	w.publish(1, plainRoute("r-score", "/pufi791/", 4, plainTimeout)+","+streamRoute("r-chat", "/lohu930/"), services)
-	w.store.put("keyed.op", "version/"+model, []byte(`{"model":"`+model+`","version":1}`))
+	w.store.put(wire("operators"), "version/"+model, []byte(`{"model":"`+model+`","version":1}`))
 	if err := w.addHosts(statusSeconds, "a", "b"); err != nil {
 		return nil, err
 	}
@@ -657,14 +657,14 @@
 		return nil, err
 	}
 	w.publish(1, plainRoute("r-score", "/pufi791/", 4, plainTimeout)+","+rolloutRoute("r-first", "/pule252/"), services)
-	w.store.put("keyed.op", "version/"+model, []byte(`{"model":"`+model+`","version":1}`))
+	w.store.put(wire("operators"), "version/"+model, []byte(`{"model":"`+model+`","version":1}`))
 	if err := w.addHosts(statusSeconds, "a", "b"); err != nil {
 		return nil, err
 	}
 	a := w.hosts[0]
 	path := "/pule252/"
 	if trouble {
-		path += "x HTTP/1.1\r\nHost: other.example\r\nX-Lycheeladder-Attempt-Id: nobody-sent-this\r\nContent-Length: 0\r\n\r\nPOST /pule252/"
+		path += "x HTTP/1.1\r\nHost: other.example\r\n" + headerID + ": nobody-sent-this\r\nContent-Length: 0\r\n\r\nPOST /pule252/"
 	}
 	if !w.submit(a, "first", jobBody(0, model, path, "/pufi791/", itemsOf("first", 4)), "/pule252/") {
 		return nil, nil
@@ -691,7 +691,7 @@
 		each.maxBusy = slots
 		each.work = func(string) time.Duration { return 10*time.Millisecond + rand.N(30*time.Millisecond) }
 	}
-	route := fmt.Sprintf(`{"name":"r-book","host":"%s","path_prefix":"/lohu930/","route_kind":"non_idempotent","timeout_ms":2000,"goal_ms":400,"priority":2,"service":"wuno96b","max_attempts":2}`, routeHost)
+	route := fmt.Sprintf(template("route-once.json"), routeHost)
 	w.publish(1, route+","+rolloutRoute("r-first", "/pule252/"), services)
 	if err := w.addHosts(statusSeconds, "a", "b", "c", "d", "e", "f", "g"); err != nil {
 		return nil, err
--- a/review/kit/store.go
+++ b/review/kit/store.go
@@ -19,7 +19,7 @@
 const (
 	// appendTime and bytesPerSecond are append_ms and part_mb_s of the small sites.
 	appendTime, bytesPerSecond = 2 * time.Millisecond, 20 << 20
-	// maxPageRecords and maxPageBytes bound a page of log-newest.
+	// maxPageRecords and maxPageBytes bound a page of newest records.
 	maxPageRecords, maxPageBytes = 500, 1 << 20
 	// defaultReadKB is the default of max_read_kb.
 	defaultReadKB = 1024
@@ -173,7 +173,7 @@
 	s.mutex.Lock()
 	withhold, postpone := s.withhold, s.postpone
 	s.mutex.Unlock()
-	if r.URL.Path == "/api/log-append" && postpone != nil && postpone(call) {
+	if r.URL.Path == wire("append") && postpone != nil && postpone(call) {
 		time.AfterFunc(lateTime, func() { s.serveAppend(discard{}, call, query.Get("at")) })
 		<-r.Context().Done()
 		return
@@ -187,15 +187,15 @@
 		return
 	}
 	switch r.URL.Path {
-	case "/api/log-append":
+	case wire("append"):
 		s.serveAppend(w, call, query.Get("at"))
-	case "/api/log-read":
+	case wire("read"):
 		s.serveRead(w, r, call)
-	case "/api/log-newest":
+	case wire("newest"):
 		s.serveNewest(w, call, query.Get("after"))
-	case "/api/log-join", "/api/log-leave":
+	case wire("join"), wire("leave"):
 		s.serveMember(w, call)
-	case "/api/log-owners":
+	case wire("owners"):
 		s.serveOwners(w, query.Get("group"))
 	default:
 		w.WriteHeader(http.StatusNotFound)
@@ -231,7 +231,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if c.topic == "keyed.op" || c.topic == "keyed.servers" {
+	if c.topic == wire("operators") || c.topic == wire("targets") {
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
@@ -424,7 +424,7 @@
 		s.groups[m.Group] = g
 	}
 	g.expire()
-	if c.path == "/api/log-leave" {
+	if c.path == wire("leave") {
 		g.remove(m.Member)
 		w.WriteHeader(http.StatusOK)
 		return
--- a/review/kit/worker.go
+++ b/review/kit/worker.go
@@ -16,13 +16,13 @@
 // heartbeat is heartbeat_ms of the small sites.
 const heartbeat = 1200 * time.Millisecond
 
-const (
-	headerID       = "X-Lycheeladder-Attempt-Id"
-	headerDeadline = "X-Lycheeladder-Deadline-Ms"
-	headerStamp    = "X-Lycheeladder-Server-Stamp"
-	headerExpect   = "X-Lycheeladder-Expect-Instance"
-	headerVersions = "X-Lycheeladder-Weight-Versions"
-	headerRefused  = "X-Lycheeladder-Not-Executed"
+var (
+	headerID       = wire("x-lycheeladder-attempt-id")
+	headerDeadline = wire("x-lycheeladder-deadline-ms")
+	headerStamp    = wire("x-lycheeladder-server-stamp")
+	headerExpect   = wire("x-lycheeladder-expect-instance")
+	headerVersions = wire("x-lycheeladder-weight-versions")
+	headerRefused  = wire("x-lycheeladder-not-executed")
 )
 
 // worker is a sound worker of a service: a model worker if it has a model, else a plain one.
@@ -139,7 +139,7 @@
 	w.mutex.Unlock()
 	value, err := json.Marshal(entry)
 	if err == nil {
-		w.world.store.put("keyed.servers", w.id, value)
+		w.world.store.put(wire("targets"), w.id, value)
 	}
 }
 
@@ -178,13 +178,13 @@
 	}
 	rw.Header().Set("Keep-Alive", "timeout=10")
 	if expected := r.Header.Get(headerExpect); expected != "" && expected != w.id {
-		rw.Header().Set("X-Lycheeladder-Instance-Id", w.id)
+		rw.Header().Set(wire("x-lycheeladder-instance-id"), w.id)
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	switch {
 	case r.URL.Path == "/healthz":
-		rw.Header().Set("X-Lycheeladder-Instance-Id", w.id)
+		rw.Header().Set(wire("x-lycheeladder-instance-id"), w.id)
 	case r.URL.Path == "/api/report":
 		w.serveReport(rw)
 	case r.URL.Path == "/api/order":
@@ -206,7 +206,7 @@
 	defer w.mutex.Unlock()
 	writeJSON(rw, http.StatusOK, map[string]any{
 		"stage": "both", "models": w.models(), "busy": false, "sequence": w.orders, "queued_count": 0, "active_count": 0,
-		"kv_used": 0, "kv_total": 80000, "handles": 0, "born": w.born,
+		wire("kv-used"): 0, "kv_total": 80000, "handles": 0, "born": w.born,
 	})
 }
 
