review: case 1, a kill while a batch job comes again loses the accepted job (LOST)

Seen: batch jobs of a whole training step (2,048 items) are accepted and can be read. Another client hands them in again at another host, which is killed while it writes them. After its start both hosts answer 404 for some of these jobs, for good. Rule: LOST (batch jobs).

--- a/review/kit/cases.go
+++ b/review/kit/cases.go
@@ -508,9 +508,6 @@
 // end of an append falls within the headers of an item; these are some of them.
 var promptSizes = []int{600, 616, 636, 645, 700, 712, 726, 737, 758, 780, 801, 802}
 
-// contactTime is contact_ms of the small sites.
-const contactTime = 3 * time.Second
-
 // promptPrefix returns the parts of a prompt: a conversation of some turns.
 func promptPrefix(n int) string {
 	var parts []string
@@ -539,23 +536,6 @@
 	w.log("another client hands in batch job %s again at %s: %d", job, h.name, response.StatusCode)
 }
 
-// isGone reports whether both hosts answer 404 for a batch job, three times.
-func (w *world) isGone(job string) bool {
-	gone := true
-	for range 3 {
-		for _, h := range w.hosts {
-			status, p := w.readResults(h, job, 0)
-			w.log("client reads batch job %s at %s: %d, %d items", job, h.name, status, p.Total)
-			gone = gone && status == http.StatusNotFound
-		}
-		if !gone {
-			break
-		}
-		time.Sleep(200 * time.Millisecond)
-	}
-	return gone
-}
-
 // playLateOrigin begins streams while the store leaves writes unanswered and does them late. Some
 // seconds later all hosts are killed and started again, and the clients take their streams up.
 func playLateOrigin(w *world, trouble bool) (violations []string, err error) {
--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -29,6 +29,7 @@
 	"smuggled-item":       playSmuggledItem,
 	"extra-refusal":       playExtraRefusal,
 	"torn-job":            playTornJob,
+	"killed-resend":       playKilledResend,
 	"open-job":            playOpenJob,
 }
 
