review: case 2, workers of the TWICE case queue some requests before they refuse

Seen: a request that may run once runs at two workers, as the late copy of a refusal is taken for an answer.

--- a/review/kit/cases.go
+++ b/review/kit/cases.go
@@ -662,13 +662,13 @@
 // of them sends some answers twice.
 func playExtraRefusal(w *world, trouble bool) (violations []string, err error) {
 	const windows, windowTime, gapTime = 5, 5 * time.Second, 3 * time.Second
-	const extra, slots, clients = 0.03, 6, 3
+	const extra, slots, queue, clients = 0.03, 6, 4, 5
 	workers, err := w.addWorkers(1, 2, "v1")
 	if err != nil {
 		return nil, err
 	}
 	for _, each := range workers[1:] {
-		each.maxBusy = slots
+		each.running, each.maxAdmitted = make(chan struct{}, slots), slots+queue
 		each.work = func(string) time.Duration { return 10*time.Millisecond + rand.N(30*time.Millisecond) }
 	}
 	route := fmt.Sprintf(template("route-once.json"), routeHost)
--- a/review/kit/worker.go
+++ b/review/kit/worker.go
@@ -44,9 +44,10 @@
 	server   *http.Server
 	// work returns how long a plain request takes.
 	work func(id string) time.Duration
-	// busy counts the running requests of a worker that refuses requests beyond maxBusy, which is 0
-	// for one that takes all.
-	busy, maxBusy int
+	// running has a place for each slot of a worker that refuses requests; it is nil for one that takes
+	// all. admitted counts the requests that run or wait, of which there are at most maxAdmitted.
+	running               chan struct{}
+	admitted, maxAdmitted int
 	// extra is the share of the answers of which a second copy follows, late.
 	extra float64
 	// cut is set while the worker is partitioned from the store.
@@ -192,7 +193,7 @@
 	case id == "":
 		rw.Header().Set(headerRefused, "1")
 		rw.WriteHeader(http.StatusBadRequest)
-	case w.maxBusy > 0:
+	case w.running != nil:
 		w.serveOnce(rw, r, id)
 	case w.model != "":
 		w.serveStream(rw, r, id)
@@ -362,18 +363,20 @@
 // runOnce returns the answer to a request.
 func (w *worker) runOnce(id, text string) string {
 	w.mutex.Lock()
-	if w.busy >= w.maxBusy {
+	if w.admitted >= w.maxAdmitted {
 		w.mutex.Unlock()
 		return fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: 1\r\nKeep-Alive: timeout=10\r\nContent-Length: 0\r\n\r\n", headerID, id, headerRefused)
 	}
-	w.busy++
+	w.admitted++
 	work := w.work
 	w.mutex.Unlock()
+	w.running <- struct{}{}
 	w.world.log("worker %s runs %s", w.id, id)
 	w.world.ran(id)
 	time.Sleep(work(id))
+	<-w.running
 	w.mutex.Lock()
-	w.busy--
+	w.admitted--
 	w.mutex.Unlock()
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: stamp-%s-%s\r\nKeep-Alive: timeout=10\r\nContent-Length: %d\r\n\r\n%s", headerID, id, headerStamp, w.id, id, len(text), text)
 }
