review: case 5, a shorter timeout_ms of the reward calls' route makes items errored (MIXED)

Seen: after a configuration that lowers timeout_ms of that route from 2,000 to 400, items whose reward call takes longer are listed as errored, though no worker answered 500 or 422; reward calls are exempt from timeout_ms. Rule: MIXED (batch jobs). The case with two disruptions that stood here is kept as late-origin.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -6,4 +6,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/platform ] && [ -x target/review-kit ] || { echo "build the deploy file and review/build.sh first" >&2; exit 2; }
-exec target/review-kit late-origin "$folder"
+exec target/review-kit short-timeout "$folder"
--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -30,6 +30,7 @@
 	"extra-refusal":       playExtraRefusal,
 	"torn-job":            playTornJob,
 	"killed-resend":       playKilledResend,
+	"short-timeout":       playShortTimeout,
 	"open-job":            playOpenJob,
 }
 
