--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -31,6 +31,7 @@
 	"torn-job":            playTornJob,
 	"killed-resend":       playKilledResend,
 	"short-timeout":       playShortTimeout,
+	"long-id":             playLongID,
 	"open-job":            playOpenJob,
 }
 
