scheduler: give items up only under the newest configuration

Cause: jobs and configuration come from different partitions. openJobs took a route that the local configuration doesn't have yet for one that was removed.

Change: the reasons to give an item up that rest on the configuration are confirmed under a configuration that was read from the store after they came up. The store is linearizable, so that it is at least as new as the one at the job's acceptance. Until it can be read the item waits. Refresh reads all pages instead of the first one.

--- a/ladder/explainer/events.go
+++ b/ladder/explainer/events.go
@@ -102,6 +102,11 @@
 		Fields:  []string{"job", "items", "model", "oldest-version", "offset"},
 		Meaning: "the job is in this entry's copy of the store",
 	},
+	{
+		Name: "batch jobs not given up, the configuration can't be read", Level: LevelInfo, Scope: ScopeJob,
+		Fields:  []string{"count", "err"},
+		Meaning: "the jobs stay open until the newest configuration confirms that they can't be finished",
+	},
 	{
 		Name: "callers' connections not closed in order", Level: LevelInfo, Scope: ScopeHost,
 		Fields:  []string{"err"},
@@ -165,6 +170,11 @@
 		Meaning: "`cause` says why it left `target` after event `after`",
 		Action:  "many with one target: that target",
 	},
+	{
+		Name: "item not given up, the configuration can't be read", Level: LevelInfo, Scope: ScopeJob,
+		Fields:  []string{"host", "path", "err"},
+		Meaning: "the item waits until the newest configuration confirms its maximum number of failures",
+	},
 	{
 		Name: "item placed", Level: LevelInfo, Scope: ScopeJob,
 		Fields:  []string{"job", "item", "target", "software", "after", "waited", "candidates", "in-flight", "slowness"},
--- a/ladder/replicator/replicator.go
+++ b/ladder/replicator/replicator.go
@@ -112,7 +112,7 @@
 	if !caughtUp {
 		wait = 0
 	}
-	err := r.read(ctx, from, wait)
+	_, err := r.read(ctx, from, wait)
 	if errors.Is(err, storer.ErrExpired) {
 		klog.InfoS("history has expired, reading the whole partition", "partition", r.partition.String(), "offset", from)
 		return r.load(ctx)
@@ -120,12 +120,13 @@
 	return err
 }
 
-func (r *Replicator) read(ctx context.Context, from identifier.LogOffset, wait time.Duration) error {
+// read passes the next records to sink and returns the end of the partition.
+func (r *Replicator) read(ctx context.Context, from identifier.LogOffset, wait time.Duration) (end identifier.LogOffset, err error) {
 	timeoutCtx, cancel := context.WithTimeout(ctx, wait+responseMargin)
 	defer cancel()
 	page, err := r.log.Read(timeoutCtx, r.partition, from, wait)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -133,7 +134,7 @@
 	if r.next >= page.End {
 		r.caughtUp = r.loaded
 	}
-	return nil
+	return page.End, nil
 }
 
 // Forget drops the copy, so that Run starts with a new snapshot. Run must not be
@@ -212,7 +213,8 @@
 	return r.clock.Since(r.lastContact)
 }
 
-// Refresh reads every record that the store had acknowledged before the call.
+// Refresh reads every record that the store had acknowledged before the call, which may
+// take several pages.
 func (r *Replicator) Refresh(ctx context.Context) (err error) {
 	defer annotator.Annotate(&err, "refresh %s", r.partition)
 	r.mutex.Lock()
@@ -221,7 +223,11 @@
 	if !loaded {
 		return appender.ErrUnavailable
 	}
-	return r.read(ctx, from, 0)
+	end, err := r.read(ctx, from, 0)
+	if err != nil {
+		return err
+	}
+	return r.catchUpTo(ctx, end)
 }
 
 // Append writes the records that build derives from the complete copy. build is called
@@ -300,7 +306,7 @@
 func (r *Replicator) catchUpTo(ctx context.Context, end identifier.LogOffset) error {
 	for r.nextOffset() < end {
 		from := r.nextOffset()
-		err := r.read(ctx, from, 0)
+		_, err := r.read(ctx, from, 0)
 		if errors.Is(err, storer.ErrExpired) {
 			err = r.load(ctx)
 		}
--- a/ladder/replicator/replicator_test.go
+++ b/ladder/replicator/replicator_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/lycheeladder/lycheeladder/ladder/appender"
 	"github.com/lycheeladder/lycheeladder/ladder/faker"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/storer"
 )
 
@@ -205,3 +206,34 @@
 		}
 	})
 }
+
+// shortPages is a store that returns one record a page, and whose long polls are lost.
+type shortPages struct{ *faker.Store }
+
+func (s shortPages) Read(ctx context.Context, p storer.Partition, from identifier.LogOffset, wait time.Duration) (storer.Page, error) {
+	if wait > 0 {
+		<-ctx.Done()
+		return storer.Page{}, appender.ErrOutcomeUnknown
+	}
+	page, err := s.Store.Read(ctx, p, from, 0)
+	page.Records = page.Records[:min(1, len(page.Records))]
+	return page, err
+}
+
+// Guards against a refresh that ends after one page and takes the rest for missing.
+func TestRefresh_ReadsAllPages(t *testing.T) {
+	runWithStore(t, func(ctx context.Context, tasks *conc.WaitGroup, store *faker.Store) {
+		w := newWriter(ctx, tasks, shortPages{store})
+		for !w.Known() {
+			time.Sleep(time.Millisecond)
+		}
+		want := mapSink{"a": "1", "b": "2", "c": "3"}
+		store.Put(partition, storer.Record{Key: "a", Value: []byte("1")}, storer.Record{Key: "b", Value: []byte("2")}, storer.Record{Key: "c", Value: []byte("3")})
+		if err := w.Refresh(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(want, w.read()); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
--- a/ladder/scheduler/generate.go
+++ b/ladder/scheduler/generate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -31,8 +32,7 @@
 }
 
 // generate makes one target continue the text. It returns true if the text is
-// complete or the item has failed for good, and otherwise the reason for moving to
-// another target.
+// complete, and otherwise the reason for moving to another target.
 func (t *task) generate(ctx context.Context, target cataloger.Target) (done bool, err error) {
 	s := t.scheduler
 	defer s.router.Done(target.Name, router.Monitored)
@@ -62,7 +62,7 @@
 		s.avoid(target.Name, refusalCooldown)
 		return false, errors.Errorf("target refused the item with status %d", answer.Status)
 	case !answer.Succeeded():
-		return t.countFailure(answer.Status), errors.Errorf("target answered with status %d", answer.Status)
+		return false, &statusError{answer.Status}
 	case answer.Version > 0 && t.job.Model != "":
 		s.catalog.RecordWeights(target.Name, t.job.Model, answer.Version)
 		if answer.Version < t.job.MinVersion {
@@ -92,6 +92,14 @@
 	}
 }
 
+// statusError says that the target ran the item and answered with an error.
+type statusError struct{ status int }
+
+// Error implements error.
+func (e *statusError) Error() string {
+	return fmt.Sprintf("target answered with status %d", e.status)
+}
+
 // errSlowTarget says that the item is expected to finish earlier on another target.
 var errSlowTarget = errors.New("target is slow")
 
--- a/ladder/scheduler/scheduler.go
+++ b/ladder/scheduler/scheduler.go
@@ -9,7 +9,6 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/sourcegraph/conc"
-	"k8s.io/klog/v2"
 
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/draftcacher"
@@ -65,6 +64,7 @@
 	sender    sender.Sender
 	forwarder *forwarder.Forwarder
 	drafts    DraftStore
+	published ConfigurationReader
 	router    *router.Router
 	wake      chan struct{}
 
@@ -76,13 +76,16 @@
 	placedWithLimit map[identifier.TargetName]int
 	// avoidedUntil is when a target may get items again.
 	avoidedUntil map[identifier.TargetName]time.Time
+	// reviewing is set while a review of jobs runs; nextReview is when the next one may start.
+	reviewing  bool
+	nextReview time.Time
 }
 
 // New returns a Scheduler for the partitions that owner holds. random breaks ties
 // between targets and must be safe for concurrent use.
-func New(clock clockwork.Clock, c *cataloger.Cataloger, jobs *jobstorer.JobStorer, owner *joiner.Joiner, s sender.Sender, f *forwarder.Forwarder, d DraftStore, random router.Random) *Scheduler {
+func New(clock clockwork.Clock, c *cataloger.Cataloger, p ConfigurationReader, jobs *jobstorer.JobStorer, owner *joiner.Joiner, s sender.Sender, f *forwarder.Forwarder, d DraftStore, random router.Random) *Scheduler {
 	return &Scheduler{
-		clock: clock, catalog: c, jobs: jobs, owner: owner, sender: s, forwarder: f, drafts: d,
+		clock: clock, catalog: c, published: p, jobs: jobs, owner: owner, sender: s, forwarder: f, drafts: d,
 		router: router.New(clock, random, router.BatchAware{}), wake: make(chan struct{}, 1),
 		tasks: make(map[taskKey]*task), avoidedUntil: make(map[identifier.TargetName]time.Time),
 	}
@@ -121,9 +124,10 @@
 	if configuration == nil {
 		return
 	}
-	jobs := s.openJobs(configuration)
+	jobs, overdue := s.openJobs(configuration)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.startReview(ctx, overdue, tasks)
 	s.placedWithLimit = make(map[identifier.TargetName]int)
 	for _, j := range jobs {
 		if added := s.addTasks(j); len(added) > 0 {
@@ -146,33 +150,25 @@
 	return s.jobs.CopyAge(s.jobs.PartitionOf(id)) <= maxCopyAge
 }
 
-func (s *Scheduler) openJobs(c *cataloger.Configuration) (jobs []*job) {
+// openJobs returns the jobs whose items may run under a configuration, and those that
+// can't be finished under it. A job that is past its time is in both lists.
+func (s *Scheduler) openJobs(c *cataloger.Configuration) (jobs []*job, overdue []jobstorer.Job) {
 	now := s.clock.Now()
 	for _, n := range s.owner.Owned() {
 		if s.jobs.CopyAge(n) > maxCopyAge {
 			continue
 		}
 		for _, open := range s.jobs.OpenJobs(n) {
-			route, ok := c.MatchRoute(open.Host, open.Path)
-			j := &job{Job: open, acceptedAt: now.Add(-open.Age), route: route}
-			if !ok || (route.GiveUpAfter > 0 && open.Age > route.GiveUpAfter) {
-				s.failRemaining(j, ok)
-				continue
+			route, routed := c.MatchRoute(open.Host, open.Path)
+			if isOverdue(open, route, routed) {
+				overdue = append(overdue, open)
+			}
+			if routed {
+				jobs = append(jobs, &job{Job: open, acceptedAt: now.Add(-open.Age), route: route})
 			}
-			jobs = append(jobs, j)
-		}
-	}
-	return jobs
-}
-
-// failRemaining records every item without a result as failed.
-func (s *Scheduler) failRemaining(j *job, routed bool) {
-	klog.InfoS("batch job given up", "job", j.ID, "age", j.Age, "routed", routed, "left", len(j.Items)-len(j.Recorded))
-	for _, i := range j.Items {
-		if !j.Recorded[i.ID] {
-			s.jobs.AddResult(jobstorer.JobResult{Job: j.ID, Result: jobstorer.Result{Item: i.ID, State: jobstorer.ResultFailed}})
 		}
 	}
+	return jobs, overdue
 }
 
 // addTasks creates tasks for the items that have none and returns the new ones. The
--- a/ladder/scheduler/scheduler_test.go
+++ b/ladder/scheduler/scheduler_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -25,6 +26,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 	"github.com/lycheeladder/lycheeladder/ladder/registrar"
 	"github.com/lycheeladder/lycheeladder/ladder/relayer"
+	"github.com/lycheeladder/lycheeladder/ladder/replicator"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
 	"github.com/lycheeladder/lycheeladder/ladder/sender"
 	"github.com/lycheeladder/lycheeladder/ladder/storer"
@@ -33,11 +35,18 @@
 // testDecoder decodes the records of the tests. The value of a target record is its
 // service, with a software version after an @, and any key but that of the configuration
 // announces version 3.
-type testDecoder struct{ configuration *cataloger.Configuration }
+//
+// A configuration with the value newerConfiguration is newer, which the test may change.
+type testDecoder struct{ configuration, newer *cataloger.Configuration }
 
-func (p testDecoder) Published(key string, _ []byte) (cataloger.PublishedRecord, error) {
-	if key != "config" {
+const newerConfiguration = "newer"
+
+func (p testDecoder) Published(key string, value []byte) (cataloger.PublishedRecord, error) {
+	switch {
+	case key != "config":
 		return cataloger.DesiredVersion{Model: "m", Version: 3}, nil
+	case string(value) == newerConfiguration:
+		return p.newer, nil
 	}
 	return p.configuration, nil
 }
@@ -59,6 +68,8 @@
 	group   *faker.Group
 	targets *faker.Targets
 	catalog *cataloger.Cataloger
+	// newer is the configuration that publishNewer puts into force.
+	newer *cataloger.Configuration
 	// scorers defines the behaviour of the scorers, if it is set.
 	scorers behaviourFunc
 	*entry
@@ -95,7 +106,13 @@
 		},
 		Services: map[identifier.ServiceName]cataloger.Service{"engines": {Name: "engines", Engine: &cataloger.Engine{Slots: 4}}, "scorers": {Name: "scorers"}},
 	}
-	env := &testEnv{clock: clock, store: faker.NewStore(clock), group: faker.NewGroup(clock, 2), catalog: cataloger.New(clock, testDecoder{configuration})}
+	newer := *configuration
+	newer.Version, newer.Routes = 2, slices.Clone(configuration.Routes)
+	env := &testEnv{
+		clock: clock, store: faker.NewStore(clock), group: faker.NewGroup(clock, 2), newer: &newer,
+		catalog: cataloger.New(clock, testDecoder{configuration, &newer}),
+	}
+	env.store.Put(operators, storer.Record{Key: "config", Value: []byte("x")})
 	env.catalog.PublishedSink().Reset([]storer.Record{{Key: "config", Value: []byte("x")}})
 	env.catalog.TargetSink().Reset([]storer.Record{
 		{Key: "a", Value: []byte("engines")},
@@ -140,13 +157,15 @@
 	owner := joiner.New(env.clock, env.group.Member(name), joiner.Options{
 		Self: name, JoinPolicy: joiner.JoinWhenNeeded, WantedMembers: func() int { return wanted }, Random: random, Renewal: joiner.WorkRenewal,
 	}, func() { e.Wake() })
-	e.Scheduler = New(env.clock, env.catalog, e.jobs, owner, env.targets, f, draftStore{e.draftCacher, collector}, random)
+	published := replicator.New(env.clock, silentLongPolls{env.store}, operators, env.catalog.PublishedSink(), func() {})
+	e.Scheduler = New(env.clock, env.catalog, &unreadable{ConfigurationReader: published}, e.jobs, owner, env.targets, f, draftStore{e.draftCacher, collector}, random)
 	working, end := context.WithCancel(context.Background())
 	member, resign := context.WithCancel(working)
 	var tasks conc.WaitGroup
 	tasks.Go(func() { owner.Run(member) })
 	tasks.Go(func() { e.jobs.Run(working, owner.Owns) })
 	tasks.Go(func() { blocklist.Run(working) })
+	tasks.Go(func() { published.Run(working) })
 	tasks.Go(func() { e.Run(working) })
 	e.resign = resign
 	e.stop = func() { end(); tasks.Wait() }
--- a/ladder/scheduler/score.go
+++ b/ladder/scheduler/score.go
@@ -16,22 +16,21 @@
 // together with its score.
 
 // countFailure returns true if the item has failed for good.
-func (t *task) countFailure(status int) bool {
+func (t *task) countFailure(ctx context.Context, status int) bool {
 	t.failures++
-	if status == http.StatusUnprocessableEntity {
-		t.failures = max(t.failures, t.maxAttempts())
-	}
-	if t.failures < t.maxAttempts() {
-		return false
+	if status != http.StatusUnprocessableEntity {
+		usedUp := t.failures >= maxAttemptsOf(t.route) && t.scheduler.attemptsUsedUp(ctx, t.job.Host, t.job.Path, t.failures)
+		if !usedUp {
+			return false
+		}
 	}
 	klog.InfoS("item given up", "job", t.key.job, "item", t.key.item, "status", status, "failures", t.failures)
+	t.failed = true
 	t.addResult(jobstorer.Result{Item: t.key.item, State: jobstorer.ResultFailed})
 	t.text = nil
 	return true
 }
 
-func (t *task) maxAttempts() int { return max(1, t.route.MaxAttempts) }
-
 func (t *task) addResult(r jobstorer.Result) {
 	s := t.scheduler
 	s.mutex.Lock()
@@ -63,7 +62,7 @@
 
 // score has the complete text scored and records the result.
 func (t *task) score(ctx context.Context) {
-	if t.failures >= t.maxAttempts() {
+	if t.failed {
 		return
 	}
 	r := jobstorer.Result{
@@ -111,7 +110,7 @@
 				// attempts of the route, or that a retry is not allowed.
 				failures++
 				klog.InfoS("scorer failed", "job", t.key.job, "item", t.key.item, "scorer", scorer.ID, "status", response.Status, "failures", failures)
-				if failures >= max(1, route.MaxAttempts) {
+				if failures >= maxAttemptsOf(route) && s.attemptsUsedUp(ctx, scorer.Host, scorer.Path, failures) {
 					return "", false
 				}
 			}
--- a/ladder/scheduler/task.go
+++ b/ladder/scheduler/task.go
@@ -124,6 +124,8 @@
 	savedEvent identifier.EventNumber
 	// failures counts the error responses of targets.
 	failures int
+	// failed is set once the item has failed for good.
+	failed bool
 	// moves counts how often the item was moved for speed.
 	moves int
 }
@@ -152,6 +154,10 @@
 	startEvent := t.lastEvent
 	done, err := t.generate(ctx, target)
 	s.Wake()
+	var failure *statusError
+	if errors.As(err, &failure) {
+		done = t.countFailure(ctx, failure.status)
+	}
 	switch {
 	case ctx.Err() != nil:
 	case done:
