jobstorer: report a job as unknown only from a complete copy

Callers could see 404 for an accepted job (LOST) when the copy of a partition was dropped while they waited for results, or was several pages behind.

Evidence: TestResults_WaitsOnWhenTheCopyIsDropped ended with 'unknown batch job' on the code before.

Change: Results looks the job up again when it has left the table, and findJob reports ErrUnknownJob only while the copy is complete, else that it can't be sure.

--- a/ladder/jobstorer/jobstorer_test.go
+++ b/ladder/jobstorer/jobstorer_test.go
@@ -247,6 +247,22 @@
 	})
 }
 
+// Guards against a job that is reported as unknown because the copy of its partition was
+// dropped while the caller waited.
+func TestResults_WaitsOnWhenTheCopyIsDropped(t *testing.T) {
+	inBubble(t, func(ctx context.Context, store *faker.Store) {
+		h := newHostThatOwns(store, false)
+		defer h.stop()
+		if err := h.Accept(ctx, submission("j", 2, 10)); err != nil {
+			t.Fatal(err)
+		}
+		page, err := h.Results(ctx, "j", 0, 2*followTime, 1<<20)
+		if err != nil || page.Total != 2 {
+			t.Errorf("%+v, %v", page, err)
+		}
+	})
+}
+
 func TestResults_RefusesWhileTheStoreIsAway(t *testing.T) {
 	inBubble(t, func(ctx context.Context, store *faker.Store) {
 		h := newHost(store)
--- a/ladder/jobstorer/read.go
+++ b/ladder/jobstorer/read.go
@@ -10,26 +10,35 @@
 // Reads are answered from the local copy, and fail if it may be out of date.
 
 // findJob returns the job. It refreshes the copy before it reports the job as
-// unknown.
+// unknown, and reports nothing if the copy was dropped meanwhile.
 func (s *JobStorer) findJob(ctx context.Context, id identifier.JobID) (*jobState, error) {
 	p, err := s.awaitCopy(ctx, id)
 	if err != nil {
 		return nil, err
 	}
-	for range 2 {
-		p.table.mutex.Lock()
-		state, ok := p.table.jobs[id]
-		p.table.mutex.Unlock()
-		if ok {
-			return state, nil
-		}
-		if err := p.replicator.Refresh(ctx); err != nil {
-			return nil, ErrStaleCopy
-		}
+	if state, ok := p.table.job(id); ok {
+		return state, nil
+	}
+	if err := p.replicator.Refresh(ctx); err != nil {
+		return nil, ErrStaleCopy
+	}
+	state, ok := p.table.job(id)
+	switch {
+	case ok:
+		return state, nil
+	case !p.replicator.Known():
+		return nil, ErrStaleCopy
 	}
 	return nil, ErrUnknownJob
 }
 
+func (t *jobTable) job(id identifier.JobID) (state *jobState, ok bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	state, ok = t.jobs[id]
+	return state, ok
+}
+
 // ResultPage is a part of a job's results.
 type ResultPage struct {
 	// Total is the number of items of the job.
@@ -51,7 +60,10 @@
 		state, ok := p.table.jobs[id]
 		if !ok {
 			p.table.mutex.Unlock()
-			return ResultPage{}, ErrUnknownJob
+			if _, err := s.findJob(ctx, id); err != nil {
+				return ResultPage{}, err
+			}
+			continue
 		}
 		page = state.page(after, maxBytes)
 		complete, changed := len(state.results) == page.Total, state.changed
