jobstorer: keep the pieces of different submissions of a job apart

Cause: several processes overwrote the records piece/JOB/N of one job over several appends, in encodings that differed (the order of headers, the time of acceptance). Whoever read the store after an interrupted submission mixed two of them.

Change: the encoding is canonical, the time of acceptance is in the job's record, and keys of pieces contain a digest of the whole and of the size of pieces. Jobs of builds without a digest are read. Pieces without a job are deleted after the retention.

--- a/ladder/jobstorer/accept.go
+++ b/ladder/jobstorer/accept.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"github.com/lycheeladder/lycheeladder/ladder/annotator"
@@ -17,16 +16,15 @@
 
 // Accept stores the job, which is durable once nil is returned. Accepting a job again
 // is harmless. appender.ErrUnavailable means that the job is certainly not stored.
-// Its records are the same whichever process writes them, so neither a copy nor a
-// conditional write is needed.
+// Processes that write the same submission write the same pieces, and other pieces have
+// other keys, so neither a copy nor a conditional write is needed.
 func (s *JobStorer) Accept(ctx context.Context, submission Submission) (err error) {
 	defer annotator.Annotate(&err, "accept batch job %s", submission.ID)
 	submission.AcceptedAt = s.clock.Now().UnixMilli()
-	data, err := cbor.Marshal(submission)
+	records, err := submissionRecords(submission, max(minPieceBytes, s.options.MaxRecordBytes-recordOverhead))
 	if err != nil {
 		return err
 	}
-	records := submissionRecords(submission.ID, data, max(minPieceBytes, s.options.MaxRecordBytes-recordOverhead))
 	return s.appendRecords(ctx, submission.ID, records)
 }
 
--- a/ladder/jobstorer/jobtable.go
+++ b/ladder/jobstorer/jobtable.go
@@ -10,7 +10,6 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/jonboulle/clockwork"
-	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
@@ -20,11 +19,11 @@
 // Records are only written once and later deleted, except for those of partial texts, so
 // that the latest record of each key is equivalent to the whole history:
 //
-//	piece/JOB/N   piece N of the encoded submission
-//	job/JOB       the number of its pieces; the job exists from this record on
-//	text/JOB/ITEM partial text of an item without a result; may be overwritten
-//	result/JOB/N  the result at position N
-//	end/JOB       the job has ended
+//	piece/JOB/DIGEST/N  piece N of the encoded submission, see pieces.go
+//	job/JOB             a jobRecord; the job exists from this record on
+//	text/JOB/ITEM       partial text of an item without a result; may be overwritten
+//	result/JOB/N        the result at position N
+//	end/JOB             the job has ended
 //
 // The writer of a result chooses its position from a complete copy.
 const (
@@ -40,6 +39,8 @@
 	submission Submission
 	// acceptedAt is the time of acceptance on the local clock.
 	acceptedAt time.Time
+	// pieceKeys are the keys of its pieces, after prefixPiece.
+	pieceKeys map[string]bool
 	// results has no gaps: position N is known before N+1.
 	results []Result
 	// positions maps each item with a result to the position of that result.
@@ -58,15 +59,16 @@
 	notify func()
 
 	mutex sync.Mutex
-	// pieces holds parts of submissions whose job record has not been read yet.
-	pieces map[string][]byte
+	// pieces holds parts of submissions whose job record has not been read yet, by their
+	// keys after prefixPiece.
+	pieces map[string]piece
 	jobs   map[identifier.JobID]*jobState
 }
 
 func newJobTable(clock clockwork.Clock, notify func()) *jobTable {
 	return &jobTable{
 		clock: clock, notify: notify,
-		pieces: make(map[string][]byte), jobs: make(map[identifier.JobID]*jobState),
+		pieces: make(map[string]piece), jobs: make(map[identifier.JobID]*jobState),
 	}
 }
 
@@ -77,7 +79,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	previous := t.jobs
-	t.pieces, t.jobs = make(map[string][]byte), make(map[identifier.JobID]*jobState)
+	t.pieces, t.jobs = make(map[string]piece), make(map[identifier.JobID]*jobState)
 	for _, r := range records {
 		t.applyRecord(r, true)
 	}
@@ -122,11 +124,7 @@
 	kind, rest, _ := strings.Cut(r.Key, "/")
 	switch kind + "/" {
 	case prefixPiece:
-		if len(r.Value) == 0 {
-			delete(t.pieces, rest)
-			return
-		}
-		t.pieces[rest] = r.Value
+		t.applyPiece(rest, r.Value)
 	case prefixJob:
 		t.applyJob(identifier.JobID(rest), r, replayed)
 	case prefixProgress:
@@ -150,17 +148,17 @@
 		}
 		return
 	}
-	if _, known := t.jobs[id]; known {
-		t.dropPieces(id, r.Value)
+	if state, known := t.jobs[id]; known {
+		t.dropPieces(id, state, r.Value)
 		return
 	}
-	s, err := t.assemble(id, r.Value)
+	s, keys, err := t.assemble(id, r.Value)
 	if err != nil {
 		klog.ErrorS(err, "unreadable batch job left out", "job", id, "offset", r.Offset)
 		return
 	}
 	now := t.clock.Now()
-	state := &jobState{submission: s, acceptedAt: now, positions: make(map[identifier.ItemID]int), progress: make(map[identifier.ItemID]Progress), changed: make(chan struct{})}
+	state := &jobState{submission: s, acceptedAt: now, pieceKeys: keys, positions: make(map[identifier.ItemID]int), progress: make(map[identifier.ItemID]Progress), changed: make(chan struct{})}
 	if replayed {
 		state.acceptedAt = now.Add(-max(0, now.Sub(time.UnixMilli(s.AcceptedAt))))
 	}
@@ -168,34 +166,6 @@
 	klog.InfoS("batch job known", "job", id, "items", len(s.Items), "model", s.Model, "oldest-version", s.MinVersion, "offset", r.Offset)
 }
 
-// dropPieces removes the pieces of a job that was submitted again.
-func (t *jobTable) dropPieces(id identifier.JobID, count []byte) {
-	pieces, err := strconv.Atoi(string(count))
-	if err != nil {
-		return
-	}
-	for n := range min(pieces, len(t.pieces)) {
-		delete(t.pieces, indexedKey(id, n))
-	}
-}
-
-func (t *jobTable) assemble(id identifier.JobID, count []byte) (s Submission, err error) {
-	pieces, err := strconv.Atoi(string(count))
-	if err != nil {
-		return s, errors.Wrap(err, "parse number of pieces")
-	}
-	if pieces < 1 || pieces > len(t.pieces) {
-		return s, errors.Errorf("job record claims %d pieces, at most %d exist", pieces, len(t.pieces))
-	}
-	var data []byte
-	for n := range pieces {
-		key := indexedKey(id, n)
-		data = append(data, t.pieces[key]...)
-		delete(t.pieces, key)
-	}
-	return s, errors.Wrap(cbor.Unmarshal(data, &s), "decode submission")
-}
-
 func (t *jobTable) applyResult(rest string, r storer.Record) {
 	at := strings.LastIndexByte(rest, '/')
 	if at < 0 || len(r.Value) == 0 {
@@ -226,16 +196,6 @@
 
 func indexedKey(id identifier.JobID, n int) string { return string(id) + "/" + strconv.Itoa(n) }
 
-func submissionRecords(id identifier.JobID, data []byte, pieceBytes int) (records []storer.Record) {
-	count := 0
-	for ; len(data) > 0; count++ {
-		size := min(pieceBytes, len(data))
-		records = append(records, storer.Record{Key: prefixPiece + indexedKey(id, count), Value: data[:size]})
-		data = data[size:]
-	}
-	return append(records, storer.Record{Key: prefixJob + string(id), Value: []byte(strconv.Itoa(count))})
-}
-
 // resultRecords assigns positions to results that have none yet, and returns their
 // records, up to maxBytes.
 func (t *jobTable) resultRecords(results []JobResult, maxBytes int) (records []storer.Record) {
@@ -272,7 +232,7 @@
 }
 
 // deletionRecords returns the records that delete finished jobs whose retention has
-// passed.
+// passed, and pieces that were left behind.
 func (t *jobTable) deletionRecords(retention time.Duration) (records []storer.Record) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -287,20 +247,15 @@
 		for item := range state.progress {
 			records = append(records, storer.Record{Key: progressKey(id, item)})
 		}
-		data, err := cbor.Marshal(state.submission)
-		if err != nil {
-			klog.ErrorS(err, "batch job can't be encoded", "job", id)
-			continue
-		}
-		for n := 0; n*minPieceBytes <= len(data); n++ {
-			records = append(records, storer.Record{Key: prefixPiece + indexedKey(id, n)})
+		for key := range state.pieceKeys {
+			records = append(records, storer.Record{Key: prefixPiece + key})
 		}
 		records = append(records, storer.Record{Key: prefixEnd + string(id)}, storer.Record{Key: prefixJob + string(id)})
 		if len(records) > maxDeletionRecords {
-			break
+			return records
 		}
 	}
-	return records
+	return append(records, t.orphanDeletions(retention)...)
 }
 
 // unrecorded returns the results that have no position yet.
--- a/ladder/jobstorer/malformed_test.go
+++ b/ladder/jobstorer/malformed_test.go
@@ -15,11 +15,11 @@
 // validJob returns the records of a job with one item.
 func validJob(t testing.TB, id identifier.JobID) []storer.Record {
 	t.Helper()
-	data, err := cbor.Marshal(Submission{ID: id, Items: []Item{{ID: "item", Body: []byte("text")}}})
+	records, err := submissionRecords(Submission{ID: id, Items: []Item{{ID: "item", Body: []byte("text")}}}, minPieceBytes)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return submissionRecords(id, data, minPieceBytes)
+	return records
 }
 
 // A job record may claim more pieces than exist. Reading it must not loop over the
