scheduler: count only targets' own errors against items

Cause: reward calls were bounded by the route's time limit, and every complete answer without success counted as a failure, also 504 at a deadline that the host had set. Answers of engines to items counted likewise.

Change: owed requests are exempt from the route's time limit, only 500 counts (422 for items), and a scoring call that ran out of time gets twice as much the next time.

--- a/ladder/forwarder/forward.go
+++ b/ladder/forwarder/forward.go
@@ -59,7 +59,8 @@
 }
 
 // Forward sends a request whose response is not streamed. It ends with ctx, at the
-// caller's time limit or at the route's, whichever comes first.
+// caller's time limit or at the route's, whichever comes first. The route's does not apply
+// to owed requests.
 func (f *Forwarder) Forward(ctx context.Context, route cataloger.Route, r Request) Outcome {
 	limit := timeLimit(route, r)
 	ctx, cancel := context.WithTimeout(ctx, limit)
@@ -81,7 +82,7 @@
 
 func timeLimit(route cataloger.Route, r Request) time.Duration {
 	limit := defaultTimeLimit
-	if route.Timeout > 0 {
+	if route.Timeout > 0 && !r.Owed {
 		limit = min(limit, route.Timeout)
 	}
 	if r.TimeLeft > 0 {
--- a/ladder/forwarder/forwarder.go
+++ b/ladder/forwarder/forwarder.go
@@ -32,7 +32,8 @@
 	ResumeAfter identifier.EventNumber
 	// Owed requests are part of a batch job. They are sent again whatever happened to
 	// targets under them, since they don't crash targets by themselves. Their sender
-	// repeats them, so that they don't wait here for targets that have refused them.
+	// repeats them, so that they don't wait here for targets that have refused them. The
+	// time limit of their route does not apply.
 	Owed bool
 	// Resumes is the attempt that brought the first event of a stream that the caller
 	// takes up.
--- a/ladder/scheduler/giveup_test.go
+++ b/ladder/scheduler/giveup_test.go
@@ -45,15 +45,14 @@
 	return states
 }
 
+// applyNewer makes the newer configuration known to the catalog.
+func (env *testEnv) applyNewer() {
+	env.catalog.PublishedSink().Apply([]storer.Record{{Key: "config", Value: []byte(newerConfiguration)}})
+}
+
 // failingFirst answers the first n calls of each item or scorer with 500.
 func failingFirst(n int, then func() faker.Behaviour) behaviourFunc {
-	seen := make(map[string]int)
-	return func(_ cataloger.Target, c sender.Call, _ int) faker.Behaviour {
-		if seen[c.ID]++; seen[c.ID] <= n {
-			return faker.Behaviour{Status: http.StatusInternalServerError}
-		}
-		return then()
-	}
+	return answeringFirst(n, http.StatusInternalServerError, then)
 }
 
 // refusingFor refuses all calls for a while after the first one.
@@ -125,7 +124,7 @@
 		env.submit(t, 2)
 		time.Sleep(time.Second)
 		env.publishNewer(func(jobs, _ *cataloger.Route) { jobs.Host = "another" })
-		env.catalog.PublishedSink().Apply([]storer.Record{{Key: "config", Value: []byte(newerConfiguration)}})
+		env.applyNewer()
 		time.Sleep(2 * time.Second)
 		want := map[identifier.ItemID]jobstorer.ResultState{"i00": jobstorer.ResultFailed, "i01": jobstorer.ResultFailed}
 		if diff := cmp.Diff(want, env.states(t)); diff != "" {
--- a/ladder/scheduler/score.go
+++ b/ladder/scheduler/score.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/sourcegraph/conc"
 	"k8s.io/klog/v2"
@@ -15,14 +16,22 @@
 // Text is scored as soon as it is complete, because the trainer receives it only
 // together with its score.
 
+// Only an error that the target itself reports counts against an item, as 500. Other
+// statuses say nothing about the item: 504 may just mean that the target was given too
+// little time.
+
 // countFailure returns true if the item has failed for good.
 func (t *task) countFailure(ctx context.Context, status int) bool {
-	t.failures++
-	if status != http.StatusUnprocessableEntity {
-		usedUp := t.failures >= maxAttemptsOf(t.route) && t.scheduler.attemptsUsedUp(ctx, t.job.Host, t.job.Path, t.failures)
-		if !usedUp {
+	switch status {
+	case http.StatusUnprocessableEntity:
+		t.failures++
+	case http.StatusInternalServerError:
+		t.failures++
+		if t.failures < maxAttemptsOf(t.route) || !t.scheduler.attemptsUsedUp(ctx, t.job.Host, t.job.Path, t.failures) {
 			return false
 		}
+	default:
+		return false
 	}
 	klog.InfoS("item given up", "job", t.key.job, "item", t.key.item, "status", status, "failures", t.failures)
 	t.failed = true
@@ -84,41 +93,71 @@
 	t.addResult(r)
 }
 
+// scorerCalls is the state of the calls of one scorer.
+type scorerCalls struct {
+	// timeout bounds the next call.
+	timeout time.Duration
+	// failures counts the calls that ended with an error of the scorer itself.
+	failures int
+	// delay is the pause before the next call.
+	delay time.Duration
+}
+
 // callScorer retries until the scorer succeeds or has failed as often as its route
 // allows.
 func (t *task) callScorer(ctx context.Context) (signature string, ok bool) {
 	s, scorer := t.scheduler, t.item.Scorer
-	for failures, refusalDelay := 0, scorerRetryDelay; ctx.Err() == nil; {
-		delay := scorerRetryDelay
+	calls := scorerCalls{timeout: scorerTimeout, delay: scorerRetryDelay}
+	for ctx.Err() == nil {
 		configuration := s.catalog.Configuration()
 		route, routed := configuration.MatchRoute(scorer.Host, scorer.Path)
 		if routed {
 			outcome := s.forwarder.Forward(ctx, route, forwarder.Request{
 				ID: scorer.ID, Method: http.MethodPost, Path: scorer.Path, Host: scorer.Host,
-				Header: http.Header{}, Body: scorer.Body, TimeLeft: scorerTimeout, Owed: true,
+				Header: http.Header{}, Body: scorer.Body, TimeLeft: calls.timeout, Owed: true,
 			})
-			if _, ok := outcome.(forwarder.NotRun); ok {
-				delay, refusalDelay = refusalDelay, min(2*refusalDelay, maxScorerRetryDelay)
-			} else {
-				refusalDelay = scorerRetryDelay
+			response, _ := outcome.(forwarder.Response)
+			if response.Status >= 200 && response.Status < 300 && response.Signature != "" {
+				return response.Signature, true
 			}
-			if response, ok := outcome.(forwarder.Response); ok {
-				if response.Status >= 200 && response.Status < 300 && response.Signature != "" {
-					return response.Signature, true
-				}
-				// A complete error response means that the forwarder has used all
-				// attempts of the route, or that a retry is not allowed.
-				failures++
-				klog.InfoS("scorer failed", "job", t.key.job, "item", t.key.item, "scorer", scorer.ID, "status", response.Status, "failures", failures)
-				if failures >= maxAttemptsOf(route) && s.attemptsUsedUp(ctx, scorer.Host, scorer.Path, failures) {
-					return "", false
-				}
+			calls.record(outcome)
+			if response.Status > 0 {
+				klog.InfoS("scorer failed", "job", t.key.job, "item", t.key.item, "scorer", scorer.ID, "status", response.Status, "failures", calls.failures)
+			}
+			if calls.failures >= maxAttemptsOf(route) && s.attemptsUsedUp(ctx, scorer.Host, scorer.Path, calls.failures) {
+				return "", false
 			}
 		}
 		select {
-		case <-s.clock.After(delay):
+		case <-s.clock.After(calls.delay):
 		case <-ctx.Done():
 		}
 	}
 	return "", false
 }
+
+// record takes account of a call that has not succeeded.
+func (c *scorerCalls) record(o forwarder.Outcome) {
+	previousDelay := c.delay
+	c.delay = scorerRetryDelay
+	switch o := o.(type) {
+	case forwarder.Response:
+		switch o.Status {
+		case http.StatusInternalServerError:
+			c.failures++
+		case http.StatusGatewayTimeout:
+			c.allowMoreTime()
+		default:
+			c.delay = min(2*previousDelay, maxScorerRetryDelay)
+		}
+	case forwarder.Unknown:
+		if o.TimedOut {
+			c.allowMoreTime()
+		}
+	case forwarder.NotRun:
+		c.delay = min(2*previousDelay, maxScorerRetryDelay)
+	case *forwarder.Stream:
+	}
+}
+
+func (c *scorerCalls) allowMoreTime() { c.timeout = min(2*c.timeout, maxScorerTimeout) }
--- a/ladder/scheduler/task.go
+++ b/ladder/scheduler/task.go
@@ -50,8 +50,9 @@
 	// engine makes the item wait for a slot.
 	firstEventTimeout = 1500 * time.Millisecond
 	// scorerTimeout bounds one call of a scorer; the users' scorers are expected to
-	// answer within 400 ms.
-	scorerTimeout = 2 * time.Second
+	// answer within 400 ms. It doubles each time that a call takes longer, up to
+	// maxScorerTimeout.
+	scorerTimeout, maxScorerTimeout = 2 * time.Second, 16 * time.Second
 	// scorerRetryDelay is the delay before calling a scorer again after a failure. While
 	// no scorer takes the call, it doubles each time, up to maxScorerRetryDelay.
 	scorerRetryDelay, maxScorerRetryDelay = 50 * time.Millisecond, 400 * time.Millisecond
