--- a/ladder/explainer/events.go
+++ b/ladder/explainer/events.go
@@ -86,12 +86,6 @@
 		Fields:  []string{"request", "target", "again", "err", "status"},
 		Meaning: "one target failed; `again` says whether another target is tried",
 	},
-	{
-		Name: "batch job can't be encoded", Level: LevelError, Scope: ScopeJob,
-		Fields:  []string{"job"},
-		Meaning: "a bug in the program",
-		Action:  "report it",
-	},
 	{
 		Name: "batch job given up", Level: LevelInfo, Scope: ScopeJob,
 		Fields:  []string{"job", "age", "routed", "left"},
