connector: ask a target for its start over each connection of items and streams

Cause: for 2 s after a target's entry was read, a new connection counted as one to the listed start. The steady clock doesn't count a suspension, so that it could be longer.

Change: the start is asked for once over each connection that carries items or streams that may go on. Cataloger.IsCurrent, RecordSeen and Target.SeenAt have no use left.

--- a/ladder/cataloger/cataloger.go
+++ b/ladder/cataloger/cataloger.go
@@ -339,6 +339,5 @@
 	if known {
 		s.seeSoftware(old)
 	}
-	t.SeenAt = s.clock.Now()
 	s.targets[name] = t
 }
--- a/ladder/cataloger/software.go
+++ b/ladder/cataloger/software.go
@@ -122,27 +122,6 @@
 	return nil
 }
 
-// maxStartAge is how long after a start of a target was seen it counts as the one that is running.
-// Targets write their entries about every 1.2 s.
-const maxStartAge = 2 * time.Second
-
-// IsCurrent reports whether the start of a target has been seen just now. Otherwise the target may
-// have started again.
-func (c *Cataloger) IsCurrent(t Target) bool {
-	current, ok := c.Target(t.Name)
-	return ok && current.StartID == t.StartID && c.clock.Since(current.SeenAt) <= maxStartAge
-}
-
-// RecordSeen records that a target has just named the start that is listed.
-func (c *Cataloger) RecordSeen(t Target) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if current, ok := c.targets[t.Name]; ok && current.StartID == t.StartID {
-		current.SeenAt = c.clock.Now()
-		c.targets[t.Name] = current
-	}
-}
-
 // RespondingSoftware returns the software version of a target that has begun to respond, or
 // ErrReplaced if it isn't the start that is listed any more. startID is the start that it named, 0
 // if it didn't. Another start than the listed one has a version of its own, as nothing else is known
--- a/ladder/cataloger/target.go
+++ b/ladder/cataloger/target.go
@@ -1,8 +1,6 @@
 package cataloger
 
 import (
-	"time"
-
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 )
 
@@ -40,8 +38,6 @@
 	Software identifier.SoftwareVersion
 	// Weights is the last reported version of each loaded model.
 	Weights map[identifier.ModelName]identifier.WeightVersion
-	// SeenAt is when the store or the target itself last named this start to this host.
-	SeenAt time.Time
 }
 
 // Incarnation returns which start of the target this is.
--- a/ladder/sender/sender.go
+++ b/ladder/sender/sender.go
@@ -32,8 +32,7 @@
 	// Urgency ranks the call among those that wait at the target; 0 leaves the
 	// default.
 	Urgency Urgency
-	// Identify asks for the start of the target that responds, if it isn't certain that it is
-	// the listed one.
+	// Identify asks for the start of the target that responds.
 	Identify bool
 	// RequiredVersion asks for a response under this weight version only; 0
 	// accepts any.
