forwarder, archiver: take streams up by what the store says now

Callers could see streams with events of two software versions when they took them up at a host that was out of step with the list of targets (ORDER; reported by another operator, not seen here).

Cause: a stream of which no host and no record was known went on at the only version that the host had listed, or at the base version that it had read, however old.

Evidence: on the commit before, all eight cases of TestForwardStream_NoStreamGoesOnByAnOutdatedList went on, and TestFind_AtAHostThatIsOutOfStep found the former base version.

Change: the list of targets and the base version are read from the store first; where that fails the stream is refused as not run. A list that was read as a whole says nothing about versions that came and went before.

--- a/ladder/archiver/archiver_test.go
+++ b/ladder/archiver/archiver_test.go
@@ -151,13 +151,18 @@
 // list replaces the targets, as all hosts see them.
 func (f *fleet) list(software map[string]string) {
 	f.software = software
+	for _, h := range f.hosts {
+		f.listAt(h, software)
+	}
+}
+
+// listAt replaces the list of targets of one host.
+func (f *fleet) listAt(h *host, software map[string]string) {
 	var records []storer.Record
 	for name, s := range software {
 		records = append(records, storer.Record{Key: name, Value: []byte(s)})
 	}
-	for _, h := range f.hosts {
-		h.catalog.TargetSink().Reset(records)
-	}
+	h.catalog.TargetSink().Reset(records)
 }
 
 // silence makes hosts answer nothing.
@@ -302,6 +307,26 @@
 	}
 }
 
+// Guards against a stream that goes on at a former base version at a host that doesn't know the
+// present one.
+func TestFind_AtAHostThatIsOutOfStep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, map[string]string{"a": "v1", "b": "v1"})
+		defer f.kill()
+		time.Sleep(3 * time.Minute)
+		current, outdated := f.hosts[hostName(0)], f.hosts[hostName(1)]
+		f.listAt(current, map[string]string{"c": "v2", "d": "v2"})
+		time.Sleep(5 * time.Minute)
+		o := messenger.StreamOrigin{Stream: "x", Service: testService, Software: "v2"}
+		if !current.Save(context.Background(), o, false) {
+			t.Fatal("the stream isn't recorded")
+		}
+		if diff := cmp.Diff(&o, outdated.Find(context.Background(), "x", testService)); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
 // Guards against a version that is taken for that of all unknown streams while another one
 // may have begun them.
 func TestFind_AtAnyMomentOfRolloutsAndKills(t *testing.T) {
--- a/ladder/archiver/base.go
+++ b/ladder/archiver/base.go
@@ -153,11 +153,9 @@
 	return page.End, nil
 }
 
-// findBase is Base, but reads the base version if it isn't known, as after a start.
+// findBase is Base as of a moment after the call. What was read before may be outdated at a
+// host that was out of touch.
 func (a *Archiver) findBase(ctx context.Context, s identifier.ServiceName) (identifier.SoftwareVersion, bool) {
-	if software, ok := a.Base(s); ok {
-		return software, true
-	}
 	if _, err := a.readBases(ctx, []identifier.ServiceName{s}); err != nil {
 		return "", false
 	}
--- a/ladder/cataloger/cataloger.go
+++ b/ladder/cataloger/cataloger.go
@@ -72,7 +72,8 @@
 	confirmedAt map[Incarnation]time.Time
 	// leaveGrace is how long such targets are used if their service has no other.
 	leaveGrace time.Duration
-	// listedSince is when the targets were first listed.
+	// listedSince is when the targets were listed without what was listed before. Entries may
+	// have come and gone unseen until then.
 	listedSince time.Time
 	// software caches the results of ListedSoftware since the last change, by service.
 	software map[identifier.ServiceName][]identifier.SoftwareVersion
@@ -286,9 +287,7 @@
 func (s targetSink) Reset(records []storer.Record) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.listedSince.IsZero() {
-		s.listedSince = s.clock.Now()
-	}
+	s.listedSince = s.clock.Now()
 	listed := make(map[identifier.TargetName]bool, len(records))
 	for _, r := range records {
 		s.applyRecovered(r)
--- a/ladder/forwarder/forwarder.go
+++ b/ladder/forwarder/forwarder.go
@@ -128,6 +128,13 @@
 	Preferred(s identifier.ServiceName) (identifier.SoftwareVersion, bool)
 }
 
+// TargetList updates the catalog's list of targets; *replicator.Replicator implements it.
+type TargetList interface {
+	// Refresh returns nil once the catalog has every entry that the store had acknowledged
+	// before the call.
+	Refresh(ctx context.Context) error
+}
+
 // blockedRetryAfter is sent to callers of a blocked request.
 const blockedRetryAfter = 30 * time.Second
 
@@ -135,6 +142,7 @@
 type Forwarder struct {
 	clock     clockwork.Clock
 	catalog   *cataloger.Cataloger
+	targets   TargetList
 	sender    sender.Sender
 	router    *router.Router
 	budget    *limiter.RetryBudget
@@ -145,9 +153,9 @@
 }
 
 // New returns a Forwarder. random must be safe for concurrent use.
-func New(clock clockwork.Clock, c *cataloger.Cataloger, s sender.Sender, b Blocklist, o Origins, random router.Random) *Forwarder {
+func New(clock clockwork.Clock, c *cataloger.Cataloger, l TargetList, s sender.Sender, b Blocklist, o Origins, random router.Random) *Forwarder {
 	return &Forwarder{
-		clock: clock, catalog: c, sender: s, blocklist: b, origins: o, random: random,
+		clock: clock, catalog: c, targets: l, sender: s, blocklist: b, origins: o, random: random,
 		router: router.New(clock, random, router.LeastExpectedWait{}),
 		budget: limiter.NewRetryBudget(retryShare, retryBurst), memory: newMemoryBudget(sharedBudgetBytes),
 	}
--- a/ladder/forwarder/forwarder_test.go
+++ b/ladder/forwarder/forwarder_test.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
+	"github.com/lycheeladder/lycheeladder/ladder/appender"
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/faker"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
@@ -58,6 +59,23 @@
 	return cataloger.Target{Name: identifier.TargetName(key), Service: "s", Software: identifier.SoftwareVersion(value), State: cataloger.StateReady}, nil
 }
 
+// targetList is a list of targets that is read by update, or can't be read.
+type targetList struct {
+	update func()
+	lost   bool
+}
+
+// Refresh implements TargetList.
+func (l *targetList) Refresh(context.Context) error {
+	if l.lost {
+		return appender.ErrUnavailable
+	}
+	if l.update != nil {
+		l.update()
+	}
+	return nil
+}
+
 // countingBlocklist blocks every request after three failures.
 type countingBlocklist struct{ failures atomic.Int32 }
 
@@ -76,7 +94,7 @@
 	}
 	c.TargetSink().Reset(records)
 	targets := faker.NewTargets(clock, b)
-	return New(clock, c, targets, &countingBlocklist{}, knownOrigins{}, router.NewSharedRandom(1)), targets
+	return New(clock, c, &targetList{}, targets, &countingBlocklist{}, knownOrigins{}, router.NewSharedRandom(1)), targets
 }
 
 func route(kind cataloger.RouteKind, attempts int) cataloger.Route {
--- a/ladder/forwarder/leaving_test.go
+++ b/ladder/forwarder/leaving_test.go
@@ -31,7 +31,7 @@
 	c := cataloger.New(clock, nameDecoder{}, cataloger.WithLeaveGrace(leaveGrace))
 	targets := faker.NewTargets(clock, b)
 	targets.TellDepartures(c)
-	f := New(clock, c, targets, &countingBlocklist{}, knownOrigins{}, router.NewSharedRandom(1))
+	f := New(clock, c, &targetList{}, targets, &countingBlocklist{}, knownOrigins{}, router.NewSharedRandom(1))
 	listSoftware(f, map[string]string{"a": "v1", "b": "v1", "c": "v1"})
 	return f, targets
 }
--- a/ladder/forwarder/limit_test.go
+++ b/ladder/forwarder/limit_test.go
@@ -66,7 +66,7 @@
 	for name, d := range denied {
 		targets.limited[name] = clock.Now().Add(d)
 	}
-	return New(clock, catalog, targets, &countingBlocklist{}, knownOrigins{}, router.NewSharedRandom(1)), targets
+	return New(clock, catalog, &targetList{}, targets, &countingBlocklist{}, knownOrigins{}, router.NewSharedRandom(1)), targets
 }
 
 func quick(cataloger.Target, sender.Call, int) faker.Behaviour {
--- a/ladder/forwarder/origin.go
+++ b/ladder/forwarder/origin.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -21,6 +22,9 @@
 // again, or its origin be found, after a restart.
 const originRetryAfter = 500 * time.Millisecond
 
+// listTimeout bounds one read of the list of targets.
+const listTimeout = 500 * time.Millisecond
+
 // takeUp finds out where a stream that the caller takes up may go on. It returns nil if
 // there is such a place, or for a new stream.
 func (s *Stream) takeUp() Outcome {
@@ -33,7 +37,7 @@
 		o, source = f.origins.FindArchived(s.ctx, s.request.Resumes, soleService(s.route)), "the store"
 	}
 	if o == nil {
-		o, source = f.soleOrigin(s.route), "the only version listed"
+		o, source = f.soleOrigin(s.ctx, s.route), "the only version listed"
 	}
 	switch {
 	case o == nil:
@@ -56,9 +60,18 @@
 }
 
 // soleOrigin returns the only place where a stream of the route can have begun, or nil if
-// there are several.
-func (f *Forwarder) soleOrigin(r cataloger.Route) *messenger.StreamOrigin {
+// there are several. Other hosts may know targets of further versions, so the list of targets
+// is read first.
+func (f *Forwarder) soleOrigin(ctx context.Context, r cataloger.Route) *messenger.StreamOrigin {
 	service := soleService(r)
+	if _, ok := f.catalog.OnlySoftware(service); !ok {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	if err := f.targets.Refresh(ctx); err != nil {
+		return nil
+	}
 	software, ok := f.catalog.OnlySoftware(service)
 	if !ok {
 		return nil
--- a/ladder/forwarder/origin_test.go
+++ b/ladder/forwarder/origin_test.go
@@ -284,3 +284,40 @@
 		})
 	}
 }
+
+// Guards against a stream that goes on at another version because its host was out of step while
+// targets of that version joined.
+func TestForwardStream_NoStreamGoesOnByAnOutdatedList(t *testing.T) {
+	before, after := map[string]string{"a": "v1", "b": "v1"}, map[string]string{"a": "v1", "b": "v1", "c": "v2"}
+	for name, c := range map[string]struct {
+		lost bool
+		// update is what the host reads of the list when it reads it again.
+		update func(f *Forwarder)
+	}{
+		"the list can't be read": {lost: true},
+		"another version joined": {update: func(f *Forwarder) {
+			f.catalog.TargetSink().Apply([]storer.Record{{Key: "c", Value: []byte("v2")}})
+		}},
+		"another version joined, the history has expired": {update: func(f *Forwarder) { listSoftware(f, after) }},
+		"another version may have come and gone":          {update: func(f *Forwarder) { listSoftware(f, before) }},
+	} {
+		for _, resumes := range []identifier.StreamID{"lost", ""} {
+			t.Run(fmt.Sprintf("%s, resumes %q", name, resumes), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f, targets := newForwarder(breakEach)
+					f.catalog = cataloger.New(f.clock, nameDecoder{})
+					listSoftware(f, before)
+					time.Sleep(3 * time.Minute)
+					f.targets = &targetList{lost: c.lost, update: func() { c.update(f) }}
+					o := f.ForwardStream(context.Background(), streamRoute(), Request{ID: "second", ResumeAfter: 2, Resumes: resumes})
+					if _, refused := o.(NotRun); !refused {
+						t.Errorf("outcome %T, want a refusal", o)
+					}
+					if n := len(targets.Calls()); n > 0 {
+						t.Errorf("%d calls to targets", n)
+					}
+				})
+			})
+		}
+	}
+}
--- a/ladder/scheduler/scheduler_test.go
+++ b/ladder/scheduler/scheduler_test.go
@@ -148,16 +148,16 @@
 		Topic: "jobs", Partitions: 2, MaxRecordBytes: 256 << 10, MaxAppendBytes: 2 << 20, Retention: time.Minute,
 		SinceStoreAnswer: func() time.Duration { return 0 },
 	})
+	published := replicator.New(env.clock, silentLongPolls{env.store}, operators, env.catalog.PublishedSink(), func() {})
 	random := router.NewSharedRandom(1)
 	blocklist := blocklister.New(env.clock, env.store, storer.Partition{Topic: "breaks"})
-	f := forwarder.New(env.clock, env.catalog, env.targets, blocklist,
+	f := forwarder.New(env.clock, env.catalog, published, env.targets, blocklist,
 		registrar.New(env.clock, registrar.Options{Members: func() []string { return nil }}), random)
 	e.draftCacher = draftcacher.New(env.clock, e.jobs)
 	collector := relayer.NewDraftCollector(e.draftCacher.Drafts, func(identifier.JobID) []string { return addresses }, env)
 	owner := joiner.New(env.clock, env.group.Member(name), joiner.Options{
 		Self: name, JoinPolicy: joiner.JoinWhenNeeded, WantedMembers: func() int { return wanted }, Random: random, Renewal: joiner.WorkRenewal,
 	}, func() { e.Wake() })
-	published := replicator.New(env.clock, silentLongPolls{env.store}, operators, env.catalog.PublishedSink(), func() {})
 	e.Scheduler = New(env.clock, env.catalog, &unreadable{ConfigurationReader: published}, e.jobs, owner, env.targets, f, draftStore{e.draftCacher, collector}, random)
 	working, end := context.WithCancel(context.Background())
 	member, resign := context.WithCancel(working)
