--- a/ladder/faker/targets.go
+++ b/ladder/faker/targets.go
@@ -36,6 +36,8 @@
 	Gap time.Duration
 	// Events is the number of events of a streamed answer; 0 means a plain answer.
 	Events int
+	// NoEvents ends a streamed answer before its first event, as if it were complete.
+	NoEvents bool
 	// EventBytes is the size of an event's data; 0 means the data of EventData.
 	EventBytes int
 	// BreakAfter, if above 0, breaks the stream off after this event.
@@ -224,7 +226,7 @@
 
 // Next implements sender.Events.
 func (s *eventStream) Next() (sender.Event, error) {
-	if s.last >= identifier.EventNumber(s.behaviour.Events) {
+	if s.behaviour.NoEvents || s.last >= identifier.EventNumber(s.behaviour.Events) {
 		return sender.Event{}, io.EOF
 	}
 	if s.behaviour.BreakAfter > 0 && s.last >= s.behaviour.BreakAfter {
--- a/ladder/forwarder/origin_test.go
+++ b/ladder/forwarder/origin_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
 
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/faker"
@@ -321,3 +323,34 @@
 		}
 	}
 }
+
+// Guards against a stream that ends as complete because a target ended it before its first event.
+func TestForwardStream_AStreamWithoutEventsIsNotComplete(t *testing.T) {
+	for name, c := range map[string]struct {
+		resumable bool
+		want      []identifier.EventNumber
+		complete  bool
+	}{
+		"resumable":     {true, []identifier.EventNumber{1, 2, 3}, true},
+		"not resumable": {false, nil, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, _ := newForwarder(func(_ cataloger.Target, _ sender.Call, n int) faker.Behaviour {
+					return faker.Behaviour{Events: 3, NoEvents: n == 0, Gap: 10 * time.Millisecond}
+				})
+				r := streamRoute()
+				r.Resumable = c.resumable
+				s, ok := f.ForwardStream(context.Background(), r, Request{ID: "x"}).(*Stream)
+				if !ok {
+					t.Fatal("no stream")
+				}
+				defer s.Close()
+				numbers, err := readAll(s)
+				if diff := cmp.Diff(c.want, numbers); diff != "" || errors.Is(err, io.EOF) != c.complete {
+					t.Error(diff, err)
+				}
+			})
+		})
+	}
+}
--- a/ladder/forwarder/stream.go
+++ b/ladder/forwarder/stream.go
@@ -200,9 +200,15 @@
 func (s *Stream) Next() (sender.Event, error) {
 	for {
 		e, err := s.events.Next()
+		if err == nil {
+			err = s.checkNumber(e)
+		}
 		if err == nil && s.awaitsEvent {
 			err = s.beginEvents()
 		}
+		if errors.Is(err, io.EOF) && s.request.ResumeAfter == 0 {
+			err = errNoEvents
+		}
 		if err == nil {
 			s.request.ResumeAfter = e.Number
 			if s.stallTimer != nil {
@@ -220,6 +226,19 @@
 	}
 }
 
+// errNoEvents means that a target has ended a stream before its first event.
+var errNoEvents = errors.New("stream without events")
+
+// checkNumber returns an error if an event doesn't follow the last one. Streams that can't be
+// taken up may leave numbers out.
+func (s *Stream) checkNumber(e sender.Event) error {
+	last := s.request.ResumeAfter
+	if e.Number == last+1 || (!s.route.Resumable && e.Number > last) {
+		return nil
+	}
+	return errors.Errorf("received event %d after event %d", e.Number, last)
+}
+
 // resume continues at another target after the last received event.
 func (s *Stream) resume(cause error) bool {
 	if !errors.Is(cause, errNotRecorded) {
--- a/ladder/scheduler/failure_test.go
+++ b/ladder/scheduler/failure_test.go
@@ -88,3 +88,27 @@
 		t.Error(diff)
 	}
 }
+
+// Guards against items that are completed without a text because a target ended its response
+// before the first event.
+func TestRun_ATextWithoutEventsIsNotComplete(t *testing.T) {
+	const items = 3
+	seen := make(map[string]bool)
+	engines := func(_ cataloger.Target, c sender.Call, _ int) faker.Behaviour {
+		if !seen[c.ID] {
+			seen[c.ID] = true
+			return faker.Behaviour{Events: 20, NoEvents: true, Version: 2}
+		}
+		return healthy()
+	}
+	inTestEnv(t, false, engines, func(t *testing.T, env *testEnv) {
+		env.submit(t, items)
+		time.Sleep(10 * time.Second)
+		wantCompleted(t, env, items)
+		for id, r := range env.results(t) {
+			if diff := cmp.Diff(string(expectedText(20)), string(r.Text)); diff != "" {
+				t.Errorf("%s: %s", id, diff)
+			}
+		}
+	})
+}
--- a/ladder/scheduler/generate.go
+++ b/ladder/scheduler/generate.go
@@ -107,6 +107,9 @@
 // target never stops generating.
 var errTextTooLarge = errors.New("text too large for a result record")
 
+// errNoEvents means that a target has ended a text before its first event.
+var errNoEvents = errors.New("text without events")
+
 var errMixedVersions = errors.New("text would mix weight versions")
 
 // readEvents appends events to the text until the response ends.
@@ -117,6 +120,9 @@
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
+			if t.lastEvent == 0 {
+				return false, errNoEvents
+			}
 			return true, nil
 		}
 		if err != nil {
