archiver: give the correction of a stream's version a key of its own

Cause: both had the same key, and the newest record counted.

Evidence: TestSave_ACorrectionOutlivesALateAppend found the late version before.

Change: corrections have their own key and count before the record that they correct.

--- a/ladder/archiver/archiver.go
+++ b/ladder/archiver/archiver.go
@@ -38,8 +38,8 @@
 	// ledgerPartition has the base versions, the streamPartitions after it the streams.
 	ledgerPartition  = 0
 	streamPartitions = 4
-	// baseKey and streamKey precede the name of a service and the id of a stream.
-	baseKey, streamKey = "base/", "stream/"
+	// baseKey precedes the name of a service, streamKey and correctionKey the id of a stream.
+	baseKey, streamKey, correctionKey = "base/", "stream/", "correction/"
 	// retention is how long the record of a stream is kept. Hosts keep origins for 2 minutes.
 	retention = 3 * time.Minute
 	// sweepInterval is the interval at which old records are deleted.
@@ -130,12 +130,12 @@
 		return true
 	}
 	if address := a.writerOf(a.numberOf(o.Stream)); address != a.options.Self {
-		r, ok := querier.AskBriefly(ctx, a.clock, a.options.Peers, address, messenger.Question{ArchiveOrigin: &o}, peerSaveTimeout)
+		r, ok := querier.AskBriefly(ctx, a.clock, a.options.Peers, address, messenger.Question{ArchiveOrigin: &o, Corrects: corrects}, peerSaveTimeout)
 		if ok && r.Archived {
 			return true
 		}
 	}
-	if a.SaveForPeer(ctx, o) {
+	if a.SaveForPeer(ctx, o, corrects) {
 		return true
 	}
 	a.mutex.Lock()
@@ -145,8 +145,9 @@
 }
 
 // SaveForPeer writes where a stream of this or another host began, and reports whether the
-// store has it. If the store doesn't answer, it is written later.
-func (a *Archiver) SaveForPeer(ctx context.Context, o messenger.StreamOrigin) bool {
+// store has it. If the store doesn't answer, it is written later. A correction has a key of its
+// own, as the store may execute the append that it corrects after it.
+func (a *Archiver) SaveForPeer(ctx context.Context, o messenger.StreamOrigin, corrects bool) bool {
 	value, err := cbor.Marshal(streamRecord{Service: o.Service, Software: o.Software, SavedAt: a.clock.Now().UnixMilli()})
 	if err != nil {
 		klog.ErrorS(err, "stream's origin can't be encoded", "stream", o.Stream)
@@ -156,7 +157,11 @@
 	defer cancel()
 	w := a.writers[a.numberOf(o.Stream)]
 	failing := w.Failing()
-	saved := w.Add(storer.Record{Key: keyOf(o.Stream), Value: value})
+	prefix := streamKey
+	if corrects {
+		prefix = correctionKey
+	}
+	saved := w.Add(storer.Record{Key: keyOf(prefix, o.Stream), Value: value})
 	if failing {
 		return false
 	}
@@ -208,7 +213,10 @@
 		klog.InfoS("origins of streams can't be read", "partition", a.partition(n).String(), "err", err)
 		return nil, false
 	}
-	value, ok := records[keyOf(id)]
+	value, ok := records[keyOf(correctionKey, id)]
+	if !ok {
+		value, ok = records[keyOf(streamKey, id)]
+	}
 	if !ok {
 		return nil, true
 	}
@@ -222,11 +230,11 @@
 
 // keyOf returns the key of a stream's record. Callers choose the ids, and keys have at most 255
 // bytes.
-func keyOf(id identifier.StreamID) string {
+func keyOf(prefix string, id identifier.StreamID) string {
 	if len(id) <= maxIDBytes {
-		return streamKey + string(id)
+		return prefix + string(id)
 	}
-	return streamKey + fmt.Sprintf("%x", sha256.Sum256([]byte(id)))
+	return prefix + fmt.Sprintf("%x", sha256.Sum256([]byte(id)))
 }
 
 // read returns the newest records of a partition.
@@ -255,7 +263,7 @@
 		var old []storer.Record
 		for key, value := range records {
 			var r streamRecord
-			if strings.HasPrefix(key, streamKey) && (cbor.Unmarshal(value, &r) != nil || a.clock.Since(time.UnixMilli(r.SavedAt)) > retention) {
+			if !strings.HasPrefix(key, baseKey) && (cbor.Unmarshal(value, &r) != nil || a.clock.Since(time.UnixMilli(r.SavedAt)) > retention) {
 				old = append(old, storer.Record{Key: key})
 			}
 		}
--- a/ladder/archiver/archiver_test.go
+++ b/ladder/archiver/archiver_test.go
@@ -196,7 +196,7 @@
 	}
 	switch {
 	case q.ArchiveOrigin != nil:
-		r.Archived = h.SaveForPeer(ctx, *q.ArchiveOrigin)
+		r.Archived = h.SaveForPeer(ctx, *q.ArchiveOrigin, q.Corrects)
 	case q.FindArchived != "":
 		r.Origin, r.Archived = h.FindForPeer(ctx, q.FindArchived)
 	}
@@ -399,6 +399,34 @@
 	}
 }
 
+// Guards against a late append that undoes the correction of a stream's version.
+func TestSave_ACorrectionOutlivesALateAppend(t *testing.T) {
+	// The writer of the partition and the host itself append the record.
+	for name, late := range map[string]int{"both appends are late": 2, "the correction is late as well": 3} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 3, map[string]string{"a": "v1", "b": "v1", "c": "v2"})
+			time.Sleep(3 * time.Second)
+			for range late {
+				f.log.Fail(faker.DelayAppend{By: 1500 * time.Millisecond})
+			}
+			h := f.hosts[hostName(0)]
+			o := messenger.StreamOrigin{Stream: "x", Service: testService, Software: "v2"}
+			if h.Save(context.Background(), o, false) {
+				t.Fatalf("%s: the origin is recorded", name)
+			}
+			o.Software = "v1"
+			h.Save(context.Background(), o, true)
+			time.Sleep(10 * time.Second)
+			f.kill()
+			f.start()
+			defer f.kill()
+			if diff := cmp.Diff(&o, f.hosts[hostName(1)].Find(context.Background(), "x", testService)); diff != "" {
+				t.Errorf("%s: %s", name, diff)
+			}
+		})
+	}
+}
+
 // Guards against a stream that is taken to have no record because the records were read
 // before it began.
 func TestFind_SeesRecordsWrittenSinceTheLastLookUp(t *testing.T) {
@@ -428,7 +456,7 @@
 // Guards against records of callers' overlong ids that spoil the records after them.
 func TestKeyOf_FitsIntoARecord(t *testing.T) {
 	long := strings.Repeat("x", 5000)
-	keys := []string{keyOf("a"), keyOf(identifier.StreamID(long)), keyOf(identifier.StreamID(long + "y")), keyOf(identifier.StreamID(long[:maxIDBytes]))}
+	keys := []string{keyOf(correctionKey, "a"), keyOf(correctionKey, identifier.StreamID(long)), keyOf(correctionKey, identifier.StreamID(long+"y")), keyOf(correctionKey, identifier.StreamID(long[:maxIDBytes]))}
 	for n, key := range keys {
 		if len(key) > 255 || slices.Contains(keys[:n], key) {
 			t.Errorf("key %d has %d bytes: %.40s", n, len(key), key)
--- a/ladder/messenger/question.go
+++ b/ladder/messenger/question.go
@@ -60,6 +60,8 @@
 	ArchiveOrigin *StreamOrigin `cbor:"12,keyasint,omitempty"`
 	// FindArchived asks for the origin of a stream according to the store.
 	FindArchived identifier.StreamID `cbor:"13,keyasint,omitempty"`
+	// Corrects says that ArchiveOrigin replaces what was written before for the same stream.
+	Corrects bool `cbor:"14,keyasint,omitempty"`
 }
 
 // Reply is the response to the Question with the same ID. No part is set if the
