archiver: make the test of late corrections fail surely before its fix

As committed with the fix, its appends were 1.5 s late, the moment of the retry, so that it failed before the fix in one run and passed in another.

--- a/ladder/archiver/archiver_test.go
+++ b/ladder/archiver/archiver_test.go
@@ -407,7 +407,7 @@
 			f := newFleet(t, 3, map[string]string{"a": "v1", "b": "v1", "c": "v2"})
 			time.Sleep(3 * time.Second)
 			for range late {
-				f.log.Fail(faker.DelayAppend{By: 1500 * time.Millisecond})
+				f.log.Fail(faker.DelayAppend{By: 4 * time.Second})
 			}
 			h := f.hosts[hostName(0)]
 			o := messenger.StreamOrigin{Stream: "x", Service: testService, Software: "v2"}
