jobstorer: keep jobs while they are open

Cause: a job with all results counted as finished.

Evidence: TestDeleteExpired_KeepsOpenJobs failed before.

Change: only jobs that have ended are deleted.

--- a/ladder/jobstorer/jobstorer.go
+++ b/ladder/jobstorer/jobstorer.go
@@ -68,7 +68,7 @@
 	Partitions int
 	// MaxRecordBytes and MaxAppendBytes bound a record and an append to the store.
 	MaxRecordBytes, MaxAppendBytes int
-	// Retention is how long after its acceptance a finished job stays readable.
+	// Retention is how long after its acceptance a job that has ended stays readable.
 	Retention time.Duration
 	// SinceStoreAnswer returns the time since the last answer of the store.
 	SinceStoreAnswer func() time.Duration
--- a/ladder/jobstorer/jobstorer_test.go
+++ b/ladder/jobstorer/jobstorer_test.go
@@ -287,6 +287,32 @@
 	})
 }
 
+// Guards against open jobs that are deleted because all their results are listed.
+func TestDeleteExpired_KeepsOpenJobs(t *testing.T) {
+	inBubble(t, func(ctx context.Context, store *faker.Store) {
+		h := newHost(store)
+		defer h.stop()
+		go h.DeleteExpired(ctx, func(identifier.PartitionNumber) bool { return true })
+		s := submission("j", 2, 10)
+		if err := h.Accept(ctx, s); err != nil {
+			t.Fatal(err)
+		}
+		for _, i := range s.Items {
+			h.AddResult(JobResult{Job: "j", Result: completed(i.ID, "x")})
+		}
+		time.Sleep(time.Hour)
+		want := []Result{completed("j-0", "x"), completed("j-1", "x")}
+		if diff := cmp.Diff(want, resultsOf(t, h, "j")); diff != "" {
+			t.Error(diff)
+		}
+		if err := h.End(ctx, "j"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Minute)
+		wantNoRecords(ctx, t, store)
+	})
+}
+
 // testDeletion submits job j, whose items have bodies of bodyBytes bytes, lets work
 // change it, ends it, and checks that no record of it remains.
 func testDeletion(t *testing.T, bodyBytes int, work func(h *host)) {
--- a/ladder/jobstorer/jobtable.go
+++ b/ladder/jobstorer/jobtable.go
@@ -231,14 +231,14 @@
 	return records
 }
 
-// deletionRecords returns the records that delete finished jobs whose retention has
-// passed, and pieces that were left behind.
+// deletionRecords returns the records that delete jobs that have ended and whose retention
+// has passed, and pieces that were left behind. A job is kept while it is open, also if it
+// has all results.
 func (t *jobTable) deletionRecords(retention time.Duration) (records []storer.Record) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	for id, state := range t.jobs {
-		finished := state.ended || len(state.results) == len(state.submission.Items)
-		if !finished || t.clock.Since(state.acceptedAt) < retention {
+		if !state.ended || t.clock.Since(state.acceptedAt) < retention {
 			continue
 		}
 		for n := range state.results {
