--- a/ladder/jobstorer/pieces_test.go
+++ b/ladder/jobstorer/pieces_test.go
@@ -211,3 +211,38 @@
 		t.Error("the job is unknown")
 	}
 }
+
+// Guards against jobs that are accepted and not known to anybody, as their keys don't fit into a
+// record.
+func TestSubmissionRecords_KeysFitIntoARecord(t *testing.T) {
+	long := strings.Repeat("x", MaxIDBytes)
+	s := submission(identifier.JobID(long), 1, 1<<20)
+	records, err := submissionRecords(s, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	keys := []string{prefixResult + indexedKey(s.ID, len(s.Items)), prefixEnd + long}
+	for _, r := range records {
+		keys = append(keys, r.Key)
+	}
+	for _, key := range keys {
+		if len(key) > maxKeyBytes {
+			t.Fatalf("%d bytes: %s", len(key), key)
+		}
+	}
+	inBubble(t, func(ctx context.Context, store *faker.Store) {
+		h := newHost(store)
+		defer h.stop()
+		if err := h.Accept(ctx, submission(s.ID, 1, 10)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		h.SaveProgress(s.ID, progress(identifier.ItemID(long), 5))
+		time.Sleep(time.Second)
+		for _, r := range store.All(storer.Partition{Topic: topic, Number: h.PartitionOf(s.ID)}) {
+			if len(r.Key) > maxKeyBytes {
+				t.Errorf("%d bytes: %s", len(r.Key), r.Key)
+			}
+		}
+	})
+}
--- a/ladder/jobstorer/progress.go
+++ b/ladder/jobstorer/progress.go
@@ -33,6 +33,9 @@
 // SaveProgress stores the partial text of an item on a best-effort basis. A Progress
 // without events deletes the stored one.
 func (s *JobStorer) SaveProgress(job identifier.JobID, progress Progress) {
+	if len(progressKey(job, progress.Item)) > maxKeyBytes {
+		return
+	}
 	p := s.partitionFor(job)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
