--- a/ladder/archiver/archiver_test.go
+++ b/ladder/archiver/archiver_test.go
@@ -307,8 +307,8 @@
 	}
 }
 
-// Guards against a stream that goes on at a former base version at a host that doesn't know the
-// present one.
+// Guards against a stream that is resumed at a former base version by a host that has not read the
+// current one.
 func TestFind_AtAHostThatIsOutOfStep(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 2, map[string]string{"a": "v1", "b": "v1"})
--- a/ladder/forwarder/origin_test.go
+++ b/ladder/forwarder/origin_test.go
@@ -287,8 +287,8 @@
 	}
 }
 
-// Guards against a stream that goes on at another version because its host was out of step while
-// targets of that version joined.
+// Guards against a stream that is resumed at another version because the host's list of targets was
+// outdated.
 func TestForwardStream_NoStreamGoesOnByAnOutdatedList(t *testing.T) {
 	before, after := map[string]string{"a": "v1", "b": "v1"}, map[string]string{"a": "v1", "b": "v1", "c": "v2"}
 	for name, c := range map[string]struct {
--- a/ladder/jobstorer/pieces_test.go
+++ b/ladder/jobstorer/pieces_test.go
@@ -76,8 +76,8 @@
 	}
 }
 
-// Guards against accepted jobs that can't be read any more, or have other headers, after a
-// process ended while it wrote one of them again.
+// Guards against accepted jobs that become unreadable, or get other headers, when a process ends
+// while it writes a repeated submission.
 func TestAccept_AJobOutlivesAnySubmissionThatBreaksOff(t *testing.T) {
 	smallRecords := func(h *host) { h.options.MaxRecordBytes = 128 << 10 }
 	for name, change := range map[string]func(h *host){
@@ -106,8 +106,8 @@
 	}
 }
 
-// Guards against a host that doesn't know a job because it read the store while the job was
-// being written again.
+// Guards against a host that does not know a job because it loaded the partition during a
+// repeated submission.
 func TestAccept_AJobIsKnownToHostsThatReadItWhileItIsWrittenAgain(t *testing.T) {
 	inBubble(t, func(ctx context.Context, store *faker.Store) {
 		want := largeSubmission("j")
@@ -129,8 +129,8 @@
 	})
 }
 
-// Guards against records that stay in the store for ever after their writer broke off, and
-// against the deletion of what an accepted job needs.
+// Guards against orphaned records that are never deleted, and against the deletion of records
+// that an accepted job needs.
 func TestDeleteExpired_PiecesWithoutAJob(t *testing.T) {
 	inBubble(t, func(ctx context.Context, store *faker.Store) {
 		kept := largeSubmission("kept")
@@ -212,8 +212,7 @@
 	}
 }
 
-// Guards against jobs that are accepted and not known to anybody, as their keys don't fit into a
-// record.
+// Guards against keys that are too long for a record.
 func TestSubmissionRecords_KeysFitIntoARecord(t *testing.T) {
 	long := strings.Repeat("x", MaxIDBytes)
 	s := submission(identifier.JobID(long), 1, 1<<20)
--- a/ladder/jobstorer/read.go
+++ b/ladder/jobstorer/read.go
@@ -10,7 +10,7 @@
 // Reads are answered from the local copy, and fail if it may be out of date.
 
 // findJob returns the job. It refreshes the copy before it reports the job as
-// unknown, and reports nothing if the copy was dropped meanwhile.
+// unknown, and returns ErrStaleCopy if the copy was dropped meanwhile.
 func (s *JobStorer) findJob(ctx context.Context, id identifier.JobID) (*jobState, error) {
 	p, err := s.awaitCopy(ctx, id)
 	if err != nil {
--- a/ladder/scheduler/giveup.go
+++ b/ladder/scheduler/giveup.go
@@ -15,7 +15,7 @@
 // Failed results are final. The jobs and the configuration come from different
 // partitions of the store, in no order to each other, so that the local configuration
 // may be older than the one under which a job was accepted. An item is therefore given
-// up only under a configuration that was read after the reason to do so was found.
+// up only if a configuration that was read after the reason was found confirms it.
 
 const (
 	// configurationTimeout bounds one read of the configuration.
@@ -89,9 +89,9 @@
 	}
 }
 
-// attemptsUsedUp reports whether a route of the newest configuration allows no more than
-// the given number of failed attempts. It waits until that configuration has been read,
-// and returns false if ctx ends or there is no such route.
+// attemptsUsedUp reports whether the number of failed attempts has reached the maximum of
+// the route in the newest configuration. It retries until that configuration has been
+// read, and returns false if ctx ends or there is no such route.
 func (s *Scheduler) attemptsUsedUp(ctx context.Context, host, path string, failures int) bool {
 	for ctx.Err() == nil {
 		c, err := s.readConfiguration(ctx)
