--- a/ladder/scheduler/giveup_test.go
+++ b/ladder/scheduler/giveup_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -136,7 +137,7 @@
 // Guards against items that are given up while the newest configuration can't be read.
 func TestRun_NoItemIsGivenUpWithoutTheNewestConfiguration(t *testing.T) {
 	inTestEnv(t, false, failingFirst(100, healthy), func(t *testing.T, env *testEnv) {
-		env.published.(*unreadable).lost = true
+		env.published.(*unreadable).lost.Store(true)
 		env.submit(t, 1)
 		time.Sleep(10 * time.Second)
 		if diff := cmp.Diff(map[identifier.ItemID]jobstorer.ResultState{}, env.states(t)); diff != "" {
@@ -145,7 +146,7 @@
 		if n := len(env.targets.Calls()); n != 3 {
 			t.Errorf("the item was run %d times, want 3", n)
 		}
-		env.published.(*unreadable).lost = false
+		env.published.(*unreadable).lost.Store(false)
 		time.Sleep(3 * time.Second)
 		want := map[identifier.ItemID]jobstorer.ResultState{"i00": jobstorer.ResultFailed}
 		if diff := cmp.Diff(want, env.states(t)); diff != "" {
@@ -157,11 +158,11 @@
 // unreadable is a ConfigurationReader that fails while lost is set.
 type unreadable struct {
 	ConfigurationReader
-	lost bool
+	lost atomic.Bool
 }
 
 func (u *unreadable) Refresh(ctx context.Context) error {
-	if u.lost {
+	if u.lost.Load() {
 		return appender.ErrUnavailable
 	}
 	return u.ConfigurationReader.Refresh(ctx)
