storer: one Refresher for forwarder and scheduler

forwarder.TargetList and scheduler.ConfigurationReader were the same one-method interface of a replicator. Both packages now take storer.Refresher. Behavior is unchanged; tests of forwarder, scheduler and replicator pass.

--- a/ladder/forwarder/forwarder.go
+++ b/ladder/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
 	"github.com/lycheeladder/lycheeladder/ladder/sender"
+	"github.com/lycheeladder/lycheeladder/ladder/storer"
 )
 
 // Request is one attempt of a caller.
@@ -128,21 +129,15 @@
 	Preferred(s identifier.ServiceName) (identifier.SoftwareVersion, bool)
 }
 
-// TargetList updates the catalog's list of targets; *replicator.Replicator implements it.
-type TargetList interface {
-	// Refresh returns nil once the catalog has every entry that the store had acknowledged
-	// before the call.
-	Refresh(ctx context.Context) error
-}
-
 // blockedRetryAfter is sent to callers of a blocked request.
 const blockedRetryAfter = 30 * time.Second
 
 // Forwarder sends requests to targets.
 type Forwarder struct {
-	clock     clockwork.Clock
-	catalog   *cataloger.Cataloger
-	targets   TargetList
+	clock   clockwork.Clock
+	catalog *cataloger.Cataloger
+	// targets updates the catalog's list of targets.
+	targets   storer.Refresher
 	sender    sender.Sender
 	router    *router.Router
 	budget    *limiter.RetryBudget
@@ -153,7 +148,7 @@
 }
 
 // New returns a Forwarder. random must be safe for concurrent use.
-func New(clock clockwork.Clock, c *cataloger.Cataloger, l TargetList, s sender.Sender, b Blocklist, o Origins, random router.Random) *Forwarder {
+func New(clock clockwork.Clock, c *cataloger.Cataloger, l storer.Refresher, s sender.Sender, b Blocklist, o Origins, random router.Random) *Forwarder {
 	return &Forwarder{
 		clock: clock, catalog: c, targets: l, sender: s, blocklist: b, origins: o, random: random,
 		router: router.New(clock, random, router.LeastExpectedWait{}),
--- a/ladder/scheduler/giveup.go
+++ b/ladder/scheduler/giveup.go
@@ -25,14 +25,6 @@
 	reviewInterval = 500 * time.Millisecond
 )
 
-// ConfigurationReader updates the catalog's configuration. *replicator.Replicator
-// implements it.
-type ConfigurationReader interface {
-	// Refresh returns nil once the catalog has every configuration that the store had
-	// acknowledged before the call.
-	Refresh(ctx context.Context) error
-}
-
 // readConfiguration returns a configuration that is at least as new as the newest one
 // at the time of the call.
 func (s *Scheduler) readConfiguration(ctx context.Context) (*cataloger.Configuration, error) {
--- a/ladder/scheduler/giveup_test.go
+++ b/ladder/scheduler/giveup_test.go
@@ -157,7 +157,7 @@
 
 // unreadable is a ConfigurationReader that fails while lost is set.
 type unreadable struct {
-	ConfigurationReader
+	storer.Refresher
 	lost atomic.Bool
 }
 
@@ -165,5 +165,5 @@
 	if u.lost.Load() {
 		return appender.ErrUnavailable
 	}
-	return u.ConfigurationReader.Refresh(ctx)
+	return u.Refresher.Refresh(ctx)
 }
--- a/ladder/scheduler/scheduler.go
+++ b/ladder/scheduler/scheduler.go
@@ -19,6 +19,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
 	"github.com/lycheeladder/lycheeladder/ladder/sender"
+	"github.com/lycheeladder/lycheeladder/ladder/storer"
 )
 
 // All items of a training step arrive at once and the trainer waits for nearly all of its
@@ -64,7 +65,8 @@
 	sender    sender.Sender
 	forwarder *forwarder.Forwarder
 	drafts    DraftStore
-	published ConfigurationReader
+	// published updates the catalog's configuration.
+	published storer.Refresher
 	router    *router.Router
 	wake      chan struct{}
 
@@ -83,7 +85,7 @@
 
 // New returns a Scheduler for the partitions that owner holds. random breaks ties
 // between targets and must be safe for concurrent use.
-func New(clock clockwork.Clock, c *cataloger.Cataloger, p ConfigurationReader, jobs *jobstorer.JobStorer, owner *joiner.Joiner, s sender.Sender, f *forwarder.Forwarder, d DraftStore, random router.Random) *Scheduler {
+func New(clock clockwork.Clock, c *cataloger.Cataloger, p storer.Refresher, jobs *jobstorer.JobStorer, owner *joiner.Joiner, s sender.Sender, f *forwarder.Forwarder, d DraftStore, random router.Random) *Scheduler {
 	return &Scheduler{
 		clock: clock, catalog: c, published: p, jobs: jobs, owner: owner, sender: s, forwarder: f, drafts: d,
 		router: router.New(clock, random, router.BatchAware{}), wake: make(chan struct{}, 1),
--- a/ladder/scheduler/scheduler_test.go
+++ b/ladder/scheduler/scheduler_test.go
@@ -158,7 +158,7 @@
 	owner := joiner.New(env.clock, env.group.Member(name), joiner.Options{
 		Self: name, JoinPolicy: joiner.JoinWhenNeeded, WantedMembers: func() int { return wanted }, Random: random, Renewal: joiner.WorkRenewal,
 	}, func() { e.Wake() })
-	e.Scheduler = New(env.clock, env.catalog, &unreadable{ConfigurationReader: published}, e.jobs, owner, env.targets, f, draftStore{e.draftCacher, collector}, random)
+	e.Scheduler = New(env.clock, env.catalog, &unreadable{Refresher: published}, e.jobs, owner, env.targets, f, draftStore{e.draftCacher, collector}, random)
 	working, end := context.WithCancel(context.Background())
 	member, resign := context.WithCancel(working)
 	var tasks conc.WaitGroup
--- a/ladder/storer/storer.go
+++ b/ladder/storer/storer.go
@@ -77,6 +77,13 @@
 	Append(ctx context.Context, p Partition, at identifier.LogOffset, records []Record) (identifier.LogOffset, error)
 }
 
+// Refresher brings a Sink up to date; *replicator.Replicator implements it.
+type Refresher interface {
+	// Refresh returns nil once the sink has every record that the store had acknowledged
+	// before the call.
+	Refresh(ctx context.Context) error
+}
+
 // Sink receives the records of a partition in order. Its calls don't overlap.
 type Sink interface {
 	// Reset replaces all records received before.
