--- a/ladder/archiver/archiver_test.go
+++ b/ladder/archiver/archiver_test.go
@@ -458,7 +458,7 @@
 	long := strings.Repeat("x", 5000)
 	keys := []string{keyOf(correctionKey, "a"), keyOf(correctionKey, identifier.StreamID(long)), keyOf(correctionKey, identifier.StreamID(long+"y")), keyOf(correctionKey, identifier.StreamID(long[:maxIDBytes]))}
 	for n, key := range keys {
-		if len(key) > 255 || slices.Contains(keys[:n], key) {
+		if len(key) > storer.MaxKeyBytes || slices.Contains(keys[:n], key) {
 			t.Errorf("key %d has %d bytes: %.40s", n, len(key), key)
 		}
 	}
--- a/ladder/jobstorer/job.go
+++ b/ladder/jobstorer/job.go
@@ -8,13 +8,9 @@
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 )
 
-const (
-	// maxKeyBytes is the length of the store's keys.
-	maxKeyBytes = 255
-	// MaxIDBytes is the length up to which the id of a job fits into all keys of its records
-	// but those of partial texts, which may be missing.
-	MaxIDBytes = 224
-)
+// MaxIDBytes is the length up to which the id of a job fits into all keys of its records
+// but those of partial texts, which may be missing.
+const MaxIDBytes = 224
 
 // Scorer is the call that scores the complete text of an item.
 type Scorer struct {
--- a/ladder/jobstorer/pieces_test.go
+++ b/ladder/jobstorer/pieces_test.go
@@ -225,7 +225,7 @@
 		keys = append(keys, r.Key)
 	}
 	for _, key := range keys {
-		if len(key) > maxKeyBytes {
+		if len(key) > storer.MaxKeyBytes {
 			t.Fatalf("%d bytes: %s", len(key), key)
 		}
 	}
@@ -239,7 +239,7 @@
 		h.SaveProgress(s.ID, progress(identifier.ItemID(long), 5))
 		time.Sleep(time.Second)
 		for _, r := range store.All(storer.Partition{Topic: topic, Number: h.PartitionOf(s.ID)}) {
-			if len(r.Key) > maxKeyBytes {
+			if len(r.Key) > storer.MaxKeyBytes {
 				t.Errorf("%d bytes: %s", len(r.Key), r.Key)
 			}
 		}
--- a/ladder/jobstorer/progress.go
+++ b/ladder/jobstorer/progress.go
@@ -33,7 +33,7 @@
 // SaveProgress stores the partial text of an item on a best-effort basis. A Progress
 // without events deletes the stored one.
 func (s *JobStorer) SaveProgress(job identifier.JobID, progress Progress) {
-	if len(progressKey(job, progress.Item)) > maxKeyBytes {
+	if len(progressKey(job, progress.Item)) > storer.MaxKeyBytes {
 		return
 	}
 	p := s.partitionFor(job)
--- a/ladder/storer/storer.go
+++ b/ladder/storer/storer.go
@@ -49,6 +49,9 @@
 	End identifier.LogOffset
 }
 
+// MaxKeyBytes is the length of a key that the format of records allows.
+const MaxKeyBytes = 255
+
 // AnyOffset makes an append unconditional.
 const AnyOffset = identifier.LogOffset(math.MaxUint64)
 
