sender: one check of the numbers of events

forwarder and scheduler each checked which event may follow another, and each had an error for a stream without events. sender.CheckOrder does both, with the numbering as an argument: streams that can't be taken up may leave numbers out.

Two things change for an item's event with a wrong number: it no longer counts for the pace and the weights of its target, and it ends the attempt even if the target was replaced meanwhile.

--- a/ladder/forwarder/stream.go
+++ b/ladder/forwarder/stream.go
@@ -110,7 +110,7 @@
 			return s.failureOutcome(response)
 		}
 		s.response = response
-		s.events = s.forwarder.sender.Events(response)
+		s.events = s.readEvents(response)
 		return s
 	}
 }
@@ -200,15 +200,9 @@
 func (s *Stream) Next() (sender.Event, error) {
 	for {
 		e, err := s.events.Next()
-		if err == nil {
-			err = s.checkNumber(e)
-		}
 		if err == nil && s.awaitsEvent {
 			err = s.beginEvents()
 		}
-		if errors.Is(err, io.EOF) && s.request.ResumeAfter == 0 {
-			err = errNoEvents
-		}
 		if err == nil {
 			s.request.ResumeAfter = e.Number
 			if s.stallTimer != nil {
@@ -226,17 +220,14 @@
 	}
 }
 
-// errNoEvents means that a target has ended a stream before its first event.
-var errNoEvents = errors.New("stream without events")
-
-// checkNumber returns an error if an event doesn't follow the last one. Streams that can't be
-// taken up may leave numbers out.
-func (s *Stream) checkNumber(e sender.Event) error {
-	last := s.request.ResumeAfter
-	if e.Number == last+1 || (!s.route.Resumable && e.Number > last) {
-		return nil
+// readEvents returns the events of a response that follow those that the stream has had.
+// Streams that can't be taken up may leave numbers out.
+func (s *Stream) readEvents(r *sender.Response) sender.Events {
+	numbering := sender.Ascending
+	if s.route.Resumable {
+		numbering = sender.Consecutive
 	}
-	return errors.Errorf("received event %d after event %d", e.Number, last)
+	return sender.CheckOrder(s.forwarder.sender.Events(r), s.request.ResumeAfter, numbering)
 }
 
 // resume continues at another target after the last received event.
@@ -262,7 +253,7 @@
 			continue
 		}
 		klog.InfoS("stream goes on at another target", "request", s.request.ID, "target", s.target.Name, "software", s.target.Software, "after", s.request.ResumeAfter, "cause", cause)
-		s.events = s.forwarder.sender.Events(response)
+		s.events = s.readEvents(response)
 		s.response.Body.Close()
 		response.Header, response.Signature = s.response.Header, s.response.Signature
 		s.response = response
--- a/ladder/scheduler/generate.go
+++ b/ladder/scheduler/generate.go
@@ -107,22 +107,16 @@
 // target never stops generating.
 var errTextTooLarge = errors.New("text too large for a result record")
 
-// errNoEvents means that a target has ended a text before its first event.
-var errNoEvents = errors.New("text without events")
-
 var errMixedVersions = errors.New("text would mix weight versions")
 
 // readEvents appends events to the text until the response ends.
 func (t *task) readEvents(answer *sender.Response, target cataloger.Target, lastEventAt time.Time, watch *watchdog) (done bool, err error) {
 	s := t.scheduler
-	events, version := s.sender.Events(answer), answer.Version
+	events, version := sender.CheckOrder(s.sender.Events(answer), t.lastEvent, sender.Consecutive), answer.Version
 	first, slowEvents := true, 0
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			if t.lastEvent == 0 {
-				return false, errNoEvents
-			}
 			return true, nil
 		}
 		if err != nil {
@@ -146,9 +140,6 @@
 			version = e.Version
 			s.catalog.RecordWeights(target.Name, t.job.Model, version)
 		}
-		if e.Number != t.lastEvent+1 {
-			return false, errors.Errorf("received event %d after event %d", e.Number, t.lastEvent)
-		}
 		if !t.appendEvent(e, version) {
 			t.discardText()
 			return false, errMixedVersions
--- a/ladder/sender/sender.go
+++ b/ladder/sender/sender.go
@@ -93,12 +93,6 @@
 	Raw []byte
 }
 
-// Events reads the events of a response's body.
-type Events interface {
-	// Next returns io.EOF only after the last event of a complete response.
-	Next() (Event, error)
-}
-
 // ErrNotSent means that the request did not leave this process completely, so that
 // the target can't have run it.
 var ErrNotSent = errors.New("request not sent")
