scheduler: the first pause after a scorer's refusal is 50 ms again

The pause doubled before it was waited for the first time, so a refused scoring call was repeated after 100 ms instead of scorerRetryDelay. The time now doubles from the first refusal in a row on: 50, 100, 200, 400 ms.

The new test fails on the former code (100 ms first); tests of scheduler pass.

--- a/ladder/scheduler/refusal_test.go
+++ b/ladder/scheduler/refusal_test.go
@@ -5,11 +5,38 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/faker"
+	"github.com/lycheeladder/lycheeladder/ladder/forwarder"
 	"github.com/lycheeladder/lycheeladder/ladder/sender"
 )
 
+// Guards against a first pause after a refusal that is longer than scorerRetryDelay: most
+// scorers have room again by then.
+func TestRecord_PausesDoubleFromTheFirstRefusalOn(t *testing.T) {
+	var calls scorerCalls
+	var pauses []time.Duration
+	for _, o := range []forwarder.Outcome{
+		forwarder.NotRun{},
+		forwarder.NotRun{},
+		forwarder.NotRun{},
+		forwarder.NotRun{},
+		forwarder.NotRun{},
+		forwarder.Response{Status: http.StatusInternalServerError},
+		forwarder.Response{Status: http.StatusTooManyRequests},
+	} {
+		calls.record(o)
+		pauses = append(pauses, calls.pause())
+	}
+	ms := time.Millisecond
+	want := []time.Duration{50 * ms, 100 * ms, 200 * ms, 400 * ms, 400 * ms, 50 * ms, 50 * ms}
+	if diff := cmp.Diff(want, pauses); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // Guards against scoring calls that flood scorers while these refuse them.
 func TestRun_ScoringCallsBackOffWhileScorersRefuse(t *testing.T) {
 	const items, refusing = 8, 6 * time.Second
--- a/ladder/scheduler/score.go
+++ b/ladder/scheduler/score.go
@@ -99,15 +99,15 @@
 	timeout time.Duration
 	// failures counts the calls that ended with an error of the scorer itself.
 	failures int
-	// delay is the pause before the next call.
-	delay time.Duration
+	// backoff grows with each call in a row that no scorer takes, and is 0 after others.
+	backoff time.Duration
 }
 
 // callScorer retries until the scorer succeeds or has failed as often as its route
 // allows.
 func (t *task) callScorer(ctx context.Context) (signature string, ok bool) {
 	s, scorer := t.scheduler, t.item.Scorer
-	calls := scorerCalls{timeout: scorerTimeout, delay: scorerRetryDelay}
+	calls := scorerCalls{timeout: scorerTimeout}
 	for ctx.Err() == nil {
 		configuration := s.catalog.Configuration()
 		route, routed := configuration.MatchRoute(scorer.Host, scorer.Path)
@@ -129,7 +129,7 @@
 			}
 		}
 		select {
-		case <-s.clock.After(calls.delay):
+		case <-s.clock.After(calls.pause()):
 		case <-ctx.Done():
 		}
 	}
@@ -138,8 +138,8 @@
 
 // record takes account of a call that has not succeeded.
 func (c *scorerCalls) record(o forwarder.Outcome) {
-	previousDelay := c.delay
-	c.delay = scorerRetryDelay
+	previous := c.backoff
+	c.backoff = 0
 	switch o := o.(type) {
 	case forwarder.Response:
 		switch o.Status {
@@ -148,16 +148,19 @@
 		case http.StatusGatewayTimeout:
 			c.allowMoreTime()
 		default:
-			c.delay = min(2*previousDelay, maxScorerRetryDelay)
+			c.backoff = min(max(scorerRetryDelay, 2*previous), maxScorerRetryDelay)
 		}
 	case forwarder.Unknown:
 		if o.TimedOut {
 			c.allowMoreTime()
 		}
 	case forwarder.NotRun:
-		c.delay = min(2*previousDelay, maxScorerRetryDelay)
+		c.backoff = min(max(scorerRetryDelay, 2*previous), maxScorerRetryDelay)
 	case *forwarder.Stream:
 	}
 }
 
+// pause returns the time before the next call.
+func (c *scorerCalls) pause() time.Duration { return max(scorerRetryDelay, c.backoff) }
+
 func (c *scorerCalls) allowMoreTime() { c.timeout = min(2*c.timeout, maxScorerTimeout) }
--- a/ladder/scheduler/task.go
+++ b/ladder/scheduler/task.go
@@ -54,7 +54,7 @@
 	// maxScorerTimeout.
 	scorerTimeout, maxScorerTimeout = 2 * time.Second, 16 * time.Second
 	// scorerRetryDelay is the delay before calling a scorer again after a failure. While
-	// no scorer takes the call, it doubles each time, up to maxScorerRetryDelay.
+	// no scorer takes the call, it doubles after each pause, up to maxScorerRetryDelay.
 	scorerRetryDelay, maxScorerRetryDelay = 50 * time.Millisecond, 400 * time.Millisecond
 )
 
