accepter: let the second entry read the record before the log goes down in a test

The log went down in the same instant in which the record was published, so the second entry had read it only if its task ran first. The test now waits until all tasks are blocked before the outage; its assertions are unchanged. Passed 15 times with the race detector beside load; the failure itself was seen once and not reproduced, the cause is by reading.

--- a/ladder/accepter/follower_test.go
+++ b/ladder/accepter/follower_test.go
@@ -120,6 +120,8 @@
 		if _, err := c.publish(first, "document", 0); err != nil {
 			t.Fatal(err)
 		}
+		// The outage must not begin before the second entry has read the record.
+		synctest.Wait()
 		c.log.SetDown(true)
 		time.Sleep(2 * retention)
 		c.assertRevision("running", 1, first, second)
