admission: queue and learned limit for calls to plain services with too little room

ladder/admission/admitter keeps, for each plain service, a bounded queue and a limit on this host's sends in flight, learned from the load that targets report and from their refusals. Calls of batch jobs have a second limit that gives way earlier. ladder/admission/order ranks what waits by the cost of a delay and the use of the account's share. The forwarder asks before each send; it is in force from the first sign of too little room until 2 s after the last one. Connections to targets are bounded while it is in force.

--- a/ladder/explainer/events.go
+++ b/ladder/explainer/events.go
@@ -70,6 +70,17 @@
 
 // Events lists all events of the program platform.
 var Events = []Event{
+	{
+		Name: "admission begins", Level: LevelInfo, Scope: ScopeHost,
+		Fields:  []string{"service", "cause", "limit", "in-flight", "hosts"},
+		Meaning: "a target of the service has refused a request for want of room or reports more waiting requests than places; requests wait here from now on so that at most `limit` are in flight",
+		Action:  "if this recurs, the service needs more targets",
+	},
+	{
+		Name: "admission ends", Level: LevelInfo, Scope: ScopeHost,
+		Fields:  []string{"service", "limit", "in-flight"},
+		Meaning: "the targets of the service have had enough room for 2 s, and no request waits here",
+	},
 	{
 		Name: "answer of a target dropped", Level: LevelInfo, Scope: ScopeRequest,
 		Fields:  []string{"request", "target", "err"},
@@ -283,6 +294,17 @@
 		Fields:  []string{"target", "limit", "sent", "denied", "within"},
 		Meaning: "this host has sent the target `sent` requests in the period `within` and has not sent `denied`; the target accepts `limit` per second from all hosts together",
 	},
+	{
+		Name: "request refused for want of room", Level: LevelInfo, Scope: ScopeRequest,
+		Fields:  []string{"request", "service", "account", "limit", "in-flight", "ahead", "estimate", "left", "retry-after", "waited", "unlogged"},
+		Meaning: "by `estimate` the request would be sent too late for a response within `left`; `ahead` waiting requests go before it; `unlogged` such decisions before this one have no line",
+		Action:  "many: the service needs more targets",
+	},
+	{
+		Name: "request waits for room", Level: LevelInfo, Scope: ScopeRequest,
+		Fields:  []string{"request", "service", "account", "limit", "in-flight", "ahead", "estimate", "left", "unlogged"},
+		Meaning: "the request will be sent after about `estimate`; `ahead` waiting requests go before it; `unlogged` such decisions before this one have no line",
+	},
 	{
 		Name: "requests broken off", Level: LevelInfo, Scope: ScopeHost,
 		Fields:  []string{"count", "err"},
--- a/ladder/forwarder/forward.go
+++ b/ladder/forwarder/forward.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/lycheeladder/lycheeladder/ladder/admission/admitter"
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
@@ -56,25 +57,34 @@
 	fingerprint identifier.Fingerprint
 	// mayHaveRun means that an attempt without a response may have run.
 	mayHaveRun bool
+	// arrived is when the request arrived.
+	arrived time.Time
+	// ticket admits the next attempt; nil if there is none.
+	ticket *admitter.Ticket
+	// sent is set by the first attempt. refused means that the last target to respond had no
+	// room.
+	sent, refused bool
+	// waitsAgain means that an owed request that targets have refused goes back to the queue.
+	waitsAgain bool
 }
 
 // Forward sends a request whose response is not streamed. It ends with ctx, at the
 // caller's time limit or at the route's, whichever comes first. The route's does not apply
-// to owed requests.
+// to owed requests, and theirs begins when they are sent.
 func (f *Forwarder) Forward(ctx context.Context, route cataloger.Route, r Request) Outcome {
-	limit := timeLimit(route, r)
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	if r.Owed {
+		return f.forwardOwed(ctx, route, r)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeLimit(route, r))
 	defer cancel()
-	w := &forwarding{
-		Forwarder: f, request: r, route: route, deadline: f.clock.Now().Add(limit),
-		results: make(chan attemptResult, max(1, route.MaxAttempts)+2),
-		open:    make(map[identifier.TargetName]attempt), tried: make(map[identifier.TargetName]bool),
+	w := f.newForwarding(route, r, f.clock.Now())
+	if w.isBlocked() {
+		return NotRun{RetryAfter: blockedRetryAfter, Reason: "the request is blocked because it crashes targets"}
 	}
-	o := w.run(ctx)
-	for _, a := range w.open {
-		a.cancel()
+	if err := w.admit(ctx); err != nil {
+		return w.unadmittedOutcome(ctx, err)
 	}
-	return o
+	return w.run(ctx)
 }
 
 // defaultTimeLimit applies where neither caller nor route sets a limit.
@@ -93,12 +103,9 @@
 
 func (w *forwarding) mayRepeat() bool { return w.route.Kind == cataloger.KindIdempotent }
 
+// run sends a request that has been admitted.
 func (w *forwarding) run(ctx context.Context) Outcome {
-	w.service = w.drawService(w.route)
-	w.fingerprint = identifier.NewFingerprint("", identifier.CallName(w.request.Path), w.request.Body)
-	if w.isBlocked() {
-		return NotRun{RetryAfter: blockedRetryAfter, Reason: "the request is blocked because it crashes targets"}
-	}
+	defer w.release()
 	if !w.startAttempt(ctx, sender.Required) {
 		return w.noTargetOutcome()
 	}
@@ -111,7 +118,7 @@
 			}
 		case <-hedge:
 			hedge = nil
-			if w.mayRepeat() && w.executed+len(w.open) < w.route.MaxAttempts && w.budget.TrySpend() && w.startAttempt(ctx, sender.Optional) {
+			if w.mayRepeat() && w.executed+len(w.open) < w.route.MaxAttempts && !w.admitter.InForce(w.service) && w.budget.TrySpend() && w.startAttempt(ctx, sender.Optional) {
 				klog.InfoS("second target asked, the first is silent", "request", w.request.ID, "service", w.service)
 			}
 		case <-ctx.Done():
@@ -120,6 +127,14 @@
 	}
 }
 
+// release ends what is left when the outcome is known.
+func (w *forwarding) release() {
+	for _, a := range w.open {
+		a.cancel()
+	}
+	w.ticket.Done(admitter.Result{})
+}
+
 func (w *forwarding) isBlocked() bool {
 	return !w.request.Owed && w.blocklist.Convicted(w.fingerprint)
 }
@@ -173,13 +188,16 @@
 		w.router.Done(name, router.Monitored)
 		return false
 	}
-	w.tried[name] = true
+	w.tried[name], w.sent = true, true
+	ticket := w.takeTicket()
+	ticket.Sent(name)
 	attemptCtx, cancel := context.WithCancel(ctx)
 	w.open[name] = attempt{target: t, cancel: cancel}
 	go func() {
 		r := attemptResult{target: t, err: errors.Wrap(sender.ErrNoResponse, "panic during the attempt")}
 		// CatchPanic logs the panic.
 		_ = recoverer.CatchPanic("attempt at a target", func() { r = w.runAttempt(attemptCtx, t, left) })
+		ticket.Done(r.admissionResult())
 		w.results <- r
 	}()
 	return true
@@ -206,6 +224,7 @@
 		return r
 	}
 	switch {
+	case refusedForRoom(r.response) && w.admitter.InForce(w.service): // the admitter keeps requests away
 	case r.response.NotRun || r.response.Status >= 500:
 		w.router.RecordFailure(t.Name)
 	default:
@@ -225,6 +244,7 @@
 func (w *forwarding) handleResult(ctx context.Context, r attemptResult) (o Outcome, done bool) {
 	w.open[r.target.Name].cancel()
 	delete(w.open, r.target.Name)
+	w.refused = refusedForRoom(r.response)
 	retry := false
 	switch {
 	case ctx.Err() != nil && r.err != nil:
@@ -262,6 +282,9 @@
 	if !retry {
 		return w.noTargetOutcome(), true
 	}
+	if w.admitter.InForce(w.service) {
+		return w.requeue(ctx)
+	}
 	if w.startAttempt(ctx, w.retryNeed()) {
 		return nil, false
 	}
--- a/ladder/forwarder/forwarder.go
+++ b/ladder/forwarder/forwarder.go
@@ -9,6 +9,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/lycheeladder/lycheeladder/ladder/admission/admitter"
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/limiter"
@@ -38,6 +39,16 @@
 	// Resumes is the attempt that brought the first event of a stream that the caller
 	// takes up.
 	Resumes identifier.StreamID
+	// Account is the caller's account; empty if it has none.
+	Account identifier.AccountName
+	// Priority is that of the account's requests; 0 is the most urgent. The route's applies to
+	// requests without an account.
+	Priority int
+	// Due is when the results of an owed request's job are due; zero if they have no such time.
+	Due time.Time
+	// GroupLeft returns how many items of an owed request's group have no result; nil if it has
+	// no group.
+	GroupLeft func() int
 }
 
 // Outcome is a Response, a *Stream, a NotRun or an Unknown.
@@ -150,15 +161,21 @@
 	origins   Origins
 	random    router.Random
 	memory    *memoryBudget
+	admitter  Admitter
 }
 
 // New returns a Forwarder. random must be safe for concurrent use.
-func New(clock clockwork.Clock, c *cataloger.Cataloger, l TargetList, s sender.Sender, b Blocklist, o Origins, random router.Random) *Forwarder {
-	return &Forwarder{
+func New(clock clockwork.Clock, c *cataloger.Cataloger, l TargetList, s sender.Sender, b Blocklist, o Origins, random router.Random, options ...Option) *Forwarder {
+	f := &Forwarder{
 		clock: clock, catalog: c, targets: l, sender: s, blocklist: b, origins: o, random: random,
 		router: router.New(clock, random, router.LeastExpectedWait{}),
 		budget: limiter.NewRetryBudget(retryShare, retryBurst), memory: newMemoryBudget(sharedBudgetBytes),
+		admitter: admitter.New(clock, c, admitter.Options{}),
 	}
+	for _, set := range options {
+		set(f)
+	}
+	return f
 }
 
 // drawService draws one of the route's services by their weights.
--- a/ladder/forwarder/selection.go
+++ b/ladder/forwarder/selection.go
@@ -29,7 +29,7 @@
 	if len(list) == 0 && s.need == sender.Required {
 		list = f.filter(f.catalog.LeavingTargets(service), s)
 	}
-	return list
+	return f.preferred(service, list)
 }
 
 // filter returns those of the targets that a request may use.
--- a/ladder/identifier/identifier.go
+++ b/ladder/identifier/identifier.go
@@ -86,6 +86,8 @@
 	SoftwareVersion string
 	// RequestRate is a number of requests per second.
 	RequestRate float64
+	// AccountName names the client account of a request; empty if it has none.
+	AccountName string
 	// Fingerprint is the xxHash64 of the service, call and body of a request.
 	Fingerprint uint64
 )
--- a/ladder/recorder/recorder.go
+++ b/ladder/recorder/recorder.go
@@ -23,6 +23,9 @@
 	// MeasureWait is the time in the queue of the sidecar before the request
 	// is sent to the target.
 	MeasureWait Measure = "wait"
+	// MeasureAdmission is the time that a request waits at its host until the targets
+	// have room for it.
+	MeasureAdmission Measure = "admission"
 	// MeasureFirstByte is the time from acceptance to the first byte of the
 	// response.
 	MeasureFirstByte Measure = "first-byte"
@@ -95,6 +98,13 @@
 	r.counters[name]++
 }
 
+// Set replaces the value of a counter that shows a state, such as the length of a queue.
+func (r *Recorder) Set(name string, value int64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.counters[name] = value
+}
+
 // ObserveDuration adds a duration to a histogram.
 func (r *Recorder) ObserveDuration(s Series, d time.Duration) {
 	r.mutex.Lock()
--- a/ladder/scheduler/score.go
+++ b/ladder/scheduler/score.go
@@ -108,6 +108,7 @@
 func (t *task) callScorer(ctx context.Context) (signature string, ok bool) {
 	s, scorer := t.scheduler, t.item.Scorer
 	calls := scorerCalls{timeout: scorerTimeout, delay: scorerRetryDelay}
+	groupLeft := t.groupLeft()
 	for ctx.Err() == nil {
 		configuration := s.catalog.Configuration()
 		route, routed := configuration.MatchRoute(scorer.Host, scorer.Path)
@@ -115,6 +116,7 @@
 			outcome := s.forwarder.Forward(ctx, route, forwarder.Request{
 				ID: scorer.ID, Method: http.MethodPost, Path: scorer.Path, Host: scorer.Host,
 				Header: http.Header{}, Body: scorer.Body, TimeLeft: calls.timeout, Owed: true,
+				Due: t.due(), GroupLeft: groupLeft,
 			})
 			response, _ := outcome.(forwarder.Response)
 			if response.Status >= 200 && response.Status < 300 && response.Signature != "" {
--- a/ladder/sender/sender.go
+++ b/ladder/sender/sender.go
@@ -77,7 +77,11 @@
 }
 
 // Load counts the requests of a target.
-type Load struct{ Running, Waiting int }
+type Load struct {
+	Running, Waiting int
+	// Places is how many requests the target runs at once; 0 if it doesn't say.
+	Places int
+}
 
 // Succeeded reports whether the target has done what was asked.
 func (r *Response) Succeeded() bool { return r.Status >= 200 && r.Status < 300 }
