--- a/ladder/admission/admitter/estimate.go
+++ b/ladder/admission/admitter/estimate.go
@@ -17,6 +17,9 @@
 	// waitMargin is by how much the wait may be longer than estimated: a limit may be lowered
 	// meanwhile, and some requests take several times as long as others.
 	waitMargin = 2
+	// settleTime is how long the limit has to follow the targets' reports before it tells that
+	// requests arrive faster than they can be sent. It is some ten round trips.
+	settleTime = 300 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound what callers are told.
 	minRetryAfter, maxRetryAfter = 25 * time.Millisecond, 10 * time.Second
 )
@@ -127,7 +130,7 @@
 	if w.request.Owed || w.request.Deadline.IsZero() {
 		return e, true
 	}
-	if !order.MeetsGoal(now, w.request, time.Duration(waitMargin*float64(e.wait))+trip) {
+	if now.Sub(s.beganAt) >= settleTime && !order.MeetsGoal(now, w.request, time.Duration(waitMargin*float64(e.wait))+trip) {
 		e.wait = max(e.wait, opens+s.lateWait(now, ahead, interval))
 	}
 	return e, e.wait+trip <= e.left
--- a/ladder/admission/admitter/limit.go
+++ b/ladder/admission/admitter/limit.go
@@ -1,12 +1,18 @@
 package admitter
 
-import "time"
+import (
+	"time"
+
+	"github.com/lycheeladder/lycheeladder/ladder/sender"
+)
 
 // limit is a learned bound on sends in flight. A value below 1 stands for a pause between two
 // sends: one in flight for the part of the time that the value says.
 type limit struct {
 	// value is at least minLimit once started.
-	value  float64
+	value float64
+	// step is the growth per round trip while the targets are busy, at most 1.
+	step   float64
 	policy policy
 	// cutAt is when the value was last lowered.
 	cutAt time.Time
@@ -16,7 +22,7 @@
 
 // policy says how a limit follows the targets' queues. Queues are in units of a target's places.
 type policy struct {
-	// growBelow is the queue up to which the value grows by one per round trip.
+	// growBelow is the queue up to which the value grows.
 	growBelow float64
 	// cutAbove is the queue above which the value is lowered.
 	cutAbove float64
@@ -40,29 +46,51 @@
 	refusalCut, crowdedCut = 0.5, 0.8
 	// limitHeadroom is the most that one host's limit may be, in units of the targets' places.
 	limitHeadroom = 1.5
-	// unknownCrowding stands for the queue of a target that reports no load: the value holds.
-	unknownCrowding = -1
-	// unreportedGrowth is the growth per round trip while targets report no load but run what
-	// they get.
+	// unreportedGrowth is the part of the growth per round trip while targets report no load but
+	// run what they get.
 	unreportedGrowth = 0.25
 	// maxPause bounds the pause between two sends. The shortest deadlines of callers are 800 ms.
 	maxPause = 300 * time.Millisecond
 )
 
-func (l *limit) start(value float64) { l.value, l.cutAt = max(value, minLimit), time.Time{} }
+// crowding is what a target reports, in units of its places.
+type crowding struct {
+	// queue is what waits, free the places that are not taken.
+	queue, free float64
+	// reported is false if the target reports no load.
+	reported bool
+}
+
+func crowdingOf(l *sender.Load, places int) crowding {
+	if l == nil {
+		return crowding{}
+	}
+	c := crowding{queue: float64(l.Waiting) / float64(places), reported: true}
+	if l.Waiting == 0 {
+		c.free = max(0, float64(places-l.Running)/float64(places))
+	}
+	return c
+}
+
+// start sets the part of all places that this host would have if all hosts had the same. All
+// hosts may grow at once, by no more than the places in all per round trip; an idle target lets
+// each of them grow by one.
+func (l *limit) start(value float64) {
+	l.value, l.step, l.cutAt = max(value, minLimit), min(1, value), time.Time{}
+}
 
 // adapt follows the queue of a target that has run a request. inUse counts the sends in flight
-// before it ended.
-func (l *limit) adapt(now time.Time, trip time.Duration, crowding float64, inUse int, most float64) {
+// before it ended, and most bounds the value.
+func (l *limit) adapt(now time.Time, trip time.Duration, c crowding, inUse int, most float64) {
 	switch {
-	case crowding > l.policy.cutAbove:
+	case c.queue > l.policy.cutAbove:
 		l.cut(now, trip, crowdedCut)
 	case float64(inUse) < l.value/2:
 		// An unused limit doesn't grow: nothing shows that the targets could bear it.
-	case crowding == unknownCrowding:
-		l.value += unreportedGrowth / max(1, l.value)
-	case crowding <= l.policy.growBelow:
-		l.value += 1 / max(1, l.value)
+	case !c.reported:
+		l.value += unreportedGrowth * l.step / max(1, l.value)
+	case c.queue <= l.policy.growBelow:
+		l.value += max(l.step, c.free) / max(1, l.value)
 	}
 	l.value = min(l.value, max(most, minLimit))
 }
--- a/ladder/admission/admitter/queue.go
+++ b/ladder/admission/admitter/queue.go
@@ -222,5 +222,5 @@
 // mustNotRefuse reports whether there is room: under half of the places are taken, and no other
 // request waits here.
 func (s *service) mustNotRefuse(now time.Time) bool {
-	return len(s.queue) <= 1 && 2*s.taken(now) < s.places()
+	return len(s.queue) <= 1 && s.hasRoom(now)
 }
--- a/ladder/admission/admitter/service.go
+++ b/ladder/admission/admitter/service.go
@@ -18,9 +18,9 @@
 	admitter *Admitter
 	name     identifier.ServiceName
 	// signAt is when the last sign of too little room was seen; forced is set while admission is
-	// in force.
-	signAt time.Time
-	forced bool
+	// in force, since beganAt.
+	signAt, beganAt time.Time
+	forced          bool
 	// inFlight counts the open sends of this host, owedInFlight those of batch jobs among them;
 	// never negative.
 	inFlight, owedInFlight int
@@ -51,8 +51,9 @@
 const (
 	// defaultPlaces is assumed for targets that don't say how many requests they run at once.
 	defaultPlaces = 4
-	// reportAge is how long a reported load says how many places are taken.
-	reportAge = 250 * time.Millisecond
+	// reportAge is how long a reported load says how many places are taken. A host sends at least
+	// once within that time if requests wait.
+	reportAge = 2 * maxPause
 	// refillShare is the part of a target's queue that must have been worked off before it gets
 	// requests again after a refusal.
 	refillShare = 0.5
@@ -62,7 +63,7 @@
 	// maxFull bounds the time for which a target gets no requests after a refusal.
 	maxFull = 500 * time.Millisecond
 	// minConnections is how many connections to a target a host may always have.
-	minConnections = 2
+	minConnections = 1
 	// forgetTargets is the number of known targets from which those that are idle and not listed
 	// are forgotten.
 	forgetTargets = 64
@@ -109,7 +110,7 @@
 	if !begins {
 		return false
 	}
-	s.forced = true
+	s.forced, s.beganAt = true, now
 	hosts := max(1, s.admitter.options.Hosts())
 	start := float64(s.places()) / float64(hosts)
 	s.all.start(start)
@@ -136,30 +137,40 @@
 	return defaultPlaces
 }
 
-// taken returns how many places of the targets are known to be taken.
-func (s *service) taken(now time.Time) (sum int) {
+// hasRoom reports whether under half of the places are taken, as far as is known. Targets without
+// a recent report are taken to be like the others.
+func (s *service) hasRoom(now time.Time) bool {
+	taken, places := 0, 0
 	for _, t := range s.admitter.catalog.ReadyTargets(s.name) {
 		known := s.targets[t.Name]
-		if known == nil {
+		if known == nil || now.Sub(known.loadAt) > reportAge {
 			continue
 		}
-		n := known.inFlight
-		if now.Sub(known.loadAt) <= reportAge {
-			n = max(n, known.load.Running+known.load.Waiting)
-		}
-		sum += min(n, s.placesOf(t.Name, t.Slots))
+		n := s.placesOf(t.Name, t.Slots)
+		places += n
+		taken += min(n, max(known.inFlight, known.load.Running+known.load.Waiting))
 	}
-	return sum
+	return places == 0 && 2*s.inFlight < s.places() || 2*taken < places
 }
 
-// maxConnections returns how many connections to a target this host may have, so that all hosts
-// together stay below the target's bound; 0 if there is none.
+// maxConnections returns how many connections to a target this host may have, 0 if there is no
+// bound: its part of the service's bound, but no more than the requests that it may have there,
+// since a target with a long queue bears fewer connections than the bound.
 func (s *service) maxConnections() int {
 	c := s.admitter.catalog.Configuration()
 	if c == nil || c.Services[s.name].MaxConnections == 0 {
 		return 0
 	}
-	return max(minConnections, c.Services[s.name].MaxConnections/max(1, s.admitter.options.Hosts()))
+	part := c.Services[s.name].MaxConnections / max(1, s.admitter.options.Hosts())
+	return max(minConnections, min(part, s.busiest()))
+}
+
+// busiest returns how many requests this host may have at one target at most.
+func (s *service) busiest() (most int) {
+	for _, t := range s.admitter.catalog.ReadyTargets(s.name) {
+		most = max(most, int(math.Ceil(limitHeadroom*float64(s.placesOf(t.Name, t.Slots)))))
+	}
+	return most
 }
 
 // most is the upper bound of the limits.
@@ -214,17 +225,14 @@
 	case VerdictServed:
 		s.stats.record(now, took, r.Load, places)
 		known.fullUntil = time.Time{}
-		crowding := float64(unknownCrowding)
-		if r.Load != nil {
-			crowding = float64(r.Load.Waiting) / float64(places)
-		}
-		if crowding > 1 && s.recordSign(now, "more requests wait than run") {
+		c := crowdingOf(r.Load, places)
+		if c.queue > 1 && s.recordSign(now, "more requests wait than run") {
 			return
 		}
 		if s.forced {
 			trip := s.stats.trip(now)
-			s.all.adapt(now, trip, crowding, s.inFlight+1, s.most())
-			s.owed.adapt(now, trip, crowding, s.owedInFlight+1, s.most())
+			s.all.adapt(now, trip, c, s.inFlight+1, s.most())
+			s.owed.adapt(now, trip, c, s.owedInFlight+1, s.most())
 		}
 	}
 }
--- a/ladder/forwarder/admission_test.go
+++ b/ladder/forwarder/admission_test.go
@@ -54,6 +54,8 @@
 	accounts []identifier.AccountName
 	// owners of jobs send bursts of scores each, spread over burstTime, a second after the start.
 	owners, scores int
+	// atOnce sends a burst without spreading it.
+	atOnce bool
 	// slowness multiplies the targets' work.
 	slowness     float64
 	unrestricted bool
@@ -203,7 +205,9 @@
 
 // score repeats a scoring call until it succeeds, as the scheduler does.
 func (y *player) score(f *Forwarder, id string) {
-	time.Sleep(draw(randomOf(id), burstTime))
+	if !y.atOnce {
+		time.Sleep(draw(randomOf(id), burstTime))
+	}
 	delay := 50 * time.Millisecond
 	for {
 		o := f.Forward(context.Background(), scoreRoute, Request{ID: id, Method: "POST", Path: "/q", TimeLeft: 2 * time.Second, Owed: true, Due: y.start.Add(20 * time.Second)})
