--- a/ladder/forwarder/admission_test.go
+++ b/ladder/forwarder/admission_test.go
@@ -294,20 +294,52 @@
 // Guards against serving less of a greater load, and against calls that are refused only after
 // they have waited, or that never get a response.
 func TestForward_FourTimesTheLoadIsServedNoLessThanOneAndAHalf(t *testing.T) {
-	load := func(times float64) play {
-		return play{hosts: 7, callsPerSecond: times * capacity / 7, lasts: 6 * time.Second}
+	load := func(hosts int, times float64) play {
+		return play{hosts: hosts, callsPerSecond: times * capacity / float64(hosts), lasts: 6 * time.Second}
 	}
-	some, much := run(t, load(1.5)), run(t, load(4))
-	if float64(much.inGoal) < 0.95*float64(some.inGoal) {
-		t.Errorf("in goal %d at 4 times the load, %d at 1.5 times", much.inGoal, some.inGoal)
-	}
-	for _, got := range []played{some, much} {
-		if got.sendsPerRun() > 1.2 || got.unanswered > got.calls/100 || got.lateRefusals > got.refusals/10 || got.Resets > 0 {
-			t.Errorf("%s", got)
+	for _, hosts := range []int{7, 150} {
+		some, much := run(t, load(hosts, 1.5)), run(t, load(hosts, 4))
+		if float64(much.inGoal) < 0.95*float64(some.inGoal) {
+			t.Errorf("%d hosts: in goal %d at 4 times the load, %d at 1.5 times", hosts, much.inGoal, some.inGoal)
+		}
+		for _, got := range []played{some, much} {
+			if got.sendsPerRun() > 1.2 || got.unanswered > got.calls/100 || got.lateRefusals > got.refusals/10 || got.Resets > 0 {
+				t.Errorf("%d hosts: %s", hosts, got)
+			}
 		}
 	}
 }
 
+// Guards against refusals that come late or tell a time at which there is no room.
+func TestForward_ARefusalTellsWhenThereIsRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		y, _ := newPlayer(play{hosts: 1})
+		f := y.forwarders[0]
+		var tasks conc.WaitGroup
+		for n := range 300 {
+			tasks.Go(func() { y.call(f, fmt.Sprint("live-", n), "") })
+		}
+		time.Sleep(100 * time.Millisecond)
+		const limit = 100 * time.Millisecond
+		lessUrgent := liveRoute
+		lessUrgent.Priority = 6
+		probe := func(id string) Outcome {
+			return f.Forward(context.Background(), lessUrgent, Request{ID: id, Method: "POST", Path: "/p", TimeLeft: limit})
+		}
+		sent := time.Now()
+		refusal, ok := probe("probe-1").(NotRun)
+		if took := time.Since(sent); !ok || took > playGoal/4 || refusal.RetryAfter < limit/2 {
+			t.Errorf("%+v after %s, while hundreds of calls wait", refusal, took)
+		}
+		time.Sleep(refusal.RetryAfter)
+		if o := probe("probe-2"); describe(o) != "response 200" {
+			t.Errorf("after %s: %s", refusal.RetryAfter, describe(o))
+		}
+		tasks.Wait()
+		time.Sleep(playDrain)
+	})
+}
+
 // Guards against a small account that is refused because of a large one.
 func TestForward_ALargeAccountLeavesASmallOneItsShare(t *testing.T) {
 	accounts := slices.Repeat([]identifier.AccountName{"large"}, 19)
