accounts: authenticate callers by account keys, and keep batch jobs apart by account

Cause: the operators' configuration may list client accounts with keys. So far every caller could use every route, and read or end every batch job whose id it knew.

Targets are told the account and never get the key. A batch job has the account in its record; the owner of its partition checks callers. Where accounts are in force, the owner writes the job's record from its complete copy, conditionally, so that of two accounts that submit one id at the same time only one gets it, also for copies that are read later. Texts of earlier jobs are used only for jobs of the same account. Without accounts in the configuration nothing changes.

--- a/ladder/cataloger/cataloger.go
+++ b/ladder/cataloger/cataloger.go
@@ -281,6 +281,9 @@
 		}
 		c.configuration.Store(p)
 		klog.InfoS("configuration in force", "version", p.Version, "offset", r.Offset, "routes", len(p.Routes))
+		if p.HasAccounts() {
+			klog.InfoS("client accounts in force", "version", p.Version, "accounts", p.Accounts.Len())
+		}
 	case DesiredVersion:
 		if p.Version > c.desired[p.Model] {
 			c.desired[p.Model] = p.Version
--- a/ladder/cataloger/configuration.go
+++ b/ladder/cataloger/configuration.go
@@ -53,6 +53,8 @@
 	// Priority is the request priority; 0 is the most urgent.
 	Priority  int
 	Resumable bool
+	// Anonymous routes serve requests without a key where accounts are in force.
+	Anonymous bool
 	// SingleVersion requires that a single weight version generates the whole text of
 	// an item.
 	SingleVersion bool
@@ -96,6 +98,8 @@
 	Routes   []Route
 	Services map[identifier.ServiceName]Service
 	Limits   Limits
+	// Accounts is nil if no accounts are in force.
+	Accounts *Accounts
 }
 
 // MatchRoute returns the route of a request: among the routes of the host, the one with
--- a/ladder/draftcacher/draftcacher.go
+++ b/ladder/draftcacher/draftcacher.go
@@ -93,11 +93,11 @@
 	found := c.cachedDrafts(m)
 	for _, completed := range c.endedJobs.LeftOver(m, retention) {
 		found = append(found, messenger.Draft{
-			Item: completed.Item.ID, Prompt: PromptFingerprint(completed.Item), Text: completed.Result.Text, Complete: true, Versions: completed.Result.Versions,
+			Account: completed.Account, Item: completed.Item.ID, Prompt: PromptFingerprint(completed.Item), Text: completed.Result.Text, Complete: true, Versions: completed.Result.Versions,
 		})
 	}
 	for _, partial := range c.endedJobs.Unfinished(m, retention) {
-		found = append(found, FromProgress(partial.Item, partial.Progress))
+		found = append(found, FromProgress(partial.Account, partial.Item, partial.Progress))
 	}
 	size := 0
 	for _, draft := range found {
@@ -109,9 +109,9 @@
 	return list
 }
 
-// FromProgress returns the draft of a stored partial text.
-func FromProgress(i *jobstorer.Item, p jobstorer.Progress) messenger.Draft {
-	return messenger.Draft{Item: i.ID, Prompt: PromptFingerprint(i), Text: p.Text, LastEvent: p.LastEvent, Versions: p.Versions, Software: p.Software}
+// FromProgress returns the draft of a stored partial text of an account's job.
+func FromProgress(a identifier.AccountName, i *jobstorer.Item, p jobstorer.Progress) messenger.Draft {
+	return messenger.Draft{Account: a, Item: i.ID, Prompt: PromptFingerprint(i), Text: p.Text, LastEvent: p.LastEvent, Versions: p.Versions, Software: p.Software}
 }
 
 func (c *DraftCacher) cachedDrafts(m identifier.ModelName) (list []messenger.Draft) {
--- a/ladder/explainer/events.go
+++ b/ladder/explainer/events.go
@@ -106,6 +106,17 @@
 		Fields:  []string{"err"},
 		Meaning: "a listener could not be closed during shutdown",
 	},
+	{
+		Name: "client account left out", Level: LevelInfo, Scope: ScopeHost,
+		Fields:  []string{"position", "why"},
+		Meaning: "the account at `position` of the configuration's list, from 0, is not in force; its keys are unknown",
+		Action:  "correct the configuration",
+	},
+	{
+		Name: "client accounts in force", Level: LevelInfo, Scope: ScopeHost,
+		Fields:  []string{"version", "accounts"},
+		Meaning: "requests need the key of one of the accounts unless their route is anonymous",
+	},
 	{
 		Name: "configuration in force", Level: LevelInfo, Scope: ScopeHost,
 		Fields:  []string{"version", "offset", "routes"},
@@ -195,6 +206,12 @@
 		Fields:  []string{"job", "count", "left", "took"},
 		Meaning: "another entry takes over the job and continues its texts; `left` runs did not stop in time",
 	},
+	{
+		Name: "key of a client account left out", Level: LevelInfo, Scope: ScopeHost,
+		Fields:  []string{"account", "position", "why"},
+		Meaning: "the key at `position` of the account's list, from 0, is not in force",
+		Action:  "correct the configuration",
+	},
 	{
 		Name: "lease can't be encoded", Level: LevelError, Scope: ScopeHost,
 		Meaning: "a bug in the program",
@@ -247,6 +264,12 @@
 		Fields:  []string{"generation", "partitions"},
 		Meaning: "this entry processes the jobs of `partitions` from now on",
 	},
+	{
+		Name: "priority of a client account left out", Level: LevelInfo, Scope: ScopeHost,
+		Fields:  []string{"account", "why"},
+		Meaning: "the priority of the route applies to the account's requests",
+		Action:  "correct the configuration",
+	},
 	{
 		Name: "program can't start", Level: LevelError, Scope: ScopeHost,
 		Meaning: "a bug in the program",
@@ -257,6 +280,11 @@
 		Meaning: "a listener could not be opened, or it ended",
 		Action:  "check the error",
 	},
+	{
+		Name: "record of a batch job left out, the job belongs to another account", Level: LevelInfo, Scope: ScopeJob,
+		Fields:  []string{"job", "account", "other", "offset"},
+		Meaning: "the job stays that of `account`; the record of `other` was written by a host at which accounts were not in force yet",
+	},
 	{
 		Name: "request answered", Level: LevelInfo, Scope: ScopeRequest,
 		Fields:  []string{"request", "method", "route", "path", "status", "target", "why", "took", "configuration"},
--- /dev/null
+++ b/ladder/forwarder/account.go
@@ -0,0 +1,21 @@
+package forwarder
+
+import "github.com/pkg/errors"
+
+// NotAllowed means that the request has not run, never will, and is no longer allowed.
+type NotAllowed struct{}
+
+func (NotAllowed) outcome() {}
+
+// errNotAllowed means that no attempt was made because the request is no longer allowed.
+var errNotAllowed = errors.New("the request is no longer allowed")
+
+func (r Request) stillAllowed() bool { return r.StillAllowed == nil || r.StillAllowed() }
+
+// disallowedOutcome returns the outcome of a stream for which no further attempt is allowed.
+func (s *Stream) disallowedOutcome() Outcome {
+	if s.retries > 0 {
+		return Unknown{Reason: "an attempt without a response may have run"}
+	}
+	return NotAllowed{}
+}
--- a/ladder/forwarder/forward.go
+++ b/ladder/forwarder/forward.go
@@ -56,6 +56,8 @@
 	fingerprint identifier.Fingerprint
 	// mayHaveRun means that an attempt without a response may have run.
 	mayHaveRun bool
+	// disallowed is set once no further attempt is allowed.
+	disallowed bool
 }
 
 // Forward sends a request whose response is not streamed. It ends with ctx, at the
@@ -145,6 +147,9 @@
 	if w.mayHaveRun {
 		return Unknown{Reason: "an attempt without a response may have run"}
 	}
+	if w.disallowed {
+		return NotAllowed{}
+	}
 	return w.notRun(w.service)
 }
 
@@ -160,6 +165,9 @@
 
 // startAttempt sends the request to one more target. It returns false if there is none.
 func (w *forwarding) startAttempt(ctx context.Context, n sender.Need) bool {
+	if w.disallowed = !w.request.stillAllowed(); w.disallowed {
+		return false
+	}
 	left := w.deadline.Sub(w.clock.Now())
 	if left < minTimeLeft {
 		return false
@@ -190,7 +198,7 @@
 	defer w.router.Done(t.Name, router.Monitored)
 	start := w.clock.Now()
 	r := attemptResult{target: t}
-	r.response, r.err = w.sender.Send(ctx, t, w.request.call(left))
+	r.response, r.err = w.sender.Send(ctx, t, w.request.call(left, w.catalog.Configuration()))
 	if r.err != nil {
 		if ctx.Err() == nil && !errors.Is(r.err, sender.ErrLimited) {
 			w.router.RecordFailure(t.Name)
@@ -214,10 +222,10 @@
 	return r
 }
 
-func (r Request) call(left time.Duration) sender.Call {
+func (r Request) call(left time.Duration, c *cataloger.Configuration) sender.Call {
 	return sender.Call{
 		ID: r.ID, Method: r.Method, Path: r.Path, Host: r.Host, Header: r.Header, Body: r.Body,
-		TimeLeft: left, ResumeAfter: r.ResumeAfter,
+		TimeLeft: left, ResumeAfter: r.ResumeAfter, Account: r.Account, AccountsInForce: c.HasAccounts(),
 	}
 }
 
@@ -281,7 +289,7 @@
 // reached their limits.
 func (w *forwarding) retryTriedTargets(ctx context.Context) (o Outcome, done bool) {
 	w.pause = min(max(retryPause, 2*w.pause), maxRetryPause)
-	if w.request.Owed || w.deadline.Sub(w.clock.Now()) < 2*w.pause || len(w.tried) == 0 || len(w.candidates(w.service, selection{need: w.retryNeed()})) == 0 {
+	if w.disallowed || w.request.Owed || w.deadline.Sub(w.clock.Now()) < 2*w.pause || len(w.tried) == 0 || len(w.candidates(w.service, selection{need: w.retryNeed()})) == 0 {
 		return w.noTargetOutcome(), true
 	}
 	select {
--- a/ladder/forwarder/forwarder.go
+++ b/ladder/forwarder/forwarder.go
@@ -38,9 +38,16 @@
 	// Resumes is the attempt that brought the first event of a stream that the caller
 	// takes up.
 	Resumes identifier.StreamID
+	// Account is the client account of the request; empty if it has none.
+	Account identifier.AccountName
+	// Priority is 0 for the most urgent requests.
+	Priority int
+	// StillAllowed is called before each attempt; no further one is made once it returns false.
+	// It must be safe for concurrent use. nil means always.
+	StillAllowed func() bool
 }
 
-// Outcome is a Response, a *Stream, a NotRun or an Unknown.
+// Outcome is a Response, a *Stream, a NotRun, a NotAllowed or an Unknown.
 //
 //sumtype:decl
 type Outcome interface{ outcome() }
--- a/ladder/forwarder/forwarder_test.go
+++ b/ladder/forwarder/forwarder_test.go
@@ -201,6 +201,8 @@
 			return "unknown timed out"
 		}
 		return "unknown"
+	case NotAllowed:
+		return "not allowed"
 	case *Stream:
 		return "stream"
 	}
--- a/ladder/forwarder/origin.go
+++ b/ladder/forwarder/origin.go
@@ -133,7 +133,7 @@
 // mayBeginAnew reports whether the stream may begin at another software version than the given
 // one, at which it should.
 func (s *Stream) mayBeginAnew(software identifier.SoftwareVersion) bool {
-	return s.retries+1 < s.route.MaxAttempts && slices.ContainsFunc(s.preferredCandidates(), func(c router.Candidate) bool {
+	return s.retries+1 < s.route.MaxAttempts && s.request.stillAllowed() && slices.ContainsFunc(s.preferredCandidates(), func(c router.Candidate) bool {
 		t, ok := s.forwarder.catalog.Target(c.Target)
 		return ok && t.Software != software
 	})
--- a/ladder/forwarder/stream.go
+++ b/ladder/forwarder/stream.go
@@ -90,6 +90,8 @@
 	for {
 		response, err := s.startAttempt(s.request.ResumeAfter)
 		switch {
+		case errors.Is(err, errNotAllowed):
+			return s.disallowedOutcome()
 		case errors.Is(err, errNoTarget):
 			return s.forwarder.notRun(s.service)
 		case errors.Is(err, sender.ErrNotSent):
@@ -134,6 +136,9 @@
 
 func (s *Stream) startAttempt(after identifier.EventNumber) (*sender.Response, error) {
 	f := s.forwarder
+	if !s.request.stillAllowed() {
+		return nil, errNotAllowed
+	}
 	left := s.deadline.Sub(f.clock.Now())
 	name, ok := f.router.Choose(s.candidates(), router.Unmonitored)
 	if !ok || left < minTimeLeft {
@@ -151,7 +156,7 @@
 	s.target, s.awaitsEvent = t, true
 	s.attempt, s.cancelAttempt = context.WithCancelCause(s.ctx)
 	s.startStallTimer()
-	call := s.request.call(left)
+	call := s.request.call(left, f.catalog.Configuration())
 	call.ResumeAfter, call.Identify = after, s.route.Resumable
 	response, err := f.sender.Send(s.attempt, t, call)
 	if err != nil {
@@ -172,11 +177,11 @@
 	if !s.route.Resumable || s.retries+1 >= s.route.MaxAttempts {
 		return
 	}
-	f, others, cancelAttempt := s.forwarder, s.selection, s.cancelAttempt
+	f, others, cancelAttempt, allowed := s.forwarder, s.selection, s.cancelAttempt, s.request.stillAllowed
 	others.need, others.tried = sender.Optional, maps.Clone(others.tried)
 	s.stallTimeout = streamStallTimeout << s.retries
 	s.stallTimer = f.clock.AfterFunc(max(s.stallTimeout, firstEventGoals*s.route.LatencyGoal), func() {
-		if len(f.candidates(s.service, others)) > 0 {
+		if len(f.candidates(s.service, others)) > 0 && allowed() {
 			cancelAttempt(sender.ErrStalled)
 		}
 	})
@@ -250,7 +255,7 @@
 		if errors.Is(err, errNoTarget) && s.allowTriedTargets() {
 			response, err = s.startPermittedAttempt(s.request.ResumeAfter)
 		}
-		if errors.Is(err, errNoTarget) {
+		if errors.Is(err, errNoTarget) || errors.Is(err, errNotAllowed) {
 			return false
 		}
 		if err != nil {
--- a/ladder/identifier/identifier.go
+++ b/ladder/identifier/identifier.go
@@ -17,6 +17,8 @@
 	Incarnation string
 	// TeamName names an approved calling team.
 	TeamName string
+	// AccountName names a client account; empty for requests without one.
+	AccountName string
 	// ServiceName names a group of interchangeable targets with one owner.
 	ServiceName string
 	// TargetName names one backend, served by one sidecar.
--- a/ladder/jobstorer/accept.go
+++ b/ladder/jobstorer/accept.go
@@ -20,14 +20,19 @@
 // other keys, so neither a copy nor a conditional write is needed.
 func (s *JobStorer) Accept(ctx context.Context, submission Submission) (err error) {
 	defer annotator.Annotate(&err, "accept batch job %s", submission.ID)
-	submission.AcceptedAt = s.clock.Now().UnixMilli()
-	records, err := submissionRecords(submission, max(minPieceBytes, s.options.MaxRecordBytes-recordOverhead))
+	records, err := s.recordsOf(submission)
 	if err != nil {
 		return err
 	}
 	return s.appendRecords(ctx, submission.ID, records)
 }
 
+// recordsOf returns the records of a job that is accepted now; the last one is the job's record.
+func (s *JobStorer) recordsOf(submission Submission) ([]storer.Record, error) {
+	submission.AcceptedAt = s.clock.Now().UnixMilli()
+	return submissionRecords(submission, max(minPieceBytes, s.options.MaxRecordBytes-recordOverhead))
+}
+
 // appendRecords appends records that may already be stored, or be stored twice. The
 // records only take effect with the last one.
 func (s *JobStorer) appendRecords(ctx context.Context, id identifier.JobID, records []storer.Record) error {
--- a/ladder/jobstorer/job.go
+++ b/ladder/jobstorer/job.go
@@ -55,6 +55,9 @@
 	Items        []Item `cbor:"7,keyasint"`
 	// AcceptedAt is in milliseconds since 1970, by the clock of the accepting host.
 	AcceptedAt int64 `cbor:"8,keyasint"`
+	// Account is the client account that has submitted the job. It is empty, and left out of the
+	// record, if there is none.
+	Account identifier.AccountName `cbor:"9,keyasint,omitempty"`
 }
 
 // item returns nil if the job does not contain the item.
--- a/ladder/jobstorer/jobtable.go
+++ b/ladder/jobstorer/jobtable.go
@@ -149,6 +149,7 @@
 		return
 	}
 	if state, known := t.jobs[id]; known {
+		t.logOtherAccount(id, state, r)
 		t.dropPieces(id, state, r.Value)
 		return
 	}
--- a/ladder/jobstorer/pieces.go
+++ b/ladder/jobstorer/pieces.go
@@ -113,9 +113,20 @@
 	t.pieces[key] = piece{data: data, readAt: t.clock.Now()}
 }
 
-// assemble returns the submission that a job record stands for, and the keys of its
-// pieces. The caller must hold the mutex.
+// assemble is decode, and drops the pieces. The caller must hold the mutex.
 func (t *jobTable) assemble(id identifier.JobID, value []byte) (s Submission, keys map[string]bool, err error) {
+	if s, keys, err = t.decode(id, value); err != nil {
+		return s, nil, err
+	}
+	for key := range keys {
+		delete(t.pieces, key)
+	}
+	return s, keys, nil
+}
+
+// decode returns the submission that a job record stands for, and the keys of its
+// pieces. The caller must hold the mutex.
+func (t *jobTable) decode(id identifier.JobID, value []byte) (s Submission, keys map[string]bool, err error) {
 	record, err := parseJobRecord(value)
 	if err != nil {
 		return s, nil, err
@@ -140,9 +151,6 @@
 	if record.AcceptedAt > 0 {
 		s.AcceptedAt = record.AcceptedAt
 	}
-	for key := range keys {
-		delete(t.pieces, key)
-	}
 	return s, keys, nil
 }
 
--- a/ladder/jobstorer/progress.go
+++ b/ladder/jobstorer/progress.go
@@ -58,6 +58,8 @@
 
 // PartialItem is an item with partial text.
 type PartialItem struct {
+	// Account is that of the item's job.
+	Account  identifier.AccountName
 	Item     *Item
 	Progress Progress
 }
@@ -68,7 +70,7 @@
 	s.forEachEnded(m, within, func(state *jobState) {
 		for id, progress := range state.progress {
 			if i := state.submission.item(id); i != nil {
-				list = append(list, PartialItem{Item: i, Progress: progress})
+				list = append(list, PartialItem{Account: state.submission.Account, Item: i, Progress: progress})
 			}
 		}
 	})
--- a/ladder/jobstorer/read.go
+++ b/ladder/jobstorer/read.go
@@ -131,8 +131,10 @@
 
 // CompletedItem is an item with its complete text.
 type CompletedItem struct {
-	Item   *Item
-	Result Result
+	// Account is that of the item's job.
+	Account identifier.AccountName
+	Item    *Item
+	Result  Result
 }
 
 // LeftOver returns the completed items of groups that were incomplete when their job
@@ -172,7 +174,7 @@
 	}
 	for n := range state.submission.Items {
 		if i := &state.submission.Items[n]; incomplete[i.Group] && state.isCompleted(i.ID) {
-			list = append(list, CompletedItem{Item: i, Result: state.results[state.positions[i.ID]]})
+			list = append(list, CompletedItem{Account: state.submission.Account, Item: i, Result: state.results[state.positions[i.ID]]})
 		}
 	}
 	return list
--- a/ladder/messenger/draft.go
+++ b/ladder/messenger/draft.go
@@ -27,4 +27,6 @@
 	// Software is the version of the software that generated the text. Only targets of
 	// the same version may continue it.
 	Software identifier.SoftwareVersion `cbor:"7,keyasint,omitempty"`
+	// Account is that of the job; only jobs of the same account use the text.
+	Account identifier.AccountName `cbor:"8,keyasint,omitempty"`
 }
--- a/ladder/messenger/job.go
+++ b/ladder/messenger/job.go
@@ -17,6 +17,8 @@
 	JobResults JobVerb = "results"
 	// JobBody reads the body of an item.
 	JobBody JobVerb = "body"
+	// JobCommit makes a job exist whose pieces are in the store.
+	JobCommit JobVerb = "commit"
 )
 
 // JobOutcome is the outcome of a JobCall.
@@ -29,6 +31,8 @@
 	JobUnknown JobOutcome = "unknown"
 	// JobNotOwned means that the asked entry can't answer; it has done nothing.
 	JobNotOwned JobOutcome = "elsewhere"
+	// JobOtherAccount means that the job belongs to another client account; nothing was done.
+	JobOtherAccount JobOutcome = "other-account"
 )
 
 // JobCall requests an operation on a batch job from another entry.
@@ -40,6 +44,10 @@
 	After    int           `cbor:"5,keyasint,omitempty"`
 	Wait     time.Duration `cbor:"6,keyasint,omitempty"`
 	MaxBytes int           `cbor:"7,keyasint,omitempty"`
+	// Account is that of the caller; empty if it has none.
+	Account identifier.AccountName `cbor:"8,keyasint,omitempty"`
+	// Record is the job's record for JobCommit.
+	Record []byte `cbor:"9,keyasint,omitempty"`
 }
 
 // JobAnswer is the response to a JobCall.
--- a/ladder/relayer/answer.go
+++ b/ladder/relayer/answer.go
@@ -22,11 +22,19 @@
 		answer.Outcome, answer.Data = messenger.JobDone, data
 	case errors.Is(err, jobstorer.ErrUnknownJob):
 		answer.Outcome = messenger.JobUnknown
+	case errors.Is(err, jobstorer.ErrOtherAccount):
+		answer.Outcome = messenger.JobOtherAccount
 	}
 	return answer
 }
 
 func (r *Relayer) execute(ctx context.Context, c messenger.JobCall) (data []byte, err error) {
+	if c.Verb == messenger.JobCommit {
+		return nil, r.jobs.Commit(ctx, c.Account, c.Job, c.Record)
+	}
+	if err := r.checkLocally(ctx, c.Account, c.Job); err != nil {
+		return nil, err
+	}
 	switch c.Verb {
 	case messenger.JobExists:
 		return nil, r.jobs.Exists(ctx, c.Job)
--- a/ladder/relayer/relayer.go
+++ b/ladder/relayer/relayer.go
@@ -31,6 +31,9 @@
 	Accept(ctx context.Context, s jobstorer.Submission) error
 	End(ctx context.Context, id identifier.JobID) error
 	Exists(ctx context.Context, id identifier.JobID) error
+	CheckAccount(ctx context.Context, a identifier.AccountName, id identifier.JobID) error
+	StorePieces(ctx context.Context, s jobstorer.Submission) (record []byte, err error)
+	Commit(ctx context.Context, a identifier.AccountName, id identifier.JobID, record []byte) error
 	Results(ctx context.Context, id identifier.JobID, after int, wait time.Duration, maxBytes int) (jobstorer.ResultPage, error)
 	Body(ctx context.Context, id identifier.JobID, item identifier.ItemID) ([]byte, error)
 	PartitionOf(id identifier.JobID) identifier.PartitionNumber
@@ -48,11 +51,13 @@
 	ownership Owners
 	self      joiner.Member
 	peers     querier.Peers
+	// accountsInForce reports whether jobs are kept apart by client accounts.
+	accountsInForce func() bool
 }
 
 // New returns a Relayer for the process self.
-func New(jobs Books, ownership Owners, p querier.Peers, self joiner.Member) *Relayer {
-	return &Relayer{jobs: jobs, ownership: ownership, self: self, peers: p}
+func New(jobs Books, ownership Owners, p querier.Peers, self joiner.Member, accountsInForce func() bool) *Relayer {
+	return &Relayer{jobs: jobs, ownership: ownership, self: self, peers: p, accountsInForce: accountsInForce}
 }
 
 // errOwnerUnavailable means that no owner has answered and that nothing was done.
@@ -61,9 +66,8 @@
 // askOwner sends a call to the owner of the job. It returns errOwnerUnavailable if
 // the call must be answered from the local copy.
 func (r *Relayer) askOwner(ctx context.Context, c messenger.JobCall) (data []byte, err error) {
-	n := r.jobs.PartitionOf(c.Job)
-	owner, ok := r.ownership.OwnerOf(n)
-	if !ok || r.ownership.Owns(n) || owner == r.self {
+	owner, ok := r.remoteOwner(c.Job)
+	if !ok {
 		return nil, errOwnerUnavailable
 	}
 	timeoutCtx, cancel := context.WithTimeout(ctx, c.Wait+answerMargin)
@@ -78,19 +82,40 @@
 		return reply.Job.Data, nil
 	case messenger.JobUnknown:
 		return nil, jobstorer.ErrUnknownJob
+	case messenger.JobOtherAccount:
+		return nil, jobstorer.ErrOtherAccount
 	case messenger.JobNotOwned:
 	}
 	return nil, errOwnerUnavailable
 }
 
+// remoteOwner returns the owner of a job, and false if it is this process or unknown.
+func (r *Relayer) remoteOwner(id identifier.JobID) (owner joiner.Member, ok bool) {
+	n := r.jobs.PartitionOf(id)
+	owner, ok = r.ownership.OwnerOf(n)
+	return owner, ok && !r.ownership.Owns(n) && owner != r.self
+}
+
+// The methods below take the client account of the caller, which is empty if it has none. They
+// return jobstorer.ErrOtherAccount if the job belongs to another account, and have no effect then.
+
 // Accept stores a job.
 func (r *Relayer) Accept(ctx context.Context, s jobstorer.Submission) error {
+	if r.accountsInForce() {
+		return r.acceptForAccount(ctx, s)
+	}
 	return r.jobs.Accept(ctx, s)
 }
 
 // End ends a job. It returns jobstorer.ErrUnknownJob if the owner does not know the
 // job.
-func (r *Relayer) End(ctx context.Context, id identifier.JobID) error {
+func (r *Relayer) End(ctx context.Context, a identifier.AccountName, id identifier.JobID) error {
+	if r.accountsInForce() {
+		if err := r.checkAccount(ctx, a, id); err != nil {
+			return err
+		}
+		return r.jobs.End(ctx, id)
+	}
 	_, err := r.askOwner(ctx, messenger.JobCall{Verb: messenger.JobExists, Job: id})
 	if errors.Is(err, errOwnerUnavailable) && r.ownership.Owns(r.jobs.PartitionOf(id)) {
 		err = r.jobs.Exists(ctx, id)
@@ -102,9 +127,12 @@
 }
 
 // Results returns a part of a job's results, like jobstorer.JobStorer.Results.
-func (r *Relayer) Results(ctx context.Context, id identifier.JobID, after int, wait time.Duration, maxBytes int) (page jobstorer.ResultPage, err error) {
-	data, err := r.askOwner(ctx, messenger.JobCall{Verb: messenger.JobResults, Job: id, After: after, Wait: wait, MaxBytes: maxBytes})
+func (r *Relayer) Results(ctx context.Context, a identifier.AccountName, id identifier.JobID, after int, wait time.Duration, maxBytes int) (page jobstorer.ResultPage, err error) {
+	data, err := r.askOwner(ctx, messenger.JobCall{Verb: messenger.JobResults, Job: id, Account: a, After: after, Wait: wait, MaxBytes: maxBytes})
 	if errors.Is(err, errOwnerUnavailable) {
+		if err := r.checkLocally(ctx, a, id); err != nil {
+			return page, err
+		}
 		return r.jobs.Results(ctx, id, after, wait, maxBytes)
 	}
 	if err != nil {
@@ -114,9 +142,12 @@
 }
 
 // Body returns the body of an item.
-func (r *Relayer) Body(ctx context.Context, id identifier.JobID, item identifier.ItemID) ([]byte, error) {
-	data, err := r.askOwner(ctx, messenger.JobCall{Verb: messenger.JobBody, Job: id, Item: item})
+func (r *Relayer) Body(ctx context.Context, a identifier.AccountName, id identifier.JobID, item identifier.ItemID) ([]byte, error) {
+	data, err := r.askOwner(ctx, messenger.JobCall{Verb: messenger.JobBody, Job: id, Account: a, Item: item})
 	if errors.Is(err, errOwnerUnavailable) {
+		if err := r.checkLocally(ctx, a, id); err != nil {
+			return nil, err
+		}
 		return r.jobs.Body(ctx, id, item)
 	}
 	return data, err
--- a/ladder/scheduler/draft.go
+++ b/ladder/scheduler/draft.go
@@ -69,7 +69,7 @@
 // hold the mutex.
 func (s *Scheduler) useDraft(id identifier.JobID, d *messenger.Draft) {
 	t, ok := s.tasks[taskKey{id, d.Item}]
-	if !ok || !t.wanted || t.running || t.textComplete || (!d.Complete && d.LastEvent <= t.lastEvent) {
+	if !ok || !t.wanted || d.Account != t.job.Account || t.running || t.textComplete || (!d.Complete && d.LastEvent <= t.lastEvent) {
 		return
 	}
 	route, ok := s.routeOf(t)
@@ -112,7 +112,7 @@
 		return
 	}
 	s.drafts.Keep(t.job.Model, messenger.Draft{
-		Item: t.key.item, Prompt: draftcacher.PromptFingerprint(t.item), Text: bytes.Join(t.text, []byte("\n")),
+		Account: t.job.Account, Item: t.key.item, Prompt: draftcacher.PromptFingerprint(t.item), Text: bytes.Join(t.text, []byte("\n")),
 		LastEvent: t.lastEvent, Complete: t.textComplete, Versions: slices.Clone(t.versions), Software: t.software,
 	})
 }
--- a/ladder/scheduler/generate.go
+++ b/ladder/scheduler/generate.go
@@ -28,6 +28,7 @@
 	return sender.Call{
 		ID: string(t.item.ID), Method: http.MethodPost, Path: t.item.Path, Host: t.job.Host,
 		Header: header, Body: t.item.Body, ResumeAfter: t.lastEvent, RequiredVersion: version, Urgency: t.urgency(), Identify: true,
+		Account: t.job.Account, AccountsInForce: t.scheduler.catalog.Configuration().HasAccounts(),
 	}
 }
 
--- a/ladder/scheduler/scheduler.go
+++ b/ladder/scheduler/scheduler.go
@@ -53,6 +53,8 @@
 	// acceptedAt is the time of acceptance on the local clock.
 	acceptedAt time.Time
 	route      cataloger.Route
+	// priority is 0 for the most urgent jobs.
+	priority int
 }
 
 // Scheduler runs the items of the jobs owned by this process.
@@ -164,7 +166,7 @@
 				overdue = append(overdue, open)
 			}
 			if routed {
-				jobs = append(jobs, &job{Job: open, acceptedAt: now.Add(-open.Age), route: route})
+				jobs = append(jobs, &job{Job: open, acceptedAt: now.Add(-open.Age), route: route, priority: c.PriorityOf(route, open.Account)})
 			}
 		}
 	}
@@ -190,7 +192,7 @@
 				placement: placement{job: j}, scheduler: s, key: key, item: i, position: n, lengthBounds: bounds, wanted: true, waitingSince: now, notBefore: now.Add(draftTimeout),
 			}
 			if progress, ok := s.jobs.Progress(j.ID, i.ID); ok {
-				d := draftcacher.FromProgress(i, progress)
+				d := draftcacher.FromProgress(j.Account, i, progress)
 				s.useDraft(j.ID, &d)
 			}
 			added = append(added, i.ID)
--- a/ladder/scheduler/score.go
+++ b/ladder/scheduler/score.go
@@ -114,7 +114,7 @@
 		if routed {
 			outcome := s.forwarder.Forward(ctx, route, forwarder.Request{
 				ID: scorer.ID, Method: http.MethodPost, Path: scorer.Path, Host: scorer.Host,
-				Header: http.Header{}, Body: scorer.Body, TimeLeft: calls.timeout, Owed: true,
+				Header: http.Header{}, Body: scorer.Body, TimeLeft: calls.timeout, Owed: true, Priority: t.job.priority,
 			})
 			response, _ := outcome.(forwarder.Response)
 			if response.Status >= 200 && response.Status < 300 && response.Signature != "" {
@@ -156,7 +156,7 @@
 		}
 	case forwarder.NotRun:
 		c.delay = min(2*previousDelay, maxScorerRetryDelay)
-	case *forwarder.Stream:
+	case forwarder.NotAllowed, *forwarder.Stream:
 	}
 }
 
--- a/ladder/sender/sender.go
+++ b/ladder/sender/sender.go
@@ -34,6 +34,11 @@
 	Urgency Urgency
 	// Identify asks for the start of the target that responds.
 	Identify bool
+	// Account is the client account of the request; empty if it has none.
+	Account identifier.AccountName
+	// AccountsInForce means that the target is told Account, and neither an account that Header
+	// names nor the credentials in Header.
+	AccountsInForce bool
 	// RequiredVersion asks for a response under this weight version only; 0
 	// accepts any.
 	RequiredVersion identifier.WeightVersion
