accounts: keep keys out of messages and records, and tests of the accounts

Accounts are decoded in one pass; values of a wrong type count as missing and are never quoted. Credentials keep the digest of a key only. A host at which no accounts are in force doesn't end a job that the owner keeps apart.

--- a/ladder/accounts/authenticator/authenticator.go
+++ b/ladder/accounts/authenticator/authenticator.go
@@ -25,28 +25,11 @@
 // Several means that the request presents more than one credential.
 type Several struct{}
 
-// Key is the key of an account. Formatting it doesn't reveal it.
-type Key struct{ text hiddenText }
-
-// hiddenText is formatted as a fixed text by all verbs and by package klog.
-type hiddenText string
+// Key is the key of an account. Only its digest is kept, so that it can't be printed.
+type Key struct{ digest cataloger.KeyDigest }
 
 // NewKey returns credentials with a key.
-func NewKey(text string) Key { return Key{text: hiddenText(text)} }
-
-const hidden = "(hidden)"
-
-// String implements fmt.Stringer.
-func (hiddenText) String() string { return hidden }
-
-// GoString implements fmt.GoStringer.
-func (hiddenText) GoString() string { return hidden }
-
-// String implements fmt.Stringer.
-func (Key) String() string { return hidden }
-
-// GoString implements fmt.GoStringer.
-func (Key) GoString() string { return hidden }
+func NewKey(text string) Key { return Key{digest: cataloger.NewKeyDigest(text)} }
 
 func (None) credentials()      {}
 func (Key) credentials()       {}
@@ -74,7 +57,7 @@
 	}
 	switch cr := cr.(type) {
 	case Key:
-		if a, ok := c.AccountOf(string(cr.text)); ok {
+		if a, ok := c.AccountOfDigest(cr.digest); ok {
 			return a, nil
 		}
 		return a, ErrUnknownKey
--- a/ladder/cataloger/accounts.go
+++ b/ladder/cataloger/accounts.go
@@ -38,9 +38,12 @@
 	account identifier.AccountName
 }
 
-// NewAccounts returns Accounts without any.
-func NewAccounts() *Accounts {
-	return &Accounts{byName: make(map[identifier.AccountName]Account), byDigest: make(map[uint64][]accountKey)}
+// usualKeys is the number of keys that most accounts have: the current one and its successor.
+const usualKeys = 2
+
+// NewAccounts returns Accounts without any, with room for a number of them.
+func NewAccounts(count int) *Accounts {
+	return &Accounts{byName: make(map[identifier.AccountName]Account, count), byDigest: make(map[uint64][]accountKey, usualKeys*count)}
 }
 
 // Add adds an account and the digests of its keys. An account or key that was added before
@@ -81,10 +84,15 @@
 
 // AccountOf returns the account that has a key.
 func (c *Configuration) AccountOf(key string) (Account, bool) {
+	return c.AccountOfDigest(NewKeyDigest(key))
+}
+
+// AccountOfDigest returns the account that has the key with a digest.
+func (c *Configuration) AccountOfDigest(digest KeyDigest) (Account, bool) {
 	if !c.HasAccounts() {
 		return Account{}, false
 	}
-	name, ok := c.Accounts.find(NewKeyDigest(key))
+	name, ok := c.Accounts.find(digest)
 	if !ok {
 		return Account{}, false
 	}
--- a/ladder/explainer/events.go
+++ b/ladder/explainer/events.go
@@ -117,6 +117,12 @@
 		Fields:  []string{"version", "accounts"},
 		Meaning: "requests need the key of one of the accounts unless their route is anonymous",
 	},
+	{
+		Name: "client accounts partly unreadable", Level: LevelInfo, Scope: ScopeHost,
+		Fields:  []string{"field"},
+		Meaning: "a value in the configuration's list of accounts has the wrong type and counts as missing; `field` is that of the first one",
+		Action:  "correct the configuration",
+	},
 	{
 		Name: "configuration in force", Level: LevelInfo, Scope: ScopeHost,
 		Fields:  []string{"version", "offset", "routes"},
--- a/ladder/relayer/relayer.go
+++ b/ladder/relayer/relayer.go
@@ -120,7 +120,7 @@
 	if errors.Is(err, errOwnerUnavailable) && r.ownership.Owns(r.jobs.PartitionOf(id)) {
 		err = r.jobs.Exists(ctx, id)
 	}
-	if errors.Is(err, jobstorer.ErrUnknownJob) {
+	if errors.Is(err, jobstorer.ErrUnknownJob) || errors.Is(err, jobstorer.ErrOtherAccount) {
 		return err
 	}
 	return r.jobs.End(ctx, id)
--- a/ladder/relayer/relayer_test.go
+++ b/ladder/relayer/relayer_test.go
@@ -28,6 +28,7 @@
 	silent map[string]bool
 	// accounts is set if accounts are in force.
 	accounts bool
+	store    *faker.Store
 }
 
 // entry is one entry; it owns either all partitions or none.
@@ -69,7 +70,7 @@
 		var tasks conc.WaitGroup
 		clock := clockwork.NewRealClock()
 		store := faker.NewStore(clock)
-		n := &network{ctx: ctx, tasks: &tasks, hosts: make(map[string]*entry), silent: make(map[string]bool)}
+		n := &network{ctx: ctx, tasks: &tasks, hosts: make(map[string]*entry), silent: make(map[string]bool), store: store}
 		for _, name := range []string{"owner", "other"} {
 			e := &entry{owns: name == "owner"}
 			e.jobStorer = jobstorer.New(clock, store, jobstorer.Options{
