--- a/ladder/forwarder/forwarder.go
+++ b/ladder/forwarder/forwarder.go
@@ -40,11 +40,14 @@
 	// Resumes is the attempt that brought the first event of a stream that the caller
 	// takes up.
 	Resumes identifier.StreamID
-	// Account is the caller's account; empty if it has none.
+	// Account is the client account of the request; empty if it has none.
 	Account identifier.AccountName
 	// Priority is that of the account's requests; 0 is the most urgent. The route's applies to
 	// requests without an account.
 	Priority int
+	// StillAllowed is called before each attempt; no further one is made once it returns false.
+	// It must be safe for concurrent use. nil means always.
+	StillAllowed func() bool
 	// Due is when the results of an owed request's job are due; zero if they have no such time.
 	Due time.Time
 	// GroupLeft returns how many items of an owed request's group have no result; nil if it has
@@ -52,7 +55,7 @@
 	GroupLeft func() int
 }
 
-// Outcome is a Response, a *Stream, a NotRun or an Unknown.
+// Outcome is a Response, a *Stream, a NotRun, a NotAllowed or an Unknown.
 //
 //sumtype:decl
 type Outcome interface{ outcome() }
--- a/ladder/identifier/identifier.go
+++ b/ladder/identifier/identifier.go
@@ -17,6 +17,8 @@
 	Incarnation string
 	// TeamName names an approved calling team.
 	TeamName string
+	// AccountName names a client account; empty for requests without one.
+	AccountName string
 	// ServiceName names a group of interchangeable targets with one owner.
 	ServiceName string
 	// TargetName names one backend, served by one sidecar.
@@ -86,8 +88,6 @@
 	SoftwareVersion string
 	// RequestRate is a number of requests per second.
 	RequestRate float64
-	// AccountName names the client account of a request; empty if it has none.
-	AccountName string
 	// Fingerprint is the xxHash64 of the service, call and body of a request.
 	Fingerprint uint64
 )
--- a/ladder/scheduler/score.go
+++ b/ladder/scheduler/score.go
@@ -158,7 +158,7 @@
 		}
 	case forwarder.NotRun:
 		c.backoff = min(max(scorerRetryDelay, 2*previous), maxScorerRetryDelay)
-	case *forwarder.Stream:
+	case forwarder.NotAllowed, *forwarder.Stream:
 	}
 }
 
