duties: the lease's holder reports the usage of client accounts

The platform bills client accounts by windows of true time and takes one report for each. No host knows all requests, and any host may be lost, cut off or have a wrong clock.

Each host keeps the starts of requests for a minute and copies them to two listed hosts every 0.5 s (ladder/duties/meter). The holder of the existing lease 'orders' collects them as ages, places them in true time by the median of the members' clocks, appends the report to the store on the condition that its copy is complete, and sends the stored bytes until they are acknowledged (ladder/duties/reporter).

--- /dev/null
+++ b/ladder/duties/meter/meter_test.go
@@ -0,0 +1,143 @@
+package meter
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lycheeladder/lycheeladder/ladder/appender"
+	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+)
+
+// virtualClock is a host's clock; it follows the virtual time of synctest.
+type virtualClock struct{ start time.Time }
+
+func (c virtualClock) Elapsed() time.Duration { return time.Since(c.start) }
+
+// hosts are meters that reach each other by name, unless they are lost.
+type hosts map[string]*Meter
+
+// Ask implements querier.Peers.
+func (h hosts) Ask(_ context.Context, address string, q messenger.Question) (r messenger.Reply, err error) {
+	m, ok := h[address]
+	if !ok {
+		return r, appender.ErrUnavailable
+	}
+	r.Kept = m.Keep(*q.UsageCopy)
+	return r, nil
+}
+
+func newHosts(names ...string) hosts {
+	h := make(hosts)
+	for _, name := range names {
+		h[name] = New(clockwork.NewRealClock(), virtualClock{time.Now()}, Options{
+			Incarnation: identifier.Incarnation("i-" + name), Self: name, Members: func() []string { return names }, Peers: h,
+		})
+	}
+	return h
+}
+
+// known returns the starts of the ages asked for, as incarnation, account and age, in order.
+func known(m *Meter, minAge, maxAge time.Duration) (list []string) {
+	for _, l := range m.Answer(messenger.UsageQuestion{MinAge: minAge, MaxAge: maxAge}).Logs {
+		for _, s := range l.Starts {
+			list = append(list, strings.Join([]string{string(l.Incarnation), string(l.Accounts[s.Account]), s.Age.String()}, " "))
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Guards against starts that are lost with their host: two others must keep them, whichever are
+// reachable.
+func TestRun_CopiesStartsToTwoReachableHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHosts("a", "b", "c", "d", "e")
+		delete(h, "b")
+		a := h["a"]
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() { a.Run(ctx); close(ended) }()
+		a.RecordStart("x", time.Now().Add(-100*time.Millisecond))
+		a.RecordStart("", time.Now())
+		time.Sleep(copyInterval)
+		synctest.Wait()
+		a.RecordStart("y", time.Now())
+		cancel()
+		<-ended
+		keepers := 0
+		for _, name := range []string{"c", "d", "e"} {
+			if len(h[name].kept) > 0 {
+				keepers++
+				if diff := cmp.Diff([]string{"i-a x 600ms", "i-a y 0s"}, known(h[name], 0, Retention)); diff != "" {
+					t.Errorf("%s keeps (-want +got):\n%s", name, diff)
+				}
+			}
+		}
+		if keepers != copyCount {
+			t.Errorf("%d hosts keep the starts, want %d", keepers, copyCount)
+		}
+	})
+}
+
+// Guards against starts that are dropped before a keeper has them: they must go out once one can be
+// reached.
+func TestRun_CopiesLaterWhatNobodyTook(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHosts("a", "b")
+		b := h["b"]
+		delete(h, "b")
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go h["a"].Run(ctx)
+		h["a"].RecordStart("x", time.Now())
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		h["b"] = b
+		time.Sleep(copyInterval)
+		synctest.Wait()
+		if diff := cmp.Diff([]string{"i-a x 3.5s"}, known(b, 0, Retention)); diff != "" {
+			t.Errorf("kept (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// Guards against wrong ages, and memory that grows without end.
+func TestAnswer_SelectsByAgeAndForgets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newHosts("a")["a"]
+		time.Sleep(time.Second)
+		m.RecordStart("x", time.Now())
+		m.Keep(messenger.UsageLog{Incarnation: "i-b", Accounts: []identifier.AccountName{"y"}, Starts: []messenger.UsageStart{
+			{Sequence: 1, Age: 5 * time.Second}, {Account: 1, Sequence: 2}, {Account: -1, Sequence: 3}, {Sequence: 4, Age: -1}, {Sequence: 5, Age: time.Hour},
+		}})
+		time.Sleep(10 * time.Second)
+		for _, c := range []struct {
+			minAge, maxAge time.Duration
+			want           []string
+		}{
+			{0, time.Minute, []string{"i-a x 10s", "i-b y 15s"}},
+			{10 * time.Second, 12 * time.Second, []string{"i-a x 10s"}},
+			{11 * time.Second, 15 * time.Second, []string{"i-b y 15s"}},
+			{0, 9 * time.Second, nil},
+		} {
+			if diff := cmp.Diff(c.want, known(m, c.minAge, c.maxAge)); diff != "" {
+				t.Errorf("ages %s to %s (-want +got):\n%s", c.minAge, c.maxAge, diff)
+			}
+		}
+		if up := m.Answer(messenger.UsageQuestion{}).Uptime; up != 11*time.Second {
+			t.Errorf("uptime %s", up)
+		}
+		time.Sleep(Retention)
+		if list := known(m, 0, time.Hour); len(list) > 0 || len(m.kept) > 0 || len(m.own.starts) > 0 {
+			t.Errorf("still kept: %v", list)
+		}
+	})
+}
--- a/ladder/explainer/events.go
+++ b/ladder/explainer/events.go
@@ -530,6 +530,46 @@
 		Fields:  []string{"key", "offset"},
 		Meaning: "the store contains data that this version cannot decode",
 	},
+	{
+		Name: "usage report can't be encoded", Level: LevelError, Scope: ScopeHost,
+		Fields:  []string{"window"},
+		Meaning: "a fault of the program; the window is not reported",
+		Action:  "report it",
+	},
+	{
+		Name: "usage report given up", Level: LevelInfo, Scope: ScopeHost,
+		Fields:  []string{"window", "holder", "digest"},
+		Meaning: "the platform has not acknowledged the report for 30 s",
+		Action:  "check the path to the platform's API",
+	},
+	{
+		Name: "usage report sent", Level: LevelInfo, Scope: ScopeHost,
+		Fields:  []string{"window", "holder", "token", "digest", "again", "err"},
+		Meaning: "the platform has acknowledged the report, or rejected it (`err`, `again=false`); `again` says whether it is sent again",
+		Action:  "if `err` recurs, check the platform's API",
+	},
+	{
+		Name: "usage report stored", Level: LevelInfo, Scope: ScopeHost,
+		Fields:  []string{"window", "holder", "token", "digest", "late"},
+		Meaning: "the counts of a window are in the store and won't change; `late` is the time since the window's end",
+	},
+	{
+		Name: "usage reports not stored", Level: LevelInfo, Scope: ScopeHost,
+		Fields:  []string{"count", "err"},
+		Meaning: "the store took no record; nothing is sent meanwhile",
+		Action:  "see the store",
+	},
+	{
+		Name: "usage reports taken over", Level: LevelInfo, Scope: ScopeHost,
+		Fields:  []string{"holder", "token", "stored", "members", "silent"},
+		Meaning: "this host reports usage from now on; it has found `stored` reports in the store, and `silent` of `members` hosts don't answer",
+	},
+	{
+		Name: "usage windows that no member knows, not reported", Level: LevelInfo, Scope: ScopeHost,
+		Fields:  []string{"first", "count", "members", "silent"},
+		Meaning: "no host was running when these windows began, and none has starts of them",
+		Action:  "expected at the start of a deployment; otherwise see why all hosts restarted",
+	},
 	{
 		Name: "weights loaded", Level: LevelInfo, Scope: ScopeTarget,
 		Fields:  []string{"target", "model", "version", "after"},
--- a/ladder/forwarder/forward.go
+++ b/ladder/forwarder/forward.go
@@ -191,6 +191,7 @@
 	start := w.clock.Now()
 	r := attemptResult{target: t}
 	r.response, r.err = w.sender.Send(ctx, t, w.request.call(left))
+	w.recordPlainStart(w.request, start, r.response, r.err)
 	if r.err != nil {
 		if ctx.Err() == nil && !errors.Is(r.err, sender.ErrLimited) {
 			w.router.RecordFailure(t.Name)
--- a/ladder/forwarder/forwarder.go
+++ b/ladder/forwarder/forwarder.go
@@ -38,6 +38,8 @@
 	// Resumes is the attempt that brought the first event of a stream that the caller
 	// takes up.
 	Resumes identifier.StreamID
+	// Account is the client account that sends the request; empty if there is none.
+	Account identifier.AccountName
 }
 
 // Outcome is a Response, a *Stream, a NotRun or an Unknown.
@@ -150,15 +152,21 @@
 	origins   Origins
 	random    router.Random
 	memory    *memoryBudget
+	meter     Meter
 }
 
 // New returns a Forwarder. random must be safe for concurrent use.
-func New(clock clockwork.Clock, c *cataloger.Cataloger, l TargetList, s sender.Sender, b Blocklist, o Origins, random router.Random) *Forwarder {
-	return &Forwarder{
+func New(clock clockwork.Clock, c *cataloger.Cataloger, l TargetList, s sender.Sender, b Blocklist, o Origins, random router.Random, options ...Option) *Forwarder {
+	f := &Forwarder{
 		clock: clock, catalog: c, targets: l, sender: s, blocklist: b, origins: o, random: random,
 		router: router.New(clock, random, router.LeastExpectedWait{}),
 		budget: limiter.NewRetryBudget(retryShare, retryBurst), memory: newMemoryBudget(sharedBudgetBytes),
+		meter: noMeter{},
 	}
+	for _, set := range options {
+		set(f)
+	}
+	return f
 }
 
 // drawService draws one of the route's services by their weights.
--- a/ladder/forwarder/stream.go
+++ b/ladder/forwarder/stream.go
@@ -153,7 +153,11 @@
 	s.startStallTimer()
 	call := s.request.call(left)
 	call.ResumeAfter, call.Identify = after, s.route.Resumable
+	began := f.clock.Now()
 	response, err := f.sender.Send(s.attempt, t, call)
+	if err == nil && !response.Succeeded() {
+		f.recordPlainStart(s.request, began, response, nil)
+	}
 	if err != nil {
 		err = sender.Cause(s.attempt, err)
 		if s.ctx.Err() == nil && !errors.Is(err, sender.ErrLimited) {
@@ -200,6 +204,9 @@
 func (s *Stream) Next() (sender.Event, error) {
 	for {
 		e, err := s.events.Next()
+		if err == nil && s.awaitsEvent {
+			s.forwarder.recordStreamStart(s.request)
+		}
 		if err == nil {
 			err = s.checkNumber(e)
 		}
--- a/ladder/leaser/leaser.go
+++ b/ladder/leaser/leaser.go
@@ -76,6 +76,8 @@
 	latest       leaseRecord
 	exists       bool
 	latestSeenAt time.Duration
+	// heldSince is when this process first read a record of the latest holder's token.
+	heldSince time.Duration
 	// heldUntil is when this process's lease expires; 0 if it isn't the holder.
 	heldUntil time.Duration
 	token     identifier.FencingToken
@@ -109,6 +111,9 @@
 		if record.Holder != l.latest.Holder {
 			klog.InfoS("lease changes hands", "lease", r.Key, "holder", record.Holder, "token", record.Token, "offset", r.Offset)
 		}
+		if record != l.latest {
+			l.heldSince = l.bootClock.Elapsed()
+		}
 		l.latest, l.exists, l.latestSeenAt = record, true, l.bootClock.Elapsed()
 	}
 }
@@ -206,3 +211,25 @@
 	}
 	return l.token, true
 }
+
+// Status is what this process knows of a lease.
+type Status struct {
+	// Holder is empty if nobody holds the lease, as far as this process knows.
+	Holder Holder
+	Token  identifier.FencingToken
+	// HeldFor is the time since this process first saw the holder with that token.
+	HeldFor time.Duration
+	// Own is set if this process may act now.
+	Own bool
+}
+
+// Status returns what this process knows of the lease.
+func (l *Leaser) Status() Status {
+	_, own := l.Token()
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.latest.Holder == "" {
+		return Status{}
+	}
+	return Status{Holder: l.latest.Holder, Token: l.latest.Token, HeldFor: l.bootClock.Elapsed() - l.heldSince, Own: own}
+}
--- a/ladder/messenger/question.go
+++ b/ladder/messenger/question.go
@@ -62,6 +62,10 @@
 	FindArchived identifier.StreamID `cbor:"13,keyasint,omitempty"`
 	// Corrects says that ArchiveOrigin replaces what was written before for the same stream.
 	Corrects bool `cbor:"14,keyasint,omitempty"`
+	// Usage asks for starts of requests.
+	Usage *UsageQuestion `cbor:"15,keyasint,omitempty"`
+	// UsageCopy asks the peer to keep starts of requests for the sender.
+	UsageCopy *UsageLog `cbor:"16,keyasint,omitempty"`
 }
 
 // Reply is the response to the Question with the same ID. No part is set if the
@@ -83,7 +87,10 @@
 	// Archived means that the store has the origin, or that it was looked up there.
 	Archived bool `cbor:"10,keyasint,omitempty"`
 	// Departures are the targets that leave, in no particular order.
-	Departures []Departure `cbor:"9,keyasint,omitempty"`
+	Departures []Departure  `cbor:"9,keyasint,omitempty"`
+	Usage      *UsageAnswer `cbor:"11,keyasint,omitempty"`
+	// Kept means that the peer keeps what a copy contained.
+	Kept bool `cbor:"12,keyasint,omitempty"`
 }
 
 // Announcement says which targets leave.
--- a/ladder/sender/sender.go
+++ b/ladder/sender/sender.go
@@ -64,6 +64,8 @@
 	// StartID is the start of the target that has responded, 0 if it wasn't asked for or the
 	// target doesn't say.
 	StartID int64
+	// SentAt is when the request was sent, zero if that isn't known.
+	SentAt time.Time
 	// StartAsked is set if the target got a request of its own for that.
 	StartAsked bool
 }
