--- a/ladder/forwarder/forwarder.go
+++ b/ladder/forwarder/forwarder.go
@@ -160,6 +160,7 @@
 	random    router.Random
 	memory    *memoryBudget
 	admitter  Admitter
+	meter     Meter
 }
 
 // New returns a Forwarder. random must be safe for concurrent use.
@@ -169,6 +170,7 @@
 		router: router.New(clock, random, router.LeastExpectedWait{}),
 		budget: limiter.NewRetryBudget(retryShare, retryBurst), memory: newMemoryBudget(sharedBudgetBytes),
 		admitter: admitter.New(clock, c, admitter.Options{}),
+		meter:    noMeter{},
 	}
 	for _, set := range options {
 		set(f)
--- a/ladder/forwarder/stream.go
+++ b/ladder/forwarder/stream.go
@@ -158,7 +158,11 @@
 	s.startStallTimer()
 	call := s.request.call(left, f.catalog.Configuration())
 	call.ResumeAfter, call.Identify = after, s.route.Resumable
+	began := f.clock.Now()
 	response, err := f.sender.Send(s.attempt, t, call)
+	if err == nil && !response.Succeeded() {
+		f.recordPlainStart(s.request, began, response, nil)
+	}
 	if err != nil {
 		err = sender.Cause(s.attempt, err)
 		if s.ctx.Err() == nil && !errors.Is(err, sender.ErrLimited) {
@@ -206,6 +210,7 @@
 	for {
 		e, err := s.events.Next()
 		if err == nil && s.awaitsEvent {
+			s.forwarder.recordStreamStart(s.request)
 			err = s.beginEvents()
 		}
 		if err == nil {
