--- a/ladder/admission/admitter/queue.go
+++ b/ladder/admission/admitter/queue.go
@@ -22,8 +22,7 @@
 }
 
 const (
-	// maxQueue bounds the live calls that wait for a service. The least urgent one is refused
-	// beyond it.
+	// maxQueue bounds the live calls that wait for a service; further ones are refused.
 	maxQueue = 2048
 	// reviewInterval is the interval at which waiting requests are checked. It is a sixth of the
 	// users' shortest latency goal, since a refusal must come within a quarter of it.
@@ -47,7 +46,7 @@
 		s.take(now, w)
 		return nil
 	}
-	if !inTime || len(s.queue) > maxQueue && !w.request.Owed {
+	if !inTime || (!w.request.Owed && s.liveWaiting() > maxQueue) {
 		s.remove(w)
 		s.count("refused-on-arrival")
 		s.report.refused(now, s, w, e)
