replicator: pause between appends that fail at once

In TestRun_TargetsGetNoMoreRequestsThanTheyAllow the stand-in store refused the calls of all hosts with 429 again and again. Append repeated a conditional append without a pause, and without heeding its context, in two states: when the partition ends before the copy does, which reading on can't mend, and while each append loses its answer at once but reads succeed.

An append that names an offset past the end counts as refused, and its caller repeats it after its own pause. After the second lost answer in a row there is a pause of 50 to 400 ms; all pauses have a random part. The new test fails before (endless loop).

--- a/ladder/replicator/replicator.go
+++ b/ladder/replicator/replicator.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -36,8 +37,11 @@
 	// appendTimeout bounds one append. The store answers in a few milliseconds; after
 	// the timeout the answer counts as lost.
 	appendTimeout = 1200 * time.Millisecond
-	// minRetryDelay and maxRetryDelay bound the delay after a failed read.
+	// minRetryDelay and maxRetryDelay bound the delay after a failed read, and between
+	// appends after the first one with a lost answer; it doubles each time. Up to 1/jitterShare
+	// of it is added, as all hosts fail at the same moment.
 	minRetryDelay, maxRetryDelay = 50 * time.Millisecond, 400 * time.Millisecond
+	jitterShare                  = 2
 )
 
 // Replicator follows one partition.
@@ -93,14 +97,19 @@
 			klog.InfoS("store lost", "partition", r.partition.String(), "offset", r.nextOffset(), "err", err)
 		}
 		failing = true
-		select {
-		case <-r.clock.After(delay):
-		case <-ctx.Done():
-		}
+		r.pause(ctx, delay)
 		delay = min(2*delay, maxRetryDelay)
 	}
 }
 
+// pause waits for delay and a random part of it, or until ctx ends.
+func (r *Replicator) pause(ctx context.Context, delay time.Duration) {
+	select {
+	case <-r.clock.After(delay + rand.N(1+delay/jitterShare)):
+	case <-ctx.Done():
+	}
+}
+
 func (r *Replicator) readNext(ctx context.Context) error {
 	r.mutex.Lock()
 	loaded, caughtUp, from := r.loaded, r.caughtUp, r.next
@@ -242,7 +251,7 @@
 	case <-ctx.Done():
 		return appender.ErrUnavailable
 	}
-	outcomeUnknown := false
+	outcomeUnknown, delay := false, time.Duration(0)
 	for {
 		err = r.tryAppend(ctx, build)
 		var mismatch *storer.EndMismatchError
@@ -259,19 +268,19 @@
 			outcomeUnknown = true
 			err = r.Refresh(ctx)
 		}
-		if err == nil {
-			continue
-		}
-		if outcomeUnknown {
-			err = appender.ErrOutcomeUnknown
-		}
-		if ctx.Err() != nil || !outcomeUnknown {
+		switch {
+		case outcomeUnknown && ctx.Err() != nil:
+			return appender.ErrOutcomeUnknown
+		case ctx.Err() != nil:
+			return appender.ErrUnavailable
+		case err != nil && !outcomeUnknown:
 			return err
+		case err != nil:
+			delay = max(delay, minRetryDelay)
 		}
-		select {
-		case <-r.clock.After(minRetryDelay):
-		case <-ctx.Done():
-			return err
+		if outcomeUnknown {
+			r.pause(ctx, delay)
+			delay = min(max(2*delay, minRetryDelay), maxRetryDelay)
 		}
 	}
 }
@@ -290,7 +299,14 @@
 	}
 	timeoutCtx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	if _, err := r.log.Append(timeoutCtx, r.partition, at, records); err != nil {
+	_, err := r.log.Append(timeoutCtx, r.partition, at, records)
+	var mismatch *storer.EndMismatchError
+	if errors.As(err, &mismatch) && mismatch.End < at {
+		// Reading on can't mend that: the store has lost records, or another store answers
+		// at its address.
+		return errors.Wrapf(appender.ErrUnavailable, "partition ends at offset %d, before the copy's end %d", mismatch.End, at)
+	}
+	if err != nil {
 		return err
 	}
 	for n := range records {
--- a/ladder/replicator/replicator_test.go
+++ b/ladder/replicator/replicator_test.go
@@ -165,6 +165,48 @@
 	})
 }
 
+// busyStore counts appends and fails each of them at once; the test ends when there are too many.
+type busyStore struct {
+	*faker.Store
+	failure error
+	appends int
+	end     func()
+}
+
+func (s *busyStore) Append(context.Context, storer.Partition, identifier.LogOffset, []storer.Record) (identifier.LogOffset, error) {
+	if s.appends++; s.appends > 1000 {
+		s.end()
+	}
+	return 0, s.failure
+}
+
+// Guards against appends that are repeated without a pause: the store refused the calls of all
+// hosts, as one host's appends alone exceeded its limit.
+func TestAppend_PausesWhileEachAttemptFailsAtOnce(t *testing.T) {
+	for name, failure := range map[string]error{
+		"connections are reset":              appender.ErrOutcomeUnknown,
+		"the partition ends before the copy": &storer.EndMismatchError{End: 0},
+		"the store refuses":                  appender.ErrUnavailable,
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWithStore(t, func(ctx context.Context, tasks *conc.WaitGroup, store *faker.Store) {
+				store.Put(partition, storer.Record{Key: "other", Value: []byte("1")})
+				timeoutCtx, cancel := context.WithTimeout(ctx, 5*time.Second)
+				defer cancel()
+				busy := &busyStore{Store: store, failure: failure, end: cancel}
+				w := newWriter(ctx, tasks, busy)
+				time.Sleep(time.Second)
+				if err := w.claim(timeoutCtx, "a"); err == nil {
+					t.Error("the append succeeded")
+				}
+				if busy.appends > 20 {
+					t.Errorf("%d appends in 5 s", busy.appends)
+				}
+			})
+		})
+	}
+}
+
 func TestRun_ReloadsAfterExpiredHistory(t *testing.T) {
 	runWithStore(t, func(ctx context.Context, tasks *conc.WaitGroup, store *faker.Store) {
 		store.Put(partition, storer.Record{Key: "a", Value: []byte("1")}, storer.Record{Key: "b", Value: []byte("1")})
