joiner: a pause between reads of the owners that the store refuses

Each request for a job read the list of owners again while the last read had failed, since a failed read leaves the list old: one read of the store for each request, at the time when the store refuses for want of capacity. Such reads are at least 200 ms apart now.

--- a/ladder/joiner/joiner.go
+++ b/ladder/joiner/joiner.go
@@ -61,6 +61,9 @@
 	// maxOwnersAge is the age above which the list of owners is read again when
 	// needed.
 	maxOwnersAge = 700 * time.Millisecond
+	// ownersRetryDelay is the least time between two reads of the list of owners that are
+	// made for requests. A store that refuses answers at once.
+	ownersRetryDelay = 200 * time.Millisecond
 )
 
 // JoinPolicy tells whether a process takes on work that others could do.
@@ -133,8 +136,10 @@
 	// formerOwners holds, for each partition, the last member other than this process
 	// that owned it before the one in owners.
 	formerOwners map[identifier.PartitionNumber]Member
-	// readingOwners is set while the list of owners is read in the background.
-	readingOwners bool
+	// readingOwners is set while the list of owners is read in the background, and
+	// nextOwnersRead is when that may begin again.
+	readingOwners  bool
+	nextOwnersRead time.Time
 }
 
 // New returns a Joiner that joins the group only when Run is called.
--- a/ladder/joiner/joiner_test.go
+++ b/ladder/joiner/joiner_test.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sourcegraph/conc"
 
+	"github.com/lycheeladder/lycheeladder/ladder/appender"
 	"github.com/lycheeladder/lycheeladder/ladder/faker"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/joiner"
@@ -194,6 +195,32 @@
 	return total
 }
 
+// refusingGroup refuses and counts all calls.
+type refusingGroup struct {
+	joiner.Group
+	reads atomic.Int32
+}
+
+func (g *refusingGroup) Owners(context.Context) (map[identifier.PartitionNumber]joiner.Member, error) {
+	g.reads.Add(1)
+	return nil, appender.ErrUnavailable
+}
+
+// Guards against one read of the store for each request while the store refuses reads.
+func TestOwnerOf_PausesWhileTheStoreRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		group := &refusingGroup{}
+		j := joiner.New(clockwork.NewRealClock(), group, joiner.Options{Self: "a"}, func() {})
+		for range 2000 {
+			j.OwnerOf(1)
+			time.Sleep(time.Millisecond)
+		}
+		if n := group.reads.Load(); n < 2 || n > 10 {
+			t.Errorf("%d reads in 2 s, want 2 to 10", n)
+		}
+	})
+}
+
 func TestFormerOwnerOf_WhoeverStopped(t *testing.T) {
 	inBubble(t, 0, 4, func(group *faker.Group, hosts []*host) {
 		time.Sleep(10 * time.Second)
--- a/ladder/joiner/member.go
+++ b/ladder/joiner/member.go
@@ -113,8 +113,8 @@
 func (j *Joiner) OwnerOf(n identifier.PartitionNumber) (Member, bool) {
 	j.mutex.Lock()
 	defer j.mutex.Unlock()
-	if j.clock.Since(j.ownersAt) > maxOwnersAge && !j.readingOwners {
-		j.readingOwners = true
+	if now := j.clock.Now(); now.Sub(j.ownersAt) > maxOwnersAge && !j.readingOwners && !now.Before(j.nextOwnersRead) {
+		j.readingOwners, j.nextOwnersRead = true, now.Add(ownersRetryDelay)
 		go func() {
 			_ = recoverer.CatchPanic("list of owners", func() { _ = j.readOwners(context.Background()) }) // already logged
 			j.mutex.Lock()
