rerouter: a call that no peer was asked for counts as refused

A call that the store had refused, and for which no peer was asked since the peer hadn't answered lately, counted as one with a lost answer. Appends were therefore repeated until their outcome was known, and a job's submission waited instead of being refused. The new test fails before.

--- a/ladder/rerouter/rerouter.go
+++ b/ladder/rerouter/rerouter.go
@@ -14,6 +14,7 @@
 
 	"github.com/lycheeladder/lycheeladder/ladder/appender"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/querier"
 	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
 )
 
@@ -183,6 +184,10 @@
 		return a, errors.Wrap(appender.ErrUnavailable, "the store and peers can't be reached")
 	}
 	reply, err := r.peers.Ask(ctx, address, messenger.Question{Store: &messenger.StoreCall{Method: c.Method, URI: c.Target, Body: c.Body}})
+	if errors.Is(err, querier.ErrPeerBackoff) {
+		r.recordPeerResult(address, true)
+		return a, errors.Wrapf(appender.ErrUnavailable, "peer %s: %v", address, err)
+	}
 	if err != nil || reply.Store == nil {
 		r.recordPeerResult(address, ctx.Err() == nil || !errors.Is(ctx.Err(), context.Canceled))
 		return a, errors.Wrapf(appender.ErrOutcomeUnknown, "peer %s: %v", address, err)
--- a/ladder/rerouter/rerouter_test.go
+++ b/ladder/rerouter/rerouter_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/lycheeladder/lycheeladder/ladder/appender"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/querier"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
 )
 
@@ -55,6 +56,9 @@
 
 func (n peerNetwork) Ask(ctx context.Context, address string, q messenger.Question) (messenger.Reply, error) {
 	host, ok := n[address]
+	if address == "silent" {
+		return messenger.Reply{}, querier.ErrPeerBackoff
+	}
 	if !ok {
 		return messenger.Reply{}, messenger.ErrClosed
 	}
@@ -117,6 +121,21 @@
 	})
 }
 
+// Guards against a call that the store has refused, and that was sent to no peer, but counts as
+// one that may have had an effect: it would be repeated until that is known.
+func TestCall_RefusedWhilePeersAreNotAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, _ := newHosts(newFakeStore(appender.ErrUnavailable, true), newFakeStore(nil, false))
+		a.SetPeers([]string{"silent"})
+		if _, err := a.Call(context.Background(), Call{}); !errors.Is(err, appender.ErrUnavailable) {
+			t.Errorf("got %v, want ErrUnavailable", err)
+		}
+		time.Sleep(2 * probeInterval)
+		a.direct.(*fakeStore).failing.Store(false)
+		time.Sleep(2 * probeInterval) // the probe ends
+	})
+}
+
 func TestCall_UnavailableWhileTheStoreIsDownForAll(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		x, y := newFakeStore(appender.ErrUnavailable, true), newFakeStore(appender.ErrUnavailable, true)
