relayer: give the owner of a batch job time to find out about a lost append

While the store lost responses, a submission under client accounts was asked of the owner for 0.6 s only, less than the owner needs to find out whether its append took effect, and ended with an unknown outcome. The owner now has 1.3 s.

--- a/ladder/relayer/account.go
+++ b/ladder/relayer/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -14,6 +15,10 @@
 // The process that has the copy checks the account: the owner by its own configuration and, if
 // it doesn't answer, the process that was asked by the caller.
 
+// commitWait is how long the owner may take to write a job's record. An append whose response is
+// lost costs it a second before it reads whether the record is there.
+const commitWait = 1300 * time.Millisecond
+
 // checkLocally checks the account of a caller against the local copy.
 func (r *Relayer) checkLocally(ctx context.Context, a identifier.AccountName, id identifier.JobID) error {
 	if !r.accountsInForce() {
@@ -42,7 +47,7 @@
 		return err
 	}
 	_, asked := r.remoteOwner(s.ID)
-	if _, err := r.askOwner(ctx, messenger.JobCall{Verb: messenger.JobCommit, Job: s.ID, Account: s.Account, Record: record}); !errors.Is(err, errOwnerUnavailable) {
+	if _, err := r.askOwner(ctx, messenger.JobCall{Verb: messenger.JobCommit, Job: s.ID, Account: s.Account, Record: record, Wait: commitWait}); !errors.Is(err, errOwnerUnavailable) {
 		return err
 	}
 	err = r.jobs.Commit(ctx, s.Account, s.ID, record)
