duties: the lease's holder orders the number of targets; /duties and ladderctl duties

Services with scaling had a fixed number of targets however long work waited.

autoscaler.Decide is a pure function of what all hosts use and want: up when work waits longer than a boot, down by one after three boot times (10 s at least) below 70 % of the places, never below the places that items hold, one change a boot time. Hosts that the store doesn't list tell a listed one. Orders are repeated until acknowledged. A new holder takes the listed number for the one in force. Hosts show holder, token and last calls at /duties.

Tested: table and properties of the decision, the loop in virtual time, the client, one program against the stand-in with a job too large for its targets.

--- a/ladder/cataloger/configuration.go
+++ b/ladder/cataloger/configuration.go
@@ -80,6 +80,16 @@
 	HealthPath string
 	// Engine is nil for plain services.
 	Engine *Engine
+	// Scaling is nil if the number of targets is fixed.
+	Scaling *Scaling
+}
+
+// Scaling bounds the number of a service's targets, in each zone.
+type Scaling struct {
+	// Min is at most Max.
+	Min, Max int
+	// Boot is the time from an order until new targets serve.
+	Boot time.Duration
 }
 
 // Limits bound what callers may send.
--- a/ladder/explainer/events.go
+++ b/ladder/explainer/events.go
@@ -227,11 +227,22 @@
 		Fields:  []string{"target", "model", "version", "before", "token", "orders-accepted", "err"},
 		Meaning: "a target is told to load weights; `token` is that of the lease, `orders-accepted` the number of orders that the target had accepted before",
 	},
+	{
+		Name: "number of targets decided", Level: LevelInfo, Scope: ScopeHost,
+		Fields:  []string{"service", "zone", "targets", "before", "serving", "items", "calls", "waiting", "wait"},
+		Meaning: "the service needs another number of targets in the zone; `items` and `calls` use places, `waiting` items want one and will have waited for `wait`",
+	},
 	{
 		Name: "old breaks not dropped yet", Level: LevelInfo, Scope: ScopeHost,
 		Fields:  []string{"err"},
 		Meaning: "retried later",
 	},
+	{
+		Name: "order to scale sent", Level: LevelInfo, Scope: ScopeHost,
+		Fields:  []string{"service", "zone", "targets", "holder", "token", "again", "err"},
+		Meaning: "the platform has acknowledged the order, or rejected it (`err`, `again=false`); `again` says whether it is sent again",
+		Action:  "if `err` recurs, check the platform's API",
+	},
 	{
 		Name: "owner of a batch job doesn't answer, the store is asked", Level: LevelInfo, Scope: ScopeJob,
 		Fields:  []string{"job", "verb", "owner", "err"},
--- a/ladder/forwarder/meter.go
+++ b/ladder/forwarder/meter.go
@@ -60,3 +60,6 @@
 		f.meter.RecordStart(r.Account, f.clock.Now())
 	}
 }
+
+// InFlight returns how many requests of this process are open at a target.
+func (f *Forwarder) InFlight(target identifier.TargetName) int { return f.router.InFlight(target) }
--- a/ladder/messenger/question.go
+++ b/ladder/messenger/question.go
@@ -66,6 +66,10 @@
 	Usage *UsageQuestion `cbor:"15,keyasint,omitempty"`
 	// UsageCopy asks the peer to keep starts of requests for the sender.
 	UsageCopy *UsageLog `cbor:"16,keyasint,omitempty"`
+	// Places asks for the demand of places that the peer knows.
+	Places bool `cbor:"17,keyasint,omitempty"`
+	// PlacesCopy asks the peer to keep the sender's demand of places.
+	PlacesCopy *HostDemand `cbor:"18,keyasint,omitempty"`
 }
 
 // Reply is the response to the Question with the same ID. No part is set if the
@@ -91,6 +95,8 @@
 	Usage      *UsageAnswer `cbor:"11,keyasint,omitempty"`
 	// Kept means that the peer keeps what a copy contained.
 	Kept bool `cbor:"12,keyasint,omitempty"`
+	// Places are the peer's demand and those that it keeps, in no particular order.
+	Places []HostDemand `cbor:"13,keyasint,omitempty"`
 }
 
 // Announcement says which targets leave.
--- a/ladderctl/verb/entry_test.go
+++ b/ladderctl/verb/entry_test.go
@@ -67,6 +67,12 @@
 		}
 		return c.JSON(proposer.NewResponse(r))
 	})
+	// The readiness listener, which asks for no key, is at the same address here.
+	duties, err := os.ReadFile("testdata/entry/duties.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	app.Get("/duties", func(c fiber.Ctx) error { return c.Type("json").Send(duties) })
 	app.Use(func(c fiber.Ctx) error {
 		if c.Get("Authorization") != "Bearer operator" {
 			return c.Status(fiber.StatusUnauthorized).JSON(proposer.Response{Verdict: "refused", Reason: "key-unknown"})
--- a/ladderctl/verb/verb.go
+++ b/ladderctl/verb/verb.go
@@ -58,6 +58,7 @@
 	{"change-owner-key", "Hand an owner over to a new key.", func() verb { return &changeOwnerKey{} }},
 	{"history", "Show who proposed what, and when.", func() verb { return &history{} }},
 	{"status", "Show the state of entries and targets.", func() verb { return &status{} }},
+	{"duties", "Show which host has the duties of one host, and its last calls.", func() verb { return &duties{} }},
 	{"explain", "Show why a request was refused, or where it went.", func() verb { return &explain{} }},
 	{"trace", "Show the story of a request, job, item or target from logs.", func() verb { return &trace{} }},
 }
