--- a/ladder/duties/autoscaler/autoscaler_test.go
+++ b/ladder/duties/autoscaler/autoscaler_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,6 +50,7 @@
 
 // fake is the platform, the lease, the work and a host that isn't listed.
 type fake struct {
+	mutex   sync.Mutex
 	token   identifier.FencingToken
 	waiting int
 	failure error
@@ -57,11 +59,30 @@
 	kept    *Demand
 }
 
-func (f *fake) Token() (identifier.FencingToken, bool) { return f.token, f.token > 0 }
-func (f *fake) Elapsed() time.Duration                 { return time.Since(f.boot) }
-func (f *fake) InFlight(identifier.TargetName) int     { return min(2, f.waiting) }
+func (f *fake) Elapsed() time.Duration { return time.Since(f.boot) }
+
+// set changes the fake.
+func (f *fake) set(change func()) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	change()
+}
+
+func (f *fake) Token() (identifier.FencingToken, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.token, f.token > 0
+}
+
+func (f *fake) InFlight(identifier.TargetName) int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return min(2, f.waiting)
+}
 
 func (f *fake) WaitingItems() map[identifier.ServiceName]scheduler.WaitingItems {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	return map[identifier.ServiceName]scheduler.WaitingItems{"s": {Count: f.waiting, Longest: time.Duration(f.waiting) * time.Second}}
 }
 
@@ -70,6 +91,8 @@
 	if !ok {
 		return pacer.ErrNotHolder
 	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	f.orders = append(f.orders, fmt.Sprintf("%s/%s=%d by %d", o.Service, o.Zone, o.Targets, token))
 	return f.failure
 }
@@ -106,27 +129,29 @@
 		expect := func(want ...string) {
 			t.Helper()
 			synctest.Wait()
-			if diff := cmp.Diff(want, f.orders); diff != "" {
-				t.Errorf("orders (-want +got):\n%s", diff)
-			}
-			f.orders = nil
+			f.set(func() {
+				if diff := cmp.Diff(want, f.orders); diff != "" {
+					t.Errorf("orders (-want +got):\n%s", diff)
+				}
+				f.orders = nil
+			})
 		}
-		busy.waiting = 5
+		busy.set(func() { busy.waiting = 5 })
 		time.Sleep(10 * time.Second)
 		expect()
-		f.token, f.failure = 3, errors.New("no response")
+		f.set(func() { f.token, f.failure = 3, errors.New("no response") })
 		time.Sleep(5500 * time.Millisecond)
 		expect("s/z=4 by 3")
-		busy.waiting = 0
+		busy.set(func() { busy.waiting = 0 })
 		time.Sleep(2 * time.Second)
-		f.failure = nil
+		f.set(func() { f.failure = nil })
 		time.Sleep(time.Second)
 		expect("s/z=4 by 3", "s/z=4 by 3", "s/z=4 by 3")
 		time.Sleep(11 * time.Second)
 		expect()
 		time.Sleep(5 * time.Second)
 		expect("s/z=3 by 3")
-		f.token = 0
+		f.set(func() { f.token = 0 })
 		time.Sleep(time.Minute)
 		expect()
 	})
--- a/ladder/duties/meter/meter.go
+++ b/ladder/duties/meter/meter.go
@@ -24,8 +24,6 @@
 // Hosts exchange ages of starts, since their clocks may differ by seconds.
 
 const (
-	// Retention is how long starts are kept.
-	Retention = time.Minute
 	// copyInterval is the interval at which new starts are copied. Reports are built 1.5 s
 	// after a window's end.
 	copyInterval = 500 * time.Millisecond
@@ -36,7 +34,7 @@
 	// copyTimeout bounds the wait for one keeper.
 	copyTimeout = 500 * time.Millisecond
 	// maxStarts bounds the starts kept of one incarnation; the oldest are dropped. It is
-	// 800 a second, where the busiest hosts specified start some ten. A start takes 32 bytes.
+	// 800 a second for a minute, where the busiest hosts specified start some ten. A start takes 32 bytes.
 	maxStarts = 50_000
 	// maxLogs bounds the incarnations whose starts a host keeps. Each host chooses two
 	// of the listed ones, so that few choose the same.
@@ -51,6 +49,8 @@
 	// Members returns the addresses of the hosts that may keep starts.
 	Members func() []string
 	Peers   querier.Peers
+	// Retention is how long starts are kept.
+	Retention time.Duration
 }
 
 // Meter keeps starts of requests, those of this host and those copied to it.
@@ -85,7 +85,7 @@
 	m.lastNumber++
 	now := m.bootClock.Elapsed()
 	m.own.add(start{account, m.lastNumber, now - age})
-	m.own.dropBefore(now - Retention)
+	m.own.dropBefore(now - m.options.Retention)
 }
 
 // Keep keeps the starts of another host.
@@ -103,7 +103,7 @@
 	}
 	now := m.bootClock.Elapsed()
 	for _, s := range l.Starts {
-		if s.Account >= 0 && s.Account < len(l.Accounts) && s.Age >= 0 && s.Age <= Retention {
+		if s.Account >= 0 && s.Account < len(l.Accounts) && s.Age >= 0 && s.Age <= m.options.Retention {
 			log.add(start{l.Accounts[s.Account], s.Sequence, now - s.Age})
 		}
 	}
@@ -112,7 +112,7 @@
 
 // dropOld drops the starts whose retention is over. The caller holds the mutex.
 func (m *Meter) dropOld() {
-	oldest := m.bootClock.Elapsed() - Retention
+	oldest := m.bootClock.Elapsed() - m.options.Retention
 	m.own.dropBefore(oldest)
 	for i, l := range m.kept {
 		if l.dropBefore(oldest); len(l.starts) == 0 {
--- a/ladder/duties/meter/meter_test.go
+++ b/ladder/duties/meter/meter_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,29 +17,42 @@
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 )
 
+const retention = time.Minute
+
 // virtualClock is a host's clock; it follows the virtual time of synctest.
 type virtualClock struct{ start time.Time }
 
 func (c virtualClock) Elapsed() time.Duration { return time.Since(c.start) }
 
 // hosts are meters that reach each other by name, unless they are lost.
-type hosts map[string]*Meter
+type hosts struct {
+	meters map[string]*Meter
+	mutex  sync.Mutex
+	lost   string
+}
 
 // Ask implements querier.Peers.
-func (h hosts) Ask(_ context.Context, address string, q messenger.Question) (r messenger.Reply, err error) {
-	m, ok := h[address]
-	if !ok {
+func (h *hosts) Ask(_ context.Context, address string, q messenger.Question) (r messenger.Reply, err error) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if address == h.lost {
 		return r, appender.ErrUnavailable
 	}
-	r.Kept = m.Keep(*q.UsageCopy)
+	r.Kept = h.meters[address].Keep(*q.UsageCopy)
 	return r, nil
 }
 
-func newHosts(names ...string) hosts {
-	h := make(hosts)
+func (h *hosts) lose(name string) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.lost = name
+}
+
+func newHosts(names ...string) *hosts {
+	h := &hosts{meters: make(map[string]*Meter)}
 	for _, name := range names {
-		h[name] = New(clockwork.NewRealClock(), virtualClock{time.Now()}, Options{
-			Incarnation: identifier.Incarnation("i-" + name), Self: name, Members: func() []string { return names }, Peers: h,
+		h.meters[name] = New(clockwork.NewRealClock(), virtualClock{time.Now()}, Options{
+			Incarnation: identifier.Incarnation("i-" + name), Self: name, Members: func() []string { return names }, Peers: h, Retention: retention,
 		})
 	}
 	return h
@@ -60,8 +74,8 @@
 func TestRun_CopiesStartsToTwoReachableHosts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHosts("a", "b", "c", "d", "e")
-		delete(h, "b")
-		a := h["a"]
+		h.lose("b")
+		a := h.meters["a"]
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan struct{})
 		go func() { a.Run(ctx); close(ended) }()
@@ -74,9 +88,9 @@
 		<-ended
 		keepers := 0
 		for _, name := range []string{"c", "d", "e"} {
-			if len(h[name].kept) > 0 {
+			if len(h.meters[name].kept) > 0 {
 				keepers++
-				if diff := cmp.Diff([]string{"i-a x 600ms", "i-a y 0s"}, known(h[name], 0, Retention)); diff != "" {
+				if diff := cmp.Diff([]string{"i-a x 600ms", "i-a y 0s"}, known(h.meters[name], 0, retention)); diff != "" {
 					t.Errorf("%s keeps (-want +got):\n%s", name, diff)
 				}
 			}
@@ -92,18 +106,17 @@
 func TestRun_CopiesLaterWhatNobodyTook(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHosts("a", "b")
-		b := h["b"]
-		delete(h, "b")
+		h.lose("b")
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		go h["a"].Run(ctx)
-		h["a"].RecordStart("x", time.Now())
+		go h.meters["a"].Run(ctx)
+		h.meters["a"].RecordStart("x", time.Now())
 		time.Sleep(3 * time.Second)
 		synctest.Wait()
-		h["b"] = b
+		h.lose("")
 		time.Sleep(copyInterval)
 		synctest.Wait()
-		if diff := cmp.Diff([]string{"i-a x 3.5s"}, known(b, 0, Retention)); diff != "" {
+		if diff := cmp.Diff([]string{"i-a x 3.5s"}, known(h.meters["b"], 0, retention)); diff != "" {
 			t.Errorf("kept (-want +got):\n%s", diff)
 		}
 	})
@@ -112,7 +125,7 @@
 // Guards against wrong ages, and memory that grows without end.
 func TestAnswer_SelectsByAgeAndForgets(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := newHosts("a")["a"]
+		m := newHosts("a").meters["a"]
 		time.Sleep(time.Second)
 		m.RecordStart("x", time.Now())
 		m.Keep(messenger.UsageLog{Incarnation: "i-b", Accounts: []identifier.AccountName{"y"}, Starts: []messenger.UsageStart{
@@ -135,7 +148,7 @@
 		if up := m.Answer(messenger.UsageQuestion{}).Uptime; up != 11*time.Second {
 			t.Errorf("uptime %s", up)
 		}
-		time.Sleep(Retention)
+		time.Sleep(retention)
 		if list := known(m, 0, time.Hour); len(list) > 0 || len(m.kept) > 0 || len(m.own.starts) > 0 {
 			t.Errorf("still kept: %v", list)
 		}
--- a/ladder/duties/reporter/reporter.go
+++ b/ladder/duties/reporter/reporter.go
@@ -30,9 +30,12 @@
 	collectDelay = 1500 * time.Millisecond
 	// pollInterval is the interval at which the lease is looked at.
 	pollInterval = 200 * time.Millisecond
-	// maxWindowAge bounds the age of the windows that are still collected. The members forget
-	// starts after a minute.
-	maxWindowAge = 55 * time.Second
+	// retentionMargin is the time for which the starts of a window must still be kept when it is
+	// collected.
+	retentionMargin = 5 * time.Second
+	// listTime is the age of a process from which its list of members is complete. Processes
+	// that start together know each other after about 2.4 s.
+	listTime = 4 * time.Second
 	// maxReportAge is how long a report is sent again, from the moment at which this host has
 	// it.
 	maxReportAge = 30 * time.Second
@@ -72,7 +75,9 @@
 	Peers   querier.Peers
 	// WindowLength is the length of a window. A report is due Lateness after its end.
 	WindowLength, Lateness time.Duration
-	Counter                Counter
+	// Retention is how long members keep starts; it exceeds WindowLength + Lateness.
+	Retention time.Duration
+	Counter   Counter
 }
 
 // Reporter reports usage while this process holds the lease.
@@ -85,6 +90,7 @@
 	platform  Platform
 	pacer     *pacer.Pacer
 	options   Options
+	startedAt time.Duration
 
 	mutex sync.Mutex
 	// acknowledged has the windows whose reports have arrived, as far as this process
@@ -107,7 +113,7 @@
 // New returns a Reporter that does nothing until Run is called.
 func New(clock clockwork.Clock, bootClock leaser.BootTimeClock, log storer.Log, u Usage, l Lease, p Platform, pace *pacer.Pacer, o Options) *Reporter {
 	return &Reporter{
-		clock: clock, bootClock: bootClock, log: log, usage: u, lease: l, platform: p, pacer: pace, options: o,
+		clock: clock, bootClock: bootClock, log: log, usage: u, lease: l, platform: p, pacer: pace, options: o, startedAt: bootClock.Elapsed(),
 		acknowledged: make(map[Window]bool),
 	}
 }
@@ -131,6 +137,9 @@
 	return r.last, r.last.Window != 0
 }
 
+// maxWindowAge bounds the age of the windows that are still collected.
+func (r *Reporter) maxWindowAge() time.Duration { return r.options.Retention - retentionMargin }
+
 // sleep waits and returns false if ctx has ended.
 func (r *Reporter) sleep(ctx context.Context, d time.Duration) bool {
 	select {
--- a/ladder/duties/reporter/reporter_test.go
+++ b/ladder/duties/reporter/reporter_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,6 +31,7 @@
 const (
 	length   = 5 * time.Second
 	lateness = 10 * time.Second
+	kept     = time.Minute
 )
 
 var partition = storer.Partition{Topic: "keyed.test"}
@@ -37,23 +39,25 @@
 // wall is a host's clock, which is wrong by skew.
 type wall struct {
 	clockwork.Clock
-	skew *time.Duration
+	skew *atomic.Int64
 }
 
-func (w wall) Now() time.Time                       { return w.Clock.Now().Add(*w.skew) }
+func (w wall) Now() time.Time                       { return w.Clock.Now().Add(time.Duration(w.skew.Load())) }
 func (w wall) Since(at time.Time) time.Duration     { return w.Now().Sub(at) }
 func (w wall) Elapsed() time.Duration               { return w.Clock.Since(time.Unix(946_000_000, 0)) }
 func (w wall) Until(at time.Time) (d time.Duration) { return at.Sub(w.Now()) }
 
-// host is one host of a world. The fields but skew are guarded by the world's mutex.
+// host is one host of a world. The last fields are guarded by the world's mutex.
 type host struct {
 	*world
 	name  string
-	skew  time.Duration
+	skew  atomic.Int64
 	meter *meter.Meter
 	// token is 0 unless the host believes that it holds the lease.
 	token identifier.FencingToken
 	lost  bool
+	// alone is set while the host reaches no other.
+	alone bool
 	stop  context.CancelFunc
 }
 
@@ -114,29 +118,47 @@
 	calls      []string
 	failure    error
 	violations []string
+	// others are records that another writer appends just before the next append.
+	others []storer.Record
 }
 
-// Ask implements querier.Peers.
-func (w *world) Ask(ctx context.Context, address string, q messenger.Question) (r messenger.Reply, err error) {
-	w.mutex.Lock()
-	h := w.hosts[address]
-	lost := h.lost
-	w.mutex.Unlock()
+// Ask implements querier.Peers for the questions of a host.
+func (h *host) Ask(ctx context.Context, address string, q messenger.Question) (r messenger.Reply, err error) {
+	h.mutex.Lock()
+	asked := h.hosts[address]
+	lost := asked.lost || h.alone
+	h.mutex.Unlock()
 	if lost {
 		<-ctx.Done()
 		return r, appender.ErrUnavailable
 	}
 	time.Sleep(2 * time.Millisecond)
 	if q.UsageCopy != nil {
-		r.Kept = h.meter.Keep(*q.UsageCopy)
+		r.Kept = asked.meter.Keep(*q.UsageCopy)
 	} else {
-		a := h.meter.Answer(*q.Usage)
+		a := asked.meter.Answer(*q.Usage)
 		r.Usage = &a
 	}
 	time.Sleep(2 * time.Millisecond)
 	return r, nil
 }
 
+// racingLog lets other writers come first.
+type racingLog struct {
+	*faker.Store
+	world *world
+}
+
+// Append implements storer.Log.
+func (l racingLog) Append(ctx context.Context, p storer.Partition, at identifier.LogOffset, records []storer.Record) (identifier.LogOffset, error) {
+	l.world.mutex.Lock()
+	first := l.world.others
+	l.world.others = nil
+	l.world.mutex.Unlock()
+	l.Put(p, first...)
+	return l.Store.Append(ctx, p, at, records)
+}
+
 // newWorld starts hosts whose clocks are wrong by the given times.
 func newWorld(skews ...time.Duration) *world {
 	w := &world{
@@ -147,7 +169,8 @@
 		w.names = append(w.names, fmt.Sprint("host-", n))
 	}
 	for n, skew := range skews {
-		w.hosts[w.names[n]] = &host{world: w, name: w.names[n], skew: skew}
+		w.hosts[w.names[n]] = &host{world: w, name: w.names[n]}
+		w.hosts[w.names[n]].skew.Store(int64(skew))
 		w.start(w.names[n])
 	}
 	return w
@@ -158,9 +181,9 @@
 	h := w.hosts[name]
 	clock := wall{clockwork.NewRealClock(), &h.skew}
 	members := func() []string { return w.names }
-	h.meter = meter.New(clock, clock, meter.Options{Incarnation: identifier.NewIncarnation(), Self: name, Members: members, Peers: w})
-	r := New(clock, clock, w.store, h.meter, h, h, pacer.New(clock, 25), Options{
-		Partition: partition, Holder: leaser.Holder(name), Self: name, Members: members, Peers: w, WindowLength: length, Lateness: lateness, Counter: recorder.New(),
+	h.meter = meter.New(clock, clock, meter.Options{Incarnation: identifier.NewIncarnation(), Self: name, Members: members, Peers: h, Retention: kept})
+	r := New(clock, clock, racingLog{w.store, w}, h.meter, h, h, pacer.New(clock, 25), Options{
+		Partition: partition, Holder: leaser.Holder(name), Self: name, Members: members, Peers: h, WindowLength: length, Lateness: lateness, Retention: kept, Counter: recorder.New(),
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	h.stop = stop
@@ -188,6 +211,12 @@
 	w.hosts[name].lost = lost
 }
 
+func (w *world) setAlone(name string, alone bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.hosts[name].alone = alone
+}
+
 func (w *world) setFailure(err error) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -271,7 +300,7 @@
 			w.record("host-1", "a", n+1)
 			time.Sleep(length - 200*time.Millisecond)
 			w.record("host-2", "b", n+1)
-			w.hosts["host-0"].skew = time.Duration(n-2) * 3 * time.Second
+			w.hosts["host-0"].skew.Store(int64(time.Duration(n-2) * 3 * time.Second))
 			time.Sleep(200 * time.Millisecond)
 		}
 		time.Sleep(2 * time.Second)
@@ -358,6 +387,24 @@
 	}
 }
 
+// Guards against a second report of a window that another host has stored at the same moment.
+func TestRun_AnotherHostStoresFirst(t *testing.T) {
+	inWorld(t, rightClocks, func(t *testing.T, w *world) {
+		w.setToken("host-0", 7)
+		sleepInto(4 * time.Second)
+		first := nowWindow()
+		w.record("host-1", "a", 5)
+		w.mutex.Lock()
+		w.others = []storer.Record{{Key: first.key(), Value: fmt.Appendf(nil, `%d {"a":4}`, first)}}
+		w.mutex.Unlock()
+		sleepInto(2 * time.Second)
+		w.setToken("host-0", 0)
+		w.setToken("host-2", 9)
+		sleepInto(2 * time.Second)
+		w.check(t, first, `{"a":4}`, "null")
+	})
+}
+
 // Guards against reports that are lost or out of order while the platform refuses or is silent.
 func TestRun_SendsUntilAcknowledged(t *testing.T) {
 	for name, failure := range map[string]error{"silent": errors.New("no response"), "too many calls": pacer.ErrTooManyCalls} {
@@ -409,10 +456,10 @@
 // whichever answers are lost.
 func TestRun_NeverTwoCountsOfOneWindow(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
-		type step struct{ holder, also, fault, failure, starts, sleep int }
+		type step struct{ holder, also, alone, fault, failure, starts, sleep int }
 		steps := rapid.SliceOfN(rapid.Custom(func(r *rapid.T) step {
 			return step{
-				rapid.IntRange(0, 3).Draw(r, "holder"), rapid.IntRange(0, 6).Draw(r, "also believes"), rapid.IntRange(0, 6).Draw(r, "fault of the store"),
+				rapid.IntRange(0, 3).Draw(r, "holder"), rapid.IntRange(0, 6).Draw(r, "also believes"), rapid.IntRange(0, 6).Draw(r, "reaches no other"), rapid.IntRange(0, 6).Draw(r, "fault of the store"),
 				rapid.IntRange(0, 3).Draw(r, "failure of the platform"), rapid.IntRange(0, 3).Draw(r, "starts"), rapid.IntRange(100, 9000).Draw(r, "ms"),
 			}
 		}), 1, 12).Draw(r, "steps")
@@ -422,6 +469,7 @@
 			for n, s := range steps {
 				for k, name := range w.names {
 					w.setToken(name, 0)
+					w.setAlone(name, k == s.alone)
 					if k == s.holder || k == s.also {
 						w.setToken(name, identifier.FencingToken(n+1))
 					}
@@ -443,8 +491,10 @@
 			}
 			for _, name := range w.names {
 				w.setToken(name, 0)
+				w.setAlone(name, false)
 			}
 			w.setFailure(nil)
+			time.Sleep(3 * time.Second)
 			w.setToken("host-1", 100)
 			time.Sleep(20 * time.Second)
 			w.mutex.Lock()
--- a/ladder/duties/reporter/term.go
+++ b/ladder/duties/reporter/term.go
@@ -111,6 +111,7 @@
 
 // takeOver finds out the true time, and queues the stored reports that may not have arrived.
 func (t *term) takeOver(ctx context.Context) {
+	t.sleep(ctx, t.startedAt+listTime-t.bootClock.Elapsed())
 	var c collection
 	for try := 1; ; try++ {
 		now := t.bootClock.Elapsed()
@@ -147,7 +148,7 @@
 // untilDue returns how long to wait until the next window may be collected.
 func (t *term) untilDue() time.Duration {
 	now := t.bootClock.Elapsed()
-	t.next = max(t.next, t.windowOf(now-maxWindowAge)+1)
+	t.next = max(t.next, t.windowOf(now-t.maxWindowAge())+1)
 	return t.bootTimeOf(t.next+1) + collectDelay - now
 }
 
@@ -205,7 +206,7 @@
 		}
 	}
 	for k, at := range t.counted {
-		if at < t.bootClock.Elapsed()-2*maxWindowAge {
+		if at < t.bootClock.Elapsed()-2*t.maxWindowAge() {
 			delete(t.counted, k)
 		}
 	}
@@ -220,8 +221,8 @@
 	}
 	begin, end := t.bootTimeOf(w), t.bootTimeOf(w+1)
 	known = len(counts) > 0 || begin >= c.oldestMember
-	// Of the time before the first host of all started, the window in which it did is reported.
-	first := c.oldestMember < end && len(t.stored.windows()) == 0
+	// Of the time before a deployment's first host started, the window in which it did is reported.
+	first := c.oldestMember < end && t.newestStored() < t.windowOf(t.bootClock.Elapsed()-t.maxWindowAge())
 	if !known && !first {
 		return nil, false
 	}
@@ -232,6 +233,15 @@
 	return body, true
 }
 
+// newestStored returns the newest window with a stored report, or 0.
+func (t *term) newestStored() Window {
+	windows := t.stored.windows()
+	if len(windows) == 0 {
+		return 0
+	}
+	return windows[len(windows)-1]
+}
+
 // store appends the reports to the store and queues them. It returns false if the term ends
 // before all of them are stored.
 func (t *term) store(ctx context.Context, reports []report) bool {
