relayer: keep batch jobs apart by account while configurations differ

Cause: the owner of a batch job checked the caller's account by its own configuration only. An owner with an older configuration without accounts let every account read, end and submit again the jobs of the others, although the host that was asked has accounts in force. In the opposite case a host with the older configuration, which doesn't know the caller's account, passed on the owner's refusal as 403 to the proper caller.

Change: a call says whether accounts are in force at its sender, and the owner checks the account if they are at either host. A host without accounts answers 503 instead of 403; nothing was done, and the configuration reaches it within seconds.

--- a/ladder/messenger/job.go
+++ b/ladder/messenger/job.go
@@ -48,6 +48,9 @@
 	Account identifier.AccountName `cbor:"8,keyasint,omitempty"`
 	// Record is the job's record for JobCommit.
 	Record []byte `cbor:"9,keyasint,omitempty"`
+	// AccountsInForce is set if the sender keeps jobs apart by client accounts. The receiver then
+	// does so too, though its configuration may be older and have none.
+	AccountsInForce bool `cbor:"10,keyasint,omitempty"`
 }
 
 // JobAnswer is the response to a JobCall.
--- a/ladder/relayer/account.go
+++ b/ladder/relayer/account.go
@@ -12,8 +12,14 @@
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 )
 
-// The process that has the copy checks the account: the owner by its own configuration and, if
-// it doesn't answer, the process that was asked by the caller.
+// The process that has the copy checks the account: the owner and, if it doesn't answer, the
+// process that was asked by the caller. It does so if accounts are in force at either of them, as
+// one may have an older configuration without accounts.
+
+// errNoAccountsYet means that accounts are in force at the owner of a batch job and not at this
+// process, which therefore doesn't know the caller's account. Nothing was done. The caller may try
+// again: a configuration is in force everywhere within seconds.
+var errNoAccountsYet = errors.WithMessage(appender.ErrUnavailable, "client accounts are in force at the owner of the batch job only")
 
 // commitWait is how long the owner may take to write a job's record. An append whose response is
 // lost costs it a second before it reads whether the record is there.
--- a/ladder/relayer/account_test.go
+++ b/ladder/relayer/account_test.go
@@ -79,6 +79,52 @@
 	})
 }
 
+// Guards against another account that reads, ends or submits again a job whose owner has an older
+// configuration without accounts.
+func TestAccounts_JobsAreKeptApartByAnOutdatedOwner(t *testing.T) {
+	inBubble(t, func(ctx context.Context, n *network, owner, other *entry) {
+		n.accounts, n.outdated["owner"] = true, true
+		if err := acceptFor(ctx, other, "first", 2); err != nil {
+			t.Fatal(err)
+		}
+		for a, want := range map[identifier.AccountName]string{"first": "done", "second": jobstorer.ErrOtherAccount.Error(), "": jobstorer.ErrOtherAccount.Error()} {
+			if diff := cmp.Diff(all(want), outcomes(ctx, other, a)); diff != "" {
+				t.Errorf("account %q: %s", a, diff)
+			}
+		}
+		if err := other.End(ctx, "second", "j"); !errors.Is(err, jobstorer.ErrOtherAccount) {
+			t.Errorf("another account ends the job: %v", err)
+		}
+		time.Sleep(time.Second)
+		if len(owner.jobStorer.OpenJobs(0)) != 1 {
+			t.Error("the job has ended")
+		}
+	})
+}
+
+// Guards against a proper caller that gets 403 for its own job from a host that has an older
+// configuration without accounts, and so does not know the caller's account.
+func TestAccounts_OutdatedHostsRefuseForNowOnly(t *testing.T) {
+	inBubble(t, func(ctx context.Context, n *network, owner, other *entry) {
+		n.accounts = true
+		if err := acceptFor(ctx, other, "first", 2); err != nil {
+			t.Fatal(err)
+		}
+		n.outdated["other"] = true
+		_, results := other.Results(ctx, "", "j", 0, 0, 1<<20)
+		_, body := other.Body(ctx, "", "j", "")
+		for call, err := range map[string]error{"results": results, "body": body, "end": other.End(ctx, "", "j")} {
+			if !errors.Is(err, appender.ErrUnavailable) || errors.Is(err, jobstorer.ErrOtherAccount) {
+				t.Errorf("%s: %v", call, err)
+			}
+		}
+		time.Sleep(time.Second)
+		if len(owner.jobStorer.OpenJobs(0)) != 1 {
+			t.Error("the job has ended")
+		}
+	})
+}
+
 // Guards against jobs without an account that are refused once accounts are in force, and against
 // checks where none are.
 func TestAccounts_JobsWithoutAccountAreOpenToAll(t *testing.T) {
--- a/ladder/relayer/answer.go
+++ b/ladder/relayer/answer.go
@@ -32,8 +32,10 @@
 	if c.Verb == messenger.JobCommit {
 		return nil, r.jobs.Commit(ctx, c.Account, c.Job, c.Record)
 	}
-	if err := r.checkLocally(ctx, c.Account, c.Job); err != nil {
-		return nil, err
+	if c.AccountsInForce || r.accountsInForce() {
+		if err := r.jobs.CheckAccount(ctx, c.Account, c.Job); err != nil {
+			return nil, err
+		}
 	}
 	switch c.Verb {
 	case messenger.JobExists:
--- a/ladder/relayer/relayer.go
+++ b/ladder/relayer/relayer.go
@@ -70,6 +70,7 @@
 	if !ok {
 		return nil, errOwnerUnavailable
 	}
+	c.AccountsInForce = r.accountsInForce()
 	timeoutCtx, cancel := context.WithTimeout(ctx, c.Wait+answerMargin)
 	defer cancel()
 	reply, err := r.peers.Ask(timeoutCtx, string(owner), messenger.Question{Job: &c})
@@ -83,6 +84,9 @@
 	case messenger.JobUnknown:
 		return nil, jobstorer.ErrUnknownJob
 	case messenger.JobOtherAccount:
+		if !c.AccountsInForce {
+			return nil, errNoAccountsYet
+		}
 		return nil, jobstorer.ErrOtherAccount
 	case messenger.JobNotOwned:
 	}
@@ -98,6 +102,7 @@
 
 // The methods below take the client account of the caller, which is empty if it has none. They
 // return jobstorer.ErrOtherAccount if the job belongs to another account, and have no effect then.
+// The same goes for errNoAccountsYet.
 
 // Accept stores a job.
 func (r *Relayer) Accept(ctx context.Context, s jobstorer.Submission) error {
@@ -120,7 +125,7 @@
 	if errors.Is(err, errOwnerUnavailable) && r.ownership.Owns(r.jobs.PartitionOf(id)) {
 		err = r.jobs.Exists(ctx, id)
 	}
-	if errors.Is(err, jobstorer.ErrUnknownJob) || errors.Is(err, jobstorer.ErrOtherAccount) {
+	if errors.Is(err, jobstorer.ErrUnknownJob) || errors.Is(err, errNoAccountsYet) {
 		return err
 	}
 	return r.jobs.End(ctx, id)
--- a/ladder/relayer/relayer_test.go
+++ b/ladder/relayer/relayer_test.go
@@ -26,8 +26,10 @@
 	hosts map[string]*entry
 	// silent entries receive queries but do not answer.
 	silent map[string]bool
-	// accounts is set if accounts are in force.
+	// accounts is set if accounts are in force, except at the entries in outdated.
 	accounts bool
+	// outdated entries have an older configuration without accounts.
+	outdated map[string]bool
 	store    *faker.Store
 }
 
@@ -70,14 +72,14 @@
 		var tasks conc.WaitGroup
 		clock := clockwork.NewRealClock()
 		store := faker.NewStore(clock)
-		n := &network{ctx: ctx, tasks: &tasks, hosts: make(map[string]*entry), silent: make(map[string]bool), store: store}
+		n := &network{ctx: ctx, tasks: &tasks, hosts: make(map[string]*entry), silent: make(map[string]bool), outdated: make(map[string]bool), store: store}
 		for _, name := range []string{"owner", "other"} {
 			e := &entry{owns: name == "owner"}
 			e.jobStorer = jobstorer.New(clock, store, jobstorer.Options{
 				Topic: "jobs", Partitions: 1, MaxRecordBytes: 256 << 10, MaxAppendBytes: 2 << 20, Retention: time.Minute,
 				SinceStoreAnswer: func() time.Duration { return 0 },
 			})
-			e.Relayer = New(e.jobStorer, e, querier.New(clock, n), joiner.Member(name), func() bool { return n.accounts })
+			e.Relayer = New(e.jobStorer, e, querier.New(clock, n), joiner.Member(name), func() bool { return n.accounts && !n.outdated[name] })
 			tasks.Go(func() { e.jobStorer.Run(ctx, e.Owns) })
 			n.hosts[name] = e
 		}
