reporter: a lost host does not move the usage windows

Cause: the holder took the true time from the median of whatever clocks answered if these were half of the members. With three hosts, one of which is 6 s off, the loss of a right one left two clocks, whose mean is 3 s off. The windows moved by that much, and starts were counted in the wrong ones.

Change: within 10 minutes, an offset is only replaced by one that was measured with at least as many clocks. The boot clock drifts by milliseconds a minute.

Result: TestRun_ALostClockDoesNotMoveWindows fails before the change (starts of 4.5 s into a window were reported with the next one) and passes with it, as do the tests of ladder/duties, run twice.

--- a/ladder/duties/reporter/collect.go
+++ b/ladder/duties/reporter/collect.go
@@ -21,6 +21,9 @@
 	// median. With fewer, the former one is better: boot clocks keep time within
 	// milliseconds a minute, while a single clock may be seconds off.
 	quorumDivisor = 2
+	// maxOffsetAge is how long a median of more clocks is better than a new one of fewer: when
+	// one of three clocks is lost, the mean of the others may be seconds off.
+	maxOffsetAge = 10 * time.Minute
 )
 
 // startKey identifies a start, whoever tells of it.
@@ -37,8 +40,6 @@
 
 // collection is what the members answered.
 type collection struct {
-	// offset is true time since the start of 1970 less this host's boot clock.
-	offset time.Duration
 	// oldestMember is when, by this host's boot clock, the oldest process that has answered
 	// started.
 	oldestMember time.Duration
@@ -46,8 +47,10 @@
 	// silent is how many members haven't answered.
 	silent int
 
-	// members has how many were asked, this host included; offsets those of their clocks.
+	// members has how many were asked, this host included.
 	members int
+	// offsets has, for each clock that is known, true time since the start of 1970 by it less this
+	// host's boot clock.
 	offsets []time.Duration
 }
 
@@ -64,10 +67,6 @@
 		}
 	}
 	c.silent = len(members)
-	c.offset = median(c.offsets)
-	if t.measured && !c.hasQuorum() {
-		c.offset = t.offset
-	}
 	return c
 }
 
--- a/ladder/duties/reporter/reporter_test.go
+++ b/ladder/duties/reporter/reporter_test.go
@@ -173,6 +173,7 @@
 		h.stop()
 	}
 	w.tasks.Wait()
+	time.Sleep(time.Second) // questions to lost hosts last as long
 }
 
 // setToken makes a host believe that it holds the lease, or not if the token is 0.
@@ -279,6 +280,26 @@
 	})
 }
 
+// Guards against windows that move by seconds when a host with a right clock is lost, so that
+// fewer clocks are left than the true time was measured with.
+func TestRun_ALostClockDoesNotMoveWindows(t *testing.T) {
+	inWorld(t, []time.Duration{6 * time.Second, 0, 0}, func(t *testing.T, w *world) {
+		w.setToken("host-0", 7)
+		sleepInto(2 * time.Second)
+		first := nowWindow()
+		w.setLost("host-1", true)
+		for n := range 4 {
+			sleepInto(500 * time.Millisecond)
+			w.record("host-2", "a", n+1)
+			time.Sleep(4 * time.Second)
+			w.record("host-2", "b", n+1)
+		}
+		sleepInto(length)
+		sleepInto(4 * time.Second)
+		w.check(t, first, "null", `{"a":1,"b":1}`, `{"a":2,"b":2}`, `{"a":3,"b":3}`, `{"a":4,"b":4}`)
+	})
+}
+
 // Guards against starts that are lost with their host, and against counting those twice that their
 // host and their keepers tell of.
 func TestRun_FindsTheStartsOfALostHost(t *testing.T) {
--- a/ladder/duties/reporter/term.go
+++ b/ladder/duties/reporter/term.go
@@ -44,9 +44,12 @@
 
 	// The fields below are used by build only.
 
-	// measured is set once offset is known: true time less this host's boot clock.
-	measured bool
-	offset   time.Duration
+	// clocks is the number of clocks that offset was measured with, 0 until then, and measuredAt
+	// is when, by the boot clock.
+	clocks     int
+	measuredAt time.Duration
+	// offset is true time less this host's boot clock.
+	offset time.Duration
 	// next is the first window that may still have to be stored.
 	next Window
 	// counted has the starts that are part of a report, by their moment.
@@ -97,7 +100,7 @@
 			return
 		}
 	}
-	if !t.measured {
+	if t.clocks == 0 {
 		t.takeOver(ctx)
 	}
 	for ctx.Err() == nil {
@@ -119,7 +122,7 @@
 			break
 		}
 	}
-	t.offset, t.measured = c.offset, true
+	t.setOffset(c)
 	windows := t.stored.windows()
 	klog.InfoS("usage reports taken over", "holder", t.options.Holder, "token", t.token, "stored", len(windows), "members", c.members, "silent", c.silent)
 	for _, w := range windows {
@@ -128,6 +131,16 @@
 	}
 }
 
+// setOffset measures the true time anew if the clocks of enough members are known.
+func (t *term) setOffset(c collection) {
+	now := t.bootClock.Elapsed()
+	recent := now-t.measuredAt <= maxOffsetAge
+	if t.clocks > 0 && (!c.hasQuorum() || recent && len(c.offsets) < t.clocks) {
+		return
+	}
+	t.offset, t.clocks, t.measuredAt = median(c.offsets), len(c.offsets), now
+}
+
 // enqueueStored queues a stored report that may not have arrived.
 func (t *term) enqueueStored(w Window) {
 	age := t.bootClock.Elapsed() - t.bootTimeOf(w+1)
@@ -158,7 +171,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	t.offset = c.offset
+	t.setOffset(c)
 	due := t.windowOf(until)
 	counts := t.count(c, t.next, due)
 	var reports []report
