reporter: send usage reports after an absence of the platform of minutes

Cause: the holder gave up a report that the platform had not acknowledged for 30 s, although the report stays in the store for 10 minutes. All windows that ended in the first half minute of an absence of a minute stayed unreported.

Change: the holder sends a report again for 9 minutes. A host that takes over sends the reports of the last 30 s beyond the lateness, as before.

Result: TestRun_SendsAfterALongSilence fails before the change (6 of 11 windows without a report) and passes with it, as do the tests of ladder/duties, run twice.

--- a/ladder/duties/reporter/reporter.go
+++ b/ladder/duties/reporter/reporter.go
@@ -34,8 +34,11 @@
 	// starts after a minute.
 	maxWindowAge = 55 * time.Second
 	// maxReportAge is how long a report is sent again, from the moment at which this host has
-	// it.
-	maxReportAge = 30 * time.Second
+	// it. It is below retention, so that the report is still in the store.
+	maxReportAge = 9 * time.Minute
+	// takeoverAge is how long after it was due a stored report is sent by a host that takes over.
+	// The host can't know which ones have arrived, and repeats delay the reports that have not.
+	takeoverAge = 30 * time.Second
 )
 
 // Platform is where usage is reported.
--- a/ladder/duties/reporter/reporter_test.go
+++ b/ladder/duties/reporter/reporter_test.go
@@ -401,6 +401,27 @@
 	}
 }
 
+// Guards against reports that are never sent because the platform was away for a minute.
+func TestRun_SendsAfterALongSilence(t *testing.T) {
+	inWorld(t, rightClocks, func(t *testing.T, w *world) {
+		w.setToken("host-0", 7)
+		sleepInto(3 * time.Second)
+		first := nowWindow()
+		w.setFailure(errors.New("no response"))
+		w.record("host-1", "a", 5)
+		time.Sleep(time.Minute)
+		w.setFailure(nil)
+		time.Sleep(3 * time.Second)
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
+		for n := range Window(11) {
+			if w.reports[first+n] == "" {
+				t.Errorf("window %d of the test has no report", n)
+			}
+		}
+	})
+}
+
 // Guards against windows without a report when all processes start again, and against reports of
 // the time in which none was there.
 func TestRun_AllMembersRestarted(t *testing.T) {
--- a/ladder/duties/reporter/term.go
+++ b/ladder/duties/reporter/term.go
@@ -144,7 +144,7 @@
 // enqueueStored queues a stored report that may not have arrived.
 func (t *term) enqueueStored(w Window) {
 	age := t.bootClock.Elapsed() - t.bootTimeOf(w+1)
-	if age < maxReportAge+t.options.Lateness && !t.isAcknowledged(w) {
+	if age < takeoverAge+t.options.Lateness && !t.isAcknowledged(w) {
 		t.enqueue(report{w, t.stored.get(w)})
 	}
 }
