relayer: the outcome of a submission is unknown only if its owner was asked

Cause: whether the owner of a batch job may still write its record was read from the list of owners before it was asked. An owner that is not asked because it hasn't answered lately counted as asked, so that callers got 504 where 503 is true; an owner that appeared between the two looks at the list did not, so that they could get 503 while it wrote the record.

Change: the call itself says whether it was sent. TestAccept_UnknownOnceTheOwnerWasAsked made the owner silent for all calls, which keeps it from being asked to write the record; it is now silent for that call only, and a second case covers the owner that is not asked.

Result: the second case fails before the change and passes with it; the tests of the package pass three times with the race detector.

--- a/ladder/relayer/account.go
+++ b/ladder/relayer/account.go
@@ -52,10 +52,11 @@
 	if err != nil {
 		return err
 	}
-	_, asked := r.remoteOwner(s.ID)
-	if _, err := r.askOwner(ctx, messenger.JobCall{Verb: messenger.JobCommit, Job: s.ID, Account: s.Account, Record: record, Wait: commitWait}); !errors.Is(err, errOwnerUnavailable) {
+	_, err = r.askOwner(ctx, messenger.JobCall{Verb: messenger.JobCommit, Job: s.ID, Account: s.Account, Record: record, Wait: commitWait})
+	if !errors.Is(err, errOwnerUnavailable) {
 		return err
 	}
+	asked := !errors.Is(err, errOwnerNotAsked)
 	err = r.jobs.Commit(ctx, s.Account, s.ID, record)
 	if err != nil && asked && !errors.Is(err, jobstorer.ErrOtherAccount) {
 		// The owner may still write the record.
--- a/ladder/relayer/account_test.go
+++ b/ladder/relayer/account_test.go
@@ -12,6 +12,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/faker"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/jobstorer"
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 )
 
 func acceptFor(ctx context.Context, e *entry, a identifier.AccountName, items int) error {
@@ -174,15 +175,27 @@
 }
 
 // Guards against a submission that is refused as never run though the owner, which was asked to
-// write its record and has not answered, may still do so.
+// write its record and has not answered, may still do so, and against one whose outcome is said to be
+// unknown though the owner was not asked.
 func TestAccept_UnknownOnceTheOwnerWasAsked(t *testing.T) {
-	inBubble(t, func(ctx context.Context, n *network, owner, other *entry) {
-		n.accounts, n.silent["owner"] = true, true
-		for e, want := range map[*entry]error{owner: jobstorer.ErrStaleCopy, other: appender.ErrOutcomeUnknown} {
-			e.jobs = lostBooks{e.jobStorer}
-			if err := acceptFor(ctx, e, "first", 1); !errors.Is(err, want) {
-				t.Errorf("%v, want %v", err, want)
-			}
-		}
-	})
+	for name, c := range map[string]struct {
+		isolate func(n *network)
+		want    error
+	}{
+		"asked":     {func(n *network) { n.unanswered[messenger.JobCommit] = true }, appender.ErrOutcomeUnknown},
+		"not asked": {func(n *network) { n.silent["owner"] = true }, jobstorer.ErrStaleCopy},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(ctx context.Context, n *network, owner, other *entry) {
+				n.accounts = true
+				c.isolate(n)
+				owner.jobs, other.jobs = lostBooks{owner.jobStorer}, lostBooks{other.jobStorer}
+				for e, want := range map[*entry]error{owner: jobstorer.ErrStaleCopy, other: c.want} {
+					if err := acceptFor(ctx, e, "first", 1); !errors.Is(err, want) {
+						t.Errorf("%v, want %v", err, want)
+					}
+				}
+			})
+		})
+	}
 }
--- a/ladder/relayer/relayer.go
+++ b/ladder/relayer/relayer.go
@@ -60,15 +60,19 @@
 	return &Relayer{jobs: jobs, ownership: ownership, self: self, peers: p, accountsInForce: accountsInForce}
 }
 
-// errOwnerUnavailable means that no owner has answered and that nothing was done.
-var errOwnerUnavailable = errors.New("owner of the batch job unavailable")
+// errOwnerUnavailable means that no owner has answered. errOwnerNotAsked is an errOwnerUnavailable
+// after which no owner may still do anything.
+var (
+	errOwnerUnavailable = errors.New("owner of the batch job unavailable")
+	errOwnerNotAsked    = errors.WithMessage(errOwnerUnavailable, "not asked")
+)
 
 // askOwner sends a call to the owner of the job. It returns errOwnerUnavailable if
 // the call must be answered from the local copy.
 func (r *Relayer) askOwner(ctx context.Context, c messenger.JobCall) (data []byte, err error) {
 	owner, ok := r.remoteOwner(c.Job)
 	if !ok {
-		return nil, errOwnerUnavailable
+		return nil, errOwnerNotAsked
 	}
 	c.AccountsInForce = r.accountsInForce()
 	timeoutCtx, cancel := context.WithTimeout(ctx, c.Wait+answerMargin)
@@ -76,6 +80,9 @@
 	reply, err := r.peers.Ask(timeoutCtx, string(owner), messenger.Question{Job: &c})
 	if err != nil || reply.Job == nil {
 		klog.InfoS("owner of a batch job doesn't answer, the store is asked", "job", c.Job, "verb", c.Verb, "owner", owner, "err", err)
+		if errors.Is(err, querier.ErrPeerBackoff) {
+			return nil, errOwnerNotAsked
+		}
 		return nil, errOwnerUnavailable
 	}
 	switch reply.Job.Outcome {
--- a/ladder/relayer/relayer_test.go
+++ b/ladder/relayer/relayer_test.go
@@ -26,6 +26,8 @@
 	hosts map[string]*entry
 	// silent entries receive queries but do not answer.
 	silent map[string]bool
+	// unanswered are the calls that no entry answers.
+	unanswered map[messenger.JobVerb]bool
 	// accounts is set if accounts are in force, except at the entries in outdated.
 	accounts bool
 	// outdated entries have an older configuration without accounts.
@@ -54,7 +56,7 @@
 	here, there := messenger.NewPipe()
 	n.tasks.Go(func() {
 		querier.Serve(n.ctx, there, func(ctx context.Context, q messenger.Question) messenger.Reply {
-			if n.silent[address] {
+			if n.silent[address] || n.unanswered[q.Job.Verb] {
 				<-ctx.Done()
 			}
 			a := e.Answer(ctx, *q.Job)
@@ -72,7 +74,7 @@
 		var tasks conc.WaitGroup
 		clock := clockwork.NewRealClock()
 		store := faker.NewStore(clock)
-		n := &network{ctx: ctx, tasks: &tasks, hosts: make(map[string]*entry), silent: make(map[string]bool), outdated: make(map[string]bool), store: store}
+		n := &network{ctx: ctx, tasks: &tasks, hosts: make(map[string]*entry), silent: make(map[string]bool), unanswered: make(map[messenger.JobVerb]bool), outdated: make(map[string]bool), store: store}
 		for _, name := range []string{"owner", "other"} {
 			e := &entry{owns: name == "owner"}
 			e.jobStorer = jobstorer.New(clock, store, jobstorer.Options{
