--- a/ladder/duties/reporter/reporter_test.go
+++ b/ladder/duties/reporter/reporter_test.go
@@ -196,6 +196,7 @@
 		h.stop()
 	}
 	w.tasks.Wait()
+	time.Sleep(time.Second) // questions to lost hosts last as long
 }
 
 // setToken makes a host believe that it holds the lease, or not if the token is 0.
@@ -308,6 +309,26 @@
 	})
 }
 
+// Guards against windows that move by seconds when a host with a right clock is lost, so that
+// fewer clocks are left than the true time was measured with.
+func TestRun_ALostClockDoesNotMoveWindows(t *testing.T) {
+	inWorld(t, []time.Duration{6 * time.Second, 0, 0}, func(t *testing.T, w *world) {
+		w.setToken("host-0", 7)
+		sleepInto(2 * time.Second)
+		first := nowWindow()
+		w.setLost("host-1", true)
+		for n := range 4 {
+			sleepInto(500 * time.Millisecond)
+			w.record("host-2", "a", n+1)
+			time.Sleep(4 * time.Second)
+			w.record("host-2", "b", n+1)
+		}
+		sleepInto(length)
+		sleepInto(4 * time.Second)
+		w.check(t, first, "null", `{"a":1,"b":1}`, `{"a":2,"b":2}`, `{"a":3,"b":3}`, `{"a":4,"b":4}`)
+	})
+}
+
 // Guards against starts that are lost with their host, and against counting those twice that their
 // host and their keepers tell of.
 func TestRun_FindsTheStartsOfALostHost(t *testing.T) {
@@ -427,6 +448,27 @@
 	}
 }
 
+// Guards against reports that are never sent because the platform was away for a minute.
+func TestRun_SendsAfterALongSilence(t *testing.T) {
+	inWorld(t, rightClocks, func(t *testing.T, w *world) {
+		w.setToken("host-0", 7)
+		sleepInto(3 * time.Second)
+		first := nowWindow()
+		w.setFailure(errors.New("no response"))
+		w.record("host-1", "a", 5)
+		time.Sleep(time.Minute)
+		w.setFailure(nil)
+		time.Sleep(3 * time.Second)
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
+		for n := range Window(11) {
+			if w.reports[first+n] == "" {
+				t.Errorf("window %d of the test has no report", n)
+			}
+		}
+	})
+}
+
 // Guards against windows without a report when all processes start again, and against reports of
 // the time in which none was there.
 func TestRun_AllMembersRestarted(t *testing.T) {
--- a/ladder/relayer/account_test.go
+++ b/ladder/relayer/account_test.go
@@ -12,6 +12,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/faker"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/jobstorer"
+	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 )
 
 func acceptFor(ctx context.Context, e *entry, a identifier.AccountName, items int) error {
@@ -79,6 +80,52 @@
 	})
 }
 
+// Guards against another account that reads, ends or submits again a job whose owner has an older
+// configuration without accounts.
+func TestAccounts_JobsAreKeptApartByAnOutdatedOwner(t *testing.T) {
+	inBubble(t, func(ctx context.Context, n *network, owner, other *entry) {
+		n.accounts, n.outdated["owner"] = true, true
+		if err := acceptFor(ctx, other, "first", 2); err != nil {
+			t.Fatal(err)
+		}
+		for a, want := range map[identifier.AccountName]string{"first": "done", "second": jobstorer.ErrOtherAccount.Error(), "": jobstorer.ErrOtherAccount.Error()} {
+			if diff := cmp.Diff(all(want), outcomes(ctx, other, a)); diff != "" {
+				t.Errorf("account %q: %s", a, diff)
+			}
+		}
+		if err := other.End(ctx, "second", "j"); !errors.Is(err, jobstorer.ErrOtherAccount) {
+			t.Errorf("another account ends the job: %v", err)
+		}
+		time.Sleep(time.Second)
+		if len(owner.jobStorer.OpenJobs(0)) != 1 {
+			t.Error("the job has ended")
+		}
+	})
+}
+
+// Guards against a proper caller that gets 403 for its own job from a host that has an older
+// configuration without accounts, and so does not know the caller's account.
+func TestAccounts_OutdatedHostsRefuseForNowOnly(t *testing.T) {
+	inBubble(t, func(ctx context.Context, n *network, owner, other *entry) {
+		n.accounts = true
+		if err := acceptFor(ctx, other, "first", 2); err != nil {
+			t.Fatal(err)
+		}
+		n.outdated["other"] = true
+		_, results := other.Results(ctx, "", "j", 0, 0, 1<<20)
+		_, body := other.Body(ctx, "", "j", "")
+		for call, err := range map[string]error{"results": results, "body": body, "end": other.End(ctx, "", "j")} {
+			if !errors.Is(err, appender.ErrUnavailable) || errors.Is(err, jobstorer.ErrOtherAccount) {
+				t.Errorf("%s: %v", call, err)
+			}
+		}
+		time.Sleep(time.Second)
+		if len(owner.jobStorer.OpenJobs(0)) != 1 {
+			t.Error("the job has ended")
+		}
+	})
+}
+
 // Guards against jobs without an account that are refused once accounts are in force, and against
 // checks where none are.
 func TestAccounts_JobsWithoutAccountAreOpenToAll(t *testing.T) {
@@ -128,15 +175,27 @@
 }
 
 // Guards against a submission that is refused as never run though the owner, which was asked to
-// write its record and has not answered, may still do so.
+// write its record and has not answered, may still do so, and against one whose outcome is said to be
+// unknown though the owner was not asked.
 func TestAccept_UnknownOnceTheOwnerWasAsked(t *testing.T) {
-	inBubble(t, func(ctx context.Context, n *network, owner, other *entry) {
-		n.accounts, n.silent["owner"] = true, true
-		for e, want := range map[*entry]error{owner: jobstorer.ErrStaleCopy, other: appender.ErrOutcomeUnknown} {
-			e.jobs = lostBooks{e.jobStorer}
-			if err := acceptFor(ctx, e, "first", 1); !errors.Is(err, want) {
-				t.Errorf("%v, want %v", err, want)
-			}
-		}
-	})
+	for name, c := range map[string]struct {
+		isolate func(n *network)
+		want    error
+	}{
+		"asked":     {func(n *network) { n.unanswered[messenger.JobCommit] = true }, appender.ErrOutcomeUnknown},
+		"not asked": {func(n *network) { n.silent["owner"] = true }, jobstorer.ErrStaleCopy},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(ctx context.Context, n *network, owner, other *entry) {
+				n.accounts = true
+				c.isolate(n)
+				owner.jobs, other.jobs = lostBooks{owner.jobStorer}, lostBooks{other.jobStorer}
+				for e, want := range map[*entry]error{owner: jobstorer.ErrStaleCopy, other: c.want} {
+					if err := acceptFor(ctx, e, "first", 1); !errors.Is(err, want) {
+						t.Errorf("%v, want %v", err, want)
+					}
+				}
+			})
+		})
+	}
 }
--- a/ladder/relayer/relayer.go
+++ b/ladder/relayer/relayer.go
@@ -60,21 +60,29 @@
 	return &Relayer{jobs: jobs, ownership: ownership, self: self, peers: p, accountsInForce: accountsInForce}
 }
 
-// errOwnerUnavailable means that no owner has answered and that nothing was done.
-var errOwnerUnavailable = errors.New("owner of the batch job unavailable")
+// errOwnerUnavailable means that no owner has answered. errOwnerNotAsked is an errOwnerUnavailable
+// after which no owner may still do anything.
+var (
+	errOwnerUnavailable = errors.New("owner of the batch job unavailable")
+	errOwnerNotAsked    = errors.WithMessage(errOwnerUnavailable, "not asked")
+)
 
 // askOwner sends a call to the owner of the job. It returns errOwnerUnavailable if
 // the call must be answered from the local copy.
 func (r *Relayer) askOwner(ctx context.Context, c messenger.JobCall) (data []byte, err error) {
 	owner, ok := r.remoteOwner(c.Job)
 	if !ok {
-		return nil, errOwnerUnavailable
+		return nil, errOwnerNotAsked
 	}
+	c.AccountsInForce = r.accountsInForce()
 	timeoutCtx, cancel := context.WithTimeout(ctx, c.Wait+answerMargin)
 	defer cancel()
 	reply, err := r.peers.Ask(timeoutCtx, string(owner), messenger.Question{Job: &c})
 	if err != nil || reply.Job == nil {
 		klog.InfoS("owner of a batch job doesn't answer, the store is asked", "job", c.Job, "verb", c.Verb, "owner", owner, "err", err)
+		if errors.Is(err, querier.ErrPeerBackoff) {
+			return nil, errOwnerNotAsked
+		}
 		return nil, errOwnerUnavailable
 	}
 	switch reply.Job.Outcome {
@@ -83,6 +91,9 @@
 	case messenger.JobUnknown:
 		return nil, jobstorer.ErrUnknownJob
 	case messenger.JobOtherAccount:
+		if !c.AccountsInForce {
+			return nil, errNoAccountsYet
+		}
 		return nil, jobstorer.ErrOtherAccount
 	case messenger.JobNotOwned:
 	}
@@ -98,6 +109,7 @@
 
 // The methods below take the client account of the caller, which is empty if it has none. They
 // return jobstorer.ErrOtherAccount if the job belongs to another account, and have no effect then.
+// The same goes for errNoAccountsYet.
 
 // Accept stores a job.
 func (r *Relayer) Accept(ctx context.Context, s jobstorer.Submission) error {
@@ -120,7 +132,7 @@
 	if errors.Is(err, errOwnerUnavailable) && r.ownership.Owns(r.jobs.PartitionOf(id)) {
 		err = r.jobs.Exists(ctx, id)
 	}
-	if errors.Is(err, jobstorer.ErrUnknownJob) || errors.Is(err, jobstorer.ErrOtherAccount) {
+	if errors.Is(err, jobstorer.ErrUnknownJob) || errors.Is(err, errNoAccountsYet) {
 		return err
 	}
 	return r.jobs.End(ctx, id)
