platform: one account of the memory held for callers, targets and jobs

Cause: bodies, heads and chunks were read into memory without a common bound, and connections without progress were kept.

Change: ladder/memory/budgeter accounts for bytes before they are read, with a share for requests below 64 KiB; holders without progress give way. connlimiter wraps the listener: it counts heads (text, lines, lines before a request), bounds connections by descriptors and memory, and ends bodies, heads, idle connections and unread responses by the limits of the configuration (max_header_bytes, header_timeout_ms, idle_timeout_ms are read now). bodyreader reads bodies under the budget. The forwarder's budget for responses is the same account; a response is held until it is written. Jobs in the local copy are held in it too. Refusals: 503 with Retry-After, 408, 413, 431, all with Connection: close.

--- a/ladder/cataloger/configuration.go
+++ b/ladder/cataloger/configuration.go
@@ -86,6 +86,10 @@
 type Limits struct {
 	// MaxBodyBytes is the largest request body; 0 means no bound.
 	MaxBodyBytes int64
+	// MaxHeadBytes is the largest request head; 0 means the server's own bound.
+	MaxHeadBytes int64
+	// HeadTimeout is how long callers may take to send a head.
+	HeadTimeout time.Duration
 	// IdleTimeout is how long callers may leave a connection idle.
 	IdleTimeout time.Duration
 }
--- a/ladder/explainer/events.go
+++ b/ladder/explainer/events.go
@@ -211,6 +211,12 @@
 		Fields:  []string{"lease", "err"},
 		Meaning: "renewing the lease failed",
 	},
+	{
+		Name: "limit acted on callers", Level: LevelInfo, Scope: ScopeHost,
+		Fields:  []string{"limit", "count", "held", "budget"},
+		Meaning: "a limit of memory, connections or progress refused or closed `count` requests or connections since its last line; at most one line per limit in 10 s",
+		Action:  "look for clients that exceed the limits; if they are ordinary ones, the host is too small",
+	},
 	{
 		Name: "links of other entries are not taken any more", Level: LevelError, Scope: ScopeHost,
 		Meaning: "the listener for peers failed",
--- a/ladder/faker/crowder/crowder.go
+++ b/ladder/faker/crowder/crowder.go
@@ -135,7 +135,7 @@
 func (c *crowd) close() {
 	c.mutex.Lock()
 	for _, connection := range c.connections {
-		connection.Close()
+		_ = connection.Close() // the server may have closed it
 	}
 	c.mutex.Unlock()
 	c.tasks.Wait()
--- a/ladder/forwarder/forward.go
+++ b/ladder/forwarder/forward.go
@@ -198,7 +198,7 @@
 		return r
 	}
 	defer r.response.Body.Close()
-	if r.body, r.err = w.memory.readAll(r.response.Body); r.err != nil {
+	if r.body, r.err = w.memory.readAll(ctx, r.response.Body, w.request.Reservation); r.err != nil {
 		r.err = errors.Wrap(sender.ErrNoResponse, r.err.Error())
 		if ctx.Err() == nil {
 			w.router.RecordFailure(t.Name)
--- a/ladder/forwarder/forwarder.go
+++ b/ladder/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/limiter"
+	"github.com/lycheeladder/lycheeladder/ladder/memory/budgeter"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
 	"github.com/lycheeladder/lycheeladder/ladder/sender"
@@ -26,6 +27,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Reservation is the memory held for the request; large responses are added to it.
+	// Its owner releases it. It may be nil.
+	Reservation *budgeter.Reservation
 	// TimeLeft is how long the caller will wait; 0 if unknown.
 	TimeLeft time.Duration
 	// ResumeAfter is the last event that the caller has received.
@@ -157,7 +161,7 @@
 	return &Forwarder{
 		clock: clock, catalog: c, targets: l, sender: s, blocklist: b, origins: o, random: random,
 		router: router.New(clock, random, router.LeastExpectedWait{}),
-		budget: limiter.NewRetryBudget(retryShare, retryBurst), memory: newMemoryBudget(sharedBudgetBytes),
+		budget: limiter.NewRetryBudget(retryShare, retryBurst), memory: newMemoryBudget(clock, defaultBudgetBytes),
 	}
 }
 
--- a/ladder/forwarder/memory_budget.go
+++ b/ladder/forwarder/memory_budget.go
@@ -2,65 +2,62 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
-	"sync"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
+
+	"github.com/lycheeladder/lycheeladder/ladder/memory/budgeter"
 )
 
 // A response is buffered completely before it is passed on, so that another target
 // can be asked if the transfer fails. Faulty targets may send endless bodies,
 // several at once. Each response may use a small amount of memory; beyond that
-// all responses share a budget, so that only large ones fail when it is exhausted.
+// all responses draw on the account of the process, so that only large ones fail when it
+// is exhausted.
 
 const (
 	// maxResponseBytes bounds one response.
 	maxResponseBytes = 8 << 20
-	// unbudgetedBytes is what each response may use outside the budget.
+	// unbudgetedBytes is what each response may use outside the account.
 	unbudgetedBytes = 64 << 10
-	// sharedBudgetBytes bounds the memory of all responses in progress beyond
-	// unbudgetedBytes. The smallest hosts in the users' settings have 184 MB.
-	sharedBudgetBytes = 24 << 20
+	// defaultBudgetBytes bounds the memory of all responses in progress beyond
+	// unbudgetedBytes if the process has no account of its own.
+	defaultBudgetBytes = 24 << 20
 	// readSize is how much is read at once.
 	readSize = 32 << 10
 )
 
 var (
 	errResponseTooLarge = errors.Errorf("response larger than %d bytes", maxResponseBytes)
-	errBudgetExhausted  = errors.Errorf("large responses in progress use more than the shared budget of %d bytes", sharedBudgetBytes)
+	errBudgetExhausted  = errors.New("no memory left in the budget for a large response")
 )
 
-// memoryBudget is the memory shared by large responses.
-type memoryBudget struct {
-	mutex sync.Mutex
-	// available is never negative.
-	available int
-}
-
-func newMemoryBudget(size int) *memoryBudget { return &memoryBudget{available: size} }
+// memoryBudget is the account on which large responses draw.
+type memoryBudget struct{ budgeter *budgeter.Budgeter }
 
-// reserve takes n bytes from the budget, or returns false if fewer are available.
-func (m *memoryBudget) reserve(n int) bool {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	if n > m.available {
-		return false
-	}
-	m.available -= n
-	return true
+func newMemoryBudget(clock clockwork.Clock, size int64) *memoryBudget {
+	return &memoryBudget{budgeter: budgeter.New(clock, size)}
 }
 
-func (m *memoryBudget) release(n int) {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	m.available += n
-}
+// UseBudgeter makes responses draw on the account of the process. It must be called
+// before the first request.
+func (f *Forwarder) UseBudgeter(b *budgeter.Budgeter) { f.memory = &memoryBudget{budgeter: b} }
 
-// readAll reads a response's body to its end. It releases the memory when it
-// returns, since the body is needed only for a short time after that.
-func (m *memoryBudget) readAll(r io.Reader) (body []byte, err error) {
+// readAll reads a response's body to its end. The memory then belongs to the reservation
+// of the request, until its response has been passed on. If that is nil, the memory is
+// released, since the body is needed only for a short time after that.
+func (m *memoryBudget) readAll(ctx context.Context, r io.Reader, request *budgeter.Reservation) (body []byte, err error) {
+	response := m.budgeter.Open(nil)
+	defer func() {
+		if err != nil {
+			response.Release()
+			return
+		}
+		response.MoveTo(request)
+	}()
 	reserved := 0
-	defer func() { m.release(reserved) }()
 	var all bytes.Buffer
 	for {
 		n, err := all.ReadFrom(io.LimitReader(r, readSize))
@@ -72,8 +69,8 @@
 		case all.Len() > maxResponseBytes:
 			return nil, errResponseTooLarge
 		}
-		if beyond := all.Len() - unbudgetedBytes - reserved; beyond > 0 {
-			if !m.reserve(beyond) {
+		if beyond := all.Cap() - unbudgetedBytes - reserved; beyond > 0 {
+			if response.Grow(ctx, int64(beyond)) != nil {
 				return nil, errBudgetExhausted
 			}
 			reserved += beyond
--- a/ladder/forwarder/memory_budget_test.go
+++ b/ladder/forwarder/memory_budget_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"strings"
 	"testing"
 	"testing/iotest"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 	"pgregory.net/rapid"
 )
@@ -20,33 +22,33 @@
 }
 
 func TestReadAll_EndlessBodyIsBounded(t *testing.T) {
-	m := newMemoryBudget(sharedBudgetBytes)
+	m := newMemoryBudget(clockwork.NewRealClock(), defaultBudgetBytes)
 	e := &endless{}
-	if _, err := m.readAll(e); !errors.Is(err, errResponseTooLarge) {
+	if _, err := m.readAll(t.Context(), e, nil); !errors.Is(err, errResponseTooLarge) {
 		t.Errorf("got %v, want errResponseTooLarge", err)
 	}
 	if e.given > maxResponseBytes+2*readSize {
 		t.Errorf("%d bytes were read, more than the limit", e.given)
 	}
-	if m.available != sharedBudgetBytes {
-		t.Errorf("%d bytes available, want all", m.available)
+	if held := m.budgeter.Status().Held; held != 0 {
+		t.Errorf("%d bytes are still held", held)
 	}
 }
 
 func TestReadAll_LargeResponsesShareABudgetAndSmallOnesDoNotNeedIt(t *testing.T) {
 	const large = 1 << 20
-	m := newMemoryBudget(large)
+	m := newMemoryBudget(clockwork.NewRealClock(), large)
 	held := make(chan error)
 	r, w := io.Pipe()
-	go func() { _, err := m.readAll(r); held <- err }()
+	go func() { _, err := m.readAll(t.Context(), r, nil); held <- err }()
 	if _, err := w.Write(make([]byte, large)); err != nil { // it stays in progress
 		t.Fatal(err)
 	}
-	if _, err := m.readAll(bytes.NewReader(make([]byte, large))); !errors.Is(err, errBudgetExhausted) {
+	if _, err := m.readAll(t.Context(), bytes.NewReader(make([]byte, large)), nil); !errors.Is(err, errBudgetExhausted) {
 		t.Errorf("a second large response: %v, want errBudgetExhausted", err)
 	}
 	small := strings.Repeat("s", unbudgetedBytes-1)
-	if body, err := m.readAll(strings.NewReader(small)); string(body) != small || err != nil {
+	if body, err := m.readAll(t.Context(), strings.NewReader(small), nil); string(body) != small || err != nil {
 		t.Errorf("a small response: %d bytes, %v", len(body), err)
 	}
 	if err := w.Close(); err != nil {
@@ -55,13 +57,13 @@
 	if err := <-held; err != nil {
 		t.Error(err)
 	}
-	if m.available != large {
-		t.Errorf("%d bytes available, want %d", m.available, large)
+	if held := m.budgeter.Status().Held; held != 0 {
+		t.Errorf("%d bytes are still held", held)
 	}
 }
 
 func TestReadAll_CompleteBodyOrError(t *testing.T) {
-	m := newMemoryBudget(1 << 20)
+	m := newMemoryBudget(clockwork.NewRealClock(), 1<<20)
 	rapid.Check(t, func(t *rapid.T) {
 		want := bytes.Repeat([]byte("x"), rapid.IntRange(0, 4*readSize).Draw(t, "size"))
 		var r io.Reader = bytes.NewReader(want)
@@ -69,12 +71,12 @@
 			r = iotest.HalfReader(r)
 		}
 		if rapid.Bool().Draw(t, "interrupted") {
-			if _, err := m.readAll(io.MultiReader(r, iotest.ErrReader(io.ErrUnexpectedEOF))); !errors.Is(err, io.ErrUnexpectedEOF) {
+			if _, err := m.readAll(context.Background(), io.MultiReader(r, iotest.ErrReader(io.ErrUnexpectedEOF)), nil); !errors.Is(err, io.ErrUnexpectedEOF) {
 				t.Fatalf("interrupted body: got %v, want io.ErrUnexpectedEOF", err)
 			}
 			return
 		}
-		if got, err := m.readAll(r); err != nil || !bytes.Equal(got, want) {
+		if got, err := m.readAll(context.Background(), r, nil); err != nil || !bytes.Equal(got, want) {
 			t.Fatalf("%d of %d bytes, %v", len(got), len(want), err)
 		}
 	})
--- a/ladder/forwarder/stream.go
+++ b/ladder/forwarder/stream.go
@@ -117,7 +117,7 @@
 
 func (s *Stream) failureOutcome(a *sender.Response) Outcome {
 	defer a.Body.Close()
-	body, err := s.forwarder.memory.readAll(a.Body)
+	body, err := s.forwarder.memory.readAll(s.ctx, a.Body, s.request.Reservation)
 	if err != nil {
 		return Unknown{Reason: err.Error()}
 	}
--- a/ladder/jobstorer/job.go
+++ b/ladder/jobstorer/job.go
@@ -57,6 +57,21 @@
 	AcceptedAt int64 `cbor:"8,keyasint"`
 }
 
+// itemBytes is about what an item holds beyond its bodies.
+const itemBytes = 300
+
+// size returns about how many bytes the submission holds.
+func (s *Submission) size() int64 {
+	n := len(s.Items) * itemBytes
+	for _, i := range s.Items {
+		n += len(i.Body)
+		if i.Scorer != nil {
+			n += len(i.Scorer.Body)
+		}
+	}
+	return int64(n)
+}
+
 // item returns nil if the job does not contain the item.
 func (s *Submission) item(id identifier.ItemID) *Item {
 	for n := range s.Items {
--- a/ladder/jobstorer/jobstorer.go
+++ b/ladder/jobstorer/jobstorer.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/memory/budgeter"
 	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
 	"github.com/lycheeladder/lycheeladder/ladder/replicator"
 	"github.com/lycheeladder/lycheeladder/ladder/storer"
@@ -72,6 +73,8 @@
 	Retention time.Duration
 	// SinceStoreAnswer returns the time since the last answer of the store.
 	SinceStoreAnswer func() time.Duration
+	// Memory is the account to which jobs are added; nil for none.
+	Memory *budgeter.Budgeter
 }
 
 // JobStorer holds copies of the partitions of all jobs and writes to them.
@@ -114,6 +117,7 @@
 	s := &JobStorer{clock: clock, log: log, options: o, changed: make(chan struct{}), followChanged: make(chan struct{}, 1)}
 	for n := range o.Partitions {
 		t := newJobTable(clock, s.notify)
+		t.memory = o.Memory
 		p := storer.Partition{Topic: o.Topic, Number: identifier.PartitionNumber(n)}
 		s.partitions = append(s.partitions, &partition{
 			table: t, replicator: replicator.New(clock, log, p, t, func() {}), progress: make(map[itemKey]Progress), wake: make(chan struct{}, 1),
--- a/ladder/jobstorer/jobtable.go
+++ b/ladder/jobstorer/jobtable.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/memory/budgeter"
 	"github.com/lycheeladder/lycheeladder/ladder/storer"
 )
 
@@ -48,6 +49,8 @@
 	// progress holds the partial text of items without a result.
 	progress map[identifier.ItemID]Progress
 	ended    bool
+	// held is the memory of the submission and the results.
+	held *budgeter.Reservation
 	// changed is closed at the next result or when the job ends.
 	changed chan struct{}
 }
@@ -57,6 +60,8 @@
 	clock clockwork.Clock
 	// notify is called after each change.
 	notify func()
+	// memory is nil if jobs are not accounted for.
+	memory *budgeter.Budgeter
 
 	mutex sync.Mutex
 	// pieces holds parts of submissions whose job record has not been read yet, by their
@@ -87,6 +92,7 @@
 		if current, ok := t.jobs[id]; ok {
 			current.acceptedAt = state.acceptedAt
 		}
+		state.held.Release()
 		close(state.changed)
 	}
 }
@@ -144,6 +150,7 @@
 	if len(r.Value) == 0 {
 		if state, ok := t.jobs[id]; ok {
 			state.signal()
+			state.held.Release()
 			delete(t.jobs, id)
 		}
 		return
@@ -159,6 +166,7 @@
 	}
 	now := t.clock.Now()
 	state := &jobState{submission: s, acceptedAt: now, pieceKeys: keys, positions: make(map[identifier.ItemID]int), progress: make(map[identifier.ItemID]Progress), changed: make(chan struct{})}
+	state.held = t.memory.Hold(s.size())
 	if replayed {
 		state.acceptedAt = now.Add(-max(0, now.Sub(time.UnixMilli(s.AcceptedAt))))
 	}
@@ -184,6 +192,7 @@
 	state.positions[result.Item] = position
 	delete(state.progress, result.Item)
 	state.results = append(state.results, result)
+	state.held.Hold(int64(len(result.Text)))
 	state.signal()
 }
 
--- a/ladder/recorder/recorder.go
+++ b/ladder/recorder/recorder.go
@@ -69,12 +69,13 @@
 type Recorder struct {
 	mutex      sync.Mutex
 	counters   map[string]int64
+	gauges     map[string]func() int64
 	histograms map[Series]*hdrhistogram.Histogram
 }
 
 // New returns an empty Recorder.
 func New() *Recorder {
-	return &Recorder{counters: make(map[string]int64), histograms: make(map[Series]*hdrhistogram.Histogram)}
+	return &Recorder{counters: make(map[string]int64), gauges: make(map[string]func() int64), histograms: make(map[Series]*hdrhistogram.Histogram)}
 }
 
 // PublishExpvar publishes the recorder as the expvar name. It must be called
@@ -83,8 +84,9 @@
 	expvar.Publish(name, expvar.Func(func() any {
 		return struct {
 			Counters   map[string]int64 `json:"counters"`
+			Gauges     map[string]int64 `json:"gauges,omitempty"`
 			Histograms []Summary        `json:"histograms"`
-		}{r.Counters(), r.Summaries()}
+		}{r.Counters(), r.Gauges(), r.Summaries()}
 	}))
 }
 
