--- a/ladder/explainer/events.go
+++ b/ladder/explainer/events.go
@@ -612,7 +612,7 @@
 	{
 		Name: "usage report given up", Level: LevelInfo, Scope: ScopeHost,
 		Fields:  []string{"window", "holder", "digest"},
-		Meaning: "the platform has not acknowledged the report for 30 s",
+		Meaning: "the platform has not acknowledged the report for 9 min",
 		Action:  "check the path to the platform's API",
 	},
 	{
