--- a/ladder/duties/meter/meter_test.go
+++ b/ladder/duties/meter/meter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -154,3 +155,24 @@
 		}
 	})
 }
+
+// Guards against memory that other hosts can fill without end.
+func TestKeep_Bounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newHosts("a").meters["a"]
+		log := messenger.UsageLog{Incarnation: "i-0", Accounts: []identifier.AccountName{"x"}, Starts: make([]messenger.UsageStart, maxStarts)}
+		for range 2 {
+			m.Keep(log)
+		}
+		if n := len(m.kept["i-0"].starts); n != maxStarts {
+			t.Errorf("%d starts of one host are kept", n)
+		}
+		log.Starts = log.Starts[:1]
+		for n := range maxLogs + 5 {
+			log.Incarnation = identifier.Incarnation(fmt.Sprint("i-", n))
+			if kept := m.Keep(log); kept != (n < maxLogs) {
+				t.Errorf("host %d: kept %t", n, kept)
+			}
+		}
+	})
+}
