messenger: questions of the duties fit into the four levels of a frame

A peer's answer to a question about usage or places had six levels, so that the asker closed the link: members counted as silent, and only copied starts were counted. The package's round-trip test of all messages fails on it; it had not been run. Answers now have tables of hosts and accounts and one list of starts; copies and answers are bounded by the elements that a frame may have. Tested: round trip of every kind, messages of the reporter's tests pass the encoder, one program asks another over its link.

--- a/ladder/duties/autoscaler/autoscaler.go
+++ b/ladder/duties/autoscaler/autoscaler.go
@@ -156,7 +156,7 @@
 
 // observe returns what is known of a service in each zone that has targets of it. Work that waits
 // is divided equally among the zones.
-func (a *Autoscaler) observe(s cataloger.Service, demands map[identifier.Incarnation]messenger.HostDemand) map[Subject]Observation {
+func (a *Autoscaler) observe(s cataloger.Service, demands map[identifier.Incarnation][]messenger.PlaceDemand) map[Subject]Observation {
 	now, subjects := a.bootClock.Elapsed(), make(map[Subject]Observation)
 	base := Observation{At: now, Bounds: *s.Scaling, PlacesEach: 1}
 	if s.Engine != nil && s.Engine.Slots > 0 {
@@ -184,19 +184,17 @@
 }
 
 // addDemand adds the demand of a service to the observations.
-func addDemand(name identifier.ServiceName, subjects map[Subject]Observation, demands map[identifier.Incarnation]messenger.HostDemand) {
+func addDemand(name identifier.ServiceName, subjects map[Subject]Observation, demands map[identifier.Incarnation][]messenger.PlaceDemand) {
 	waiting, work, wait, places := 0, time.Duration(0), time.Duration(0), 0
-	for _, h := range demands {
-		for _, d := range h.Services {
+	for _, list := range demands {
+		for _, d := range list {
 			if d.Service != name {
 				continue
 			}
 			waiting, work, wait = waiting+max(0, d.Waiting), work+max(0, d.WaitingWork), max(wait, d.LongestWait)
-			for _, u := range d.Zones {
-				if o, ok := subjects[Subject{name, u.Zone}]; ok {
-					o.Items, o.Calls = o.Items+max(0, u.Items), o.Calls+max(0, u.Calls)
-					subjects[Subject{name, u.Zone}] = o
-				}
+			if o, ok := subjects[Subject{name, d.Zone}]; ok {
+				o.Items, o.Calls = o.Items+max(0, d.Items), o.Calls+max(0, d.Calls)
+				subjects[Subject{name, d.Zone}] = o
 			}
 		}
 	}
--- a/ladder/duties/autoscaler/autoscaler_test.go
+++ b/ladder/duties/autoscaler/autoscaler_test.go
@@ -23,15 +23,30 @@
 )
 
 // demandsOf returns the demands of two hosts with waiting items.
-func demandsOf(first, second int) map[identifier.Incarnation]messenger.HostDemand {
-	of := func(waiting int, zones ...messenger.ZoneUse) messenger.HostDemand {
-		return messenger.HostDemand{Services: []messenger.ServiceDemand{{Service: "other", Waiting: 100}, {
-			Service: "s", Waiting: waiting, WaitingWork: time.Duration(waiting) * 2 * time.Second, LongestWait: time.Second, Zones: zones,
-		}}}
+func demandsOf(first, second int) map[identifier.Incarnation][]messenger.PlaceDemand {
+	of := func(waiting int, uses ...messenger.PlaceDemand) []messenger.PlaceDemand {
+		return append(uses, messenger.PlaceDemand{Service: "other", Waiting: 100}, messenger.PlaceDemand{
+			Service: "s", Waiting: waiting, WaitingWork: time.Duration(waiting) * 2 * time.Second, LongestWait: time.Second,
+		})
 	}
-	return map[identifier.Incarnation]messenger.HostDemand{
-		"x": of(first, messenger.ZoneUse{Zone: "a", Items: 3}, messenger.ZoneUse{Zone: "gone", Items: 50}),
-		"y": of(second, messenger.ZoneUse{Zone: "a", Calls: 3}, messenger.ZoneUse{Zone: "b", Items: 2, Calls: -3}),
+	return map[identifier.Incarnation][]messenger.PlaceDemand{
+		"x": of(first, messenger.PlaceDemand{Service: "s", Zone: "a", Items: 3}, messenger.PlaceDemand{Service: "s", Zone: "gone", Items: 50}),
+		"y": of(second, messenger.PlaceDemand{Service: "s", Zone: "a", Calls: 3}, messenger.PlaceDemand{Service: "s", Zone: "b", Items: 2, Calls: -3}),
+	}
+}
+
+// Guards against demand that counts twice as its host and a keeper tell of it.
+func TestJoinDemands(t *testing.T) {
+	waiting := func(host, n int) messenger.PlaceDemand {
+		return messenger.PlaceDemand{Host: host, Service: "s", Waiting: n}
+	}
+	got := joinDemands([]*messenger.PlacesAnswer{
+		{Hosts: []identifier.Incarnation{"a", "b", "c"}, Demands: []messenger.PlaceDemand{waiting(1, 2), waiting(2, 3), waiting(0, 1), waiting(3, 9), waiting(-1, 9)}},
+		{Hosts: []identifier.Incarnation{"b", "c"}, Demands: []messenger.PlaceDemand{waiting(1, 7)}},
+	})
+	want := map[identifier.Incarnation][]messenger.PlaceDemand{"a": {waiting(0, 1)}, "b": nil, "c": {waiting(2, 3)}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
 	}
 }
 
--- a/ladder/duties/autoscaler/demand.go
+++ b/ladder/duties/autoscaler/demand.go
@@ -29,8 +29,9 @@
 	keptFor = 3*surveyInterval + peerTimeout
 	// peerTimeout bounds the wait for one host.
 	peerTimeout = 500 * time.Millisecond
-	// maxKept bounds the hosts whose demand is kept.
-	maxKept = 1_000
+	// maxKept bounds the hosts whose demand is kept, and maxDemands the services and zones of
+	// one of them.
+	maxKept, maxDemands = 1_000, 100
 )
 
 // Items knows the items of batch jobs; *scheduler.Scheduler implements it.
@@ -67,8 +68,8 @@
 }
 
 type keptDemand struct {
-	demand messenger.HostDemand
-	at     time.Time
+	demands []messenger.PlaceDemand
+	at      time.Time
 }
 
 // NewDemand returns a Demand that knows of no other host.
@@ -91,37 +92,35 @@
 }
 
 // own returns this host's demand.
-func (d *Demand) own() messenger.HostDemand {
-	demand := messenger.HostDemand{Incarnation: d.options.Incarnation, Own: true}
+func (d *Demand) own() (demands []messenger.PlaceDemand) {
 	services := scaledServices(d.catalog.Configuration())
 	if len(services) == 0 {
-		return demand
+		return nil
 	}
 	waiting := d.items.WaitingItems()
 	for _, s := range services {
-		w := waiting[s.Name]
-		service := messenger.ServiceDemand{Service: s.Name, Waiting: w.Count, LongestWait: w.Longest, WaitingWork: w.Work}
-		uses := make(map[identifier.ZoneName]messenger.ZoneUse)
+		if w := waiting[s.Name]; w.Count > 0 {
+			demands = append(demands, messenger.PlaceDemand{Service: s.Name, Waiting: w.Count, LongestWait: w.Longest, WaitingWork: w.Work})
+		}
+		uses := make(map[identifier.ZoneName]messenger.PlaceDemand)
 		for _, t := range slices.Concat(d.catalog.ReadyTargets(s.Name), d.catalog.LeavingTargets(s.Name)) {
 			u := uses[t.Zone]
-			u.Zone, u.Items, u.Calls = t.Zone, u.Items+d.items.InFlight(t.Name), u.Calls+d.calls.InFlight(t.Name)
-			uses[t.Zone] = u
+			uses[t.Zone] = messenger.PlaceDemand{
+				Service: s.Name, Zone: t.Zone, Items: u.Items + d.items.InFlight(t.Name), Calls: u.Calls + d.calls.InFlight(t.Name),
+			}
 		}
 		for _, u := range uses {
 			if u.Items+u.Calls > 0 {
-				service.Zones = append(service.Zones, u)
+				demands = append(demands, u)
 			}
 		}
-		if len(service.Zones) > 0 || service.Waiting > 0 {
-			demand.Services = append(demand.Services, service)
-		}
 	}
-	return demand
+	return demands
 }
 
 // Answer returns the demand of this host and of those that have told it theirs.
-func (d *Demand) Answer() []messenger.HostDemand {
-	list := []messenger.HostDemand{d.own()}
+func (d *Demand) Answer() *messenger.PlacesAnswer {
+	answer := &messenger.PlacesAnswer{Hosts: []identifier.Incarnation{d.options.Incarnation}, Demands: d.own()}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	for i, k := range d.kept {
@@ -129,20 +128,23 @@
 			delete(d.kept, i)
 			continue
 		}
-		list = append(list, k.demand)
+		for _, p := range k.demands {
+			p.Host = len(answer.Hosts)
+			answer.Demands = append(answer.Demands, p)
+		}
+		answer.Hosts = append(answer.Hosts, i)
 	}
-	return list
+	return answer
 }
 
 // Keep keeps the demand of another host.
-func (d *Demand) Keep(demand messenger.HostDemand) bool {
+func (d *Demand) Keep(c messenger.PlacesCopy) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if _, ok := d.kept[demand.Incarnation]; !ok && len(d.kept) >= maxKept {
+	if _, ok := d.kept[c.Host]; !ok && len(d.kept) >= maxKept || len(c.Demands) > maxDemands {
 		return false
 	}
-	demand.Own = false
-	d.kept[demand.Incarnation] = keptDemand{demand, d.clock.Now()}
+	d.kept[c.Host] = keptDemand{c.Demands, d.clock.Now()}
 	return true
 }
 
@@ -151,9 +153,9 @@
 	told := false
 	for {
 		members := d.options.Members()
-		if own := d.own(); len(members) > 0 && !slices.Contains(members, d.options.Self) && (told || len(own.Services) > 0) {
+		if own := d.own(); len(members) > 0 && !slices.Contains(members, d.options.Self) && (told || len(own) > 0) {
 			// An empty demand replaces the last one once.
-			told = d.tell(ctx, members, own) && len(own.Services) > 0
+			told = d.tell(ctx, members, own) && len(own) > 0
 		}
 		select {
 		case <-d.clock.After(surveyInterval):
@@ -164,10 +166,11 @@
 }
 
 // tell tells this host's demand to a listed host that can be reached.
-func (d *Demand) tell(ctx context.Context, members []string, own messenger.HostDemand) bool {
+func (d *Demand) tell(ctx context.Context, members []string, own []messenger.PlaceDemand) bool {
+	c := messenger.PlacesCopy{Host: d.options.Incarnation, Demands: own}
 	keepers := subsetter.Rank(string(d.options.Incarnation), members)
 	for _, address := range keepers[:min(2, len(keepers))] {
-		if r, ok := querier.AskBriefly(ctx, d.clock, d.options.Peers, address, messenger.Question{PlacesCopy: &own}, peerTimeout); ok && r.Kept {
+		if r, ok := querier.AskBriefly(ctx, d.clock, d.options.Peers, address, messenger.Question{PlacesCopy: &c}, peerTimeout); ok && r.Kept {
 			return true
 		}
 	}
@@ -175,9 +178,9 @@
 }
 
 // survey returns the demand of all hosts, and whether most members have answered.
-func (d *Demand) survey(ctx context.Context) (demands map[identifier.Incarnation]messenger.HostDemand, complete bool) {
+func (d *Demand) survey(ctx context.Context) (demands map[identifier.Incarnation][]messenger.PlaceDemand, complete bool) {
 	members := slices.DeleteFunc(slices.Clone(d.options.Members()), func(m string) bool { return m == d.options.Self })
-	answers := make(chan []messenger.HostDemand, len(members))
+	answers := make(chan *messenger.PlacesAnswer, len(members))
 	for _, address := range members {
 		go func() {
 			var r messenger.Reply
@@ -187,22 +190,30 @@
 			answers <- r.Places
 		}()
 	}
-	demands = make(map[identifier.Incarnation]messenger.HostDemand)
-	answered := 0
-	add := func(list []messenger.HostDemand) {
-		for _, h := range list {
-			if _, known := demands[h.Incarnation]; !known || h.Own {
-				demands[h.Incarnation] = h
-			}
+	list := []*messenger.PlacesAnswer{d.Answer()}
+	for range members {
+		if a := <-answers; a != nil {
+			list = append(list, a)
 		}
 	}
-	add(d.Answer())
-	for range members {
-		list := <-answers
-		if len(list) > 0 {
-			answered++
+	return joinDemands(list), 2*len(list) > len(members)
+}
+
+// joinDemands returns the demand of each host once: by its own answer, if there is one.
+func joinDemands(answers []*messenger.PlacesAnswer) map[identifier.Incarnation][]messenger.PlaceDemand {
+	demands := make(map[identifier.Incarnation][]messenger.PlaceDemand)
+	for _, a := range answers {
+		byHost := make([][]messenger.PlaceDemand, len(a.Hosts))
+		for _, p := range a.Demands {
+			if p.Host >= 0 && p.Host < len(byHost) {
+				byHost[p.Host] = append(byHost[p.Host], p)
+			}
+		}
+		for n, i := range a.Hosts {
+			if _, known := demands[i]; !known || n == 0 {
+				demands[i] = byHost[n]
+			}
 		}
-		add(list)
 	}
-	return demands, 2*(answered+1) > len(members)
+	return demands
 }
--- a/ladder/duties/meter/log.go
+++ b/ladder/duties/meter/log.go
@@ -43,18 +43,31 @@
 	return list
 }
 
-// encode returns starts with their ages at the moment now.
-func encode(i identifier.Incarnation, starts []start, now time.Duration) messenger.UsageLog {
-	log := messenger.UsageLog{Incarnation: i, Starts: make([]messenger.UsageStart, 0, len(starts))}
-	index := make(map[identifier.AccountName]int)
-	for _, s := range starts {
-		n, ok := index[s.account]
-		if !ok {
-			n = len(log.Accounts)
-			index[s.account] = n
-			log.Accounts = append(log.Accounts, s.account)
+// table numbers the elements of a message that its starts refer to.
+type table[T comparable] struct {
+	elements []T
+	index    map[T]int
+}
+
+// add returns the number of an element.
+func (t *table[T]) add(element T) int {
+	n, ok := t.index[element]
+	if !ok {
+		if t.index == nil {
+			t.index = make(map[T]int)
 		}
-		log.Starts = append(log.Starts, messenger.UsageStart{Account: n, Sequence: s.number, Age: now - s.at})
+		n = len(t.elements)
+		t.index[element] = n
+		t.elements = append(t.elements, element)
+	}
+	return n
+}
+
+// encode returns starts of a host with their ages at the moment now.
+func encode(host int, starts []start, now time.Duration, accounts *table[identifier.AccountName]) []messenger.UsageStart {
+	list := make([]messenger.UsageStart, 0, len(starts))
+	for _, s := range starts {
+		list = append(list, messenger.UsageStart{Host: host, Account: accounts.add(s.account), Number: s.number, Age: now - s.at})
 	}
-	return log
+	return list
 }
--- a/ladder/duties/meter/meter.go
+++ b/ladder/duties/meter/meter.go
@@ -89,22 +89,22 @@
 }
 
 // Keep keeps the starts of another host.
-func (m *Meter) Keep(l messenger.UsageLog) bool {
+func (m *Meter) Keep(c messenger.UsageCopy) bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.dropOld()
-	log, ok := m.kept[l.Incarnation]
+	log, ok := m.kept[c.Host]
 	if !ok {
 		if len(m.kept) >= maxLogs {
 			return false
 		}
 		log = &startLog{}
-		m.kept[l.Incarnation] = log
+		m.kept[c.Host] = log
 	}
 	now := m.bootClock.Elapsed()
-	for _, s := range l.Starts {
-		if s.Account >= 0 && s.Account < len(l.Accounts) && s.Age >= 0 && s.Age <= m.options.Retention {
-			log.add(start{l.Accounts[s.Account], s.Sequence, now - s.Age})
+	for _, s := range c.Starts {
+		if s.Account >= 0 && s.Account < len(c.Accounts) && s.Age >= 0 && s.Age <= m.options.Retention {
+			log.add(start{c.Accounts[s.Account], s.Number, now - s.Age})
 		}
 	}
 	return true
@@ -127,19 +127,19 @@
 	defer m.mutex.Unlock()
 	m.dropOld()
 	now := m.bootClock.Elapsed()
+	var hosts table[identifier.Incarnation]
+	var accounts table[identifier.AccountName]
 	answer := messenger.UsageAnswer{TimeOfDay: time.Duration(m.clock.Now().UnixNano()), Uptime: now - m.startedAt}
 	add := func(i identifier.Incarnation, l *startLog) {
 		selected := l.selectStarts(func(s start) bool { return now-s.at >= q.MinAge && now-s.at <= q.MaxAge })
-		if len(selected) > 0 {
-			log := encode(i, selected, now)
-			log.Own = l == &m.own
-			answer.Logs = append(answer.Logs, log)
-		}
+		answer.Starts = append(answer.Starts, encode(hosts.add(i), selected, now, &accounts)...)
 	}
 	add(m.options.Incarnation, &m.own)
 	for i, l := range m.kept {
 		add(i, l)
 	}
+	answer.Starts = answer.Starts[:min(len(answer.Starts), messenger.MaxUsageStarts)]
+	answer.Hosts, answer.Accounts = hosts.elements, accounts.elements
 	return answer
 }
 
@@ -164,6 +164,7 @@
 	m.mutex.Lock()
 	pending := m.own.selectStarts(func(s start) bool { return s.number > m.copied })
 	m.mutex.Unlock()
+	pending = pending[:min(len(pending), messenger.MaxUsageStarts)]
 	if len(pending) == 0 || m.tellKeepers(ctx, pending) == 0 {
 		return
 	}
@@ -181,12 +182,14 @@
 		group := keepers[:min(copyCount-taken, len(keepers))]
 		keepers = keepers[len(group):]
 		replies := make(chan messenger.Reply, len(group))
-		log := encode(m.options.Incarnation, pending, m.bootClock.Elapsed())
+		var accounts table[identifier.AccountName]
+		c := messenger.UsageCopy{Host: m.options.Incarnation, Starts: encode(0, pending, m.bootClock.Elapsed(), &accounts)}
+		c.Accounts = accounts.elements
 		for _, address := range group {
 			go func() {
 				var r messenger.Reply
 				_ = recoverer.CatchPanic("copy of starts", func() { // already logged
-					r, _ = querier.AskBriefly(ctx, m.clock, m.options.Peers, address, messenger.Question{UsageCopy: &log}, copyTimeout)
+					r, _ = querier.AskBriefly(ctx, m.clock, m.options.Peers, address, messenger.Question{UsageCopy: &c}, copyTimeout)
 				})
 				replies <- r
 			}()
--- a/ladder/duties/meter/meter_test.go
+++ b/ladder/duties/meter/meter_test.go
@@ -61,10 +61,9 @@
 
 // known returns the starts of the ages asked for, as incarnation, account and age, in order.
 func known(m *Meter, minAge, maxAge time.Duration) (list []string) {
-	for _, l := range m.Answer(messenger.UsageQuestion{MinAge: minAge, MaxAge: maxAge}).Logs {
-		for _, s := range l.Starts {
-			list = append(list, strings.Join([]string{string(l.Incarnation), string(l.Accounts[s.Account]), s.Age.String()}, " "))
-		}
+	a := m.Answer(messenger.UsageQuestion{MinAge: minAge, MaxAge: maxAge})
+	for _, s := range a.Starts {
+		list = append(list, strings.Join([]string{string(a.Hosts[s.Host]), string(a.Accounts[s.Account]), s.Age.String()}, " "))
 	}
 	slices.Sort(list)
 	return list
@@ -129,8 +128,8 @@
 		m := newHosts("a").meters["a"]
 		time.Sleep(time.Second)
 		m.RecordStart("x", time.Now())
-		m.Keep(messenger.UsageLog{Incarnation: "i-b", Accounts: []identifier.AccountName{"y"}, Starts: []messenger.UsageStart{
-			{Sequence: 1, Age: 5 * time.Second}, {Account: 1, Sequence: 2}, {Account: -1, Sequence: 3}, {Sequence: 4, Age: -1}, {Sequence: 5, Age: time.Hour},
+		m.Keep(messenger.UsageCopy{Host: "i-b", Accounts: []identifier.AccountName{"y"}, Starts: []messenger.UsageStart{
+			{Number: 1, Age: 5 * time.Second}, {Account: 1, Number: 2}, {Account: -1, Number: 3}, {Number: 4, Age: -1}, {Number: 5, Age: time.Hour},
 		}})
 		time.Sleep(10 * time.Second)
 		for _, c := range []struct {
@@ -160,7 +159,7 @@
 func TestKeep_Bounds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := newHosts("a").meters["a"]
-		log := messenger.UsageLog{Incarnation: "i-0", Accounts: []identifier.AccountName{"x"}, Starts: make([]messenger.UsageStart, maxStarts)}
+		log := messenger.UsageCopy{Host: "i-0", Accounts: []identifier.AccountName{"x"}, Starts: make([]messenger.UsageStart, maxStarts)}
 		for range 2 {
 			m.Keep(log)
 		}
@@ -169,7 +168,7 @@
 		}
 		log.Starts = log.Starts[:1]
 		for n := range maxLogs + 5 {
-			log.Incarnation = identifier.Incarnation(fmt.Sprint("i-", n))
+			log.Host = identifier.Incarnation(fmt.Sprint("i-", n))
 			if kept := m.Keep(log); kept != (n < maxLogs) {
 				t.Errorf("host %d: kept %t", n, kept)
 			}
--- a/ladder/duties/reporter/collect.go
+++ b/ladder/duties/reporter/collect.go
@@ -119,15 +119,14 @@
 func (c *collection) add(a messenger.UsageAnswer, at time.Duration) {
 	c.offsets = append(c.offsets, a.TimeOfDay-at)
 	c.oldestMember = min(c.oldestMember, at-max(0, a.Uptime))
-	for _, l := range a.Logs {
-		for _, s := range l.Starts {
-			if s.Account < 0 || s.Account >= len(l.Accounts) {
-				continue
-			}
-			k := startKey{l.Incarnation, s.Sequence}
-			if _, known := c.starts[k]; !known || l.Own {
-				c.starts[k] = collectedStart{l.Accounts[s.Account], at - s.Age}
-			}
+	for _, s := range a.Starts {
+		if s.Account < 0 || s.Account >= len(a.Accounts) || s.Host < 0 || s.Host >= len(a.Hosts) {
+			continue
+		}
+		// The ages of copies lack the time for which these were under way.
+		k, own := startKey{a.Hosts[s.Host], s.Number}, s.Host == 0
+		if _, known := c.starts[k]; !known || own {
+			c.starts[k] = collectedStart{a.Accounts[s.Account], at - s.Age}
 		}
 	}
 }
--- a/ladder/duties/reporter/reporter_test.go
+++ b/ladder/duties/reporter/reporter_test.go
@@ -20,6 +20,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/appender"
 	"github.com/lycheeladder/lycheeladder/ladder/duties/meter"
 	"github.com/lycheeladder/lycheeladder/ladder/duties/pacer"
+	"github.com/lycheeladder/lycheeladder/ladder/encoder"
 	"github.com/lycheeladder/lycheeladder/ladder/faker"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/leaser"
@@ -105,8 +106,9 @@
 
 // world has hosts, a store and the platform.
 type world struct {
-	store *faker.Store
-	tasks conc.WaitGroup
+	store   *faker.Store
+	encoder *encoder.Encoder
+	tasks   conc.WaitGroup
 
 	mutex sync.Mutex
 	hosts map[string]*host
@@ -133,6 +135,7 @@
 		return r, appender.ErrUnavailable
 	}
 	time.Sleep(2 * time.Millisecond)
+	q = transport(h.encoder, q).(messenger.Question)
 	if q.UsageCopy != nil {
 		r.Kept = asked.meter.Keep(*q.UsageCopy)
 	} else {
@@ -140,7 +143,19 @@
 		r.Usage = &a
 	}
 	time.Sleep(2 * time.Millisecond)
-	return r, nil
+	return transport(h.encoder, r).(messenger.Reply), nil
+}
+
+// transport returns a message as the other end receives it.
+func transport(e *encoder.Encoder, m messenger.Message) messenger.Message {
+	frame, err := e.Encode(m)
+	if err != nil {
+		panic(err)
+	}
+	if m, err = e.Decode(frame); err != nil {
+		panic(err)
+	}
+	return m
 }
 
 // racingLog lets other writers come first.
@@ -161,8 +176,13 @@
 
 // newWorld starts hosts whose clocks are wrong by the given times.
 func newWorld(skews ...time.Duration) *world {
+	e, err := encoder.New()
+	if err != nil {
+		panic(err)
+	}
 	w := &world{
-		store: faker.NewStore(clockwork.NewRealClock()), hosts: make(map[string]*host),
+		encoder: e,
+		store:   faker.NewStore(clockwork.NewRealClock()), hosts: make(map[string]*host),
 		reports: make(map[Window]string), arrived: make(map[Window]time.Time),
 	}
 	for n := range skews {
--- a/ladder/messenger/places.go
+++ b/ladder/messenger/places.go
@@ -6,31 +6,32 @@
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 )
 
-// HostDemand is how many places at targets one host uses and wants.
-type HostDemand struct {
-	Incarnation identifier.Incarnation `cbor:"1,keyasint"`
-	// Services are in no particular order. Services of which the host wants nothing are left
-	// out.
-	Services []ServiceDemand `cbor:"2,keyasint,omitempty"`
-	// Own is set if it is the sender's own demand.
-	Own bool `cbor:"3,keyasint,omitempty"`
+// PlacesCopy is the sender's demand of places at targets.
+type PlacesCopy struct {
+	Host    identifier.Incarnation `cbor:"1,keyasint"`
+	Demands []PlaceDemand          `cbor:"2,keyasint,omitempty"`
 }
 
-// ServiceDemand is the demand of one service.
-type ServiceDemand struct {
-	Service identifier.ServiceName `cbor:"1,keyasint"`
-	Zones   []ZoneUse              `cbor:"2,keyasint,omitempty"`
-	// Waiting is how many items wait for a place, and LongestWait how long one of them has.
-	Waiting     int           `cbor:"3,keyasint,omitempty"`
-	LongestWait time.Duration `cbor:"4,keyasint,omitempty"`
-	// WaitingWork is the time that one place would need for the waiting items; 0 if unknown.
-	WaitingWork time.Duration `cbor:"5,keyasint,omitempty"`
+// PlacesAnswer has the peer's demand of places and those that it keeps for other hosts.
+type PlacesAnswer struct {
+	// Hosts are the hosts that have the demand; the peer itself is the first.
+	Hosts   []identifier.Incarnation `cbor:"1,keyasint,omitempty"`
+	Demands []PlaceDemand            `cbor:"2,keyasint,omitempty"`
 }
 
-// ZoneUse is how many places are used at the targets of a zone. Calls that wait at a target
-// count as well.
-type ZoneUse struct {
-	Zone  identifier.ZoneName `cbor:"1,keyasint"`
-	Items int                 `cbor:"2,keyasint,omitempty"`
-	Calls int                 `cbor:"3,keyasint,omitempty"`
+// PlaceDemand is what one host uses of the targets of a service in a zone or, if the zone is
+// empty, what of its work waits for a place anywhere.
+type PlaceDemand struct {
+	// Host is an index into the message's hosts, 0 in copies.
+	Host    int                    `cbor:"1,keyasint,omitempty"`
+	Service identifier.ServiceName `cbor:"2,keyasint"`
+	Zone    identifier.ZoneName    `cbor:"3,keyasint,omitempty"`
+	// Items and Calls are the places in use; calls that wait at a target count as well.
+	Items int `cbor:"4,keyasint,omitempty"`
+	Calls int `cbor:"5,keyasint,omitempty"`
+	// Waiting is how many items wait for a place, and LongestWait how long one of them has.
+	Waiting     int           `cbor:"6,keyasint,omitempty"`
+	LongestWait time.Duration `cbor:"7,keyasint,omitempty"`
+	// WaitingWork is the time that one place would need for the waiting items; 0 if unknown.
+	WaitingWork time.Duration `cbor:"8,keyasint,omitempty"`
 }
--- a/ladder/messenger/question.go
+++ b/ladder/messenger/question.go
@@ -65,11 +65,11 @@
 	// Usage asks for starts of requests.
 	Usage *UsageQuestion `cbor:"15,keyasint,omitempty"`
 	// UsageCopy asks the peer to keep starts of requests for the sender.
-	UsageCopy *UsageLog `cbor:"16,keyasint,omitempty"`
+	UsageCopy *UsageCopy `cbor:"16,keyasint,omitempty"`
 	// Places asks for the demand of places that the peer knows.
 	Places bool `cbor:"17,keyasint,omitempty"`
 	// PlacesCopy asks the peer to keep the sender's demand of places.
-	PlacesCopy *HostDemand `cbor:"18,keyasint,omitempty"`
+	PlacesCopy *PlacesCopy `cbor:"18,keyasint,omitempty"`
 }
 
 // Reply is the response to the Question with the same ID. No part is set if the
@@ -94,9 +94,8 @@
 	Departures []Departure  `cbor:"9,keyasint,omitempty"`
 	Usage      *UsageAnswer `cbor:"11,keyasint,omitempty"`
 	// Kept means that the peer keeps what a copy contained.
-	Kept bool `cbor:"12,keyasint,omitempty"`
-	// Places are the peer's demand and those that it keeps, in no particular order.
-	Places []HostDemand `cbor:"13,keyasint,omitempty"`
+	Kept   bool          `cbor:"12,keyasint,omitempty"`
+	Places *PlacesAnswer `cbor:"13,keyasint,omitempty"`
 }
 
 // Announcement says which targets leave.
