pacer: the call after a pause takes its place in the rate

The turn of a call was reserved when it began to wait, so that two calls went out at once after a pause. It is now reserved for the end of the pause. Tested: a table of answers and the moments of the calls; the test fails before the change.

--- a/ladder/duties/pacer/pacer.go
+++ b/ladder/duties/pacer/pacer.go
@@ -60,7 +60,11 @@
 func (p *Pacer) wait(ctx context.Context) error {
 	p.mutex.Lock()
 	now := p.clock.Now()
-	delay := max(p.limiter.ReserveN(now, 1).DelayFrom(now), p.pausedUntil.Sub(now))
+	earliest := now
+	if p.pausedUntil.After(now) {
+		earliest = p.pausedUntil
+	}
+	delay := p.limiter.ReserveN(earliest, 1).DelayFrom(now)
 	p.mutex.Unlock()
 	if delay <= 0 {
 		return ctx.Err()
