entry: requests draw on one account of memory

Cause: the library read each body before its handler, several copies were made of it, a body with a content encoding was decoded without a limit, and neither connections nor stalled bodies were bounded.

Change: server.Bound streams bodies and reads them under the budgeter, for callers, trainers and operators; their listeners are bounded by connlimiter. Handlers use the body without copies. Heads draw on a class of their own, which the rule for a single large body does not apply to: the fuzz target of heads found that one head could exceed the budget.

--- a/entry/publisher/publisher.go
+++ b/entry/publisher/publisher.go
@@ -31,10 +31,13 @@
 	configurationWaitTimeout = 5 * time.Second
 )
 
-// New returns the HTTP application for operators.
-func New(c *coordinator.Coordinator, p *proposer.Proposer, h *historian.Historian) *fiber.App {
+// New returns the HTTP application for operators. It sets the largest request body of
+// bounds.
+func New(c *coordinator.Coordinator, p *proposer.Proposer, h *historian.Historian, bounds server.Bounds) *fiber.App {
 	routes := &handlers{coordinator: c, proposer: p, historian: h}
 	app := server.NewApp("operators", bodyLimit)
+	bounds.MaxBodyBytes = bodyLimit
+	server.Bound(app, bounds)
 	app.Get("/debug/vars", server.ServeMetrics)
 	// No operator key is needed here: a withdrawal carries the owner's signature.
 	app.Post("/v1/withdrawals", routes.withdraw)
@@ -113,7 +116,7 @@
 }
 
 func (h *handlers) publish(c fiber.Ctx) error {
-	d, err := validator.Parse(c.Body())
+	d, err := validator.Parse(server.Body(c))
 	if err != nil {
 		var faults validator.Faults
 		errors.As(err, &faults)
--- a/entry/publisher/publisher_test.go
+++ b/entry/publisher/publisher_test.go
@@ -21,6 +21,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/proposer"
 	"github.com/lycheeladder/lycheeladder/ladder/recorder"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
+	"github.com/lycheeladder/lycheeladder/ladder/server"
 	"github.com/lycheeladder/lycheeladder/ladder/validator"
 )
 
@@ -53,7 +54,7 @@
 	go func() { defer close(done); c.Follower().Run(ctx) }()
 	defer func() { cancel(); <-done }()
 	h := historian.New(log, c.Follower())
-	app := publisher.New(c, proposer.New(c.Follower(), h), h)
+	app := publisher.New(c, proposer.New(c.Follower(), h), h, server.Bounds{})
 	d := validator.Document{
 		Schema: validator.SchemaName, ID: "first", Author: "night-shift",
 		Operators: []validator.Operator{{Name: "night-shift", KeyHash: authorizer.HashKey("operator")}},
--- a/entry/receiver/call.go
+++ b/entry/receiver/call.go
@@ -15,6 +15,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/dispatcher"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/server"
 )
 
 // timeoutHeader holds the number of seconds that the caller waits for the
@@ -32,7 +33,7 @@
 		Key:            bearerKey(c),
 		Service:        identifier.ServiceName(strings.Clone(c.Params("service"))),
 		Name:           identifier.CallName(strings.Clone(c.Params("call"))),
-		Body:           append([]byte(nil), c.Body()...),
+		Body:           server.Body(c),
 		IdempotencyKey: identifier.IdempotencyKey(strings.Clone(c.Get("Idempotency-Key"))),
 		Timeout:        requestTimeout(c),
 	}
--- a/entry/receiver/overhead_test.go
+++ b/entry/receiver/overhead_test.go
@@ -24,6 +24,8 @@
 	"github.com/lycheeladder/lycheeladder/ladder/executor"
 	"github.com/lycheeladder/lycheeladder/ladder/heartbeater"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/memory/budgeter"
+	"github.com/lycheeladder/lycheeladder/ladder/memory/connlimiter"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 	"github.com/lycheeladder/lycheeladder/ladder/recorder"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
@@ -123,13 +125,18 @@
 // serveApp serves app on a free port until the benchmark ends and returns the
 // address.
 func serveApp(b *testing.B, app *fiber.App) string {
+	return serveAppOn(b, app, func(l net.Listener) net.Listener { return l })
+}
+
+// serveAppOn is serveApp on the listener that wrap returns.
+func serveAppOn(b *testing.B, app *fiber.App, wrap func(net.Listener) net.Listener) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- server.Serve(ctx, app, l, time.Second) }()
+	go func() { done <- server.Serve(ctx, app, wrap(l), time.Second) }()
 	b.Cleanup(func() {
 		cancel()
 		if err := <-done; err != nil {
@@ -173,7 +180,10 @@
 	for s.Executor().Configuration().Revision == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	return serveApp(b, receiver.New(c, 1<<16).App())
+	budget := budgeter.New(clock, 60<<20)
+	limiter := connlimiter.New(clock, connlimiter.Options{MaxConnections: 1000, Budgeter: budget})
+	tasks.Go(func() { limiter.Run(ctx) })
+	return serveAppOn(b, receiver.New(c, server.Bounds{Budgeter: budget, MaxBodyBytes: 1 << 16}).App(), limiter.Listen)
 }
 
 func sidecarOptions() executor.Options {
--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -11,6 +11,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/coordinator"
 	"github.com/lycheeladder/lycheeladder/ladder/dispatcher"
 	"github.com/lycheeladder/lycheeladder/ladder/fetcher"
+	"github.com/lycheeladder/lycheeladder/ladder/server"
 )
 
 // Receiver handles the requests of callers and trainers.
@@ -23,11 +24,12 @@
 	abortCalls context.CancelCauseFunc
 }
 
-// New returns a Receiver that accepts request bodies of up to bodyLimit bytes.
-func New(c *coordinator.Coordinator, bodyLimit int) *Receiver {
+// New returns a Receiver whose requests keep to bounds.
+func New(c *coordinator.Coordinator, bounds server.Bounds) *Receiver {
 	r := &Receiver{coordinator: c}
 	r.ctx, r.abortCalls = context.WithCancelCause(context.Background())
-	r.app = newApp(bodyLimit)
+	r.app = newApp(int(bounds.MaxBodyBytes))
+	server.Bound(r.app, bounds)
 	r.app.Use(r.closeWhenLeaving)
 	r.app.Get("/v1/ready", r.ready)
 	r.app.Post("/v1/services/:service/calls/:call", r.call)
--- a/entry/receiver/trainer.go
+++ b/entry/receiver/trainer.go
@@ -12,6 +12,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/dispatcher"
 	"github.com/lycheeladder/lycheeladder/ladder/fetcher"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/server"
 )
 
 func (r *Receiver) open(c fiber.Ctx) error {
@@ -48,7 +49,7 @@
 // withModelConfig decodes a trainer's request into v, checks that the caller is
 // the model's trainer, and responds with what handle returns.
 func (r *Receiver) withModelConfig(c fiber.Ctx, v any, model func() identifier.ModelName, handle func(deliverer.ModelConfig) (any, error)) error {
-	if err := json.Unmarshal(c.Body(), v); err != nil {
+	if err := json.Unmarshal(server.Body(c), v); err != nil {
 		return writeFailure(c, "", dispatcher.NotRun{Code: codeBodyMalformed})
 	}
 	config, refusal := r.coordinator.TrainerPlan(bearerKey(c), model())
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -57,6 +57,8 @@
 	DrainTimeout   time.Duration     `help:"How long a stop waits for requests in progress." default:"30s"`
 	KeyMaxAge      time.Duration     `help:"The oldest idempotency key taken; shorter than the log keeps records." default:"15m"`
 	SampleTimeout  time.Duration     `help:"The longest attempt at one sample." default:"10m"`
+	MemoryMB       int               `name:"memory-mb" help:"The machine's memory in MiB; 0 if unknown, which counts as 256." default:"0"`
+	MaxFDs         int               `name:"max-fds" help:"How many descriptors the process may open; 0 for the limit of the system." default:"0"`
 }
 
 // Validate checks the constraints that the types of the flags can't express.
@@ -70,6 +72,10 @@
 		return fmt.Errorf("--key-max-age: %s is not above 0", s.KeyMaxAge)
 	case s.LogRetention <= s.KeyMaxAge:
 		return fmt.Errorf("--log-retention: %s is not above --key-max-age", s.LogRetention)
+	case s.MemoryMB < 0:
+		return fmt.Errorf("--memory-mb: %d is below 0", s.MemoryMB)
+	case s.MaxFDs < 0:
+		return fmt.Errorf("--max-fds: %d is below 0", s.MaxFDs)
 	case s.SampleTimeout <= 0:
 		return fmt.Errorf("--sample-timeout: %s is not above 0", s.SampleTimeout)
 	}
@@ -103,7 +109,8 @@
 	r := recorder.New()
 	r.PublishExpvar("lycheeladder")
 	c := newCoordinator(s, r)
-	operators, err := operatorApp(s, c)
+	memory := newMemoryLimits(clockwork.NewRealClock(), s, r)
+	operators, err := operatorApp(s, c, memory.bounds)
 	if err != nil {
 		return err
 	}
@@ -113,11 +120,12 @@
 	defer cancel()
 	var tasks conc.WaitGroup
 	tasks.Go(func() { c.Run(ctx) })
+	memory.run(ctx, &tasks)
 	peers := peerApp(ctx, c, transporter.New(e), r)
 	tasks.Go(func() { serve(ctx, "peers", peers, listeners[1], 0) })
-	tasks.Go(func() { serve(ctx, "operators", operators, listeners[2], time.Second) })
+	tasks.Go(func() { serve(ctx, "operators", operators, memory.operators.Listen(listeners[2]), time.Second) })
 	klog.InfoS("entry started", "entry", s.Name, "zone", s.Zone, "listen", listeners[0].Addr().String())
-	serveCallers(shutdown, s, c, listeners[0])
+	serveCallers(shutdown, s, c, memory.bounds, memory.callers.Listen(listeners[0]))
 	cancel()
 	tasks.Wait()
 	klog.InfoS("entry stopped", "entry", s.Name)
@@ -160,10 +168,10 @@
 
 // operatorApp combines the operators' HTTP interface and the console, which share
 // one listener.
-func operatorApp(s Settings, c *coordinator.Coordinator) (*fiber.App, error) {
+func operatorApp(s Settings, c *coordinator.Coordinator, bounds server.Bounds) (*fiber.App, error) {
 	history := historian.New(appender.NewHTTPLog(string(s.Log)), c.Follower())
 	p := proposer.New(c.Follower(), history)
-	app := publisher.New(c, p, history)
+	app := publisher.New(c, p, history, bounds)
 	pages, err := console.New(clockwork.NewRealClock(), c, p, history)
 	if err != nil {
 		return nil, err
--- a/entry/runner/stop.go
+++ b/entry/runner/stop.go
@@ -9,6 +9,7 @@
 
 	"github.com/lycheeladder/lycheeladder/entry/receiver"
 	"github.com/lycheeladder/lycheeladder/ladder/coordinator"
+	"github.com/lycheeladder/lycheeladder/ladder/server"
 	"github.com/lycheeladder/lycheeladder/ladder/starter"
 )
 
@@ -25,8 +26,8 @@
 const finalAnswerTimeout = 2 * time.Second
 
 // serveCallers serves callers and trainers until the shutdown is complete.
-func serveCallers(shutdown starter.Shutdown, s Settings, c *coordinator.Coordinator, l net.Listener) {
-	callers := receiver.New(c, bodyLimit)
+func serveCallers(shutdown starter.Shutdown, s Settings, c *coordinator.Coordinator, bounds server.Bounds, l net.Listener) {
+	callers := receiver.New(c, bounds)
 	ctx, closeListener := context.WithCancel(context.Background())
 	go func() {
 		<-shutdown.Graceful.Done()
--- a/ladder/memory/bodyreader/bodyreader.go
+++ b/ladder/memory/bodyreader/bodyreader.go
@@ -29,6 +29,9 @@
 // with limitreader.ErrTooLarge beyond maxBytes, with budgeter.ErrExhausted if there is no
 // room and with connlimiter.ErrNoProgress.
 func (d Reader) Read(ctx context.Context, r io.Reader, length, maxBytes int64) (body []byte, err error) {
+	if d.Connection != nil {
+		r = progressReader{r, d.Connection}
+	}
 	switch {
 	case length > maxBytes:
 		return nil, limitreader.ErrTooLarge
@@ -84,6 +87,18 @@
 	return larger, nil
 }
 
+// progressReader tells a connection about the bytes of the body.
+type progressReader struct {
+	io.Reader
+	connection *connlimiter.Conn
+}
+
+func (p progressReader) Read(b []byte) (int, error) {
+	n, err := p.Reader.Read(b)
+	p.connection.Progress(n)
+	return n, err
+}
+
 func (d Reader) grow(ctx context.Context, n int64) error {
 	if n <= 0 || d.Reservation.TryGrow(n) {
 		return nil
--- a/ladder/memory/budgeter/budgeter.go
+++ b/ladder/memory/budgeter/budgeter.go
@@ -15,11 +15,14 @@
 type Class int
 
 const (
-	// ClassSmall is for connections, heads and requests below SmallBytes. It may use
-	// the whole budget.
-	ClassSmall Class = iota
+	// ClassHead is for connections and heads. It may use the whole budget. It stays
+	// in its class however much a head holds.
+	ClassHead Class = iota
+	// ClassSmall is for requests below SmallBytes. It may use the whole budget.
+	ClassSmall
 	// ClassLarge is for everything else. It must leave the share of small requests.
 	ClassLarge
+	classes
 )
 
 // ClassOf returns the class of a request of n bytes.
@@ -84,7 +87,7 @@
 	// total is the budget; limits has what all reservations together may hold when
 	// one of a class is added or grows.
 	total  int64
-	limits [2]int64
+	limits [classes]int64
 	// held is the sum of all reservations. It exceeds total only by Hold.
 	held int64
 	// large is the part of held that large reservations have.
@@ -112,7 +115,7 @@
 // New returns a Budgeter of total bytes.
 func New(clock clockwork.Clock, total int64) *Budgeter {
 	return &Budgeter{
-		clock: clock, total: total, limits: [2]int64{ClassSmall: total, ClassLarge: total - total/smallShareParts},
+		clock: clock, total: total, limits: [classes]int64{ClassHead: total, ClassSmall: total, ClassLarge: total - total/smallShareParts},
 		reservations: make(map[*Reservation]struct{}), released: make(chan struct{}),
 	}
 }
@@ -121,7 +124,7 @@
 // reservation of a process without a budget.
 type Reservation struct {
 	budgeter *Budgeter
-	// class is ClassLarge as soon as SmallBytes are held.
+	// class turns from ClassSmall to ClassLarge as soon as SmallBytes are held.
 	class Class
 	// holder is nil if the reservation can't be reclaimed.
 	holder Holder
@@ -191,7 +194,7 @@
 	if b == nil {
 		return nil
 	}
-	return &Reservation{budgeter: b, holder: h}
+	return &Reservation{budgeter: b, class: ClassSmall, holder: h}
 }
 
 // Grow takes n more bytes, like Reserve.
@@ -272,7 +275,7 @@
 	}
 	share := b.total / smallShareParts
 	small := b.held - b.large - b.exempt
-	if c == ClassSmall {
+	if c != ClassLarge {
 		return small+n <= share
 	}
 	othersLarge := b.large
@@ -285,7 +288,12 @@
 }
 
 // classWith returns the class of a reservation after it has grown by n bytes.
-func (r *Reservation) classWith(n int64) Class { return max(r.class, ClassOf(r.held+n)) }
+func (r *Reservation) classWith(n int64) Class {
+	if r.class == ClassHead {
+		return ClassHead
+	}
+	return max(r.class, ClassOf(r.held+n))
+}
 
 // add takes n bytes. The caller must hold the mutex.
 func (r *Reservation) add(n int64) {
--- a/ladder/memory/connlimiter/conn.go
+++ b/ladder/memory/connlimiter/conn.go
@@ -50,7 +50,7 @@
 	since, lastByte, progressed atomic.Int64
 	// writingSince is the tick at which the write in progress began, plus 1, or 0.
 	writingSince atomic.Int64
-	// unprogressed counts the bytes read since progressed.
+	// unprogressed counts the bytes of the body since progressed.
 	unprogressed atomic.Int64
 	// headBytes and headLines count what the present head brought. Only the
 	// goroutine that reads uses them.
@@ -58,8 +58,12 @@
 	// ended is set when the body read was ended for lack of progress.
 	ended atomic.Bool
 
-	// mutex guards head and closed.
+	// mutex guards the fields below.
 	mutex sync.Mutex
+	// kept is released after the response, or nil.
+	kept *budgeter.Reservation
+	// lingers is set if the caller may still send when the connection is closed.
+	lingers bool
 	// head is what the present head holds beyond base, or nil.
 	head   *budgeter.Reservation
 	closed bool
@@ -93,12 +97,7 @@
 			return 0, &net.OpError{Op: "read", Net: "tcp", Err: errRefused}
 		}
 	case phaseBody:
-		now := c.limiter.tick.Load()
-		c.lastByte.Store(now)
-		if c.unprogressed.Add(int64(n)) >= progressBytes {
-			c.unprogressed.Store(0)
-			c.progressed.Store(now)
-		}
+		c.lastByte.Store(c.limiter.tick.Load())
 	case phaseServing:
 	}
 	return n, err
@@ -121,7 +120,7 @@
 	}
 	if c.head == nil {
 		var err error
-		c.head, err = c.limiter.options.Budgeter.TryReserve(more, budgeter.ClassSmall, c)
+		c.head, err = c.limiter.options.Budgeter.TryReserve(more, budgeter.ClassHead, c)
 		return err == nil
 	}
 	return c.head.TryGrow(more)
@@ -164,20 +163,61 @@
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.mutex.Lock()
+	lingers := c.lingers && !c.closed
 	c.closed = true
 	c.head.Release()
+	c.kept.Release()
 	c.mutex.Unlock()
+	if lingers {
+		c.linger()
+	}
 	c.base.Release()
 	c.limiter.remove(c)
 	return c.Conn.Close()
 }
 
+// Keep makes the connection release a reservation once the response has been written.
+func (c *Conn) Keep(r *budgeter.Reservation) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.kept.Release()
+	c.kept = r
+	if c.closed {
+		r.Release()
+	}
+}
+
+// Linger makes Close wait for a moment for a caller that is still sending, since it would
+// not get its response otherwise.
+func (c *Conn) Linger() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.lingers = true
+}
+
+// linger reads what the caller sends, for at most lingerTime and lingerBytes.
+func (c *Conn) linger() {
+	if c.CloseWrite() != nil || c.SetReadDeadline(c.limiter.clock.Now().Add(lingerTime)) != nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes) // the caller has left, or goes on sending
+}
+
 // HeadDone begins the phase in which a request is served.
 func (c *Conn) HeadDone() { c.setPhase(phaseServing) }
 
 // BeginBody begins the phase in which a body is read.
 func (c *Conn) BeginBody() { c.setPhase(phaseBody) }
 
+// Progress records that n bytes of a body have been read, without the overhead of its
+// chunks.
+func (c *Conn) Progress(n int) {
+	if c.unprogressed.Add(int64(n)) >= progressBytes {
+		c.unprogressed.Store(0)
+		c.progressed.Store(c.limiter.tick.Load())
+	}
+}
+
 // EndBody ends that phase. It returns false if the body was ended for lack of progress:
 // the connection can't be used for another request then.
 func (c *Conn) EndBody() bool {
@@ -207,6 +247,8 @@
 		c.head.Release()
 		c.head = nil
 	}
+	c.kept.Release()
+	c.kept = nil
 	c.mutex.Unlock()
 	c.headBytes, c.headLines = 0, 0
 	c.setPhase(phaseIdle)
--- a/ladder/memory/connlimiter/connlimiter.go
+++ b/ladder/memory/connlimiter/connlimiter.go
@@ -45,6 +45,9 @@
 	// timeoutMargin is added to the timeouts of the configuration, so that they only
 	// hit callers that exceed them, however late this host reads.
 	timeoutMargin = time.Second
+	// lingerTime and lingerBytes bound what is read of a caller whose connection is
+	// closed while it sends.
+	lingerTime, lingerBytes = 500 * time.Millisecond, 1 << 20
 	// evictAfter is how long a connection must have made no progress before it is
 	// closed in favor of a new one.
 	evictAfter = time.Second
@@ -110,7 +113,7 @@
 
 // add returns a connection, or false if there is no room for it.
 func (l *Limiter) add(inner net.Conn) (*Conn, bool) {
-	base, err := l.options.Budgeter.TryReserve(connectionBytes, budgeter.ClassSmall, nil)
+	base, err := l.options.Budgeter.TryReserve(connectionBytes, budgeter.ClassHead, nil)
 	if err != nil {
 		l.evict()
 		l.options.Reporter.Report(reporter.LimitMemory)
--- a/ladder/memory/connlimiter/connlimiter_test.go
+++ b/ladder/memory/connlimiter/connlimiter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -234,3 +235,46 @@
 		}
 	})
 }
+
+// bytesConn is a connection that brings some bytes in pieces.
+type bytesConn struct {
+	net.Conn
+	data  *bytes.Reader
+	piece int
+}
+
+func (c bytesConn) Read(p []byte) (int, error) { return c.data.Read(p[:min(len(p), c.piece)]) }
+
+func (c bytesConn) Write(p []byte) (int, error) { return len(p), nil }
+
+func (c bytesConn) Close() error { return nil }
+
+// FuzzConn_Head reads heads and what precedes them. No byte may be passed on without room
+// for it, none may be changed, and none may stay counted.
+func FuzzConn_Head(f *testing.F) {
+	f.Add([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), uint16(4096))
+	f.Add(bytes.Repeat([]byte("\r\n"), 60_000), uint16(4096))
+	f.Add([]byte("GET / HTTP/1.1\r\nA: "+strings.Repeat("a", 300_000)), uint16(1))
+	f.Fuzz(func(t *testing.T, data []byte, piece uint16) {
+		const total = 256 << 10
+		b := budgeter.New(clockwork.NewRealClock(), total)
+		l := connlimiter.New(clockwork.NewRealClock(), connlimiter.Options{Budgeter: b})
+		p := pipes{connections: make(chan net.Conn, 1)}
+		p.connections <- bytesConn{data: bytes.NewReader(data), piece: 1 + int(piece)}
+		connection, err := l.Listen(p).Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		read, err := io.ReadAll(connection)
+		if !bytes.HasPrefix(data, read) || err == nil && len(read) != len(data) {
+			t.Fatalf("%d bytes of %d, %v", len(read), len(data), err)
+		}
+		if s := b.Status(); s.Held > s.Total || int64(len(read)) > s.Held {
+			t.Fatalf("%d bytes held of %d for %d", s.Held, s.Total, len(read))
+		}
+		_ = connection.Close()
+		if n := b.Status().Held; n != 0 || l.Connections() != 0 {
+			t.Fatalf("%d bytes and %d connections remain", n, l.Connections())
+		}
+	})
+}
