--- a/ladder/memory/connlimiter/conn.go
+++ b/ladder/memory/connlimiter/conn.go
@@ -279,11 +279,17 @@
 
 // GiveWay implements budgeter.Holder.
 func (c *Conn) GiveWay() {
-	if phase(c.phase.Load()) == phaseBody {
+	switch phase(c.phase.Load()) {
+	case phaseBody:
 		c.endBody()
-		return
+	case phaseServing:
+		if c.writingSince.Load() == 0 {
+			return // the body has ended meanwhile, and its request may have begun to run
+		}
+		fallthrough
+	case phaseIdle, phaseHead:
+		_ = c.Conn.Close() // Close releases the reservations when the server notices
 	}
-	_ = c.Conn.Close() // Close releases the reservations when the server notices
 }
 
 // endBody makes the reader of the body return ErrNoProgress.
