admitter: forget only targets that are not listed

Cause: with more than 64 known targets, each new one made the admitter forget all that were idle, listed or not, and with them which ones were full. Change: idle targets are forgotten only if they are not listed, and only once twice as many are known as are listed. Result: TestTargets_ListedOnesAreNotForgotten failed before (768 places known of 384) and passes.

--- a/ladder/admission/admitter/target.go
+++ b/ladder/admission/admitter/target.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/sender"
 )
@@ -35,7 +36,7 @@
 	maxFull = 500 * time.Millisecond
 	// minConnections is how many connections to a target a host may always have.
 	minConnections = 1
-	// forgetTargets is the number of known targets from which those that are idle and not listed
+	// forgetTargets is the least number of known targets from which those that are idle and not listed
 	// are forgotten.
 	forgetTargets = 64
 )
@@ -45,18 +46,27 @@
 	if ok {
 		return t
 	}
-	if len(s.targets) >= forgetTargets {
-		for n, other := range s.targets {
-			if other.inFlight == 0 {
-				delete(s.targets, n)
-			}
-		}
+	if ready := s.admitter.catalog.ReadyTargets(s.name); len(s.targets) >= max(forgetTargets, 2*len(ready)) {
+		s.forgetUnlisted(ready)
 	}
 	t = &target{}
 	s.targets[name] = t
 	return t
 }
 
+// forgetUnlisted forgets the targets that are idle and not listed.
+func (s *service) forgetUnlisted(ready []cataloger.Target) {
+	listed := make(map[identifier.TargetName]bool, len(ready))
+	for _, t := range ready {
+		listed[t.Name] = true
+	}
+	for n, t := range s.targets {
+		if t.inFlight == 0 && !listed[n] {
+			delete(s.targets, n)
+		}
+	}
+}
+
 // places returns how many requests the targets of the service run at once.
 func (s *service) places() (sum int) {
 	for _, t := range s.admitter.catalog.ReadyTargets(s.name) {
