admitter: silent targets, begins without targets and long queues

Cause: a limit that was used up by calls to a silent target held up all other calls of the host until their deadline. A limit started at 0 places could never grow at targets that report no load. A waiting call was held until its deadline although under half of the places were taken. Each review read the targets and counted the live calls once for each waiting request, so that its work grew with the square of the queue. Change: one more request is sent after 0.3 s or eight round trips without one; a limit starts from the places of one target at least; a review sends what it must not refuse; what the estimates have in common is computed once per review, and the place of owed requests, which are never refused, not at all.

--- a/ladder/admission/admitter/estimate.go
+++ b/ladder/admission/admitter/estimate.go
@@ -117,45 +117,56 @@
 // neverSent stands for the wait of a request that others overtake for as long as they arrive.
 const neverSent = time.Hour
 
+// outlook is what the estimates for all waiting requests have in common.
+type outlook struct {
+	now time.Time
+	// trip is the usual time of a response, interval that between two sends.
+	trip, interval time.Duration
+	// opens is the time until a target accepts requests.
+	opens time.Duration
+	// live counts the live calls that wait.
+	live int
+}
+
+func (s *service) outlook(now time.Time) outlook {
+	o := outlook{now: now, trip: s.stats.trip(now), opens: max(0, s.opensAt().Sub(now))}
+	o.interval = s.all.interval(o.trip)
+	for _, w := range s.queue {
+		if !w.request.Owed {
+			o.live++
+		}
+	}
+	return o
+}
+
 // estimateFor returns when a waiting request will be sent if ahead others go before it, and
 // whether it is then served in time. Owed requests have no time limit.
-func (s *service) estimateFor(now time.Time, w *waiter, ahead int) (e estimate, inTime bool) {
-	trip := s.stats.trip(now)
-	interval := s.all.interval(trip)
-	opens := max(0, s.opensAt().Sub(now))
+func (s *service) estimateFor(o outlook, w *waiter, ahead int) (e estimate, inTime bool) {
+	now := o.now
 	e = estimate{
-		ahead: ahead, wait: opens + time.Duration(ahead+1)*interval, queue: opens + time.Duration(len(s.queue))*interval,
+		ahead: ahead, wait: o.opens + time.Duration(ahead+1)*o.interval, queue: o.opens + time.Duration(len(s.queue))*o.interval,
 		left: w.request.Deadline.Sub(now),
 	}
 	if w.request.Owed || w.request.Deadline.IsZero() {
 		return e, true
 	}
-	if now.Sub(s.beganAt) >= settleTime && !order.MeetsGoal(now, w.request, time.Duration(waitMargin*float64(e.wait))+trip) {
-		e.wait = max(e.wait, opens+s.lateWait(now, ahead, interval))
+	if now.Sub(s.beganAt) >= settleTime && !order.MeetsGoal(now, w.request, time.Duration(waitMargin*float64(e.wait))+o.trip) {
+		e.wait = max(e.wait, o.opens+s.lateWait(o, ahead))
 	}
-	return e, e.wait+trip <= e.left
+	return e, e.wait+o.trip <= e.left
 }
 
 // lateWait returns the wait of a request that misses its latency goal: those that arrive later and
 // can still meet theirs overtake it.
-func (s *service) lateWait(now time.Time, ahead int, interval time.Duration) time.Duration {
-	count, within := s.stats.arrivals.counted(now)
-	overtaking := count - s.liveWaiting()
+func (s *service) lateWait(o outlook, ahead int) time.Duration {
+	count, within := s.stats.arrivals.counted(o.now)
+	overtaking := count - o.live
 	if overtaking <= 0 || within <= 0 {
 		return 0
 	}
-	free := 1/interval.Seconds() - float64(overtaking)/within.Seconds()
+	free := 1/o.interval.Seconds() - float64(overtaking)/within.Seconds()
 	if free <= 0 {
 		return neverSent
 	}
 	return min(neverSent, time.Duration(float64(ahead+1)/free*float64(time.Second)))
 }
-
-func (s *service) liveWaiting() (count int) {
-	for _, w := range s.queue {
-		if !w.request.Owed {
-			count++
-		}
-	}
-	return count
-}
--- a/ladder/admission/admitter/limit.go
+++ b/ladder/admission/admitter/limit.go
@@ -16,8 +16,8 @@
 	policy policy
 	// cutAt is when the value was last lowered.
 	cutAt time.Time
-	// sentAt is when a request was last admitted.
-	sentAt time.Time
+	// sentAt is when a request was last admitted, startedAt when start was called.
+	sentAt, startedAt time.Time
 }
 
 // policy says how a limit follows the targets' queues. Queues are in units of a target's places.
@@ -51,6 +51,10 @@
 	unreportedGrowth = 0.25
 	// maxPause bounds the pause between two sends. The shortest deadlines of callers are 800 ms.
 	maxPause = 300 * time.Millisecond
+	// overdueTrips is the number of round trips after which one more request is sent although the
+	// limit is used up: the targets of those in flight may be silent. Some calls take seven times
+	// as long as others.
+	overdueTrips = 8
 )
 
 // crowding is what a target reports, in units of its places.
@@ -75,8 +79,8 @@
 // start sets the part of all places that this host would have if all hosts had the same. All
 // hosts may grow at once, by no more than the places in all per round trip; an idle target lets
 // each of them grow by one.
-func (l *limit) start(value float64) {
-	l.value, l.step, l.cutAt = max(value, minLimit), min(1, value), time.Time{}
+func (l *limit) start(now time.Time, value float64) {
+	l.value, l.step, l.cutAt, l.startedAt = max(value, minLimit), min(1, value), time.Time{}, now
 }
 
 // adapt follows the queue of a target that has run a request. inUse counts the sends in flight
@@ -104,12 +108,19 @@
 	l.value, l.cutAt = max(minLimit, factor*l.value), now
 }
 
-// opensAt returns when one more request may be sent, and false if that depends on a response.
-func (l *limit) opensAt(inFlight int, trip time.Duration) (at time.Time, ok bool) {
-	if l.value >= 1 {
-		return time.Time{}, float64(inFlight+1) <= l.value
+// opensAt returns when one more request may be sent if no response comes before.
+func (l *limit) opensAt(inFlight int, trip time.Duration) time.Time {
+	switch {
+	case float64(inFlight+1) <= l.value:
+		return time.Time{}
+	case inFlight == 0:
+		return l.sentAt.Add(l.interval(trip))
+	}
+	last := l.sentAt
+	if last.Before(l.startedAt) {
+		last = l.startedAt
 	}
-	return l.sentAt.Add(l.interval(trip)), inFlight == 0
+	return last.Add(max(maxPause, overdueTrips*trip))
 }
 
 // interval returns the mean time between two sends that use all of the limit.
--- a/ladder/admission/admitter/queue.go
+++ b/ladder/admission/admitter/queue.go
@@ -41,12 +41,18 @@
 	if w.ticket != nil {
 		return nil
 	}
-	e, inTime := s.estimateFor(now, w, s.aheadOf(now, w))
+	// Owed requests are never refused, so that their place in the order makes no difference here.
+	ahead := len(s.queue) - 1
+	if !w.request.Owed {
+		ahead = s.aheadOf(now, w)
+	}
+	o := s.outlook(now)
+	e, inTime := s.estimateFor(o, w, ahead)
 	if !inTime && s.mustNotRefuse(now) {
 		s.take(now, w)
 		return nil
 	}
-	if !inTime || (!w.request.Owed && s.liveWaiting() > maxQueue) {
+	if !inTime || (!w.request.Owed && o.live > maxQueue) {
 		s.remove(w)
 		s.count("refused-on-arrival")
 		s.report.refused(now, s, w, e)
@@ -112,12 +118,10 @@
 	}
 	trip := s.stats.trip(now)
 	for len(s.queue) > 0 && !s.opensAt().After(now) {
-		at, ok := s.all.opensAt(s.inFlight, trip)
-		if !ok || at.After(now) {
+		if s.all.opensAt(s.inFlight, trip).After(now) {
 			return
 		}
-		owedAt, owedOK := s.owed.opensAt(s.owedInFlight, trip)
-		w := s.first(now, trip, owedOK && !owedAt.After(now))
+		w := s.first(now, trip, !s.owed.opensAt(s.owedInFlight, trip).After(now))
 		if w == nil {
 			return
 		}
@@ -159,14 +163,10 @@
 	}
 	next := now.Add(reviewInterval)
 	trip := s.stats.trip(now)
-	if at, ok := s.all.opensAt(s.inFlight, trip); ok && at.After(now) && at.Before(next) {
-		next = at
-	}
-	if at, ok := s.owed.opensAt(s.owedInFlight, trip); ok && at.After(now) && at.Before(next) {
-		next = at
-	}
-	if at := s.opensAt(); at.After(now) && at.Before(next) {
-		next = at
+	for _, at := range []time.Time{s.all.opensAt(s.inFlight, trip), s.owed.opensAt(s.owedInFlight, trip), s.opensAt()} {
+		if at.After(now) && at.Before(next) {
+			next = at
+		}
 	}
 	a := s.admitter
 	s.timer = a.clock.AfterFunc(next.Sub(now), func() {
@@ -189,14 +189,19 @@
 		list[n], ranks[w] = w, s.ranked(now, w, trip)
 	}
 	slices.SortFunc(list, func(a, b *waiter) int { return order.Compare(ranks[a], ranks[b]) })
-	ahead := 0
+	o, ahead := s.outlook(now), 0
 	for _, w := range list {
-		e, inTime := s.estimateFor(now, w, ahead)
-		if inTime || s.mustNotRefuse(now) {
+		e, inTime := s.estimateFor(o, w, ahead)
+		if inTime {
 			ahead++
 			continue
 		}
+		if s.mustNotRefuse(now) {
+			s.take(now, w)
+			continue
+		}
 		s.remove(w)
+		o.live--
 		s.count("refused-while-waiting")
 		s.report.refused(now, s, w, e)
 		w.err = Refused{RetryAfter: e.retryAfter()}
--- a/ladder/admission/admitter/service.go
+++ b/ladder/admission/admitter/service.go
@@ -61,9 +61,10 @@
 	}
 	s.forced, s.beganAt = true, now
 	hosts := max(1, s.admitter.options.Hosts())
-	start := float64(s.places()) / float64(hosts)
-	s.all.start(start)
-	s.owed.start(start)
+	// No target may be listed, such as while the last one leaves.
+	start := float64(max(s.places(), defaultPlaces)) / float64(hosts)
+	s.all.start(now, start)
+	s.owed.start(now, start)
 	klog.InfoS("admission begins", "service", s.name, "cause", cause, "limit", start, "in-flight", s.inFlight, "hosts", hosts)
 	return true
 }
