forwarder: pause before a request that was not sent is tried again

Cause: while admission is in force, a request that could not be sent (connection refused, all connections in use) went back to the admitter, which learns nothing from it and admitted it at once.

--- a/ladder/forwarder/admission.go
+++ b/ladder/forwarder/admission.go
@@ -93,6 +93,12 @@
 		w.waitsAgain = w.refused
 		return w.noTargetOutcome(), true
 	}
+	// The admitter learns nothing from requests that were not sent, so that it doesn't pace them.
+	if !w.refused && len(w.candidates(w.service, selection{need: w.retryNeed(), tried: w.tried})) == 0 {
+		if o, done := w.pauseRetries(ctx); done {
+			return o, true
+		}
+	}
 	if err := w.admit(ctx); err != nil {
 		return w.unadmittedOutcome(ctx, err), true
 	}
--- a/ladder/forwarder/forward.go
+++ b/ladder/forwarder/forward.go
@@ -309,9 +309,20 @@
 	return sender.Required
 }
 
-// retryTriedTargets allows all targets again after a pause, unless all of them have
-// reached their limits.
+// retryTriedTargets sends the request to a target again after a pause.
 func (w *forwarding) retryTriedTargets(ctx context.Context) (o Outcome, done bool) {
+	if o, done := w.pauseRetries(ctx); done {
+		return o, true
+	}
+	if !w.startAttempt(ctx, w.retryNeed()) {
+		return w.noTargetOutcome(), true
+	}
+	return nil, false
+}
+
+// pauseRetries allows all targets again after a pause, unless all of them have reached their
+// limits.
+func (w *forwarding) pauseRetries(ctx context.Context) (o Outcome, done bool) {
 	w.pause = min(max(retryPause, 2*w.pause), maxRetryPause)
 	if w.disallowed || w.request.Owed || w.deadline.Sub(w.clock.Now()) < 2*w.pause || len(w.tried) == 0 || len(w.candidates(w.service, selection{need: w.retryNeed()})) == 0 {
 		return w.noTargetOutcome(), true
@@ -322,9 +333,6 @@
 		return w.timeoutOutcome(), true
 	}
 	clear(w.tried)
-	if !w.startAttempt(ctx, w.retryNeed()) {
-		return w.noTargetOutcome(), true
-	}
 	return nil, false
 }
 
