forwarder: count responses below 64 KiB in the memory account

Cause: each response could hold 64 KiB outside the account, on some thousand connections more than the whole budget of a small host. Change: this part is taken with Hold, which counts and is never refused. Result: ten responses of 60 KiB counted as 0 bytes before and in full now (TestReadAll_SmallResponsesCountUntilTheyHaveBeenPassedOn).

--- a/ladder/forwarder/memory_budget.go
+++ b/ladder/forwarder/memory_budget.go
@@ -13,14 +13,13 @@
 
 // A response is buffered completely before it is passed on, so that another target
 // can be asked if the transfer fails. Faulty targets may send endless bodies,
-// several at once. Each response may use a small amount of memory; beyond that
-// all responses draw on the account of the process, so that only large ones fail when it
-// is exhausted.
+// several at once. Each response may use a small amount of memory, which counts in the account of
+// the process but is never refused, so that only large responses fail when it is exhausted.
 
 const (
 	// maxResponseBytes bounds one response.
 	maxResponseBytes = 8 << 20
-	// unbudgetedBytes is what each response may use outside the account.
+	// unbudgetedBytes is what each response may use even if the account has no room.
 	unbudgetedBytes = 64 << 10
 	// defaultBudgetBytes bounds the memory of all responses in progress beyond
 	// unbudgetedBytes if the process has no account of its own.
@@ -57,13 +56,17 @@
 		}
 		response.MoveTo(request)
 	}()
-	reserved := 0
+	held, reserved := 0, 0
 	var all bytes.Buffer
 	for {
 		n, err := all.ReadFrom(io.LimitReader(r, readSize))
-		switch {
-		case err != nil:
+		if err != nil {
 			return nil, err
+		}
+		small := min(all.Cap(), unbudgetedBytes)
+		response.Hold(int64(small - held))
+		held = small
+		switch {
 		case n < readSize:
 			return all.Bytes(), nil
 		case all.Len() > maxResponseBytes:
--- a/ladder/forwarder/memory_budget_test.go
+++ b/ladder/forwarder/memory_budget_test.go
@@ -81,3 +81,20 @@
 		}
 	})
 }
+
+// Guards against many responses of moderate size that together exceed the memory of the process
+// without being counted, while their callers read them slowly.
+func TestReadAll_SmallResponsesCountUntilTheyHaveBeenPassedOn(t *testing.T) {
+	const size, requests = 60 << 10, 10
+	m := newMemoryBudget(clockwork.NewRealClock(), 1<<20)
+	for n := range requests {
+		request := m.budgeter.Open(nil)
+		defer request.Release()
+		if _, err := m.readAll(t.Context(), bytes.NewReader(make([]byte, size)), request); err != nil {
+			t.Fatal(err)
+		}
+		if held := m.budgeter.Status().Held; held < int64(n+1)*size {
+			t.Errorf("%d responses of %d bytes count as %d bytes", n+1, size, held)
+		}
+	}
+}
