connlimiter: bound the kernel's send buffer

Cause: the kernel lets a write go on only once a third of its send buffer is free, and the buffer grows to some MB. A caller that read a large response at 50 KB a second blocked one write for 30 s, over the 10 s after which it is taken for one that reads nothing and its connection is closed. Change: the send buffer of callers' connections is 64 KiB.

--- a/ladder/memory/connlimiter/connlimiter.go
+++ b/ladder/memory/connlimiter/connlimiter.go
@@ -39,6 +39,10 @@
 	WriteStallTimeout = 10 * time.Second
 	// writePieceBytes is the size of a write, after which the time begins anew.
 	writePieceBytes = 32 << 10
+	// sendBufferBytes is the kernel's send buffer of a connection. The kernel's own bound is some
+	// MB, of which a third must be free before a write goes on: a caller that read 50 KB a second
+	// had read nothing for 30 s by that measure. It also bounds the kernel's memory.
+	sendBufferBytes = 2 * writePieceBytes
 	// defaultHeadTimeout and defaultIdleTimeout apply if the configuration sets none.
 	defaultHeadTimeout = 10 * time.Second
 	defaultIdleTimeout = 2 * time.Minute
@@ -116,6 +120,7 @@
 		l.options.Reporter.Report(reporter.LimitMemory)
 		return nil, false
 	}
+	boundSendBuffer(inner)
 	c := &Conn{Conn: inner, limiter: l, base: base}
 	c.setPhase(phaseIdle)
 	l.mutex.Lock()
@@ -131,6 +136,13 @@
 	return c, true
 }
 
+// boundSendBuffer sets the kernel's send buffer, if the connection has one.
+func boundSendBuffer(c net.Conn) {
+	if b, ok := c.(interface{ SetWriteBuffer(bytes int) error }); ok {
+		_ = b.SetWriteBuffer(sendBufferBytes) // it fails only on closed connections
+	}
+}
+
 func (l *Limiter) evict() {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
