admitter: calls of batch jobs give way for one second at most

A call of a batch job that has waited for 1 s is now held by the limit for all sends and by its rank only.

--- a/ladder/admission/admitter/queue.go
+++ b/ladder/admission/admitter/queue.go
@@ -27,6 +27,10 @@
 	// reviewInterval is the interval at which waiting requests are checked. It is a sixth of the
 	// users' shortest latency goal, since a refusal must come within a quarter of it.
 	reviewInterval = 25 * time.Millisecond
+	// owedYield is how long a request of a batch job gives way to live calls of other hosts.
+	// After that only its rank counts, so that a lasting overload doesn't hold up the scores of
+	// a job, whose results are due after 7.5 s on the users' routes.
+	owedYield = time.Second
 	// groupInterval is the interval at which the groups of waiting requests are read.
 	groupInterval = 100 * time.Millisecond
 )
@@ -129,12 +133,13 @@
 	}
 }
 
-// first returns the waiting request that goes first, or nil. Owed ones count only if owed is set.
+// first returns the waiting request that goes first, or nil. Owed ones count only if owed is set
+// or they have given way for owedYield.
 func (s *service) first(now time.Time, trip time.Duration, owed bool) (best *waiter) {
 	s.shares.settle(now, s.queue)
 	var bestRank order.Ranked
 	for _, w := range s.queue {
-		if w.request.Owed && !owed {
+		if w.request.Owed && !owed && now.Sub(w.request.Arrived) < owedYield {
 			continue
 		}
 		if r := s.ranked(now, w, trip); best == nil || order.Compare(r, bestRank) < 0 {
