--- a/entry/runner/memory.go
+++ b/entry/runner/memory.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"runtime/debug"
 	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/sourcegraph/conc"
 
-	"github.com/lycheeladder/lycheeladder/ladder/memory/budgeter"
 	"github.com/lycheeladder/lycheeladder/ladder/memory/connlimiter"
 	"github.com/lycheeladder/lycheeladder/ladder/memory/reporter"
 	"github.com/lycheeladder/lycheeladder/ladder/recorder"
@@ -17,9 +15,6 @@
 )
 
 const (
-	// memoryLimitFraction is the garbage collector's soft limit as a fraction of
-	// the machine's memory. The rest is left for stacks, sockets and bursts.
-	memoryLimitFraction = 0.7
 	// fileDescriptors are the descriptors that are reserved for files.
 	fileDescriptors = 200
 	// callerShare and operatorShare are the parts of the remaining descriptors that
@@ -42,17 +37,7 @@
 }
 
 func newMemoryLimits(clock clockwork.Clock, s Settings, r *recorder.Recorder) *memoryLimits {
-	machine := int64(s.MemoryMB) << 20
-	if machine <= 0 {
-		machine = budgeter.DefaultMachineBytes
-	}
-	debug.SetMemoryLimit(int64(float64(machine) * memoryLimitFraction))
-	b := budgeter.New(clock, budgeter.BudgetOf(machine))
-	notes := reporter.New(clock, r, b)
-	r.Gauge("memory-held-bytes", func() int64 { return b.Status().Held })
-	r.Gauge("memory-budget-bytes", func() int64 { return b.Status().Total })
-	r.Gauge("memory-refused", func() int64 { return b.Status().Refused })
-	r.Gauge("memory-reclaimed", func() int64 { return b.Status().Reclaimed })
+	b, notes := reporter.ForProcess(clock, int64(s.MemoryMB)<<20, r)
 	newLimiter := func(connections int) *connlimiter.Limiter {
 		return connlimiter.New(clock, connlimiter.Options{
 			MaxConnections: connections, Budgeter: b, Reporter: notes,
--- a/ladder/memory/budgeter/budgeter.go
+++ b/ladder/memory/budgeter/budgeter.go
@@ -132,7 +132,7 @@
 	// only one.
 	exempt bool
 	// held and reclaimed are guarded by the budgeter's mutex. reclaimed is set once
-	// the holder was told to give way.
+	// the holder was asked to release its memory.
 	held      int64
 	reclaimed bool
 	// closed is set by Release; nothing can be added any more.
