--- a/ladder/admission/admitter/estimate.go
+++ b/ladder/admission/admitter/estimate.go
@@ -20,7 +20,7 @@
 	// settleTime is how long the limit has to follow the targets' reports before it tells that
 	// requests arrive faster than they can be sent. It is some ten round trips.
 	settleTime = 300 * time.Millisecond
-	// minRetryAfter and maxRetryAfter bound what callers are told.
+	// minRetryAfter and maxRetryAfter bound the Retry-After value of refusals.
 	minRetryAfter, maxRetryAfter = 25 * time.Millisecond, 10 * time.Second
 )
 
--- a/ladder/admission/admitter/service.go
+++ b/ladder/admission/admitter/service.go
@@ -43,7 +43,7 @@
 }
 
 // inForce reports whether admission is in force, and ends it if its time is over. While requests
-// wait here it goes on, since all of them would be sent at once.
+// wait here it stays in force, since all of them would be sent at once otherwise.
 func (s *service) inForce(now time.Time) bool {
 	if s.forced && len(s.queue) == 0 && now.Sub(s.signAt) > signRetention {
 		s.forced = false
--- a/ladder/admission/order/order.go
+++ b/ladder/admission/order/order.go
@@ -55,10 +55,10 @@
 	// liveHorizon and lateHorizon are the slack at which a delay costs half of the most that it
 	// can cost: before the latency goal, 150 ms on the users' routes, and after it.
 	liveHorizon, lateHorizon = 150 * time.Millisecond, time.Second
-	// jobHorizon is the same for jobs, whose results are due after 10 s and more.
+	// jobHorizon is the same for jobs; results are due after 7.5 s on the users' routes.
 	jobHorizon = 4 * time.Second
-	// defaultDue is when the results of a job without a due time are taken to be due. The
-	// users' jobs take some 10 to 30 s.
+	// defaultDue is when the results of a job without a due time are taken to be due, well after
+	// those of other jobs.
 	defaultDue = 20 * time.Second
 	// lateValue is what a response after the latency goal is worth of one before it.
 	lateValue = 0.25
--- a/ladder/duties/autoscaler/decide.go
+++ b/ladder/duties/autoscaler/decide.go
@@ -31,7 +31,7 @@
 	Wait    time.Duration
 	// Work is the time that one place would need for the waiting items; 0 if unknown.
 	Work time.Duration
-	// Complete is set if most hosts have told their demand. Without them, the need may be
+	// Complete is set if most hosts have reported their demand. Without them, the need may be
 	// greater.
 	Complete bool
 }
--- a/ladder/duties/autoscaler/demand.go
+++ b/ladder/duties/autoscaler/demand.go
@@ -21,7 +21,7 @@
 // others. These tell their demand to one of the listed hosts while they have any.
 
 const (
-	// surveyInterval is the interval at which demand is told and asked for. Targets take
+	// surveyInterval is the interval at which demand is reported and queried. Targets take
 	// seconds to boot.
 	surveyInterval = time.Second
 	// keptFor is how long the demand of another host counts: two lost messages, and the time
@@ -55,7 +55,7 @@
 	Peers   querier.Peers
 }
 
-// Demand knows the demand of places of this host and of those that have told it theirs.
+// Demand knows the demand for places of this host and of those that have reported theirs.
 type Demand struct {
 	clock   clockwork.Clock
 	catalog *cataloger.Cataloger
@@ -118,7 +118,7 @@
 	return demands
 }
 
-// Answer returns the demand of this host and of those that have told it theirs.
+// Answer returns the demand of this host and of those that have reported theirs.
 func (d *Demand) Answer() *messenger.PlacesAnswer {
 	answer := &messenger.PlacesAnswer{Hosts: []identifier.Incarnation{d.options.Incarnation}, Demands: d.own()}
 	d.mutex.Lock()
--- a/ladder/duties/reporter/term.go
+++ b/ladder/duties/reporter/term.go
@@ -132,7 +132,7 @@
 	}
 }
 
-// setOffset measures the true time anew if the clocks of enough members are known.
+// setOffset updates the offset to true time if the clocks of enough members are known.
 func (t *term) setOffset(c collection) {
 	now := t.bootClock.Elapsed()
 	recent := now-t.measuredAt <= maxOffsetAge
--- a/ladder/sender/sender.go
+++ b/ladder/sender/sender.go
@@ -36,7 +36,7 @@
 	Identify bool
 	// Account is the client account of the request; empty if it has none.
 	Account identifier.AccountName
-	// AccountsInForce means that the target is told Account, and neither an account that Header
+	// AccountsInForce means that the target receives Account, and neither an account that Header
 	// names nor the credentials in Header.
 	AccountsInForce bool
 	// RequiredVersion asks for a response under this weight version only; 0
