--- a/review/kit-2/main.go
+++ b/review/kit-2/main.go
@@ -42,6 +42,7 @@
 	"popular":         playPopularRequest,
 	"late-submission": playLateSubmission,
 	"weights":         playWeights,
+	"many-items":      playManyItems,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
