Review case 8: the third crash comes right before the final fault

So that the request is served until then: 98 to 100 in 100 requests before the final fault, none later than recover_s after it.

Rule: RECOVER.

--- a/review/kit-2/popular.go
+++ b/review/kit-2/popular.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"sync"
@@ -17,6 +18,8 @@
 	calmTime = 8 * time.Second
 	// downTime is how long a worker is down after a crash; the sheet's site has up to 4.9 s.
 	downTime = 4500 * time.Millisecond
+	// finalDelay is the time from the last crash to the final fault.
+	finalDelay = time.Second
 	// recoverTime is recover_s of the sheet.
 	recoverTime = 12 * time.Second
 	// judgedTime is the time after that for which requests are counted.
@@ -68,13 +71,17 @@
 		})
 	}
 	time.Sleep(calmTime)
+	crashes := make(chan error, 1)
 	if s.trouble {
-		for _, w := range s.plainWorkers() {
+		list := s.plainWorkers()
+		for _, w := range list[:len(list)-1] {
 			if err := s.crash(w); err != nil {
 				return false, err
 			}
 			time.Sleep(calmTime)
 		}
+		go func() { crashes <- s.crash(list[len(list)-1]) }()
+		time.Sleep(finalDelay)
 	}
 	next := func(n int) {
 		mutex.Lock()
@@ -88,7 +95,7 @@
 			h.signal(syscall.SIGKILL)
 		}
 		time.Sleep(restartDelay)
-		if err := s.awaitReady(); err != nil {
+		if err := errors.Join(s.awaitReady(), <-crashes); err != nil {
 			return false, err
 		}
 		time.Sleep(recoverTime)
