--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the cases 6 to 10. The deploy file builds the program itself.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review-2 review/kit-2/*.go
+GOWORK=off go build -o target/review-2 review/kit-2/*.go
--- a/review/kit-2/hosts.go
+++ b/review/kit-2/hosts.go
@@ -183,6 +183,45 @@
 	return 0
 }
 
+// hasSocket reports whether the process of the host has the socket with an address.
+func (h *host) hasSocket(a net.Addr) bool {
+	tcp, ok := a.(*net.TCPAddr)
+	if !ok {
+		return false
+	}
+	table, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return false
+	}
+	local := fmt.Sprintf(":%04X", tcp.Port)
+	for _, line := range strings.Split(string(table), "\n") {
+		fields := strings.Fields(line)
+		if len(fields) < 10 || !strings.HasSuffix(fields[1], local) {
+			continue
+		}
+		if h.hasFile("socket:[" + fields[9] + "]") {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *host) hasFile(name string) bool {
+	h.mutex.Lock()
+	folder := fmt.Sprintf("/proc/%d/fd", h.command.Process.Pid)
+	h.mutex.Unlock()
+	files, err := os.ReadDir(folder)
+	if err != nil {
+		return false
+	}
+	for _, f := range files {
+		if to, err := os.Readlink(filepath.Join(folder, f.Name())); err == nil && to == name {
+			return true
+		}
+	}
+	return false
+}
+
 // signal sends a signal to the process of the host.
 func (h *host) signal(s syscall.Signal) {
 	h.mutex.Lock()
--- a/review/kit-2/main.go
+++ b/review/kit-2/main.go
@@ -43,6 +43,7 @@
 	"late-submission": playLateSubmission,
 	"weights":         playWeights,
 	"many-items":      playManyItems,
+	"software":        playSoftware,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/kit-2/worker.go
+++ b/review/kit-2/worker.go
@@ -1,13 +1,13 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -22,14 +22,19 @@
 	// interval is the time between two events, or the time that a plain request takes.
 	interval time.Duration
 	slots    int
+	// software is the version of the worker's software; v1 unless it is set.
+	software string
+	// address is where it listens; a free port unless it is set.
+	address string
+	// listed is the address in its entry; that of address unless it is set.
+	listed string
 }
 
 // worker is a stand-in of a model worker or of a plain service.
 type worker struct {
 	workerSettings
-	address string
-	born    int64
-	record  *recorder
+	born   int64
+	record *recorder
 
 	server *http.Server
 
@@ -65,7 +70,7 @@
 	for _, m := range s.models {
 		w.versions[m] = 1
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", cmp.Or(w.address, "127.0.0.1:0"))
 	if err != nil {
 		return nil, err
 	}
@@ -101,7 +106,7 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	text, _ := json.Marshal(map[string]any{
-		"service": w.service, "address": w.address, "zone": "z-a", "version": "v1", "slots": w.slots, "state": "ready",
+		"service": w.service, "address": cmp.Or(w.listed, w.address), "zone": "z-a", "version": cmp.Or(w.software, "v1"), "slots": w.slots, "state": "ready",
 		"cold_left_ms": 0, "sequence": w.sequence, "born": w.born, "models": w.modelList(),
 	}) // all values can be encoded
 	return text
@@ -209,17 +214,8 @@
 // answerOf returns the body of a plain worker's answer.
 func answerOf(id string, body []byte) string { return fmt.Sprintf("%s %d", id, len(body)) }
 
-// eventOf returns the data of an event of an item.
-func eventOf(id string, n int) string { return id + "." + strconv.Itoa(n) }
-
-// textOf returns the whole text of an item.
-func textOf(id string, events int) string {
-	lines := make([]string, 0, events)
-	for n := 1; n <= events; n++ {
-		lines = append(lines, eventOf(id, n))
-	}
-	return strings.Join(lines, "\n")
-}
+// eventOf returns the data of an event, which tells the software version that made it.
+func eventOf(software string, n int) string { return software + "." + strconv.Itoa(n) }
 
 func (w *worker) stream(rw http.ResponseWriter, r *http.Request, id string, version int) {
 	rw.Header().Set("Content-Type", "text/event-stream")
@@ -235,7 +231,7 @@
 		case <-r.Context().Done():
 			return
 		}
-		if _, err := fmt.Fprintf(rw, "id: %d\ndata: %s\n\n", n, eventOf(id, n)); err != nil || flusher.Flush() != nil {
+		if _, err := fmt.Fprintf(rw, "id: %d\ndata: %s\n\n", n, eventOf(cmp.Or(w.software, "v1"), n)); err != nil || flusher.Flush() != nil {
 			return
 		}
 	}
