--- a/review/kit-2/client.go
+++ b/review/kit-2/client.go
@@ -21,16 +21,16 @@
 	retryAfter time.Duration
 }
 
-func call(method, address, path, id string, body []byte, header map[string]string) (a answer) {
+func call(method, address, path, id string, body []byte, headers map[string]string) (a answer) {
 	r, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		return a
 	}
 	r.Host = routeHost
 	if id != "" {
-		r.Header.Set("X-Lycheeladder-Attempt-Id", id)
+		r.Header.Set(header("Attempt-Id"), id)
 	}
-	for name, value := range header {
+	for name, value := range headers {
 		r.Header.Set(name, value)
 	}
 	response, err := client.Do(r)
@@ -82,11 +82,11 @@
 
 // read reads a page of results at one host.
 func (s *stage) read(h *host, job string, after int, wait time.Duration) (p page, status int) {
-	header := map[string]string{}
+	headers := map[string]string{}
 	if wait > 0 {
-		header["X-Lycheeladder-Wait-Ms"] = itoa(int(wait.Milliseconds()))
+		headers[header("Wait-Ms")] = itoa(int(wait.Milliseconds()))
 	}
-	a := call(http.MethodGet, h.front, "/api/lots/"+job+"?after="+itoa(after), "", nil, header)
+	a := call(http.MethodGet, h.front, "/api/lots/"+job+"?after="+itoa(after), "", nil, headers)
 	if a.status == http.StatusOK && json.Unmarshal(a.body, &p) != nil {
 		return p, 0
 	}
--- a/review/kit-2/hosts.go
+++ b/review/kit-2/hosts.go
@@ -89,7 +89,7 @@
 	_, port, _ := strings.Cut(h.peer, ":")
 	return strings.Join([]string{
 		"node_name=" + h.name, "role=entry", "machine_class=edge", "serves=edge", "ip=127.0.0.1", "zone=z-a", "region=z", "zones.z-a=z",
-		"listen.front=" + h.front, "listen.ready_addr=" + h.ready, "internal_ports=" + port + "," + port, "bootstrap=true",
+		wire("listen-front") + "=" + h.front, "listen.ready_addr=" + h.ready, "internal_ports=" + port + "," + port, "bootstrap=true",
 		"limits.cpu_share=0.8", "limits.cores=1", "limits.memory_mb=" + strconv.Itoa(h.memoryMB), "limits.max_fds=8200", "limits.link_mbps=1000.0",
 		"limits.disk_mb=0", "discovery=platform", "entry=vip", "heartbeat_ms=1200",
 		"contracts=base,drain,config,cost,recover,samples,stream,engine,batch,platform",
--- a/review/kit-2/late.go
+++ b/review/kit-2/late.go
@@ -39,7 +39,7 @@
 	lost, writes := 0, 0
 	if s.trouble {
 		s.store.setFaults(func(_ string, r *http.Request, body []byte) fault {
-			if r.URL.Path != "/api/log-append" || time.Since(began) > lostTime {
+			if r.URL.Path != wire("append") || time.Since(began) > lostTime {
 				return fault{}
 			}
 			mutex.Lock()
--- a/review/kit-2/popular.go
+++ b/review/kit-2/popular.go
@@ -120,7 +120,7 @@
 		h := s.hosts[(first+try)%len(s.hosts)]
 		left := time.Until(end)
 		attempt := fmt.Sprintf("%s-%d", id, try)
-		a := call(http.MethodGet, h.front, callerPath, attempt, nil, map[string]string{"X-Lycheeladder-Deadline-Ms": itoa(int(left.Milliseconds()))})
+		a := call(http.MethodGet, h.front, callerPath, attempt, nil, map[string]string{header("Deadline-Ms"): itoa(int(left.Milliseconds()))})
 		s.record.line("asked", "request", attempt, "host", h.name, "status", a.status, "retry_after", a.retryAfter)
 		if a.status == http.StatusOK {
 			return string(a.body) == answerOf(attempt, nil)
@@ -147,7 +147,7 @@
 	s.record.line("crash", "worker", w.name, "running", w.busy())
 	w.stop()
 	time.Sleep(3 * beatTime)
-	s.store.put("keyed.servers", w.name, nil)
+	s.store.put(wire("targets"), w.name, nil)
 	time.Sleep(downTime - 3*beatTime)
 	settings := w.workerSettings
 	settings.name += "b"
--- a/review/kit-2/software.go
+++ b/review/kit-2/software.go
@@ -99,7 +99,7 @@
 		return nil, err
 	}
 	c["routes"] = append(c["routes"].([]any), map[string]any{
-		"name": "streams", "host": routeHost, "path_prefix": streamPath, "route_kind": "streaming", "resumable": true,
+		"name": "streams", "host": routeHost, "path_prefix": streamPath, wire("route-kind"): "streaming", "resumable": true,
 		"timeout_ms": 20000, "goal_ms": 500, "priority": 1, "service": jobService, "max_attempts": 3,
 	})
 	return json.Marshal(c)
@@ -130,7 +130,7 @@
 	if err != nil {
 		return false, err
 	}
-	s.store.put("keyed.op", "config", c)
+	s.store.put(wire("operators"), "config", c)
 	time.Sleep(4 * time.Second)
 	var streams sync.WaitGroup
 	texts := make([][]string, streamCount)
@@ -150,7 +150,7 @@
 			return false, err
 		}
 		s.workers = append(s.workers, w)
-		time.AfterFunc(3*beatTime-backTime, func() { s.store.put("keyed.servers", w.name, nil) })
+		time.AfterFunc(3*beatTime-backTime, func() { s.store.put(wire("targets"), w.name, nil) })
 	} else if err := s.addWorker(settings); err != nil {
 		return false, err
 	}
@@ -187,9 +187,9 @@
 			return events
 		}
 		r.Host = routeHost
-		r.Header.Set("X-Lycheeladder-Attempt-Id", id)
-		r.Header.Set("X-Lycheeladder-Deadline-Ms", itoa(int(streamDeadline.Milliseconds())))
-		r.Header.Set("X-Lycheeladder-Model", model)
+		r.Header.Set(header("Attempt-Id"), id)
+		r.Header.Set(header("Deadline-Ms"), itoa(int(streamDeadline.Milliseconds())))
+		r.Header.Set(header("Model"), model)
 		if len(events) > 0 {
 			r.Header.Set("Last-Event-Id", itoa(len(events)))
 			r.Header.Set("Resumes", first)
--- a/review/kit-2/stage.go
+++ b/review/kit-2/stage.go
@@ -33,8 +33,8 @@
 	text, _ := json.Marshal(map[string]any{
 		"version": version,
 		"routes": []map[string]any{
-			{"name": "scores", "host": routeHost, "path_prefix": plainPath, "route_kind": "idempotent", "timeout_ms": 2000, "goal_ms": 400, "priority": 2, "service": "wuno96b", "max_attempts": 4},
-			{"name": "jobs", "host": routeHost, "path_prefix": jobPath, "route_kind": "rollout", "timeout_ms": 10000, "goal_ms": 500, "priority": 0, "service": jobService, "max_attempts": 3, "result_due_ms": 7500, "retention_s": 40},
+			{"name": "scores", "host": routeHost, "path_prefix": plainPath, wire("route-kind"): "idempotent", "timeout_ms": 2000, "goal_ms": 400, "priority": 2, "service": "wuno96b", "max_attempts": 4},
+			{"name": "jobs", "host": routeHost, "path_prefix": jobPath, wire("route-kind"): "rollout", "timeout_ms": 10000, "goal_ms": 500, "priority": 0, "service": jobService, "max_attempts": 3, "result_due_ms": 7500, "retention_s": 40},
 		},
 		"services": []map[string]any{
 			{"name": jobService, "health_path": "/healthz", "max_conns": 140, "protocol": "h1", "tls": false, "engine": map[string]any{"slots": 8, "models": []map[string]any{{"name": model}}}},
@@ -50,7 +50,7 @@
 
 // begin starts workers and hosts and waits until the hosts are ready.
 func (s *stage) begin(hosts, memoryMB int, workers []workerSettings) error {
-	s.store.put("keyed.op", "config", configuration(7))
+	s.store.put(wire("operators"), "config", configuration(7))
 	for _, settings := range workers {
 		if err := s.addWorker(settings); err != nil {
 			return err
@@ -78,14 +78,14 @@
 		return err
 	}
 	s.workers = append(s.workers, w)
-	s.store.put("keyed.servers", w.name, w.entry())
+	s.store.put(wire("targets"), w.name, w.entry())
 	go func() {
 		for {
 			time.Sleep(beatTime)
 			if w.isStopped() {
 				return
 			}
-			s.store.put("keyed.servers", w.name, w.entry())
+			s.store.put(wire("targets"), w.name, w.entry())
 		}
 	}()
 	return nil
@@ -136,7 +136,7 @@
 	id := job + string("-") + itoa(n)
 	i := map[string]any{
 		"id": id, "path": jobPath + "3/91c4", "token_count": 60, "group": "g" + itoa(n/4),
-		"headers": map[string]string{"X-Lycheeladder-Model": model, "X-Lycheeladder-Token-Usage": "16,24", "X-Lycheeladder-Prompt-Prefix": "9c2e41:16"},
+		"headers": map[string]string{header("Model"): model, header("Token-Usage"): "16,24", header("Prompt-Prefix"): "9c2e41:16"},
 		"body":    []byte(strings.Repeat("q", bodyBytes)),
 	}
 	if scored {
@@ -151,6 +151,6 @@
 	for n := range items {
 		list = append(list, itemOf(id, n, bodyBytes, scored))
 	}
-	text, _ := json.Marshal(map[string]any{"step": 0, "model": model, "min_version": minVersion, "target_groups": max(1, items/4), "items": list}) // all values can be encoded
+	text, _ := json.Marshal(map[string]any{"step": 0, "model": model, wire("min-version"): minVersion, "target_groups": max(1, items/4), "items": list}) // all values can be encoded
 	return text
 }
--- a/review/kit-2/store.go
+++ b/review/kit-2/store.go
@@ -132,13 +132,13 @@
 	number, _ := strconv.Atoi(q.Get("part")) // partition 0 if it is missing
 	key := partKey{q.Get("topic"), number}
 	switch r.URL.Path {
-	case "/api/log-append":
+	case wire("append"):
 		s.append(w, key, q.Get("at"), body)
-	case "/api/log-read":
+	case wire("read"):
 		s.read(w, r, key)
-	case "/api/log-newest":
+	case wire("newest"):
 		s.page(w, key, q.Get("after"))
-	case "/api/log-join":
+	case wire("join"):
 		s.join(w, body)
 	case "/api/log-leave":
 		s.leave(w, body)
@@ -219,7 +219,7 @@
 		w.WriteHeader(http.StatusRequestEntityTooLarge)
 		return
 	}
-	if k.topic == "keyed.op" || k.topic == "keyed.servers" {
+	if k.topic == wire("operators") || k.topic == wire("targets") {
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
--- a/review/kit-2/weights.go
+++ b/review/kit-2/weights.go
@@ -57,7 +57,7 @@
 		if err != nil {
 			return false, err
 		}
-		s.store.put("keyed.op", "config", c)
+		s.store.put(wire("operators"), "config", c)
 		s.record.line("configuration", "version", 9)
 	}
 	time.Sleep(applyTime + applyMargin)
--- a/review/kit-2/worker.go
+++ b/review/kit-2/worker.go
@@ -127,12 +127,12 @@
 		defer w.mutex.Unlock()
 		reply(rw, http.StatusOK, map[string]any{
 			"stage": "both", "models": w.modelList(), "busy": false, "sequence": w.sequence, "born": w.born,
-			"queued_count": 0, "active_count": w.running, "kv_used": 0, "kv_total": 90000, "handles": 0,
+			"queued_count": 0, "active_count": w.running, wire("kv-used"): 0, "kv_total": 90000, "handles": 0,
 		})
 	case "/api/order":
 		w.serveOrder(rw, r)
 	case "/healthz":
-		rw.Header().Set("X-Lycheeladder-Instance-Id", w.name)
+		rw.Header().Set(header("Instance-Id"), w.name)
 	default:
 		w.serveRequest(rw, r)
 	}
@@ -143,16 +143,17 @@
 		Model        string `json:"model"`
 		Version      int    `json:"version"`
 		Holder       string `json:"holder"`
-		Token        int    `json:"fencing_token"`
 		Precondition *int   `json:"precondition"`
 	}
-	if json.NewDecoder(r.Body).Decode(&o) != nil || o.Holder == "" {
+	var fields map[string]any
+	body, err := io.ReadAll(r.Body)
+	if err != nil || json.Unmarshal(body, &o) != nil || json.Unmarshal(body, &fields) != nil || o.Holder == "" {
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.record.line("order", "worker", w.name, "holder", o.Holder, "token", o.Token, "version", o.Version)
+	w.record.line("order", "worker", w.name, "holder", o.Holder, "token", fields[wire("fencing-token")], "version", o.Version)
 	if o.Precondition != nil && *o.Precondition != w.sequence {
 		rw.WriteHeader(http.StatusConflict)
 		return
@@ -163,9 +164,9 @@
 }
 
 func (w *worker) serveRequest(rw http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("X-Lycheeladder-Attempt-Id")
-	rw.Header().Set("X-Lycheeladder-Attempt-Id", id)
-	if e := r.Header.Get("X-Lycheeladder-Expect-Instance"); e != "" && e != w.name {
+	id := r.Header.Get(header("Attempt-Id"))
+	rw.Header().Set(header("Attempt-Id"), id)
+	if e := r.Header.Get(header("Expect-Instance")); e != "" && e != w.name {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -184,9 +185,9 @@
 		version = max(version, v)
 	}
 	w.mutex.Unlock()
-	rw.Header().Set("X-Lycheeladder-Server-Load", fmt.Sprintf("%d,0,%d", running, w.slots))
+	rw.Header().Set(header("Server-Load"), fmt.Sprintf("%d,0,%d", running, w.slots))
 	if full {
-		rw.Header().Set("X-Lycheeladder-Not-Executed", "1")
+		rw.Header().Set(header("Not-Executed"), "1")
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -196,7 +197,7 @@
 		w.mutex.Unlock()
 	}()
 	w.record.line("run", "worker", w.name, "request", id, "after", r.Header.Get("Last-Event-Id"))
-	rw.Header().Set("X-Lycheeladder-Server-Stamp", stampOf(w.name, id))
+	rw.Header().Set(header("Server-Stamp"), stampOf(w.name, id))
 	if w.events == 0 {
 		select {
 		case <-time.After(w.interval):
@@ -219,7 +220,7 @@
 
 func (w *worker) stream(rw http.ResponseWriter, r *http.Request, id string, version int) {
 	rw.Header().Set("Content-Type", "text/event-stream")
-	rw.Header().Set("X-Lycheeladder-Weight-Versions", strconv.Itoa(version))
+	rw.Header().Set(header("Weight-Versions"), strconv.Itoa(version))
 	first := 1
 	if n, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		first = n + 1
