jobstorer: what is accepted is decoded with the limits that it was encoded with

Jobs were encoded without a limit and decoded with the defaults of the library: 131,072 elements of a list or pairs of a map, text in UTF-8 only.

One pair of modes in ladder/storage/serializer serves writers and readers of all stored values and of pages of results between hosts. Encode refuses what Decode would reject, before anything is stored.

TestAccept_WhatIsAcceptedCanBeRead failed before in 4 of 4 cases (many items, many headers, id and host that are not UTF-8): unknown batch job.

--- a/ladder/archiver/archiver.go
+++ b/ladder/archiver/archiver.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/jonboulle/clockwork"
 	"k8s.io/klog/v2"
 
@@ -21,6 +20,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 	"github.com/lycheeladder/lycheeladder/ladder/querier"
+	"github.com/lycheeladder/lycheeladder/ladder/storage/serializer"
 	"github.com/lycheeladder/lycheeladder/ladder/storer"
 	"github.com/lycheeladder/lycheeladder/ladder/subsetter"
 )
@@ -148,7 +148,7 @@
 // store has it. If the store doesn't answer, it is written later. A correction has a key of its
 // own, as the store may execute the append that it corrects after it.
 func (a *Archiver) SaveForPeer(ctx context.Context, o messenger.StreamOrigin, corrects bool) bool {
-	value, err := cbor.Marshal(streamRecord{Service: o.Service, Software: o.Software, SavedAt: a.clock.Now().UnixMilli()})
+	value, err := serializer.Encode(streamRecord{Service: o.Service, Software: o.Software, SavedAt: a.clock.Now().UnixMilli()})
 	if err != nil {
 		klog.ErrorS(err, "stream's origin can't be encoded", "stream", o.Stream)
 		return false
@@ -221,7 +221,7 @@
 		return nil, true
 	}
 	var r streamRecord
-	if err := cbor.Unmarshal(value, &r); err != nil {
+	if err := serializer.Decode(value, &r); err != nil {
 		klog.ErrorS(err, "unreadable origin of a stream", "stream", id)
 		return nil, false
 	}
@@ -263,7 +263,7 @@
 		var old []storer.Record
 		for key, value := range records {
 			var r streamRecord
-			if !strings.HasPrefix(key, baseKey) && (cbor.Unmarshal(value, &r) != nil || a.clock.Since(time.UnixMilli(r.SavedAt)) > retention) {
+			if !strings.HasPrefix(key, baseKey) && (serializer.Decode(value, &r) != nil || a.clock.Since(time.UnixMilli(r.SavedAt)) > retention) {
 				old = append(old, storer.Record{Key: key})
 			}
 		}
--- a/ladder/archiver/base.go
+++ b/ladder/archiver/base.go
@@ -6,7 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 	"k8s.io/klog/v2"
@@ -15,6 +14,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
+	"github.com/lycheeladder/lycheeladder/ladder/storage/serializer"
 	"github.com/lycheeladder/lycheeladder/ladder/storer"
 )
 
@@ -181,7 +181,7 @@
 			continue
 		}
 		var b baseRecord
-		if err := cbor.Unmarshal(r.Value, &b); err != nil {
+		if err := serializer.Decode(r.Value, &b); err != nil {
 			klog.ErrorS(err, "unreadable base version", "key", r.Key, "offset", r.Offset)
 			continue
 		}
@@ -207,7 +207,7 @@
 	if !ok {
 		return
 	}
-	value, err := cbor.Marshal(baseRecord{Software: software})
+	value, err := serializer.Encode(baseRecord{Software: software})
 	if err != nil {
 		klog.ErrorS(err, "base version can't be encoded", "service", s)
 		return
--- a/ladder/jobstorer/jobtable.go
+++ b/ladder/jobstorer/jobtable.go
@@ -8,12 +8,12 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/jonboulle/clockwork"
 	"k8s.io/klog/v2"
 
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/memory/budgeter"
+	"github.com/lycheeladder/lycheeladder/ladder/storage/serializer"
 	"github.com/lycheeladder/lycheeladder/ladder/storer"
 )
 
@@ -186,7 +186,7 @@
 		return
 	}
 	var result Result
-	if err := cbor.Unmarshal(r.Value, &result); err != nil {
+	if err := serializer.Decode(r.Value, &result); err != nil {
 		klog.ErrorS(err, "unreadable result left out", "key", r.Key, "offset", r.Offset)
 		return
 	}
@@ -222,7 +222,7 @@
 		if _, recorded := state.positions[r.Result.Item]; recorded {
 			continue
 		}
-		value, err := cbor.Marshal(r.Result)
+		value, err := serializer.Encode(r.Result)
 		if err != nil {
 			klog.ErrorS(err, "result can't be encoded", "job", r.Job, "item", r.Result.Item)
 			continue
--- a/ladder/jobstorer/pieces.go
+++ b/ladder/jobstorer/pieces.go
@@ -5,14 +5,13 @@
 	"fmt"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/storage/serializer"
 	"github.com/lycheeladder/lycheeladder/ladder/storer"
 )
 
@@ -40,19 +39,12 @@
 	AcceptedAt int64 `cbor:"3,keyasint"`
 }
 
-// canonicalEncoding encodes equal submissions to equal bytes.
-var canonicalEncoding = sync.OnceValues(cbor.CoreDetEncOptions().EncMode)
-
 // submissionRecords returns the records of a job in the order in which they must be
 // stored, in pieces of pieceBytes.
 func submissionRecords(s Submission, pieceBytes int) (records []storer.Record, err error) {
-	encoding, err := canonicalEncoding()
-	if err != nil {
-		return nil, err
-	}
 	record := jobRecord{AcceptedAt: s.AcceptedAt}
 	s.AcceptedAt = 0
-	data, err := encoding.Marshal(s)
+	data, err := serializer.Encode(s)
 	if err != nil {
 		return nil, err
 	}
@@ -62,7 +54,7 @@
 		records = append(records, storer.Record{Key: prefixPiece + pieceKey(s.ID, record.Digest, record.Pieces), Value: data[:size]})
 		data = data[size:]
 	}
-	value, err := encoding.Marshal(record)
+	value, err := serializer.Encode(record)
 	return append(records, storer.Record{Key: prefixJob + string(s.ID), Value: value}), err
 }
 
@@ -96,7 +88,7 @@
 	if r.Pieces, err = strconv.Atoi(string(value)); err == nil {
 		return r, nil
 	}
-	return r, errors.Wrap(cbor.Unmarshal(value, &r), "decode job record")
+	return r, serializer.Decode(value, &r)
 }
 
 // applyPiece keeps a piece until its job record is read. The caller must hold the mutex.
@@ -145,8 +137,8 @@
 		data = append(data, p.data...)
 		keys[key] = true
 	}
-	if err := cbor.Unmarshal(data, &s); err != nil {
-		return s, nil, errors.Wrap(err, "decode submission")
+	if err := serializer.Decode(data, &s); err != nil {
+		return s, nil, err
 	}
 	if record.AcceptedAt > 0 {
 		s.AcceptedAt = record.AcceptedAt
--- a/ladder/jobstorer/progress.go
+++ b/ladder/jobstorer/progress.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"k8s.io/klog/v2"
 
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/storage/serializer"
 	"github.com/lycheeladder/lycheeladder/ladder/storer"
 )
 
@@ -102,7 +102,7 @@
 		case known && progress.LastEvent < stored.LastEvent:
 			continue
 		}
-		value, err := cbor.Marshal(progress)
+		value, err := serializer.Encode(progress)
 		if err != nil {
 			klog.ErrorS(err, "part of a text can't be encoded", "job", key.job, "item", key.item)
 			continue
@@ -127,7 +127,7 @@
 		return
 	}
 	var progress Progress
-	if err := cbor.Unmarshal(r.Value, &progress); err != nil {
+	if err := serializer.Decode(r.Value, &progress); err != nil {
 		klog.InfoS("unreadable part of a text left out", "key", r.Key, "offset", r.Offset, "err", err)
 		return
 	}
--- a/ladder/leaser/leaser.go
+++ b/ladder/leaser/leaser.go
@@ -7,12 +7,12 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/jonboulle/clockwork"
 	"k8s.io/klog/v2"
 
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/replicator"
+	"github.com/lycheeladder/lycheeladder/ladder/storage/serializer"
 	"github.com/lycheeladder/lycheeladder/ladder/storer"
 )
 
@@ -102,7 +102,7 @@
 			continue
 		}
 		var record leaseRecord
-		if err := cbor.Unmarshal(r.Value, &record); err != nil {
+		if err := serializer.Decode(r.Value, &record); err != nil {
 			klog.ErrorS(err, "unreadable lease", "key", r.Key, "offset", r.Offset)
 		}
 		if record.Holder != "" && record.Token == 0 {
@@ -183,7 +183,7 @@
 		if written = l.mayWriteLocked(); !written {
 			return nil
 		}
-		value, err := cbor.Marshal(build())
+		value, err := serializer.Encode(build())
 		if err != nil {
 			klog.ErrorS(err, "lease can't be encoded")
 			return nil
--- a/ladder/relayer/answer.go
+++ b/ladder/relayer/answer.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"github.com/lycheeladder/lycheeladder/ladder/jobstorer"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
+	"github.com/lycheeladder/lycheeladder/ladder/storage/serializer"
 )
 
 // Answer executes a peer's call if this process owns the job's partition.
@@ -45,7 +45,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return cbor.Marshal(page)
+		return serializer.Encode(page)
 	case messenger.JobBody:
 		return r.jobs.Body(ctx, c.Job, c.Item)
 	}
--- a/ladder/relayer/relayer.go
+++ b/ladder/relayer/relayer.go
@@ -6,7 +6,6 @@
 	"context"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
@@ -15,6 +14,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/joiner"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 	"github.com/lycheeladder/lycheeladder/ladder/querier"
+	"github.com/lycheeladder/lycheeladder/ladder/storage/serializer"
 )
 
 // The owner of a partition has a copy of it; any other entry would have to read the
@@ -150,7 +150,7 @@
 	if err != nil {
 		return page, err
 	}
-	return page, cbor.Unmarshal(data, &page)
+	return page, serializer.Decode(data, &page)
 }
 
 // Body returns the body of an item.
