jobstorer: a job or result that can't be read is not taken for unknown

A job whose record or pieces could not be decoded was left out: callers got 404 for an accepted job, its pieces were deleted after the retention, and the place of a result that could not be decoded was given to another one.

A result that can't be decoded keeps its position; this host lists nothing behind it, assigns no positions and runs no items of the job.

--- a/ladder/jobstorer/jobstorer.go
+++ b/ladder/jobstorer/jobstorer.go
@@ -59,6 +59,10 @@
 // ErrUnknownJob means that the job was never accepted, or has been deleted.
 var ErrUnknownJob = errors.New("unknown batch job")
 
+// ErrUnreadable means that the job exists, but that this process can't read its records. They
+// are kept for one that can.
+var ErrUnreadable = errors.New("the batch job's records can't be read")
+
 // ErrStaleCopy means that the local copy is too old to answer from.
 var ErrStaleCopy = errors.New("the store can't be read")
 
--- a/ladder/jobstorer/jobtable.go
+++ b/ladder/jobstorer/jobtable.go
@@ -53,6 +53,17 @@
 	held *budgeter.Reservation
 	// changed is closed at the next result or when the job ends.
 	changed chan struct{}
+	// resultUnreadable is set once the record of the position after results can't be read. Later
+	// positions are unknown then, and none is assigned.
+	resultUnreadable bool
+}
+
+// unreadableJob is a job whose record or pieces can't be decoded.
+type unreadableJob struct {
+	// pieceKeys are the keys that its pieces may have, after prefixPiece.
+	pieceKeys map[string]bool
+	readAt    time.Time
+	ended     bool
 }
 
 // jobTable is the local copy of the jobs of one partition.
@@ -68,12 +79,14 @@
 	// keys after prefixPiece.
 	pieces map[string]piece
 	jobs   map[identifier.JobID]*jobState
+	// unreadable and jobs have no job in common.
+	unreadable map[identifier.JobID]*unreadableJob
 }
 
 func newJobTable(clock clockwork.Clock, notify func()) *jobTable {
 	return &jobTable{
 		clock: clock, notify: notify,
-		pieces: make(map[string]piece), jobs: make(map[identifier.JobID]*jobState),
+		pieces: make(map[string]piece), jobs: make(map[identifier.JobID]*jobState), unreadable: make(map[identifier.JobID]*unreadableJob),
 	}
 }
 
@@ -84,7 +97,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	previous := t.jobs
-	t.pieces, t.jobs = make(map[string]piece), make(map[identifier.JobID]*jobState)
+	t.pieces, t.jobs, t.unreadable = make(map[string]piece), make(map[identifier.JobID]*jobState), make(map[identifier.JobID]*unreadableJob)
 	for _, r := range records {
 		t.applyRecord(r, true)
 	}
@@ -139,15 +152,26 @@
 	case prefixResult:
 		t.applyResult(rest, r)
 	case prefixEnd:
-		if state, ok := t.jobs[identifier.JobID(rest)]; ok && len(r.Value) > 0 && !state.ended {
-			state.ended = true
-			state.signal()
-		}
+		t.applyEnd(identifier.JobID(rest), r)
+	}
+}
+
+func (t *jobTable) applyEnd(id identifier.JobID, r storer.Record) {
+	if len(r.Value) == 0 {
+		return
+	}
+	if state, ok := t.jobs[id]; ok && !state.ended {
+		state.ended = true
+		state.signal()
+	}
+	if job, ok := t.unreadable[id]; ok {
+		job.ended = true
 	}
 }
 
 func (t *jobTable) applyJob(id identifier.JobID, r storer.Record, replayed bool) {
 	if len(r.Value) == 0 {
+		delete(t.unreadable, id)
 		if state, ok := t.jobs[id]; ok {
 			state.signal()
 			state.held.Release()
@@ -162,9 +186,11 @@
 	}
 	s, keys, err := t.assemble(id, r.Value)
 	if err != nil {
-		klog.ErrorS(err, "unreadable batch job left out", "job", id, "offset", r.Offset)
+		klog.ErrorS(err, "batch job can't be read, its records are kept", "job", id, "offset", r.Offset)
+		t.addUnreadable(id, r)
 		return
 	}
+	delete(t.unreadable, id)
 	now := t.clock.Now()
 	state := &jobState{submission: s, acceptedAt: now, pieceKeys: keys, positions: make(map[identifier.ItemID]int), progress: make(map[identifier.ItemID]Progress), changed: make(chan struct{})}
 	state.held = t.memory.Hold(s.size())
@@ -182,12 +208,13 @@
 	}
 	state, ok := t.jobs[identifier.JobID(rest[:at])]
 	position, err := strconv.Atoi(rest[at+1:])
-	if !ok || err != nil || position != len(state.results) {
+	if !ok || err != nil || position != len(state.results) || state.resultUnreadable {
 		return
 	}
 	var result Result
 	if err := serializer.Decode(r.Value, &result); err != nil {
-		klog.ErrorS(err, "unreadable result left out", "key", r.Key, "offset", r.Offset)
+		klog.ErrorS(err, "result can't be read, the job has no further ones here", "key", r.Key, "offset", r.Offset)
+		state.resultUnreadable = true
 		return
 	}
 	state.positions[result.Item] = position
@@ -216,7 +243,7 @@
 	size := 0
 	for _, r := range results {
 		state, ok := t.jobs[r.Job]
-		if !ok || assigned[string(r.Job)+"/"+string(r.Result.Item)] {
+		if !ok || state.resultUnreadable || assigned[string(r.Job)+"/"+string(r.Result.Item)] {
 			continue
 		}
 		if _, recorded := state.positions[r.Result.Item]; recorded {
@@ -265,6 +292,7 @@
 			return records
 		}
 	}
+	records = append(records, t.unreadableDeletions(retention)...)
 	return append(records, t.orphanDeletions(retention)...)
 }
 
@@ -273,7 +301,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	for _, r := range results {
-		if state, ok := t.jobs[r.Job]; ok {
+		if state, ok := t.jobs[r.Job]; ok && !state.resultUnreadable {
 			if _, recorded := state.positions[r.Result.Item]; !recorded {
 				rest = append(rest, r)
 			}
@@ -286,7 +314,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	for _, state := range t.jobs {
-		if state.ended || len(state.results) == len(state.submission.Items) {
+		if state.ended || state.resultUnreadable || len(state.results) == len(state.submission.Items) {
 			continue
 		}
 		j := Job{Submission: state.submission, Age: t.clock.Since(state.acceptedAt), Recorded: make(map[identifier.ItemID]bool, len(state.positions))}
@@ -303,7 +331,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	state, ok := t.jobs[job]
-	if !ok || state.ended {
+	if !ok || state.ended || state.resultUnreadable {
 		return false
 	}
 	_, recorded := state.positions[item]
--- a/ladder/jobstorer/pieces.go
+++ b/ladder/jobstorer/pieces.go
@@ -162,12 +162,53 @@
 	}
 }
 
+// addUnreadable keeps a job from being taken for unknown, and its pieces from being deleted. The
+// caller must hold the mutex.
+func (t *jobTable) addUnreadable(id identifier.JobID, r storer.Record) {
+	job, known := t.unreadable[id]
+	if !known {
+		job = &unreadableJob{pieceKeys: make(map[string]bool), readAt: t.clock.Now()}
+		t.unreadable[id] = job
+	}
+	for key := range t.pieces {
+		if list := jobsOfPiece(key); list[0] == id || list[1] == id {
+			job.pieceKeys[key] = true
+		}
+	}
+}
+
+// unreadableDeletions returns the records that delete jobs that can't be read, have ended and are
+// past their retention. The caller must hold the mutex.
+func (t *jobTable) unreadableDeletions(retention time.Duration) (records []storer.Record) {
+	for id, job := range t.unreadable {
+		if !job.ended || t.clock.Since(job.readAt) < retention {
+			continue
+		}
+		for key := range job.pieceKeys {
+			records = append(records, storer.Record{Key: prefixPiece + key})
+		}
+		records = append(records, storer.Record{Key: prefixEnd + string(id)}, storer.Record{Key: prefixJob + string(id)})
+	}
+	return records
+}
+
+// belongsToUnreadable reports whether a piece may be that of a job that can't be read. The caller
+// must hold the mutex.
+func (t *jobTable) belongsToUnreadable(key string) bool {
+	for _, id := range jobsOfPiece(key) {
+		if job, ok := t.unreadable[id]; ok && job.pieceKeys[key] {
+			return true
+		}
+	}
+	return false
+}
+
 // orphanDeletions returns the records that delete pieces which have had no job record for
 // the retention, as when the caller left before its job was accepted. No process still
 // writes such a submission. The caller must hold the mutex.
 func (t *jobTable) orphanDeletions(retention time.Duration) (records []storer.Record) {
 	for key, p := range t.pieces {
-		if t.clock.Since(p.readAt) < retention {
+		if t.clock.Since(p.readAt) < retention || t.belongsToUnreadable(key) {
 			continue
 		}
 		if records = append(records, storer.Record{Key: prefixPiece + key}); len(records) > maxDeletionRecords {
--- a/ladder/jobstorer/read.go
+++ b/ladder/jobstorer/read.go
@@ -10,7 +10,8 @@
 // Reads are answered from the local copy, and fail if it may be out of date.
 
 // findJob returns the job. It refreshes the copy before it reports the job as
-// unknown, and returns ErrStaleCopy if the copy was dropped meanwhile.
+// unknown, and returns ErrStaleCopy if the copy was dropped meanwhile. It returns ErrUnreadable
+// for a job whose records can't be read.
 func (s *JobStorer) findJob(ctx context.Context, id identifier.JobID) (*jobState, error) {
 	p, err := s.awaitCopy(ctx, id)
 	if err != nil {
@@ -28,6 +29,8 @@
 		return state, nil
 	case !p.replicator.Known():
 		return nil, ErrStaleCopy
+	case p.table.isUnreadable(id):
+		return nil, ErrUnreadable
 	}
 	return nil, ErrUnknownJob
 }
@@ -39,6 +42,13 @@
 	return state, ok
 }
 
+func (t *jobTable) isUnreadable(id identifier.JobID) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	_, unreadable := t.unreadable[id]
+	return unreadable
+}
+
 // ResultPage is a part of a job's results.
 type ResultPage struct {
 	// Total is the number of items of the job.
@@ -66,8 +76,11 @@
 			continue
 		}
 		page = state.page(after, maxBytes)
-		complete, changed := len(state.results) == page.Total, state.changed
+		complete, changed, unreadable := len(state.results) == page.Total, state.changed, state.resultUnreadable
 		p.table.mutex.Unlock()
+		if unreadable && len(page.Results) == 0 {
+			return ResultPage{}, ErrUnreadable
+		}
 		if len(page.Results) > 0 || complete || wait <= 0 {
 			break
 		}
