leaser: a lease that can't be read counts as held by another host

Two hosts could give orders: a record of the lease that could not be decoded was taken for a lease that was released, so that its holder was not waited for. It counts as held by an unknown host now, until it expires.

TestRun_AnUnreadableLeaseIsHeldUntilItExpires failed before: two holders.

--- a/ladder/leaser/leaser.go
+++ b/ladder/leaser/leaser.go
@@ -39,6 +39,9 @@
 // predecessor was alive.
 type Holder string
 
+// unknownHolder stands for the holder of a lease that can't be read.
+const unknownHolder Holder = "unknown"
+
 // BootTimeClock returns the time since an arbitrary fixed moment. It keeps running
 // while the host is suspended.
 type BootTimeClock interface{ Elapsed() time.Duration }
@@ -103,7 +106,8 @@
 		}
 		var record leaseRecord
 		if err := serializer.Decode(r.Value, &record); err != nil {
-			klog.ErrorS(err, "unreadable lease", "key", r.Key, "offset", r.Offset)
+			klog.ErrorS(err, "unreadable lease counts as held by another host", "key", r.Key, "offset", r.Offset)
+			record = leaseRecord{Holder: unknownHolder}
 		}
 		if record.Holder != "" && record.Token == 0 {
 			record.Token = identifier.FencingToken(r.Offset) + 1
