messenger: a message that is too large does not close its link

A host that asked a peer for an item's body of 4 MiB or more got no reply, closed its link and left the peer alone for 2 s, with all other questions on it. An id that is not UTF-8 had the same effect.

The encoder checks the limits of the receiver; a reply beyond them is replaced by an empty one, a question is not sent. Text may be any bytes.

TestQuestions_OneThatIsTooLargeLeavesTheLinkOpen failed before: 'the peer hasn't answered lately' for the question after it.

--- a/ladder/encoder/encoder.go
+++ b/ladder/encoder/encoder.go
@@ -69,7 +69,7 @@
 	return e, err
 }
 
-// Encode returns the frame of m.
+// Encode returns the frame of m. It returns messenger.ErrTooLarge if Decode would reject that.
 func (e *Encoder) Encode(m messenger.Message) (frame []byte, err error) {
 	defer annotator.Annotate(&err, "encode %T", m)
 	kind, ok := e.kindByType[reflect.TypeOf(m)]
@@ -81,7 +81,10 @@
 		return nil, err
 	}
 	if len(body)+1 > MaxFrameBytes {
-		return nil, errors.Errorf("frame of %d bytes exceeds the limit of %d", len(body)+1, MaxFrameBytes)
+		return nil, errors.Wrapf(messenger.ErrTooLarge, "frame of %d bytes, limit %d", len(body)+1, MaxFrameBytes)
+	}
+	if err := e.decoding.Wellformed(body); err != nil {
+		return nil, errors.Wrap(messenger.ErrTooLarge, err.Error())
 	}
 	return append([]byte{kind}, body...), nil
 }
@@ -105,7 +108,8 @@
 
 // StrictDecoding returns a CBOR decoding mode that rejects tags, indefinite
 // lengths, duplicate keys, unknown fields, nesting deeper than maxNesting, and
-// arrays and maps with more than the given number of elements.
+// arrays and maps with more than the given number of elements. Text may be other than UTF-8, as
+// callers' ids and targets' headers may be.
 func StrictDecoding(elements int) (cbor.DecMode, error) {
 	return cbor.DecOptions{
 		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
@@ -115,5 +119,6 @@
 		MaxArrayElements:  elements,
 		MaxMapPairs:       elements,
 		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+		UTF8:              cbor.UTF8DecodeInvalid,
 	}.DecMode()
 }
--- a/ladder/messenger/messenger.go
+++ b/ladder/messenger/messenger.go
@@ -21,11 +21,15 @@
 // ErrClosed means that the link is closed or has failed.
 var ErrClosed = errors.New("link closed")
 
+// ErrTooLarge means that a message exceeds the limits of its receiver. It was not sent, and
+// the link is still usable.
+var ErrTooLarge = errors.New("message exceeds the limits of its receiver")
+
 // Link carries messages in order, or fails. It is safe for one receiver and any
 // number of senders.
 type Link interface {
-	// Send passes the message to the transport. After an error the peer may or
-	// may not receive it.
+	// Send passes the message to the transport. After an error other than ErrTooLarge the
+	// peer may or may not receive it.
 	Send(ctx context.Context, m Message) error
 	// Receive waits for the next message until ctx ends. Every error is final.
 	Receive(ctx context.Context) (Message, error)
--- a/ladder/messenger/question.go
+++ b/ladder/messenger/question.go
@@ -73,7 +73,7 @@
 }
 
 // Reply is the response to the Question with the same ID. No part is set if the
-// peer does not support the question.
+// peer does not support the question, or if its reply would be too large.
 type Reply struct {
 	ID    uint64       `cbor:"1,keyasint"`
 	Job   *JobAnswer   `cbor:"2,keyasint,omitempty"`
--- a/ladder/querier/querier.go
+++ b/ladder/querier/querier.go
@@ -53,11 +53,12 @@
 // failed to answer.
 var ErrPeerBackoff = errors.New("the peer hasn't answered lately")
 
-// Ask sends a question to the peer at address. After an error other than ErrPeerBackoff
-// the peer may have processed the question.
+// Ask sends a question to the peer at address. After an error other than ErrPeerBackoff and
+// messenger.ErrTooLarge the peer may have processed the question.
 func (q *Querier) Ask(ctx context.Context, address string, question messenger.Question) (reply messenger.Reply, err error) {
 	defer func() {
-		if err != nil && !errors.Is(err, ErrPeerBackoff) && !errors.Is(ctx.Err(), context.Canceled) {
+		notSent := errors.Is(err, ErrPeerBackoff) || errors.Is(err, messenger.ErrTooLarge)
+		if err != nil && !notSent && !errors.Is(ctx.Err(), context.Canceled) {
 			q.backOff(address)
 		}
 	}()
--- a/ladder/querier/serve.go
+++ b/ladder/querier/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 	"k8s.io/klog/v2"
 
@@ -38,7 +39,13 @@
 				return
 			}
 			r.ID = q.ID
-			if err := l.Send(ctx, r); err != nil && ctx.Err() == nil {
+			err := l.Send(ctx, r)
+			if errors.Is(err, messenger.ErrTooLarge) {
+				// Without a reply the peer would close the link for all its questions.
+				klog.InfoS("answer to a peer is too large, an empty one is sent", "err", err)
+				err = l.Send(ctx, messenger.Reply{ID: q.ID})
+			}
+			if err != nil && ctx.Err() == nil {
 				klog.V(1).InfoS("answer to a peer not sent", "err", err)
 			}
 		})
--- a/ladder/relayer/relayer.go
+++ b/ladder/relayer/relayer.go
@@ -80,7 +80,7 @@
 	reply, err := r.peers.Ask(timeoutCtx, string(owner), messenger.Question{Job: &c})
 	if err != nil || reply.Job == nil {
 		klog.InfoS("owner of a batch job doesn't answer, the store is asked", "job", c.Job, "verb", c.Verb, "owner", owner, "err", err)
-		if errors.Is(err, querier.ErrPeerBackoff) {
+		if errors.Is(err, querier.ErrPeerBackoff) || errors.Is(err, messenger.ErrTooLarge) {
 			return nil, errOwnerNotAsked
 		}
 		return nil, errOwnerUnavailable
--- a/ladder/rerouter/rerouter.go
+++ b/ladder/rerouter/rerouter.go
@@ -188,6 +188,9 @@
 		r.recordPeerResult(address, true)
 		return a, errors.Wrapf(appender.ErrUnavailable, "peer %s: %v", address, err)
 	}
+	if errors.Is(err, messenger.ErrTooLarge) {
+		return a, errors.Wrapf(appender.ErrUnavailable, "peer %s not asked: %v", address, err)
+	}
 	if err != nil || reply.Store == nil {
 		r.recordPeerResult(address, ctx.Err() == nil || !errors.Is(ctx.Err(), context.Canceled))
 		return a, errors.Wrapf(appender.ErrOutcomeUnknown, "peer %s: %v", address, err)
