scheduler: items follow the weights of their route

Only live requests drew a service by weight; placing, moving and restarting items, the demand of places and streams that are taken up went through all shares of a route.

ladder/routing/splitter decides for all of them. Items are assigned by their id, and overflow to other services with a weight if theirs has no target for them or has had no room for 1 s.

--- a/ladder/forwarder/admission.go
+++ b/ladder/forwarder/admission.go
@@ -11,6 +11,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
+	"github.com/lycheeladder/lycheeladder/ladder/routing/splitter"
 	"github.com/lycheeladder/lycheeladder/ladder/sender"
 )
 
@@ -186,7 +187,7 @@
 		Forwarder: f, request: r, route: route, arrived: arrived, deadline: arrived.Add(timeLimit(route, r)),
 		results: make(chan attemptResult, max(1, route.MaxAttempts)+2),
 		open:    make(map[identifier.TargetName]attempt), tried: make(map[identifier.TargetName]bool),
-		service: f.drawService(route), fingerprint: identifier.NewFingerprint("", identifier.CallName(r.Path), r.Body),
+		service: splitter.Draw(route, f.random), fingerprint: identifier.NewFingerprint("", identifier.CallName(r.Path), r.Body),
 	}
 }
 
--- a/ladder/forwarder/forwarder.go
+++ b/ladder/forwarder/forwarder.go
@@ -181,24 +181,3 @@
 	}
 	return f
 }
-
-// drawService draws one of the route's services by their weights.
-func (f *Forwarder) drawService(r cataloger.Route) identifier.ServiceName {
-	total := 0
-	for _, s := range r.Shares {
-		total += s.Weight
-	}
-	switch {
-	case len(r.Shares) == 0:
-		return ""
-	case total <= 0:
-		return r.Shares[0].Service
-	}
-	draw := f.random.IntN(total)
-	for _, s := range r.Shares {
-		if draw -= s.Weight; draw < 0 {
-			return s.Service
-		}
-	}
-	return r.Shares[len(r.Shares)-1].Service
-}
--- a/ladder/forwarder/origin.go
+++ b/ladder/forwarder/origin.go
@@ -12,6 +12,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
+	"github.com/lycheeladder/lycheeladder/ladder/routing/splitter"
 )
 
 // What two software versions of a target generate doesn't fit together, and targets don't
@@ -43,7 +44,7 @@
 	case o == nil:
 		klog.InfoS("stream not taken up, its software version is unknown", "request", s.request.ID, "resumes", s.request.Resumes, "after", s.request.ResumeAfter)
 		return NotRun{RetryAfter: originRetryAfter, Reason: "the software version of the stream is unknown"}
-	case !slices.ContainsFunc(s.route.Shares, func(share cataloger.TrafficShare) bool { return share.Service == o.Service }):
+	case !slices.Contains(splitter.Services(s.route), o.Service):
 		return NotRun{RetryAfter: originRetryAfter, Reason: "the stream's service is no longer on its route"}
 	}
 	klog.InfoS("stream taken up", "request", s.request.ID, "resumes", s.request.Resumes, "after", s.request.ResumeAfter, "software", o.Software, "source", source)
--- a/ladder/forwarder/stream.go
+++ b/ladder/forwarder/stream.go
@@ -13,6 +13,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/cataloger"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
+	"github.com/lycheeladder/lycheeladder/ladder/routing/splitter"
 	"github.com/lycheeladder/lycheeladder/ladder/sender"
 )
 
@@ -73,7 +74,7 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	s := &Stream{
 		forwarder: f, ctx: ctx, cancel: cancel, request: r, route: route,
-		deadline: f.clock.Now().Add(limit), service: f.drawService(route), selection: selection{tried: make(map[identifier.TargetName]bool)},
+		deadline: f.clock.Now().Add(limit), service: splitter.Draw(route, f.random), selection: selection{tried: make(map[identifier.TargetName]bool)},
 	}
 	o := s.takeUp()
 	if o == nil {
--- a/ladder/scheduler/demand.go
+++ b/ladder/scheduler/demand.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
+	"github.com/lycheeladder/lycheeladder/ladder/routing/splitter"
 )
 
 // WaitingItems are the items of this process that wait for a place at a service.
@@ -15,14 +16,18 @@
 	Work time.Duration
 }
 
-// WaitingItems returns the items that wait for a place, by service. An item whose route has
-// several services waits for the first.
+// WaitingItems returns the items that wait for a place, by the service to which their route
+// assigns them.
 func (s *Scheduler) WaitingItems() map[identifier.ServiceName]WaitingItems {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	waiting := make(map[identifier.ServiceName]WaitingItems)
 	for _, t := range s.readyTasks() {
-		service := t.job.route.Shares[0].Service
+		route, ok := s.routeOf(t)
+		if !ok {
+			continue
+		}
+		service := splitter.Assign(route, string(t.key.item))
 		w := waiting[service]
 		left := max(t.expectedTokens(), identifier.TokenCount(t.lastEvent)+1) - identifier.TokenCount(t.lastEvent)
 		w.Count++
--- a/ladder/scheduler/place.go
+++ b/ladder/scheduler/place.go
@@ -13,6 +13,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/jobstorer"
 	"github.com/lycheeladder/lycheeladder/ladder/router"
+	"github.com/lycheeladder/lycheeladder/ladder/routing/splitter"
 	"github.com/lycheeladder/lycheeladder/ladder/sender"
 )
 
@@ -62,6 +63,9 @@
 		t.discardText()
 		candidates = s.candidates(&t.placement, route, c, sender.Required)
 	}
+	if len(candidates) == 0 && s.clock.Since(t.waitingSince) >= overflowWait {
+		candidates = s.candidatesOf(splitter.Services(route), &t.placement, c, sender.Required)
+	}
 	name, ok := s.router.Choose(candidates, router.Monitored)
 	if !ok {
 		return
@@ -90,11 +94,30 @@
 	return a.Admits(n) && (!a.Limited || a.Pending+s.placedWithLimit[target.Name] < maxPendingPermits)
 }
 
+// overflowWait is how long an item waits for the service to which its route assigns it before it
+// may run on the route's other services.
+const overflowWait = time.Second
+
 // candidates returns the targets where an item may run now. Moves are optional.
-func (s *Scheduler) candidates(p *placement, route cataloger.Route, c *cataloger.Configuration, n sender.Need) (list []router.Candidate) {
+func (s *Scheduler) candidates(p *placement, route cataloger.Route, c *cataloger.Configuration, n sender.Need) []router.Candidate {
+	return s.candidatesOf(s.servicesFor(p, route), p, c, n)
+}
+
+// servicesFor returns the service to which the route assigns an item or, if none of its ready
+// targets can run the item, all services of the route.
+func (s *Scheduler) servicesFor(p *placement, route cataloger.Route) []identifier.ServiceName {
+	assigned := splitter.Assign(route, string(p.item))
+	if slices.ContainsFunc(s.catalog.ReadyTargets(assigned), p.canRunOn) {
+		return []identifier.ServiceName{assigned}
+	}
+	return splitter.Services(route)
+}
+
+// candidatesOf is candidates among the targets of some services.
+func (s *Scheduler) candidatesOf(services []identifier.ServiceName, p *placement, c *cataloger.Configuration, n sender.Need) (list []router.Candidate) {
 	now := s.clock.Now()
-	for _, share := range route.Shares {
-		for _, target := range s.catalog.ReadyTargets(share.Service) {
+	for _, service := range services {
+		for _, target := range s.catalog.ReadyTargets(service) {
 			switch {
 			case !p.canRunOn(target), s.avoidedUntil[target.Name].After(now):
 			case p.leftTarget == target.Name && p.leftUntil.After(now):
@@ -117,7 +140,8 @@
 	c := s.catalog.Configuration()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.router.HasFasterCandidate(current.Name, s.candidates(&t.placement, t.route, c, sender.Optional), minMoveSpeedup)
+	route, ok := c.MatchRoute(t.job.Host, t.item.Path)
+	return ok && s.router.HasFasterCandidate(current.Name, s.candidates(&t.placement, route, c, sender.Optional), minMoveSpeedup)
 }
 
 // slotsOf returns how many requests a target runs concurrently.
@@ -154,8 +178,8 @@
 	if t.lastEvent == 0 {
 		return
 	}
-	for _, share := range route.Shares {
-		for _, target := range c.ReadyTargets(share.Service) {
+	for _, service := range splitter.Services(route) {
+		for _, target := range c.ReadyTargets(service) {
 			if t.continuesOn(target, route) {
 				return
 			}
@@ -173,8 +197,8 @@
 		return false
 	}
 	var usualGap time.Duration
-	for _, share := range route.Shares {
-		usualGap = max(usualGap, s.router.MeanChunkInterval(share.Service))
+	for _, service := range splitter.Services(route) {
+		usualGap = max(usualGap, s.router.MeanChunkInterval(service))
 	}
 	if s.clock.Since(t.waitingSince) < max(minRestartWait, time.Duration(t.lastEvent)*usualGap) {
 		return false
--- a/ladder/scheduler/scheduler.go
+++ b/ladder/scheduler/scheduler.go
@@ -191,7 +191,7 @@
 				bounds = lengthBoundsOf(j)
 			}
 			s.tasks[key] = &task{
-				placement: placement{job: j}, scheduler: s, key: key, item: i, position: n, lengthBounds: bounds, wanted: true, waitingSince: now, notBefore: now.Add(draftTimeout),
+				placement: placement{job: j, item: i.ID}, scheduler: s, key: key, item: i, position: n, lengthBounds: bounds, wanted: true, waitingSince: now, notBefore: now.Add(draftTimeout),
 			}
 			if progress, ok := s.jobs.Progress(j.ID, i.ID); ok {
 				d := draftcacher.FromProgress(j.Account, i, progress)
--- a/ladder/scheduler/task.go
+++ b/ladder/scheduler/task.go
@@ -66,6 +66,7 @@
 // placement is what decides on which targets an item may run.
 type placement struct {
 	job   *job
+	item  identifier.ItemID
 	route cataloger.Route
 	// lastEvent is the last event of the text; 0 means that there is none.
 	lastEvent identifier.EventNumber
--- a/ladder/scheduler/watchdog.go
+++ b/ladder/scheduler/watchdog.go
@@ -87,7 +87,7 @@
 	w.mutex.Lock()
 	silence, placement := s.clock.Since(w.lastHeard), w.placement
 	w.mutex.Unlock()
-	if silence >= maxSilence || !s.router.ReceivedWithin(w.target.Name, stallTimeoutFor(s.router.MeanChunkInterval(w.target.Service))) || s.hasRoomElsewhere(&placement, w.target) {
+	if silence >= maxSilence || !s.router.ReceivedWithin(w.target.Name, stallTimeoutFor(s.router.MeanChunkInterval(w.target.Service))) || s.hasRoomElsewhere(w.task, &placement, w.target) {
 		w.cancel(sender.ErrStalled)
 		return
 	}
@@ -101,11 +101,12 @@
 
 // hasRoomElsewhere reports whether another target where an item may run is known to have a
 // free slot.
-func (s *Scheduler) hasRoomElsewhere(p *placement, current cataloger.Target) bool {
+func (s *Scheduler) hasRoomElsewhere(t *task, p *placement, current cataloger.Target) bool {
 	c := s.catalog.Configuration()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return slices.ContainsFunc(s.candidates(p, p.route, c, sender.Optional), func(candidate router.Candidate) bool {
+	route, ok := c.MatchRoute(t.job.Host, t.item.Path)
+	return ok && slices.ContainsFunc(s.candidates(p, route, c, sender.Optional), func(candidate router.Candidate) bool {
 		return candidate.Target != current.Name && s.router.HasFreeSlot(candidate)
 	})
 }
