statuschecker: reject responses whose status is not one of HTTP

A response with the status 000 was skipped like an interim one, and what followed was read as the next response: a 200 hidden in its body reached callers, streams and items. 600 and 999 reached callers as they were. An append with such a status counted as one that had no effect. fasthttp reports 000 as 200, so that in the sidecar and the client of the log it was a success; 101 was a panic.

All readers share one check: 200 to 599 are final, 100 to 199 but 101 and without a body are interim, and anything else ends the call and its connection with an open outcome.

--- a/ladder/caller/http.go
+++ b/ladder/caller/http.go
@@ -16,6 +16,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/annotator"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/limitreader"
+	"github.com/lycheeladder/lycheeladder/ladder/response/statuschecker"
 )
 
 // fasthttp can send a request a second time when the server closes a reused
@@ -271,7 +272,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.connection = connection
-	return connection, nil
+	return statuschecker.Wrap(connection), nil
 }
 
 func (c *client) closeConnection() {
--- a/ladder/requester/requester.go
+++ b/ladder/requester/requester.go
@@ -5,12 +5,14 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/lycheeladder/lycheeladder/ladder/annotator"
+	"github.com/lycheeladder/lycheeladder/ladder/response/statuschecker"
 )
 
 // defaultTimeout bounds a request whose ctx has no deadline.
@@ -35,10 +37,19 @@
 			MaxIdemponentCallAttempts: 1,
 			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 			MaxIdleConnDuration:       time.Second,
+			Dial:                      dial,
 		},
 	}
 }
 
+func dial(address string) (net.Conn, error) {
+	c, err := fasthttp.Dial(address)
+	if err != nil {
+		return nil, err
+	}
+	return statuschecker.Wrap(c), nil
+}
+
 // Response is a complete HTTP response.
 type Response struct {
 	Status int
--- /dev/null
+++ b/ladder/requester/requester_test.go
@@ -0,0 +1,62 @@
+package requester
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/lycheeladder/lycheeladder/ladder/faker/listener"
+)
+
+// answering returns the address of a server that answers each request with text and closes.
+func answering(t *testing.T, text string) string {
+	t.Helper()
+	return listener.Listen(t, func(c *net.TCPConn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, text)
+		}
+	})
+}
+
+// Guards against a response of the log or of an entry with a status that is not one of HTTP.
+func TestDo_InvalidStatus(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "101", "600", "999"} {
+		address := answering(t, fmt.Sprintf("HTTP/1.1 %s x\r\nContent-Length: 2\r\n\r\n{}", status))
+		if r, err := New(address, "").Do(t.Context(), http.MethodPost, "/x", nil); err == nil {
+			t.Errorf("status %s is taken for %d", status, r.Status)
+		}
+	}
+}
+
+// Guards against a response that ends early and is believed.
+func TestDo_TornHead(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"
+	for n := range len(whole) {
+		if r, err := New(answering(t, whole[:n]), "").Do(t.Context(), http.MethodPost, "/x", nil); err == nil {
+			t.Errorf("after %d bytes: status %d, body %q", n, r.Status, r.Body)
+		}
+	}
+}
+
+// Guards against memory that a response without an end fills.
+func TestDo_BytesWithoutEnd(t *testing.T) {
+	const maxWrittenBytes = 16 << 20
+	for name, c := range map[string]struct{ beginning, part string }{
+		"not HTTP":     {"", "x"},
+		"header lines": {"HTTP/1.1 200 OK\r\n", "X-More: and more\r\n"},
+		"interim":      {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"status line":  {"HTTP/1.1 200 ", "OK"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := listener.NewEndless(t, c.beginning, c.part)
+			e.EndsInTime(t, maxWrittenBytes, func(ctx context.Context) error {
+				_, err := New(e.Address, "").Do(ctx, http.MethodPost, "/x", nil)
+				return err
+			})
+		})
+	}
+}
--- /dev/null
+++ b/ladder/response/statuschecker/statuschecker.go
@@ -0,0 +1,47 @@
+// Package statuschecker rejects responses whose status is not one of HTTP.
+//
+// A faulty server may send any three digits. Clients differ in what they make of them: some take a
+// status below 100 for an interim response and read on within its body, others take 000 for 200.
+package statuschecker
+
+import (
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// minFinal and maxFinal are the least and the greatest status of a final response.
+	minFinal, maxFinal = 200, 599
+	// minInterim is the least status of an interim response.
+	minInterim = 100
+)
+
+// ErrInvalid means that a response has a status that is not one of HTTP, or not one that was asked
+// for. What follows it on the connection can't be told apart from another response.
+var ErrInvalid = errors.New("status of the response is invalid")
+
+// CheckFinal returns ErrInvalid unless status is that of a final response.
+func CheckFinal(status int) error {
+	if status < minFinal || status > maxFinal {
+		return errors.Wrapf(ErrInvalid, "status %03d", status)
+	}
+	return nil
+}
+
+// Check returns whether r is an interim response, after which another one follows. It returns
+// ErrInvalid unless r is an interim or a final response. A protocol switch is neither, as no
+// request asks for one, nor is an interim response that announces a body.
+func Check(r *http.Response) (interim bool, err error) {
+	if !isInterim(r.StatusCode) {
+		return false, CheckFinal(r.StatusCode)
+	}
+	if r.Header.Get("Content-Length") != "" || len(r.TransferEncoding) > 0 {
+		return false, errors.Wrapf(ErrInvalid, "interim status %03d with a body", r.StatusCode)
+	}
+	return true, nil
+}
+
+func isInterim(status int) bool {
+	return status >= minInterim && status < minFinal && status != http.StatusSwitchingProtocols
+}
