caller: a response without a body is no panic

A target that answered 204 or 304 ended the call in the sidecar with a panic: the HTTP client gives no stream for a response that can't have a body.

TestHTTPTarget_ResponsesWithoutBody failed before: nil pointer dereference.

--- a/ladder/caller/http.go
+++ b/ladder/caller/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -128,9 +129,9 @@
 		return errors.WithMessagef(ErrRefused, "status %d", status)
 	}
 	if h.engine && status == fasthttp.StatusOK {
-		return readEvents(response.BodyStream(), sink)
+		return readEvents(bodyOf(response), sink)
 	}
-	body, err := limitreader.ReadAll(response.BodyStream(), maxBodyBytes)
+	body, err := limitreader.ReadAll(bodyOf(response), maxBodyBytes)
 	if err != nil {
 		return errors.WithMessage(ErrIncomplete, err.Error())
 	}
@@ -140,6 +141,14 @@
 	return sink(Chunk{Data: body})
 }
 
+// bodyOf returns the body of a response; the client gives no stream for one without a body.
+func bodyOf(response *fasthttp.Response) io.Reader {
+	if stream := response.BodyStream(); stream != nil {
+		return stream
+	}
+	return bytes.NewReader(nil)
+}
+
 func readEvents(r io.Reader, sink func(Chunk) error) error {
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(nil, maxLineBytes)
@@ -222,7 +231,7 @@
 	err := c.http.Do(request, response)
 	var body []byte
 	if err == nil {
-		body, err = limitreader.ReadAll(response.BodyStream(), maxBodyBytes)
+		body, err = limitreader.ReadAll(bodyOf(response), maxBodyBytes)
 		response.CloseBodyStream()
 	}
 	if stop() && err == nil {
