requester: bound the body of a response

A platform service or an entry that sends a body without an end filled the memory of the process that called it; only its deadline of 30 s ended that.

Bodies are bounded at 256 MiB, above a trainer's batch of 1,024 samples. TestDo_BytesWithoutEnd failed before for bodies with and without chunks (the server wrote 96 MB, all it has, until the call's deadline).

--- a/ladder/requester/requester.go
+++ b/ladder/requester/requester.go
@@ -15,8 +15,13 @@
 	"github.com/lycheeladder/lycheeladder/ladder/response/statuschecker"
 )
 
-// defaultTimeout bounds a request whose ctx has no deadline.
-const defaultTimeout = 30 * time.Second
+const (
+	// defaultTimeout bounds a request whose ctx has no deadline.
+	defaultTimeout = 30 * time.Second
+	// maxResponseBytes bounds the body of a response, since a faulty server may send an endless
+	// one. The largest is a trainer's batch of 1,024 samples.
+	maxResponseBytes = 256 << 20
+)
 
 // ErrNotSent means that the request certainly had no effect.
 var ErrNotSent = errors.New("request not sent")
@@ -37,6 +42,7 @@
 			MaxIdemponentCallAttempts: 1,
 			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 			MaxIdleConnDuration:       time.Second,
+			MaxResponseBodySize:       maxResponseBytes,
 			Dial:                      dial,
 		},
 	}
