--- a/ladder/explainer/events.go
+++ b/ladder/explainer/events.go
@@ -87,6 +87,11 @@
 		Meaning: "the response belonged to another request, had no signature or had a content encoding",
 		Action:  "check `target`; if this recurs, the target is faulty",
 	},
+	{
+		Name: "answer to a peer is too large, an empty one is sent", Level: LevelInfo, Scope: ScopeHost,
+		Fields:  []string{"err"},
+		Meaning: "the peer reads the store instead",
+	},
 	{
 		Name: "answer to a peer not sent", Level: LevelDetail, Scope: ScopeHost,
 		Fields:  []string{"err"},
@@ -97,6 +102,12 @@
 		Fields:  []string{"request", "target", "again", "err", "status"},
 		Meaning: "one target failed; `again` says whether another target is tried",
 	},
+	{
+		Name: "batch job can't be read, its records are kept", Level: LevelError, Scope: ScopeJob,
+		Fields:  []string{"job", "offset"},
+		Meaning: "the store contains data that this version cannot decode; callers get 503 for the job until it ends",
+		Action:  "run the version that wrote it, or end the job",
+	},
 	{
 		Name: "batch job given up", Level: LevelInfo, Scope: ScopeJob,
 		Fields:  []string{"job", "age", "routed", "left"},
@@ -199,7 +210,7 @@
 	},
 	{
 		Name: "item placed", Level: LevelInfo, Scope: ScopeJob,
-		Fields:  []string{"job", "item", "target", "software", "after", "waited", "candidates", "in-flight", "slowness"},
+		Fields:  []string{"job", "item", "target", "service", "software", "after", "waited", "candidates", "in-flight", "slowness"},
 		Meaning: "a target with a free slot took it; `waited` is since it was ready",
 		Action:  "long waits: too few targets have the weights, see `load ordered`",
 	},
@@ -367,6 +378,12 @@
 		Meaning: "a bug in the program",
 		Action:  "report it",
 	},
+	{
+		Name: "result can't be read, the job has no further ones here", Level: LevelError, Scope: ScopeHost,
+		Fields:  []string{"key", "offset"},
+		Meaning: "the store contains data that this version cannot decode; callers get 503 from that position on",
+		Action:  "run the version that wrote it, or end the job",
+	},
 	{
 		Name: "results wait for the store", Level: LevelInfo, Scope: ScopeHost,
 		Fields:  []string{"count", "err"},
@@ -458,6 +475,11 @@
 		Meaning: "it is not recorded",
 		Action:  "report it",
 	},
+	{
+		Name: "unreadable lease counts as held by another host", Level: LevelError, Scope: ScopeHost,
+		Fields:  []string{"key", "offset"},
+		Meaning: "no host acts under the lease until it expires",
+	},
 	{
 		Name: "unreadable origin of a stream", Level: LevelError, Scope: ScopeRequest,
 		Fields:  []string{"stream"},
@@ -566,11 +588,6 @@
 		Fields:  []string{"message"},
 		Meaning: "another program connects to the listener for peers",
 	},
-	{
-		Name: "unreadable batch job left out", Level: LevelError, Scope: ScopeJob,
-		Fields:  []string{"job", "offset"},
-		Meaning: "the store contains data that this version cannot decode",
-	},
 	{
 		Name: "unreadable break left out", Level: LevelInfo, Scope: ScopeHost,
 		Fields:  []string{"key", "offset"},
@@ -582,11 +599,6 @@
 		Meaning: "it does not identify a target",
 		Action:  "check the program that wrote it",
 	},
-	{
-		Name: "unreadable lease", Level: LevelError, Scope: ScopeHost,
-		Fields:  []string{"key", "offset"},
-		Meaning: "the lease counts as released",
-	},
 	{
 		Name: "unreadable part of a text left out", Level: LevelInfo, Scope: ScopeHost,
 		Fields:  []string{"key", "offset", "err"},
@@ -598,11 +610,6 @@
 		Meaning: "the previous record stays in force",
 		Action:  "check the program that wrote it",
 	},
-	{
-		Name: "unreadable result left out", Level: LevelError, Scope: ScopeHost,
-		Fields:  []string{"key", "offset"},
-		Meaning: "the store contains data that this version cannot decode",
-	},
 	{
 		Name: "usage report can't be encoded", Level: LevelError, Scope: ScopeHost,
 		Fields:  []string{"window"},
--- a/ladder/scheduler/place.go
+++ b/ladder/scheduler/place.go
@@ -78,7 +78,7 @@
 	if s.sender.Allowance(target).Limited {
 		s.placedWithLimit[name]++
 	}
-	klog.InfoS("item placed", "job", t.key.job, "item", t.key.item, "target", name, "software", target.Software, "after", t.lastEvent, "waited", s.clock.Since(t.waitingSince),
+	klog.InfoS("item placed", "job", t.key.job, "item", t.key.item, "target", name, "service", target.Service, "software", target.Software, "after", t.lastEvent, "waited", s.clock.Since(t.waitingSince),
 		"candidates", len(candidates), "in-flight", s.router.InFlight(name), "slowness", s.router.Slowness(name))
 	runCtx := t.begin(ctx, route)
 	tasks.Go(func() { t.catchPanic(func() { t.run(runCtx, target) }) })
