--- a/ladder/forwarder/admission.go
+++ b/ladder/forwarder/admission.go
@@ -175,7 +175,7 @@
 		if err := w.admit(ctx); err != nil {
 			return w.unadmittedOutcome(ctx, err)
 		}
-		if o := w.runWithin(ctx, timeLimit(route, r)); !w.waitsAgain || ctx.Err() != nil {
+		if o := w.runWithin(ctx, TimeLimit(route, r)); !w.waitsAgain || ctx.Err() != nil {
 			return o
 		}
 	}
@@ -184,7 +184,7 @@
 // newForwarding returns the state of a request that arrived at the given time.
 func (f *Forwarder) newForwarding(route cataloger.Route, r Request, arrived time.Time) *forwarding {
 	return &forwarding{
-		Forwarder: f, request: r, route: route, arrived: arrived, deadline: arrived.Add(timeLimit(route, r)),
+		Forwarder: f, request: r, route: route, arrived: arrived, deadline: arrived.Add(TimeLimit(route, r)),
 		results: make(chan attemptResult, max(1, route.MaxAttempts)+2),
 		open:    make(map[identifier.TargetName]attempt), tried: make(map[identifier.TargetName]bool),
 		service: splitter.Draw(route, f.random), fingerprint: identifier.NewFingerprint("", identifier.CallName(r.Path), r.Body),
--- a/ladder/forwarder/forward.go
+++ b/ladder/forwarder/forward.go
@@ -77,7 +77,7 @@
 	if r.Owed {
 		return f.forwardOwed(ctx, route, r)
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeLimit(route, r))
+	ctx, cancel := context.WithTimeout(ctx, TimeLimit(route, r))
 	defer cancel()
 	w := f.newForwarding(route, r, f.clock.Now())
 	if w.isBlocked() {
@@ -92,7 +92,8 @@
 // defaultTimeLimit applies where neither caller nor route sets a limit.
 const defaultTimeLimit = time.Minute
 
-func timeLimit(route cataloger.Route, r Request) time.Duration {
+// TimeLimit returns the longest time that a request may take.
+func TimeLimit(route cataloger.Route, r Request) time.Duration {
 	limit := defaultTimeLimit
 	if route.Timeout > 0 && !r.Owed {
 		limit = min(limit, route.Timeout)
--- a/ladder/forwarder/stream.go
+++ b/ladder/forwarder/stream.go
@@ -70,7 +70,7 @@
 // ForwardStream starts a streamed response. ctx must last as long as the stream. A
 // returned Stream must be closed.
 func (f *Forwarder) ForwardStream(ctx context.Context, route cataloger.Route, r Request) Outcome {
-	limit := timeLimit(route, r)
+	limit := TimeLimit(route, r)
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	s := &Stream{
 		forwarder: f, ctx: ctx, cancel: cancel, request: r, route: route,
