relayer: large jobs are accepted within the room of their owners, and stored once

Clients that sent such jobs again filled the store. The owner, which holds a job, was never asked before it was accepted.

One that the owner knows is not stored again.

--- a/ladder/jobstorer/jobstorer.go
+++ b/ladder/jobstorer/jobstorer.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/lycheeladder/lycheeladder/ladder/batch/roomkeeper"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/memory/budgeter"
 	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
@@ -79,6 +80,8 @@
 	SinceStoreAnswer func() time.Duration
 	// Memory is the account to which jobs are added; nil for none.
 	Memory *budgeter.Budgeter
+	// RoomBytes bounds the encoded bytes of the jobs for which room can be reserved; 0 for none.
+	RoomBytes int64
 }
 
 // JobStorer holds copies of the partitions of all jobs and writes to them.
@@ -87,6 +90,7 @@
 	log        storer.Log
 	options    Options
 	partitions []*partition
+	rooms      *roomkeeper.Keeper
 
 	mutex   sync.Mutex
 	changed chan struct{}
@@ -118,10 +122,10 @@
 
 // New returns a JobStorer that knows no jobs until Run is called.
 func New(clock clockwork.Clock, log storer.Log, o Options) *JobStorer {
-	s := &JobStorer{clock: clock, log: log, options: o, changed: make(chan struct{}), followChanged: make(chan struct{}, 1)}
+	s := &JobStorer{clock: clock, log: log, options: o, changed: make(chan struct{}), followChanged: make(chan struct{}, 1), rooms: roomkeeper.New(clock, o.RoomBytes)}
 	for n := range o.Partitions {
 		t := newJobTable(clock, s.notify)
-		t.memory = o.Memory
+		t.memory, t.rooms = o.Memory, s.rooms
 		p := storer.Partition{Topic: o.Topic, Number: identifier.PartitionNumber(n)}
 		s.partitions = append(s.partitions, &partition{
 			table: t, replicator: replicator.New(clock, log, p, t, func() {}), progress: make(map[itemKey]Progress), wake: make(chan struct{}, 1),
--- a/ladder/jobstorer/jobtable.go
+++ b/ladder/jobstorer/jobtable.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	"k8s.io/klog/v2"
 
+	"github.com/lycheeladder/lycheeladder/ladder/batch/roomkeeper"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/memory/budgeter"
 	"github.com/lycheeladder/lycheeladder/ladder/storage/serializer"
@@ -73,6 +74,7 @@
 	notify func()
 	// memory is nil if jobs are not accounted for.
 	memory *budgeter.Budgeter
+	rooms  *roomkeeper.Keeper
 
 	mutex sync.Mutex
 	// pieces holds parts of submissions whose job record has not been read yet, by their
@@ -85,7 +87,7 @@
 
 func newJobTable(clock clockwork.Clock, notify func()) *jobTable {
 	return &jobTable{
-		clock: clock, notify: notify,
+		clock: clock, notify: notify, rooms: roomkeeper.New(clock, 0),
 		pieces: make(map[string]piece), jobs: make(map[identifier.JobID]*jobState), unreadable: make(map[identifier.JobID]*unreadableJob),
 	}
 }
@@ -104,6 +106,8 @@
 	for id, state := range previous {
 		if current, ok := t.jobs[id]; ok {
 			current.acceptedAt = state.acceptedAt
+		} else {
+			t.rooms.Release(id)
 		}
 		state.held.Release()
 		close(state.changed)
@@ -175,6 +179,7 @@
 		if state, ok := t.jobs[id]; ok {
 			state.signal()
 			state.held.Release()
+			t.rooms.Release(id)
 			delete(t.jobs, id)
 		}
 		return
@@ -184,7 +189,7 @@
 		t.dropPieces(id, state, r.Value)
 		return
 	}
-	s, keys, err := t.assemble(id, r.Value)
+	s, keys, size, err := t.assemble(id, r.Value)
 	if err != nil {
 		klog.ErrorS(err, "batch job can't be read, its records are kept", "job", id, "offset", r.Offset)
 		t.addUnreadable(id, r)
@@ -194,6 +199,7 @@
 	now := t.clock.Now()
 	state := &jobState{submission: s, acceptedAt: now, pieceKeys: keys, positions: make(map[identifier.ItemID]int), progress: make(map[identifier.ItemID]Progress), changed: make(chan struct{})}
 	state.held = t.memory.Hold(s.size())
+	t.rooms.Hold(id, size)
 	if replayed {
 		state.acceptedAt = now.Add(-max(0, now.Sub(time.UnixMilli(s.AcceptedAt))))
 	}
--- a/ladder/jobstorer/pieces.go
+++ b/ladder/jobstorer/pieces.go
@@ -105,15 +105,17 @@
 	t.pieces[key] = piece{data: data, readAt: t.clock.Now()}
 }
 
-// assemble is decode, and drops the pieces. The caller must hold the mutex.
-func (t *jobTable) assemble(id identifier.JobID, value []byte) (s Submission, keys map[string]bool, err error) {
+// assemble is decode, drops the pieces, and returns the bytes that they had. The caller must hold
+// the mutex.
+func (t *jobTable) assemble(id identifier.JobID, value []byte) (s Submission, keys map[string]bool, size int64, err error) {
 	if s, keys, err = t.decode(id, value); err != nil {
-		return s, nil, err
+		return s, nil, 0, err
 	}
 	for key := range keys {
+		size += int64(len(t.pieces[key].data))
 		delete(t.pieces, key)
 	}
-	return s, keys, nil
+	return s, keys, size, nil
 }
 
 // decode returns the submission that a job record stands for, and the keys of its
--- a/ladder/messenger/job.go
+++ b/ladder/messenger/job.go
@@ -19,6 +19,9 @@
 	JobBody JobVerb = "body"
 	// JobCommit makes a job exist whose pieces are in the store.
 	JobCommit JobVerb = "commit"
+	// JobReserve keeps room for a job of MaxBytes that is about to be stored. The answer has data
+	// if the job exists.
+	JobReserve JobVerb = "reserve"
 )
 
 // JobOutcome is the outcome of a JobCall.
@@ -33,6 +36,8 @@
 	JobNotOwned JobOutcome = "elsewhere"
 	// JobOtherAccount means that the job belongs to another client account; nothing was done.
 	JobOtherAccount JobOutcome = "other-account"
+	// JobNoRoom means that the asked entry has no room for the job; nothing was done.
+	JobNoRoom JobOutcome = "no-room"
 )
 
 // JobCall requests an operation on a batch job from another entry.
@@ -40,7 +45,7 @@
 	Verb JobVerb           `cbor:"2,keyasint"`
 	Job  identifier.JobID  `cbor:"3,keyasint"`
 	Item identifier.ItemID `cbor:"4,keyasint,omitempty"`
-	// After, Wait and MaxBytes are the parameters of JobResults.
+	// After, Wait and MaxBytes are the parameters of JobResults; JobReserve has MaxBytes.
 	After    int           `cbor:"5,keyasint,omitempty"`
 	Wait     time.Duration `cbor:"6,keyasint,omitempty"`
 	MaxBytes int           `cbor:"7,keyasint,omitempty"`
--- a/ladder/relayer/answer.go
+++ b/ladder/relayer/answer.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/lycheeladder/lycheeladder/ladder/batch/roomkeeper"
 	"github.com/lycheeladder/lycheeladder/ladder/jobstorer"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 	"github.com/lycheeladder/lycheeladder/ladder/storage/serializer"
@@ -24,13 +25,22 @@
 		answer.Outcome = messenger.JobUnknown
 	case errors.Is(err, jobstorer.ErrOtherAccount):
 		answer.Outcome = messenger.JobOtherAccount
+	case errors.Is(err, roomkeeper.ErrNoRoom):
+		answer.Outcome = messenger.JobNoRoom
 	}
 	return answer
 }
 
 func (r *Relayer) execute(ctx context.Context, c messenger.JobCall) (data []byte, err error) {
-	if c.Verb == messenger.JobCommit {
+	switch c.Verb {
+	case messenger.JobCommit:
 		return nil, r.jobs.Commit(ctx, c.Account, c.Job, c.Record)
+	case messenger.JobReserve:
+		exists, err := r.jobs.Reserve(c.Job, int64(c.MaxBytes))
+		if exists {
+			data = []byte{1}
+		}
+		return data, err
 	}
 	if c.AccountsInForce || r.accountsInForce() {
 		if err := r.jobs.CheckAccount(ctx, c.Account, c.Job); err != nil {
--- a/ladder/relayer/relayer.go
+++ b/ladder/relayer/relayer.go
@@ -9,6 +9,8 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/lycheeladder/lycheeladder/ladder/appender"
+	"github.com/lycheeladder/lycheeladder/ladder/batch/roomkeeper"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/jobstorer"
 	"github.com/lycheeladder/lycheeladder/ladder/joiner"
@@ -33,6 +35,7 @@
 	Exists(ctx context.Context, id identifier.JobID) error
 	CheckAccount(ctx context.Context, a identifier.AccountName, id identifier.JobID) error
 	StorePieces(ctx context.Context, s jobstorer.Submission) (record []byte, err error)
+	Reserve(id identifier.JobID, bytes int64) (exists bool, err error)
 	Commit(ctx context.Context, a identifier.AccountName, id identifier.JobID, record []byte) error
 	Results(ctx context.Context, id identifier.JobID, after int, wait time.Duration, maxBytes int) (jobstorer.ResultPage, error)
 	Body(ctx context.Context, id identifier.JobID, item identifier.ItemID) ([]byte, error)
@@ -95,6 +98,8 @@
 			return nil, errNoAccountsYet
 		}
 		return nil, jobstorer.ErrOtherAccount
+	case messenger.JobNoRoom:
+		return nil, roomkeeper.ErrNoRoom
 	case messenger.JobNotOwned:
 	}
 	return nil, errOwnerUnavailable
@@ -111,14 +116,34 @@
 // return jobstorer.ErrOtherAccount if the job belongs to another account, and have no effect then.
 // The same goes for errNoAccountsYet.
 
-// Accept stores a job.
+// Accept stores a job. It returns roomkeeper.ErrNoRoom, and stores nothing, if the job is large and
+// its owner has no room for it.
 func (r *Relayer) Accept(ctx context.Context, s jobstorer.Submission) error {
+	if bytes := s.Bytes(); bytes >= jobstorer.LargeBytes {
+		exists, err := r.reserve(ctx, s.ID, bytes)
+		if err != nil || exists && !r.accountsInForce() {
+			return err
+		}
+	}
 	if r.accountsInForce() {
 		return r.acceptForAccount(ctx, s)
 	}
 	return r.jobs.Accept(ctx, s)
 }
 
+// reserve asks the owner of a large job for room, and whether the job exists. A job that exists is
+// not written again: its clients could fill the store with copies.
+func (r *Relayer) reserve(ctx context.Context, id identifier.JobID, bytes int64) (exists bool, err error) {
+	data, err := r.askOwner(ctx, messenger.JobCall{Verb: messenger.JobReserve, Job: id, MaxBytes: int(bytes)})
+	if !errors.Is(err, errOwnerUnavailable) {
+		return len(data) > 0, err
+	}
+	if !r.ownership.Owns(r.jobs.PartitionOf(id)) {
+		return false, errors.Wrap(appender.ErrUnavailable, err.Error())
+	}
+	return r.jobs.Reserve(id, bytes)
+}
+
 // End ends a job. It returns jobstorer.ErrUnknownJob if the owner does not know the
 // job.
 func (r *Relayer) End(ctx context.Context, a identifier.AccountName, id identifier.JobID) error {
--- a/ladder/relayer/relayer_test.go
+++ b/ladder/relayer/relayer_test.go
@@ -78,7 +78,7 @@
 		for _, name := range []string{"owner", "other"} {
 			e := &entry{owns: name == "owner"}
 			e.jobStorer = jobstorer.New(clock, store, jobstorer.Options{
-				Topic: "jobs", Partitions: 1, MaxRecordBytes: 256 << 10, MaxAppendBytes: 2 << 20, Retention: time.Minute,
+				Topic: "jobs", Partitions: 1, MaxRecordBytes: 256 << 10, MaxAppendBytes: 2 << 20, Retention: time.Minute, RoomBytes: roomBytes,
 				SinceStoreAnswer: func() time.Duration { return 0 },
 			})
 			e.Relayer = New(e.jobStorer, e, querier.New(clock, n), joiner.Member(name), func() bool { return n.accounts && !n.outdated[name] })
