jobstorer: the end of a job holds though its submission is stored later

The end of an unknown job left no record, and one that the store had before its job was dropped.

Such an end is written before the caller is told 404, remembered until its job appears, and deleted after the retention otherwise. With accounts it ends only a job that the caller may use.

--- a/ladder/jobstorer/accept.go
+++ b/ladder/jobstorer/accept.go
@@ -73,12 +73,6 @@
 	return count
 }
 
-// End ends a job, which may be unknown.
-func (s *JobStorer) End(ctx context.Context, id identifier.JobID) (err error) {
-	defer annotator.Annotate(&err, "end batch job %s", id)
-	return s.appendRecords(ctx, id, []storer.Record{{Key: prefixEnd + string(id), Value: []byte("1")}})
-}
-
 // Exists returns ErrUnknownJob if there is no such job.
 func (s *JobStorer) Exists(ctx context.Context, id identifier.JobID) error {
 	_, err := s.findJob(ctx, id)
--- a/ladder/jobstorer/jobtable.go
+++ b/ladder/jobstorer/jobtable.go
@@ -25,7 +25,7 @@
 //	job/JOB             a jobRecord; the job exists from this record on
 //	text/JOB/ITEM       partial text of an item without a result; may be overwritten
 //	result/JOB/N        the result at position N
-//	end/JOB             the job has ended
+//	end/JOB             the job has ended; may be written before the job, see end.go
 //
 // The writer of a result chooses its position from a complete copy.
 const (
@@ -83,12 +83,16 @@
 	jobs   map[identifier.JobID]*jobState
 	// unreadable and jobs have no job in common.
 	unreadable map[identifier.JobID]*unreadableJob
+	// earlyEnds has the ends of jobs that are not known yet. A submission whose response was lost
+	// may be stored after its client has ended the job.
+	earlyEnds map[identifier.JobID]earlyEnd
 }
 
 func newJobTable(clock clockwork.Clock, notify func()) *jobTable {
 	return &jobTable{
 		clock: clock, notify: notify, rooms: roomkeeper.New(clock, 0),
 		pieces: make(map[string]piece), jobs: make(map[identifier.JobID]*jobState), unreadable: make(map[identifier.JobID]*unreadableJob),
+		earlyEnds: make(map[identifier.JobID]earlyEnd),
 	}
 }
 
@@ -100,6 +104,7 @@
 	defer t.mutex.Unlock()
 	previous := t.jobs
 	t.pieces, t.jobs, t.unreadable = make(map[string]piece), make(map[identifier.JobID]*jobState), make(map[identifier.JobID]*unreadableJob)
+	t.earlyEnds = make(map[identifier.JobID]earlyEnd)
 	for _, r := range records {
 		t.applyRecord(r, true)
 	}
@@ -162,14 +167,20 @@
 
 func (t *jobTable) applyEnd(id identifier.JobID, r storer.Record) {
 	if len(r.Value) == 0 {
+		delete(t.earlyEnds, id)
 		return
 	}
-	if state, ok := t.jobs[id]; ok && !state.ended {
+	by := endedBy(r.Value)
+	state, known := t.jobs[id]
+	job, unreadable := t.unreadable[id]
+	switch {
+	case known && !state.ended && by.mayEnd(state.submission.Account):
 		state.ended = true
 		state.signal()
-	}
-	if job, ok := t.unreadable[id]; ok {
+	case unreadable:
 		job.ended = true
+	case !known:
+		t.earlyEnds[id] = earlyEnd{by: by, readAt: t.clock.Now()}
 	}
 }
 
@@ -204,6 +215,10 @@
 		state.acceptedAt = now.Add(-max(0, now.Sub(time.UnixMilli(s.AcceptedAt))))
 	}
 	t.jobs[id] = state
+	if end, ok := t.earlyEnds[id]; ok {
+		delete(t.earlyEnds, id)
+		state.ended = end.by.mayEnd(s.Account)
+	}
 	klog.InfoS("batch job known", "job", id, "items", len(s.Items), "model", s.Model, "oldest-version", s.MinVersion, "offset", r.Offset)
 }
 
@@ -299,6 +314,7 @@
 		}
 	}
 	records = append(records, t.unreadableDeletions(retention)...)
+	records = append(records, t.earlyEndDeletions(retention)...)
 	return append(records, t.orphanDeletions(retention)...)
 }
 
--- a/ladder/relayer/relayer.go
+++ b/ladder/relayer/relayer.go
@@ -32,6 +32,7 @@
 type Books interface {
 	Accept(ctx context.Context, s jobstorer.Submission) error
 	End(ctx context.Context, id identifier.JobID) error
+	EndForAccount(ctx context.Context, a identifier.AccountName, id identifier.JobID) error
 	Exists(ctx context.Context, id identifier.JobID) error
 	CheckAccount(ctx context.Context, a identifier.AccountName, id identifier.JobID) error
 	StorePieces(ctx context.Context, s jobstorer.Submission) (record []byte, err error)
@@ -144,23 +145,33 @@
 	return r.jobs.Reserve(id, bytes)
 }
 
-// End ends a job. It returns jobstorer.ErrUnknownJob if the owner does not know the
-// job.
+// End ends a job. It returns jobstorer.ErrUnknownJob if the owner does not know the job; the job
+// ends all the same if its submission is stored later.
 func (r *Relayer) End(ctx context.Context, a identifier.AccountName, id identifier.JobID) error {
 	if r.accountsInForce() {
-		if err := r.checkAccount(ctx, a, id); err != nil {
+		err := r.checkAccount(ctx, a, id)
+		if err != nil && !errors.Is(err, jobstorer.ErrUnknownJob) {
 			return err
 		}
-		return r.jobs.End(ctx, id)
+		if failed := r.jobs.EndForAccount(ctx, a, id); failed != nil {
+			return failed
+		}
+		return err
 	}
 	_, err := r.askOwner(ctx, messenger.JobCall{Verb: messenger.JobExists, Job: id})
 	if errors.Is(err, errOwnerUnavailable) && r.ownership.Owns(r.jobs.PartitionOf(id)) {
 		err = r.jobs.Exists(ctx, id)
 	}
-	if errors.Is(err, jobstorer.ErrUnknownJob) || errors.Is(err, errNoAccountsYet) {
+	if errors.Is(err, errNoAccountsYet) {
+		return err
+	}
+	if failed := r.jobs.End(ctx, id); failed != nil {
+		return failed
+	}
+	if errors.Is(err, jobstorer.ErrUnknownJob) {
 		return err
 	}
-	return r.jobs.End(ctx, id)
+	return nil
 }
 
 // Results returns a part of a job's results, like jobstorer.JobStorer.Results.
--- a/ladder/relayer/room_test.go
+++ b/ladder/relayer/room_test.go
@@ -96,3 +96,26 @@
 		}
 	})
 }
+
+// Guards against the end of an unknown job that leaves no trace, so that the job runs once its
+// submission is carried out.
+func TestEnd_OfAJobThatIsStoredLater(t *testing.T) {
+	for _, accounts := range []bool{false, true} {
+		inBubble(t, func(ctx context.Context, n *network, owner, other *entry) {
+			n.accounts = accounts
+			time.Sleep(time.Second)
+			for _, e := range []*entry{owner, other} {
+				if err := e.End(ctx, "first", "j"); !errors.Is(err, jobstorer.ErrUnknownJob) {
+					t.Errorf("the end of an unknown job: %v", err)
+				}
+			}
+			if err := acceptFor(ctx, other, "first", 2); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Second)
+			if got := len(owner.jobStorer.OpenJobs(0)); got != 0 {
+				t.Errorf("accounts %t: the ended job is open", accounts)
+			}
+		})
+	}
+}
