blocklister: a success acquits a request

A success deletes the failures recorded for the request at all hosts; one that crashes every target never has one.

--- a/ladder/blocklister/blocklister.go
+++ b/ladder/blocklister/blocklister.go
@@ -25,9 +25,9 @@
 
 // A request that crashes targets may be repeated at any host, so what one host has
 // seen must reach the others: each failure is stored as a record under the
-// request's fingerprint. A request that merely ran beside the cause meets other
-// targets when it is repeated, and is very unlikely to be running at three
-// failures. Package quarantiner does the same over links to sidecars and runs
+// request's fingerprint. A request that many callers send is running at most
+// failures of targets, whatever their cause, but it also succeeds, which one that
+// crashes every target never does. A success therefore deletes the failures. Package quarantiner does the same over links to sidecars and runs
 // suspects alone; the entries here have no such links and can't run one alone.
 
 const (
@@ -60,6 +60,13 @@
 	f[request][incarnation] = at
 }
 
+func (f failureTimes) remove(request identifier.Fingerprint, incarnation string) {
+	delete(f[request], incarnation)
+	if len(f[request]) == 0 {
+		delete(f, request)
+	}
+}
+
 // New returns a Blocklister that knows no failures until Run.
 func New(clock clockwork.Clock, log storer.Log, p storer.Partition) *Blocklister {
 	b := &Blocklister{clock: clock, batcher: batcher.New(clock, log, p), own: make(failureTimes)}
@@ -97,7 +104,8 @@
 		}
 		f := identifier.Fingerprint(n)
 		if len(r.Value) == 0 {
-			delete(b.failures[f], incarnation)
+			b.failures.remove(f, incarnation)
+			b.own.remove(f, incarnation)
 			continue
 		}
 		b.failures.add(f, incarnation, b.clock.Now())
@@ -113,7 +121,29 @@
 	b.mutex.Lock()
 	b.own.add(f, incarnation, b.clock.Now())
 	b.mutex.Unlock()
-	b.batcher.Add(storer.Record{Key: fmt.Sprintf("%016x/%s", uint64(f), incarnation), Value: []byte("1")})
+	b.batcher.Add(storer.Record{Key: keyOf(f, incarnation), Value: []byte("1")})
+}
+
+// Succeeded records that a target has run the request to its end.
+func (b *Blocklister) Succeeded(f identifier.Fingerprint) {
+	b.mutex.Lock()
+	stored, own := b.failures[f], b.own[f]
+	delete(b.failures, f)
+	delete(b.own, f)
+	b.mutex.Unlock()
+	if len(stored)+len(own) == 0 {
+		return
+	}
+	klog.InfoS("request acquitted, a target has run it", "fingerprint", fmt.Sprintf("%016x", uint64(f)), "failures", len(stored)+len(own))
+	for _, failures := range []map[string]time.Time{stored, own} {
+		for incarnation := range failures {
+			b.batcher.Add(storer.Record{Key: keyOf(f, incarnation)})
+		}
+	}
+}
+
+func keyOf(f identifier.Fingerprint, incarnation string) string {
+	return fmt.Sprintf("%016x/%s", uint64(f), incarnation)
 }
 
 // Convicted reports whether the request must not be sent to any target.
@@ -165,7 +195,7 @@
 	for f, failures := range b.failures {
 		for incarnation, at := range failures {
 			if b.clock.Since(at) >= retention {
-				records = append(records, storer.Record{Key: fmt.Sprintf("%016x/%s", uint64(f), incarnation)})
+				records = append(records, storer.Record{Key: keyOf(f, incarnation)})
 			}
 		}
 	}
--- a/ladder/blocklister/blocklister_test.go
+++ b/ladder/blocklister/blocklister_test.go
@@ -94,3 +94,52 @@
 		stop()
 	})
 }
+
+// Guards against a request of many callers that is blocked because targets crashed beside it, though
+// other targets run it, also at hosts that have started since.
+func TestSucceeded_AcquitsAtAllHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := faker.NewStore(clockwork.NewRealClock())
+		hosts, stop := startHosts(store, 3)
+		const popular, poison = identifier.Fingerprint(7), identifier.Fingerprint(8)
+		for n := range failuresToBlock {
+			for _, f := range []identifier.Fingerprint{popular, poison} {
+				hosts[n%2].BrokeOff(f, cataloger.Target{Name: "a", StartID: int64(n)})
+			}
+			time.Sleep(time.Second)
+			hosts[2].Succeeded(popular)
+			time.Sleep(time.Second)
+		}
+		started, stopStarted := startHosts(store, 1)
+		for n, h := range append(hosts, started...) {
+			if h.Convicted(popular) {
+				t.Errorf("host %d blocks a request that targets run", n)
+			}
+			if !h.Convicted(poison) {
+				t.Errorf("host %d doesn't block a request that no target has run", n)
+			}
+		}
+		stop()
+		stopStarted()
+	})
+}
+
+// Guards against a request that stays blocked though one that was sent before has succeeded.
+func TestSucceeded_AcquitsWhatIsBlocked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := faker.NewStore(clockwork.NewRealClock())
+		hosts, stop := startHosts(store, 2)
+		for n := range failuresToBlock {
+			hosts[0].BrokeOff(7, cataloger.Target{Name: "a", StartID: int64(n)})
+		}
+		time.Sleep(time.Second)
+		hosts[1].Succeeded(7)
+		time.Sleep(time.Second)
+		for n, h := range hosts {
+			if h.Convicted(7) {
+				t.Errorf("host %d", n)
+			}
+		}
+		stop()
+	})
+}
--- a/ladder/explainer/events.go
+++ b/ladder/explainer/events.go
@@ -330,6 +330,11 @@
 		Fields:  []string{"job", "account", "other", "offset"},
 		Meaning: "the job stays that of `account`; the record of `other` was written by a host at which accounts were not in force yet",
 	},
+	{
+		Name: "request acquitted, a target has run it", Level: LevelInfo, Scope: ScopeHost,
+		Fields:  []string{"fingerprint", "failures"},
+		Meaning: "targets have failed beside the request, not because of it; those failures no longer count",
+	},
 	{
 		Name: "request answered", Level: LevelInfo, Scope: ScopeRequest,
 		Fields:  []string{"request", "method", "route", "path", "status", "target", "why", "took", "configuration"},
--- a/ladder/forwarder/forward.go
+++ b/ladder/forwarder/forward.go
@@ -278,6 +278,7 @@
 		retry = true
 	case r.response.Succeeded():
 		w.budget.RecordSuccess()
+		w.blocklist.Succeeded(w.fingerprint)
 		return responseOf(r), true
 	default:
 		w.executed++
--- a/ladder/forwarder/forwarder.go
+++ b/ladder/forwarder/forwarder.go
@@ -126,6 +126,8 @@
 	// BrokeOff records that the target failed without a response while it ran
 	// the request.
 	BrokeOff(f identifier.Fingerprint, t cataloger.Target)
+	// Succeeded records that a target has run the request to its end.
+	Succeeded(f identifier.Fingerprint)
 	// Convicted reports whether the request must not be sent to any target.
 	Convicted(f identifier.Fingerprint) bool
 }
--- a/ladder/forwarder/forwarder_test.go
+++ b/ladder/forwarder/forwarder_test.go
@@ -80,6 +80,7 @@
 type countingBlocklist struct{ failures atomic.Int32 }
 
 func (v *countingBlocklist) BrokeOff(identifier.Fingerprint, cataloger.Target) { v.failures.Add(1) }
+func (v *countingBlocklist) Succeeded(identifier.Fingerprint)                  {}
 func (v *countingBlocklist) Convicted(identifier.Fingerprint) bool             { return v.failures.Load() >= 3 }
 
 type behaviourFunc = func(t cataloger.Target, c sender.Call, n int) faker.Behaviour
