faker: the store's pages have at most 1 MB, as on the users' platform

A job of one item of 16 MB was accepted and then not readable at hosts that read it from the stand-in store: pages were bounded at 100 records only, so that one had 22 MB, which the client refuses above 8 MiB. The users' store bounds pages at 1 MB.

--- a/ladder/faker/store.go
+++ b/ladder/faker/store.go
@@ -129,8 +129,9 @@
 	s.changed = make(chan struct{})
 }
 
-// pageRecords is the maximum number of keys in one page.
-const pageRecords = 100
+// pageRecords and pageBytes bound one page of newest records, as on the users' platform. A page has
+// one record at least.
+const pageRecords, pageBytes = 100, 1 << 20
 
 // Newest implements storer.Log.
 func (s *Store) Newest(ctx context.Context, p storer.Partition, after string) (storer.SnapshotPage, error) {
@@ -150,9 +151,13 @@
 		}
 	}
 	slices.SortFunc(page.Records, func(a, b storer.Record) int { return cmp.Compare(a.Key, b.Key) })
-	if len(page.Records) > pageRecords {
-		page.Records, page.More = page.Records[:pageRecords], true
+	count, size := 0, 0
+	for ; count < len(page.Records) && count < pageRecords; count++ {
+		if size += len(page.Records[count].Value); size > pageBytes && count > 0 {
+			break
+		}
 	}
+	page.Records, page.More = page.Records[:count], count < len(page.Records)
 	return page, nil
 }
 
