--- a/ladder/response/statuschecker/statuschecker.go
+++ b/ladder/response/statuschecker/statuschecker.go
@@ -18,7 +18,7 @@
 )
 
 // ErrInvalid means that a response has a status that is not one of HTTP, or not one that was asked
-// for. What follows it on the connection can't be told apart from another response.
+// for. The bytes after it could be mistaken for another response.
 var ErrInvalid = errors.New("status of the response is invalid")
 
 // CheckFinal returns ErrInvalid unless status is that of a final response.
--- a/ladder/shutdown/gatekeeper/gatekeeper.go
+++ b/ladder/shutdown/gatekeeper/gatekeeper.go
@@ -17,7 +17,7 @@
 // finish. The outcome of those that have been sent to a target is open.
 var ErrStopping = errors.New("the host stops before the request has ended")
 
-// RetryAfter is what a refused caller is told: other hosts can take the request at once.
+// RetryAfter is sent with a refusal: other hosts can take the request at once.
 const RetryAfter = 0
 
 // Request is a request that a host may take.
