faker: a read of the log has at most 1 MiB, as on the users' platform

TestRun_AnswerDuringUploadOfAnItem hung once in a run of ./platform/runner: the host could not read the partition of the job from then on ("read of the log: over 8388608 bytes: too large"), since its reader had not read between the appends of a job of 22 MB. The pages of newest records have been bounded since, reads of the log were not. The users' store has a bound for both.

TestStore_ReadHasOnePage failed before (20 records of 512 KiB in one page).

--- a/ladder/faker/store.go
+++ b/ladder/faker/store.go
@@ -129,8 +129,8 @@
 	s.changed = make(chan struct{})
 }
 
-// pageRecords and pageBytes bound one page of newest records, as on the users' platform. A page has
-// one record at least.
+// pageRecords bounds one page of newest records, pageBytes any page, as on the users' platform. A
+// page has one record at least.
 const pageRecords, pageBytes = 100, 1 << 20
 
 // Newest implements storer.Log.
@@ -151,14 +151,20 @@
 		}
 	}
 	slices.SortFunc(page.Records, func(a, b storer.Record) int { return cmp.Compare(a.Key, b.Key) })
-	count, size := 0, 0
-	for ; count < len(page.Records) && count < pageRecords; count++ {
-		if size += len(page.Records[count].Value); size > pageBytes && count > 0 {
+	count := min(countWithinPage(page.Records), pageRecords)
+	page.Records, page.More = page.Records[:count], count < len(page.Records)
+	return page, nil
+}
+
+// countWithinPage returns how many of the first records fit into a page.
+func countWithinPage(records []storer.Record) (count int) {
+	size := 0
+	for ; count < len(records); count++ {
+		if size += len(records[count].Value); size > pageBytes && count > 0 {
 			break
 		}
 	}
-	page.Records, page.More = page.Records[:count], count < len(page.Records)
-	return page, nil
+	return count
 }
 
 // Read implements storer.Log.
@@ -171,6 +177,7 @@
 		expired := from < k.first
 		if !expired && from < page.End {
 			page.Records = slices.Clone(k.records[from-k.first:])
+			page.Records = page.Records[:countWithinPage(page.Records)]
 		}
 		s.mutex.Unlock()
 		switch {
