inspector: reject responses with a line that is no field of HTTP

Callers got a response in whose head the name of a field held a blank, with that line passed on, or with a body that was not the target's: "Content-Length : 5" was not taken for a length on calls, streams and items, but it was by the client of the sidecar's target. A line that went on with the value of the last one passed in some places, and so did LF without CR and control characters in a status line. Of such a head all was believed: the status, "not run", a limit, a departure.

Cause: each client parses by its own rules, and those of net/http and fasthttp tolerate blanks in names, continued lines and bare LF in different ways.

ladder/response/fieldchecker has one rule for a field: a token as its name (RFC 9110, 5.1 and 5.6.2), a colon behind it, a value without control characters but tabs. ladder/response/inspector applies it, and that of statuschecker, to the bytes of each head, interim head and trailer section before a client parses them, on the connections to targets, the store and the platform, to the sidecar's target, to the log and other hosts, and in the handshake between hosts. It follows the framing and rejects what two clients could end at different places (two lengths, a length that is no number, another transfer encoding than chunked, lines without CR). What a parser rejects beyond that still ends the call.

Nothing of a malformed head can reach a caller, as the line is rejected before the parser has seen the end of its head. Events that were complete before a malformed line behind a body are delivered.

TestWrap_EachStatus has moved here with what it tests.

--- a/ladder/caller/http.go
+++ b/ladder/caller/http.go
@@ -17,7 +17,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/annotator"
 	"github.com/lycheeladder/lycheeladder/ladder/identifier"
 	"github.com/lycheeladder/lycheeladder/ladder/limitreader"
-	"github.com/lycheeladder/lycheeladder/ladder/response/statuschecker"
+	"github.com/lycheeladder/lycheeladder/ladder/response/inspector"
 )
 
 // fasthttp can send a request a second time when the server closes a reused
@@ -281,7 +281,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.connection = connection
-	return statuschecker.Wrap(connection), nil
+	return inspector.Wrap(connection), nil
 }
 
 func (c *client) closeConnection() {
--- a/ladder/requester/requester.go
+++ b/ladder/requester/requester.go
@@ -12,7 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/lycheeladder/lycheeladder/ladder/annotator"
-	"github.com/lycheeladder/lycheeladder/ladder/response/statuschecker"
+	"github.com/lycheeladder/lycheeladder/ladder/response/inspector"
 )
 
 const (
@@ -53,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return statuschecker.Wrap(c), nil
+	return inspector.Wrap(c), nil
 }
 
 // Response is a complete HTTP response.
--- a/ladder/response/statuschecker/statuschecker.go
+++ b/ladder/response/statuschecker/statuschecker.go
@@ -33,7 +33,7 @@
 // ErrInvalid unless r is an interim or a final response. A protocol switch is neither, as no
 // request asks for one, nor is an interim response that announces a body.
 func Check(r *http.Response) (interim bool, err error) {
-	if !isInterim(r.StatusCode) {
+	if !IsInterim(r.StatusCode) {
 		return false, CheckFinal(r.StatusCode)
 	}
 	if r.Header.Get("Content-Length") != "" || len(r.TransferEncoding) > 0 {
@@ -42,6 +42,7 @@
 	return true, nil
 }
 
-func isInterim(status int) bool {
+// IsInterim reports whether another response follows one with this status.
+func IsInterim(status int) bool {
 	return status >= minInterim && status < minFinal && status != http.StatusSwitchingProtocols
 }
--- a/ladder/response/statuschecker/statuschecker_test.go
+++ b/ladder/response/statuschecker/statuschecker_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"bufio"
-	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -46,35 +44,3 @@
 		t.Errorf("an interim response with a body: %v", err)
 	}
 }
-
-// Guards against the same on a connection, however the bytes of the response arrive.
-func TestWrap_EachStatus(t *testing.T) {
-	for text, valid := range responses {
-		for _, size := range []int{1, 7, 4096} {
-			client, server := net.Pipe()
-			c := Wrap(client)
-			go func() {
-				_, _ = server.Read(make([]byte, 1))
-				for rest := text; rest != ""; {
-					n := min(size, len(rest))
-					if _, err := io.WriteString(server, rest[:n]); err != nil {
-						return
-					}
-					rest = rest[n:]
-				}
-				_ = server.Close()
-			}()
-			if _, err := c.Write([]byte("x")); err != nil {
-				t.Fatal(err)
-			}
-			got, err := io.ReadAll(c)
-			if valid && (err != nil || string(got) != text) {
-				t.Errorf("%q in parts of %d bytes: %v, %d bytes", text, size, err, len(got))
-			}
-			if !valid && !errors.Is(err, ErrInvalid) {
-				t.Errorf("%q in parts of %d bytes: %v", text, size, err)
-			}
-			_ = client.Close()
-		}
-	}
-}
--- a/ladder/transporter/transporter.go
+++ b/ladder/transporter/transporter.go
@@ -15,6 +15,7 @@
 	"github.com/lycheeladder/lycheeladder/ladder/encoder"
 	"github.com/lycheeladder/lycheeladder/ladder/messenger"
 	"github.com/lycheeladder/lycheeladder/ladder/recoverer"
+	"github.com/lycheeladder/lycheeladder/ladder/response/inspector"
 )
 
 const (
@@ -42,6 +43,7 @@
 	return &Transporter{
 		encoder: e,
 		dialer: websocket.Dialer{
+			NetDialContext:   dialChecked,
 			HandshakeTimeout: dialTimeout,
 			ReadBufferSize:   bufferBytes,
 			WriteBufferSize:  bufferBytes,
@@ -50,6 +52,15 @@
 	}
 }
 
+// dialChecked opens a connection on which the response to the handshake is checked.
+func dialChecked(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := new(net.Dialer).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return inspector.WrapUpgrading(c), nil
+}
+
 // Dial opens a link to the peer listener at address, IP:port.
 func (t *Transporter) Dial(ctx context.Context, address string) (link messenger.Link, err error) {
 	defer annotator.Annotate(&err, "dial %s", address)
