forwarder: a stream that may have run is not refused as not run

A caller of a resumable stream got 503, which promises that nothing has run, after attempts without a response: each of the targets had sent a malformed head, or broken off, and none was left to try. Seen in TestRun_MalformedHead: "no target accepted the request". Plain calls get 502 then.

Cause: open returned the refusal of "no target left" and of "time limit expired" whatever had become of the attempts before. Only a key that is no longer allowed was told apart.

All three ask now whether an attempt without a response was made before, and the outcome is open if so: 502, or 504 at the time limit.

TestForwardStream_NotRunIsTrue failed before in its three cases with an attempt that broke off; the two in which all targets refuse or can't be reached passed.

--- a/ladder/forwarder/account.go
+++ b/ladder/forwarder/account.go
@@ -14,8 +14,5 @@
 
 // disallowedOutcome returns the outcome of a stream for which no further attempt is allowed.
 func (s *Stream) disallowedOutcome() Outcome {
-	if s.retries > 0 {
-		return Unknown{Reason: "an attempt without a response may have run"}
-	}
-	return NotAllowed{}
+	return s.notRunUnlessTried(NotAllowed{})
 }
--- a/ladder/forwarder/forward.go
+++ b/ladder/forwarder/forward.go
@@ -161,7 +161,7 @@
 		return *w.lastFailure
 	}
 	if w.mayHaveRun {
-		return Unknown{Reason: "an attempt without a response may have run"}
+		return Unknown{Reason: reasonMayHaveRun}
 	}
 	if w.disallowed {
 		return NotAllowed{}
--- a/ladder/forwarder/forwarder.go
+++ b/ladder/forwarder/forwarder.go
@@ -89,6 +89,9 @@
 	Reason   string
 }
 
+// reasonMayHaveRun is the Reason of an Unknown after an attempt that may have run.
+const reasonMayHaveRun = "an attempt without a response may have run"
+
 func (Response) outcome() {}
 func (*Stream) outcome()  {}
 func (NotRun) outcome()   {}
--- a/ladder/forwarder/stream.go
+++ b/ladder/forwarder/stream.go
@@ -94,10 +94,10 @@
 		case errors.Is(err, errNotAllowed):
 			return s.disallowedOutcome()
 		case errors.Is(err, errNoTarget):
-			return s.forwarder.notRun(s.service)
+			return s.notRunUnlessTried(s.forwarder.notRun(s.service))
 		case errors.Is(err, sender.ErrNotSent):
 			if s.ctx.Err() != nil {
-				return NotRun{RetryAfter: overloadRetryAfter, Reason: "time limit expired"}
+				return s.notRunUnlessTried(NotRun{RetryAfter: overloadRetryAfter, Reason: "time limit expired"})
 			}
 			continue
 		case err != nil:
@@ -118,6 +118,14 @@
 	}
 }
 
+// notRunUnlessTried returns o unless an attempt before may have run.
+func (s *Stream) notRunUnlessTried(o Outcome) Outcome {
+	if s.retries > 0 {
+		return Unknown{TimedOut: s.ctx.Err() != nil, Reason: reasonMayHaveRun}
+	}
+	return o
+}
+
 func (s *Stream) failureOutcome(a *sender.Response) Outcome {
 	defer a.Body.Close()
 	body, err := s.forwarder.memory.readAll(s.ctx, a.Body, s.request.Reservation)
