--- a/ladder/transporter/handshake_test.go
+++ b/ladder/transporter/handshake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"crypto/sha1"
 	"encoding/base64"
 	"fmt"
@@ -72,3 +73,24 @@
 		t.Error("a part of another response: the link is open")
 	}
 }
+
+// Guards against memory that the response to a handshake without an end fills.
+func TestDial_BytesWithoutEnd(t *testing.T) {
+	const maxWrittenBytes = 16 << 20
+	for place, c := range map[string]struct{ beginning, part string }{
+		"status line": {"HTTP/1.1 101 ", "x"}, "header lines": {"HTTP/1.1 101 Switching Protocols\r\n", "X-More: and more\r\n"},
+		"interim responses": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+	} {
+		t.Run(place, func(t *testing.T) {
+			e, err := encoder.New()
+			if err != nil {
+				t.Fatal(err)
+			}
+			server := listener.NewEndless(t, c.beginning, c.part)
+			server.EndsInTime(t, maxWrittenBytes, func(ctx context.Context) error {
+				_, err := New(e).Dial(ctx, server.Address)
+				return err
+			})
+		})
+	}
+}
