--- a/ladder/response/inspector/inspector.go
+++ b/ladder/response/inspector/inspector.go
@@ -80,7 +80,7 @@
 }
 
 // isUpgraded reports whether the protocol has been switched.
-func (r *Reader) isUpgraded() bool { return r.response.state == upgraded }
+func (r *Reader) isUpgraded() bool { return r.response.state == stateUpgraded }
 
 // BeginRequest must be called before a request is written.
 func (r *Reader) BeginRequest(method string) { r.response.begin(method) }
@@ -106,7 +106,7 @@
 		return 0, r.err
 	case !errors.Is(err, io.EOF):
 		return n, err
-	case r.requestErr != nil && r.response.state == untilClose:
+	case r.requestErr != nil && r.response.state == stateUntilClose:
 		r.err = RejectEnd(r.requestErr)
 	case r.response.isWithin():
 		r.err = io.ErrUnexpectedEOF
--- a/ladder/response/inspector/inspector_test.go
+++ b/ladder/response/inspector/inspector_test.go
@@ -147,24 +147,10 @@
 	}
 }
 
-// statuses maps what a server sends to whether it is a valid response.
-var statuses = map[string]bool{
-	"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n":                                                                 true,
-	"HTTP/1.1 200\r\nContent-Length: 0\r\n\r\n":                                                                    true,
-	"HTTP/1.1 599 Odd\r\nContent-Length: 0\r\n\r\n":                                                                true,
-	"HTTP/1.1 100 Continue\r\nX-A: b\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nX-A: b\r\n\r\nbody": true,
-	"HTTP/1.1 000 OK\r\nContent-Length: 40\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n":                    false,
-	"HTTP/1.1 099 OK\r\n\r\nHTTP/1.1 200 OK\r\n\r\n":                                                               false,
-	"HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\n\r\n":                                              false,
-	"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\n\r\n":                                                         false,
-	"HTTP/1.1 600 Odd\r\nContent-Length: 0\r\n\r\n":                                                                false,
-	"HTTP/1.1 999 Odd\r\nContent-Length: 0\r\n\r\n":                                                                false,
-}
-
 // Guards against a status that is not one of HTTP on a connection, however the bytes of the response
 // arrive.
 func TestWrap_EachStatus(t *testing.T) {
-	for text, valid := range statuses {
+	for text, valid := range spoiler.Statuses {
 		for _, size := range []int{1, 7, 4096} {
 			client, server := net.Pipe()
 			c := Wrap(client)
@@ -268,7 +254,7 @@
 // FuzzReader checks that what the Reader takes for whole, all parsers read alike, and that none
 // believes a response which the Reader rejects or takes for torn.
 func FuzzReader(f *testing.F) {
-	for _, list := range []map[string]bool{framings, statuses} {
+	for _, list := range []map[string]bool{framings, spoiler.Statuses} {
 		for text := range list {
 			f.Add([]byte(text), byte(0))
 		}
@@ -291,7 +277,7 @@
 			if err == nil {
 				believed[name] = result{status, string(body)}
 			}
-			if s := r.response.state; err == nil && s != none && s != untilClose {
+			if s := r.response.state; err == nil && s != stateNone && s != stateUntilClose {
 				t.Errorf("%s believes a response in state %d: %d, %q", name, s, status, body)
 			}
 		}
--- a/ladder/response/inspector/parser.go
+++ b/ladder/response/inspector/parser.go
@@ -31,21 +31,21 @@
 type state int
 
 const (
-	// none: no response is awaited, or the last one has ended.
-	none state = iota
-	statusLine
-	fields
-	// body is a body with a length.
-	body
-	chunkLine
-	chunkData
-	// chunkEnd is the empty line behind the data of a chunk.
-	chunkEnd
-	trailers
-	// untilClose is a body that ends with its connection.
-	untilClose
-	// upgraded is another protocol.
-	upgraded
+	// stateNone: no response is awaited, or the last one has ended.
+	stateNone state = iota
+	stateStatusLine
+	stateFields
+	// stateBody is a body with a length.
+	stateBody
+	stateChunkLine
+	stateChunkData
+	// stateChunkEnd is the empty line behind the data of a chunk.
+	stateChunkEnd
+	stateTrailers
+	// stateUntilClose is a body that ends with its connection.
+	stateUntilClose
+	// stateUpgraded is another protocol.
+	stateUpgraded
 )
 
 // noLength means that a head names no length.
@@ -76,15 +76,15 @@
 
 // begin awaits the response to a request.
 func (p *parser) begin(method string) {
-	*p = parser{state: statusLine, upgrades: p.upgrades, headRequest: method == http.MethodHead, line: p.line[:0], remainingLines: maxHeadBytes}
+	*p = parser{state: stateStatusLine, upgrades: p.upgrades, headRequest: method == http.MethodHead, line: p.line[:0], remainingLines: maxHeadBytes}
 }
 
 // isWithin reports whether a response has begun and can't end here.
 func (p *parser) isWithin() bool {
 	switch p.state {
-	case none, untilClose, upgraded:
+	case stateNone, stateUntilClose, stateUpgraded:
 		return false
-	case statusLine:
+	case stateStatusLine:
 		return p.remainingLines < maxHeadBytes
 	default:
 		return true
@@ -97,10 +97,10 @@
 	rest := data
 	for len(rest) > 0 {
 		switch p.state {
-		case none, untilClose, upgraded:
+		case stateNone, stateUntilClose, stateUpgraded:
 			// Bytes behind a response are for the client to see to.
 			return len(data), nil
-		case body, chunkData:
+		case stateBody, stateChunkData:
 			n := min(int64(len(rest)), p.remaining)
 			rest = rest[n:]
 			if p.remaining -= n; p.remaining == 0 {
@@ -118,11 +118,11 @@
 }
 
 func (p *parser) endData() {
-	if p.state == body {
-		p.state = none
+	if p.state == stateBody {
+		p.state = stateNone
 		return
 	}
-	p.expectLines(chunkEnd, maxChunkLineBytes)
+	p.expectLines(stateChunkEnd, maxChunkLineBytes)
 }
 
 // expectLines awaits lines that have at most maxBytes together.
@@ -153,21 +153,21 @@
 // endLine looks at a complete line, given without its line ending.
 func (p *parser) endLine(line []byte) error {
 	switch {
-	case p.state == statusLine:
+	case p.state == stateStatusLine:
 		return p.endStatusLine(line)
-	case p.state == fields && len(line) == 0:
+	case p.state == stateFields && len(line) == 0:
 		return p.endHead()
-	case p.state == trailers && len(line) == 0:
-		p.state = none
+	case p.state == stateTrailers && len(line) == 0:
+		p.state = stateNone
 		return nil
-	case p.state == fields || p.state == trailers:
+	case p.state == stateFields || p.state == stateTrailers:
 		return p.endField(line)
-	case p.state == chunkLine:
+	case p.state == stateChunkLine:
 		return p.endChunkLine(line)
-	case len(line) > 0: // of chunkEnd
+	case len(line) > 0: // of stateChunkEnd
 		return errors.Wrapf(errFraming, "bytes behind a chunk: %.40q", line)
 	}
-	p.expectLines(chunkLine, maxChunkLineBytes)
+	p.expectLines(stateChunkLine, maxChunkLineBytes)
 	return nil
 }
 
@@ -184,7 +184,7 @@
 		return err
 	}
 	p.status, p.oldProtocol, p.length, p.chunked = int(status), protocol == "HTTP/1.0", noLength, false
-	p.state = fields
+	p.state = stateFields
 	if statuschecker.IsInterim(p.status) || p.isSwitch() {
 		return nil
 	}
@@ -204,8 +204,8 @@
 	switch {
 	case !isLength && !isEncoding:
 		return nil
-	case p.state == trailers:
-		return errors.Wrapf(errFraming, "%s behind the body", field.Name)
+	case p.state == stateTrailers:
+		return errors.Wrapf(errFraming, "%s behind the stateBody", field.Name)
 	case isLength:
 		return p.setLength(string(field.Value))
 	case p.chunked || p.oldProtocol || !strings.EqualFold(string(field.Value), "chunked"):
@@ -233,21 +233,21 @@
 	isInterim, isSwitch := statuschecker.IsInterim(p.status), p.isSwitch()
 	switch {
 	case (isInterim || isSwitch) && (p.chunked || p.length != noLength):
-		return errors.Wrapf(statuschecker.ErrInvalid, "status %03d with a body", p.status)
+		return errors.Wrapf(statuschecker.ErrInvalid, "status %03d with a stateBody", p.status)
 	case isInterim:
-		p.state = statusLine
+		p.state = stateStatusLine
 	case isSwitch:
-		p.state = upgraded
+		p.state = stateUpgraded
 	case p.headRequest || p.status == http.StatusNoContent || p.status == http.StatusNotModified:
-		p.state = none
+		p.state = stateNone
 	case p.chunked:
-		p.expectLines(chunkLine, maxChunkLineBytes)
+		p.expectLines(stateChunkLine, maxChunkLineBytes)
 	case p.length == 0:
-		p.state = none
+		p.state = stateNone
 	case p.length != noLength:
-		p.state, p.remaining = body, p.length
+		p.state, p.remaining = stateBody, p.length
 	default:
-		p.state = untilClose
+		p.state = stateUntilClose
 	}
 	return nil
 }
@@ -264,9 +264,9 @@
 		return errors.Wrapf(errFraming, "chunk line %.40q", line)
 	}
 	if length == 0 {
-		p.expectLines(trailers, maxHeadBytes)
+		p.expectLines(stateTrailers, maxHeadBytes)
 		return nil
 	}
-	p.state, p.remaining = chunkData, int64(length)
+	p.state, p.remaining = stateChunkData, int64(length)
 	return nil
 }
