--- a/ladder/explainer/events.go
+++ b/ladder/explainer/events.go
@@ -84,7 +84,7 @@
 	{
 		Name: "answer of a target dropped", Level: LevelInfo, Scope: ScopeRequest,
 		Fields:  []string{"request", "target", "err"},
-		Meaning: "the response belonged to another request, had no signature or had a content encoding",
+		Meaning: "the response belonged to another request, had no signature, had a content encoding, or was a failure or refusal that may be cut",
 		Action:  "check `target`; if this recurs, the target is faulty",
 	},
 	{
