--- a/ladder/response/inspector/parser.go
+++ b/ladder/response/inspector/parser.go
@@ -205,7 +205,7 @@
 	case !isLength && !isEncoding:
 		return nil
 	case p.state == stateTrailers:
-		return errors.Wrapf(errFraming, "%s behind the stateBody", field.Name)
+		return errors.Wrapf(errFraming, "%s behind the body", field.Name)
 	case isLength:
 		return p.setLength(string(field.Value))
 	case p.chunked || p.oldProtocol || !strings.EqualFold(string(field.Value), "chunked"):
@@ -233,7 +233,7 @@
 	isInterim, isSwitch := statuschecker.IsInterim(p.status), p.isSwitch()
 	switch {
 	case (isInterim || isSwitch) && (p.chunked || p.length != noLength):
-		return errors.Wrapf(statuschecker.ErrInvalid, "status %03d with a stateBody", p.status)
+		return errors.Wrapf(statuschecker.ErrInvalid, "status %03d with a body", p.status)
 	case isInterim:
 		p.state = stateStatusLine
 	case isSwitch:
