--- a/ladder/faker/listener/early.go
+++ b/ladder/faker/listener/early.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 )
@@ -32,6 +33,20 @@
 	arrivalTime = 20 * time.Millisecond
 )
 
+// NewAnswering returns the address of a server that answers the first request on each connection with
+// text, and closes the connection.
+func NewAnswering(t testing.TB, text string) (address string) {
+	t.Helper()
+	return Listen(t, func(c *net.TCPConn) {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(c, text) // only what the client makes of it counts
+	})
+}
+
 // NewEarly returns the address of a server that sends text as soon as a request begins, and closes
 // the connection with the rest of the request unread.
 func NewEarly(t testing.TB, text string, closing Closing) (address string) {
--- a/ladder/faker/store.go
+++ b/ladder/faker/store.go
@@ -176,8 +176,8 @@
 		page := storer.Page{End: k.end()}
 		expired := from < k.first
 		if !expired && from < page.End {
-			page.Records = slices.Clone(k.records[from-k.first:])
-			page.Records = page.Records[:countWithinPage(page.Records)]
+			records := k.records[from-k.first:]
+			page.Records = slices.Clone(records[:countWithinPage(records)])
 		}
 		s.mutex.Unlock()
 		switch {
--- a/ladder/forwarder/account.go
+++ b/ladder/forwarder/account.go
@@ -11,8 +11,3 @@
 var errNotAllowed = errors.New("the request is no longer allowed")
 
 func (r Request) stillAllowed() bool { return r.StillAllowed == nil || r.StillAllowed() }
-
-// disallowedOutcome returns the outcome of a stream for which no further attempt is allowed.
-func (s *Stream) disallowedOutcome() Outcome {
-	return s.notRunUnlessTried(NotAllowed{})
-}
--- a/ladder/forwarder/stream.go
+++ b/ladder/forwarder/stream.go
@@ -92,7 +92,7 @@
 		response, err := s.startAttempt(s.request.ResumeAfter)
 		switch {
 		case errors.Is(err, errNotAllowed):
-			return s.disallowedOutcome()
+			return s.notRunUnlessTried(NotAllowed{})
 		case errors.Is(err, errNoTarget):
 			return s.notRunUnlessTried(s.forwarder.notRun(s.service))
 		case errors.Is(err, sender.ErrNotSent):
--- a/ladder/requester/malformed_test.go
+++ b/ladder/requester/malformed_test.go
@@ -16,7 +16,7 @@
 func TestDo_MalformedField(t *testing.T) {
 	check := func(what, text string, believed bool) {
 		t.Helper()
-		r, err := New(answering(t, text), "").Do(t.Context(), http.MethodPost, "/x", nil)
+		r, err := New(listener.NewAnswering(t, text), "").Do(t.Context(), http.MethodPost, "/x", nil)
 		if believed != (err == nil) {
 			t.Errorf("%s: status %d, %q, %v", what, r.Status, r.Body, err)
 		}
--- a/ladder/requester/requester_test.go
+++ b/ladder/requester/requester_test.go
@@ -1,11 +1,8 @@
 package requester
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -13,20 +10,10 @@
 	"github.com/lycheeladder/lycheeladder/ladder/faker/listener"
 )
 
-// answering returns the address of a server that answers each request with text and closes.
-func answering(t *testing.T, text string) string {
-	t.Helper()
-	return listener.Listen(t, func(c *net.TCPConn) {
-		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-			_, _ = io.WriteString(c, text)
-		}
-	})
-}
-
 // Guards against a response of the log or of an entry with a status that is not one of HTTP.
 func TestDo_InvalidStatus(t *testing.T) {
 	for _, status := range []string{"000", "001", "099", "101", "600", "999"} {
-		address := answering(t, fmt.Sprintf("HTTP/1.1 %s x\r\nContent-Length: 2\r\n\r\n{}", status))
+		address := listener.NewAnswering(t, fmt.Sprintf("HTTP/1.1 %s x\r\nContent-Length: 2\r\n\r\n{}", status))
 		if r, err := New(address, "").Do(t.Context(), http.MethodPost, "/x", nil); err == nil {
 			t.Errorf("status %s is taken for %d", status, r.Status)
 		}
@@ -37,7 +24,7 @@
 func TestDo_TornHead(t *testing.T) {
 	const whole = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"
 	for n := range len(whole) {
-		if r, err := New(answering(t, whole[:n]), "").Do(t.Context(), http.MethodPost, "/x", nil); err == nil {
+		if r, err := New(listener.NewAnswering(t, whole[:n]), "").Do(t.Context(), http.MethodPost, "/x", nil); err == nil {
 			t.Errorf("after %d bytes: status %d, body %q", n, r.Status, r.Body)
 		}
 	}
--- a/ladder/response/fieldchecker/fieldchecker.go
+++ b/ladder/response/fieldchecker/fieldchecker.go
@@ -21,8 +21,7 @@
 
 // Parse returns the field on a line, which is given without its line ending. It returns ErrInvalid
 // unless the name is a token (RFC 9110, 5.1 and 5.6.2) that the colon follows at once, and the value
-// has no control characters but tabs (5.5). A line that goes on with the value of the last one has no
-// name (RFC 9112, 5.2).
+// has no control characters other than tabs (5.5). Folded lines (obs-fold, RFC 9112, 5.2) are rejected.
 func Parse(line []byte) (Field, error) {
 	name, value, found := bytes.Cut(line, []byte(":"))
 	if !found || !httpguts.ValidHeaderFieldName(string(name)) {
--- a/ladder/response/inspector/inspector.go
+++ b/ladder/response/inspector/inspector.go
@@ -44,17 +44,12 @@
 	}
 }
 
-// reject counts a rejected response and returns err.
-func reject(err error) error {
+// Reject counts a response that is rejected for err, and returns err.
+func Reject(err error) error {
 	rejected.Add(kindOf(err), 1)
 	return err
 }
 
-// RejectEnd counts a response whose end is unknown as requestErr occurred, and returns ErrEndUnknown.
-func RejectEnd(requestErr error) error {
-	return reject(errors.Wrap(ErrEndUnknown, requestErr.Error()))
-}
-
 // Reader reads the responses on one connection. A request must have been written, or have failed,
 // before its response is read, and its response must have been read before the next request.
 //
@@ -88,6 +83,18 @@
 // EndRequest must be called when a request has been written, with the error of doing so.
 func (r *Reader) EndRequest(err error) { r.requestErr = err }
 
+// RequestErr returns the error of writing the last request.
+func (r *Reader) RequestErr() error { return r.requestErr }
+
+// EndErr returns ErrEndUnknown if only the end of the connection can end the response, whose head has
+// been read, and the request could not be written. Otherwise it returns nil.
+func (r *Reader) EndErr() error {
+	if r.requestErr == nil || r.response.state != stateUntilClose {
+		return nil
+	}
+	return errors.Wrap(ErrEndUnknown, r.requestErr.Error())
+}
+
 // Read implements io.Reader. It returns the bytes before the first malformed line, and then an error.
 // At the end of the connection it returns ErrEndUnknown in place of io.EOF if only that end could end
 // the response and the request could not be written, and io.ErrUnexpectedEOF within a response.
@@ -99,16 +106,16 @@
 	valid, malformed := r.response.consume(p[:n])
 	switch {
 	case malformed != nil:
-		r.err = reject(malformed)
+		r.err = Reject(malformed)
 		if valid > 0 {
 			return valid, nil
 		}
 		return 0, r.err
 	case !errors.Is(err, io.EOF):
 		return n, err
-	case r.requestErr != nil && r.response.state == stateUntilClose:
-		r.err = RejectEnd(r.requestErr)
-	case r.response.isWithin():
+	case r.EndErr() != nil:
+		r.err = Reject(r.EndErr())
+	case r.response.isIncomplete():
 		r.err = io.ErrUnexpectedEOF
 	default:
 		r.err = io.EOF
--- a/ladder/response/inspector/inspector_test.go
+++ b/ladder/response/inspector/inspector_test.go
@@ -180,6 +180,23 @@
 	}
 }
 
+// Guards against a status that is not one of HTTP, whichever parser reads the response.
+func TestReader_EachStatus(t *testing.T) {
+	for text, valid := range spoiler.Statuses {
+		for name, parse := range map[string]parse{"net/http": parseWithNetHTTP, "fasthttp": parseWithFastHTTP} {
+			r := NewReader(strings.NewReader(text))
+			r.BeginRequest(http.MethodPost)
+			if _, _, err := parse(bufio.NewReader(r)); valid != (err == nil) {
+				t.Errorf("%s: %q: %v", name, text, err)
+			}
+		}
+	}
+	const interim = "HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\nHTTP/1.1 200 OK\r\n\r\n"
+	if _, err := read(http.MethodPost, interim, nil); !errors.Is(err, statuschecker.ErrInvalid) {
+		t.Errorf("an interim response with a body: %v", err)
+	}
+}
+
 // exchange is a connection that sends text once a request has been written.
 type exchange struct {
 	net.Conn
@@ -229,10 +246,7 @@
 		if err != nil {
 			return 0, nil, err
 		}
-		if interim, err := statuschecker.Check(response); err != nil || interim {
-			if err != nil {
-				return 0, nil, err
-			}
+		if statuschecker.IsInterim(response.StatusCode) {
 			continue
 		}
 		body, err = io.ReadAll(response.Body)
--- a/ladder/response/inspector/parser.go
+++ b/ladder/response/inspector/parser.go
@@ -79,8 +79,8 @@
 	*p = parser{state: stateStatusLine, upgrades: p.upgrades, headRequest: method == http.MethodHead, line: p.line[:0], remainingLines: maxHeadBytes}
 }
 
-// isWithin reports whether a response has begun and can't end here.
-func (p *parser) isWithin() bool {
+// isIncomplete reports whether the end of the connection would truncate a response.
+func (p *parser) isIncomplete() bool {
 	switch p.state {
 	case stateNone, stateUntilClose, stateUpgraded:
 		return false
--- a/ladder/response/statuschecker/statuschecker.go
+++ b/ladder/response/statuschecker/statuschecker.go
@@ -29,20 +29,8 @@
 	return nil
 }
 
-// Check returns whether r is an interim response, after which another one follows. It returns
-// ErrInvalid unless r is an interim or a final response. A protocol switch is neither, as no
-// request asks for one, nor is an interim response that announces a body.
-func Check(r *http.Response) (interim bool, err error) {
-	if !IsInterim(r.StatusCode) {
-		return false, CheckFinal(r.StatusCode)
-	}
-	if r.Header.Get("Content-Length") != "" || len(r.TransferEncoding) > 0 {
-		return false, errors.Wrapf(ErrInvalid, "interim status %03d with a body", r.StatusCode)
-	}
-	return true, nil
-}
-
-// IsInterim reports whether another response follows one with this status.
+// IsInterim reports whether another response follows one with this status. A protocol switch is
+// neither interim nor final.
 func IsInterim(status int) bool {
 	return status >= minInterim && status < minFinal && status != http.StatusSwitchingProtocols
 }
