Review case 13: ORDER, streams of an unidentified start are joined of two versions

A release fails: a worker starts again under its id with another software version, is slow to report at first, and goes down and up. Streams that it began go on at workers of the version that was listed, in one answer.

--- a/review/kit-3/engine.go
+++ b/review/kit-3/engine.go
@@ -15,7 +15,9 @@
 	id, address, service, software string
 	slots, events                  int
 	interval                       time.Duration
-	deployment                     *deployment
+	// coldTime is how long the worker is slow after a start: its reports take coldReport then.
+	coldTime, coldReport time.Duration
+	deployment           *deployment
 
 	mutex    sync.Mutex
 	server   *http.Server
@@ -50,6 +52,13 @@
 	return nil
 }
 
+// setSoftware sets the version of the software of the next start.
+func (e *engine) setSoftware(version string) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.software = version
+}
+
 // crash closes the listener and all connections.
 func (e *engine) crash() {
 	e.mutex.Lock()
@@ -79,13 +88,16 @@
 
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.mutex.Lock()
-	born, running := e.born, e.running
+	born, running, software := e.born, e.running, e.software
 	e.mutex.Unlock()
 	switch r.URL.Path {
 	case "/healthz":
 		w.Header().Set(prefix+"Instance-Id", e.id)
 		return
 	case "/api/report":
+		if time.Since(time.UnixMilli(born)) < e.coldTime {
+			time.Sleep(e.coldReport)
+		}
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(map[string]any{
 			"stage": "both", "models": []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}}, "busy": false, "sequence": 0, "queued_count": 0, "active_count": running,
@@ -106,10 +118,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	e.stream(w, r, id)
+	e.stream(w, r, id, software)
 }
 
-func (e *engine) stream(w http.ResponseWriter, r *http.Request, id string) {
+func (e *engine) stream(w http.ResponseWriter, r *http.Request, id, software string) {
 	e.mutex.Lock()
 	e.running++
 	born := e.born
@@ -125,13 +137,13 @@
 	if n, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		first = n + 1
 	}
-	e.deployment.record.add("worker %s runs %s from event %d", e.id, id, first)
+	e.deployment.record.add("worker %s (software %s) runs %s from event %d", e.id, software, id, first)
 	w.Header().Set(headerStamp, "stamp-"+e.id)
 	w.Header().Set(prefix+"Weight-Versions", "1")
 	w.Header().Set("Content-Type", "text/event-stream")
 	controller := http.NewResponseController(w)
 	for n := first; n <= e.events; n++ {
-		fmt.Fprintf(w, "id: %d\ndata: event %d of %s\n\n", n, n, e.software)
+		fmt.Fprintf(w, "id: %d\ndata: event %d of %s\n\n", n, n, software)
 		if controller.Flush() != nil {
 			return
 		}
--- a/review/kit-3/flap.go
+++ b/review/kit-3/flap.go
@@ -18,64 +18,141 @@
 	flaps, calm = 5, 6 * time.Second
 )
 
-// flappingWorker lets one of nine workers go down and up by turns, and judges whether streams that
-// clients take up go on.
-func flappingWorker(d *deployment, trouble bool) (broken bool, err error) {
+// streamPlay is a deployment with nine workers of one service, and clients that ask for streams.
+type streamPlay struct {
+	*deployment
+	engines []*engine
+	streams []stream
+}
+
+// newStreamPlay starts workers and hosts.
+func newStreamPlay(d *deployment, count int) (p *streamPlay, err error) {
 	d.put("keyed.op", "config", fmt.Appendf(nil, `{"version":3,"routes":[
 		{"name":"stream","host":%q,"path_prefix":"/e/","route_kind":"streaming","resumable":true,"sticky":true,"timeout_ms":12000,"goal_ms":500,"priority":1,"service":"models","max_attempts":3}],
 		"services":[{"name":"models","max_conns":140,"health_path":"/healthz","engine":{"slots":8,"models":[{"name":"m"}]}}],
 		"limits":{"max_header_bytes":16384,"max_body_bytes":1000000,"header_timeout_ms":5000,"idle_timeout_ms":15000}}`, routeHost))
-	var engines []*engine
+	p = &streamPlay{deployment: d, streams: make([]stream, count)}
 	for n := range 9 {
 		e, err := newEngine(d, fmt.Sprint("worker-", n+1), "models", "v1", 8, 30, 80*time.Millisecond)
 		if err == nil {
 			err = e.start()
 		}
 		if err != nil {
-			return false, err
+			return p, err
 		}
-		defer e.crash()
 		e.register()
-		engines = append(engines, e)
+		p.engines = append(p.engines, e)
 	}
-	if err := d.startHosts(); err != nil {
-		return false, err
+	return p, d.startHosts()
+}
+
+func (p *streamPlay) stop() {
+	for _, e := range p.engines {
+		e.crash()
 	}
-	const between, count = 37 * time.Millisecond, 2000
+}
+
+// run plays all streams beside disturb, which may be nil.
+func (p *streamPlay) run(disturb func()) {
 	var tasks sync.WaitGroup
+	if disturb != nil {
+		tasks.Go(disturb)
+	}
+	for n := range p.streams {
+		p.streams[n].id = fmt.Sprintf("s%04d", n)
+		tasks.Go(func() { p.streams[n].play(p.deployment, n) })
+		time.Sleep(between)
+	}
+	tasks.Wait()
+}
+
+// count returns the number of streams for which is returns true.
+func (p *streamPlay) count(is func(s *stream) bool) (count int) {
+	for n := range p.streams {
+		if is(&p.streams[n]) {
+			count++
+		}
+	}
+	return count
+}
+
+// conclude records and prints the result.
+func (d *deployment) conclude(format string, values ...any) {
+	d.record.add(format, values...)
+	fmt.Printf(format+"\n", values...)
+}
+
+// between is the time between two new streams.
+const between = 37 * time.Millisecond
+
+// flappingWorker lets one of nine workers go down and up by turns, and judges whether streams that
+// clients take up go on.
+func flappingWorker(d *deployment, trouble bool) (broken bool, err error) {
+	const count = 2000
+	p, err := newStreamPlay(d, count)
+	defer p.stop()
+	if err != nil {
+		return false, err
+	}
+	var disturb func()
 	if trouble {
-		tasks.Go(func() {
+		disturb = func() {
 			for range flaps {
 				time.Sleep(calm)
-				engines[0].flap()
+				p.engines[0].flap()
 			}
-		})
+		}
 	}
-	streams := make([]stream, count)
-	for n := range streams {
-		streams[n].id = fmt.Sprintf("s%03d", n)
-		tasks.Go(func() { streams[n].play(d, n) })
-		time.Sleep(between)
+	p.run(disturb)
+	begun, complete := p.count(func(s *stream) bool { return s.begun }), p.count(func(s *stream) bool { return s.complete })
+	takenUp, wentOn := p.count(func(s *stream) bool { return s.takenUp }), p.count(func(s *stream) bool { return s.wentOn })
+	d.conclude("streams: %d asked, %d begun, %d taken up by their clients, %d of these went on, %d complete", count, begun, takenUp, wentOn, complete)
+	if begun < count/2 {
+		return false, fmt.Errorf("only %d of %d streams begun", begun, count)
 	}
-	tasks.Wait()
-	var begun, takenUp, wentOn, complete int
-	for n := range streams {
-		s := &streams[n]
-		for _, c := range []struct {
-			is    bool
-			count *int
-		}{{s.begun, &begun}, {s.takenUp, &takenUp}, {s.wentOn, &wentOn}, {s.complete, &complete}} {
-			if c.is {
-				*c.count++
+	return takenUp >= minTakenUp && float64(wentOn)/float64(takenUp) < float64(begun)/count/2, nil
+}
+
+// maxJoined is how many streams may hold events of two software versions.
+const maxJoined = 2
+
+// failingRelease replaces one of nine workers by one of another software version under its id, which
+// is slow after each start and goes down and up by turns. It judges whether streams are joined of two
+// versions.
+func failingRelease(d *deployment, trouble bool) (broken bool, err error) {
+	const count, releases = 1300, 3
+	p, err := newStreamPlay(d, count)
+	defer p.stop()
+	if err != nil {
+		return false, err
+	}
+	var disturb func()
+	if trouble {
+		disturb = func() {
+			e := p.engines[0]
+			e.coldTime, e.coldReport = time.Second, 100*time.Millisecond
+			for range releases {
+				time.Sleep(calm)
+				e.setSoftware("v2")
+				e.flap()
+				e.crash()
+				e.setSoftware("v1")
+				if err := e.start(); err != nil {
+					d.record.add("worker %s can't start: %v", e.id, err)
+					return
+				}
+				time.Sleep(listingLag)
+				e.register()
 			}
 		}
 	}
-	d.record.add("streams: %d asked, %d begun, %d taken up by their clients, %d of these went on, %d complete", count, begun, takenUp, wentOn, complete)
-	fmt.Printf("streams: %d asked, %d begun, %d taken up by their clients, %d of these went on, %d complete\n", count, begun, takenUp, wentOn, complete)
+	p.run(disturb)
+	begun, joined := p.count(func(s *stream) bool { return s.begun }), p.count(func(s *stream) bool { return len(s.software) > 1 })
+	d.conclude("streams: %d asked, %d begun, %d with events of two software versions", count, begun, joined)
 	if begun < count/2 {
 		return false, fmt.Errorf("only %d of %d streams begun", begun, count)
 	}
-	return takenUp >= minTakenUp && float64(wentOn)/float64(takenUp) < float64(begun)/count/2, nil
+	return joined > maxJoined, nil
 }
 
 // flap takes the worker down and up by turns. Each start is listed listingLag after it began, if the
--- a/review/kit-3/main.go
+++ b/review/kit-3/main.go
@@ -21,6 +21,7 @@
 // cases has the scripts by their folders in review/.
 var cases = map[string]func(d *deployment, trouble bool) (broken bool, err error){
 	"12": flappingWorker,
+	"13": failingRelease,
 }
 
 // hosts is the number of entry hosts.
--- a/review/kit-3/streamclient.go
+++ b/review/kit-3/streamclient.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -29,6 +30,8 @@
 	// begun means that an event has arrived, takenUp that the client has tried to take the stream
 	// up, and wentOn that an event has arrived after that.
 	begun, takenUp, wentOn, complete bool
+	// software has the software versions that made the events.
+	software []string
 }
 
 var errRefused = errors.New("refused")
@@ -90,17 +93,22 @@
 		seconds, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
 		return time.Duration(seconds * float64(time.Second)), fmt.Errorf("%w with status %d", errRefused, response.StatusCode)
 	}
-	number := 0
+	number, software := 0, ""
 	lines := bufio.NewScanner(response.Body)
 	for lines.Scan() {
 		switch line := lines.Text(); {
 		case strings.HasPrefix(line, "id: "):
 			number, _ = strconv.Atoi(line[len("id: "):])
+		case strings.HasPrefix(line, "data: "):
+			software = line[strings.LastIndexByte(line, ' ')+1:]
 		case line == "" && number > 0:
 			if !s.begun {
 				s.begun, s.first = true, id
 			}
 			s.last, number = number, 0
+			if !slices.Contains(s.software, software) {
+				s.software = append(s.software, software)
+			}
 		}
 	}
 	return 0, lines.Err()
