Review case 14: Fault, accepted batch jobs below 1 MiB end the hosts that own them

370 jobs of 1.15 MB, 320 MB in all, are accepted with 202. The two owners exceed their memory, are ended, start, read the same jobs and exceed it again, every three seconds.

--- a/review/kit-3/engine.go
+++ b/review/kit-3/engine.go
@@ -17,7 +17,9 @@
 	interval                       time.Duration
 	// coldTime is how long the worker is slow after a start: its reports take coldReport then.
 	coldTime, coldReport time.Duration
-	deployment           *deployment
+	// quiet leaves the runs out of the record.
+	quiet      bool
+	deployment *deployment
 
 	mutex    sync.Mutex
 	server   *http.Server
@@ -137,7 +139,9 @@
 	if n, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		first = n + 1
 	}
-	e.deployment.record.add("worker %s (software %s) runs %s from event %d", e.id, software, id, first)
+	if !e.quiet {
+		e.deployment.record.add("worker %s (software %s) runs %s from event %d", e.id, software, id, first)
+	}
 	w.Header().Set(headerStamp, "stamp-"+e.id)
 	w.Header().Set(prefix+"Weight-Versions", "1")
 	w.Header().Set("Content-Type", "text/event-stream")
--- a/review/kit-3/flap.go
+++ b/review/kit-3/flap.go
@@ -25,12 +25,12 @@
 	streams []stream
 }
 
-// newStreamPlay starts workers and hosts.
-func newStreamPlay(d *deployment, count int) (p *streamPlay, err error) {
+// newStreamPlay starts workers and hosts. The route has the given goal_ms.
+func newStreamPlay(d *deployment, count int, goal time.Duration) (p *streamPlay, err error) {
 	d.put("keyed.op", "config", fmt.Appendf(nil, `{"version":3,"routes":[
-		{"name":"stream","host":%q,"path_prefix":"/e/","route_kind":"streaming","resumable":true,"sticky":true,"timeout_ms":12000,"goal_ms":500,"priority":1,"service":"models","max_attempts":3}],
+		{"name":"stream","host":%q,"path_prefix":"/e/","route_kind":"streaming","resumable":true,"sticky":true,"timeout_ms":12000,"goal_ms":%d,"priority":1,"service":"models","max_attempts":3}],
 		"services":[{"name":"models","max_conns":140,"health_path":"/healthz","engine":{"slots":8,"models":[{"name":"m"}]}}],
-		"limits":{"max_header_bytes":16384,"max_body_bytes":1000000,"header_timeout_ms":5000,"idle_timeout_ms":15000}}`, routeHost))
+		"limits":{"max_header_bytes":16384,"max_body_bytes":1000000,"header_timeout_ms":5000,"idle_timeout_ms":15000}}`, routeHost, goal.Milliseconds()))
 	p = &streamPlay{deployment: d, streams: make([]stream, count)}
 	for n := range 9 {
 		e, err := newEngine(d, fmt.Sprint("worker-", n+1), "models", "v1", 8, 30, 80*time.Millisecond)
@@ -82,14 +82,18 @@
 	fmt.Printf(format+"\n", values...)
 }
 
-// between is the time between two new streams.
-const between = 37 * time.Millisecond
+const (
+	// between is the time between two new streams.
+	between = 37 * time.Millisecond
+	// usualGoal is goal_ms of the users' model services.
+	usualGoal = 500 * time.Millisecond
+)
 
 // flappingWorker lets one of nine workers go down and up by turns, and judges whether streams that
 // clients take up go on.
 func flappingWorker(d *deployment, trouble bool) (broken bool, err error) {
 	const count = 2000
-	p, err := newStreamPlay(d, count)
+	p, err := newStreamPlay(d, count, usualGoal)
 	defer p.stop()
 	if err != nil {
 		return false, err
@@ -121,7 +125,7 @@
 // versions.
 func failingRelease(d *deployment, trouble bool) (broken bool, err error) {
 	const count, releases = 1300, 3
-	p, err := newStreamPlay(d, count)
+	p, err := newStreamPlay(d, count, usualGoal)
 	defer p.stop()
 	if err != nil {
 		return false, err
--- a/review/kit-3/main.go
+++ b/review/kit-3/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(d *deployment, trouble bool) (broken bool, err error){
 	"12": flappingWorker,
 	"13": failingRelease,
+	"14": manyJobs,
 }
 
 // hosts is the number of entry hosts.
--- a/review/kit-3/streamclient.go
+++ b/review/kit-3/streamclient.go
@@ -15,7 +15,7 @@
 const (
 	routeHost      = "models.example"
 	streamDeadline = 12 * time.Second
-	// maxTries is how often a client tries in all.
+	// maxTries is how often a client tries in all, unless its stream says otherwise.
 	maxTries = 8
 	// minPause is the pause before a try if the response names none.
 	minPause = 100 * time.Millisecond
@@ -30,6 +30,8 @@
 	// begun means that an event has arrived, takenUp that the client has tried to take the stream
 	// up, and wentOn that an event has arrived after that.
 	begun, takenUp, wentOn, complete bool
+	// tries is how often the client tries; 0 means maxTries.
+	tries int
 	// software has the software versions that made the events.
 	software []string
 }
@@ -41,7 +43,11 @@
 	deadline := time.Now().Add(streamDeadline)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	for try := range maxTries {
+	tries := s.tries
+	if tries == 0 {
+		tries = maxTries
+	}
+	for try := range tries {
 		h := d.hosts[(offset+try)%len(d.hosts)]
 		before := s.last
 		if before > 0 {
