Review case 15: ORDER, streams begun during an outage go on at another software version

All workers run v2, but the base version of the service is still v1. The store is down for 7 s, all processes are killed in it, and v1 workers come back. Streams of v2 that have no record are taken to be of v1.

--- a/review/kit-3/main.go
+++ b/review/kit-3/main.go
@@ -23,6 +23,7 @@
 	"12": flappingWorker,
 	"13": failingRelease,
 	"14": manyJobs,
+	"15": outageDuringRollback,
 }
 
 // hosts is the number of entry hosts.
