--- a/review/kit-3/main.go
+++ b/review/kit-3/main.go
@@ -20,10 +20,10 @@
 
 // cases has the scripts by their folders in review/.
 var cases = map[string]func(d *deployment, trouble bool) (broken bool, err error){
-	"12": flappingWorker,
+	"11": manyJobs,
+	"12": outageDuringRollback,
 	"13": failingRelease,
-	"14": manyJobs,
-	"15": outageDuringRollback,
+	"14": flappingWorker,
 }
 
 // hosts is the number of entry hosts.
