--- a/review/kit-3/deployment.go
+++ b/review/kit-3/deployment.go
@@ -95,7 +95,7 @@
 		_, port, _ := net.SplitHostPort(peers)
 		text := strings.Join([]string{
 			"node_name=" + h.name, "role=entry", "machine_class=edge", "serves=edge", "ip=127.0.0.1", "zone=a", "region=r", "zones.a=r",
-			"listen.front=" + h.callers, "listen.ready_addr=" + h.readiness, "internal_ports=" + port + "," + port,
+			wire("listen-front") + "=" + h.callers, "listen.ready_addr=" + h.readiness, "internal_ports=" + port + "," + port,
 			"bootstrap=true", "limits.cpu_share=0.8", "limits.cores=1", "limits.memory_mb=314", "limits.max_fds=8200", "limits.link_mbps=1000.0",
 			"discovery=platform", "entry=vip", fmt.Sprintf("heartbeat_ms=%d", heartbeat.Milliseconds()),
 			"bounds.contact_ms=3000", "bounds.drain_ms=2000", "bounds.grace_s=8", "bounds.config_apply_ms=2000", "bounds.lease_ms=3000", "bounds.status_s=120", "bounds.cancel_ms=3000",
--- a/review/kit-3/engine.go
+++ b/review/kit-3/engine.go
@@ -28,8 +28,9 @@
 	sequence int
 }
 
-const (
-	prefix      = "X-Lycheeladder-"
+// Headers of the platform.
+var (
+	prefix      = wire("header-prefix")
 	headerID    = prefix + "Attempt-Id"
 	headerStamp = prefix + "Server-Stamp"
 )
@@ -85,7 +86,7 @@
 		"service": e.service, "address": e.address, "zone": "a", "version": e.software, "slots": e.slots, "state": "ready", "cold_left_ms": 0, "sequence": e.sequence, "born": e.born,
 		"models": []map[string]any{{"name": "m", "version": 1}},
 	})
-	e.deployment.put("keyed.servers", e.id, value)
+	e.deployment.put(wire("topic-servers"), e.id, value)
 }
 
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -103,7 +104,7 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(map[string]any{
 			"stage": "both", "models": []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}}, "busy": false, "sequence": 0, "queued_count": 0, "active_count": running,
-			"kv_used": 0, "kv_total": 82271, "handles": 0, "born": born,
+			wire("memory-used"): 0, wire("memory-total"): 82271, "handles": 0, "born": born,
 		})
 		return
 	}
--- a/review/kit-3/flap.go
+++ b/review/kit-3/flap.go
@@ -27,10 +27,7 @@
 
 // newStreamPlay starts workers and hosts. The route has the given goal_ms.
 func newStreamPlay(d *deployment, count int, goal time.Duration) (p *streamPlay, err error) {
-	d.put("keyed.op", "config", fmt.Appendf(nil, `{"version":3,"routes":[
-		{"name":"stream","host":%q,"path_prefix":"/e/","route_kind":"streaming","resumable":true,"sticky":true,"timeout_ms":12000,"goal_ms":%d,"priority":1,"service":"models","max_attempts":3}],
-		"services":[{"name":"models","max_conns":140,"health_path":"/healthz","engine":{"slots":8,"models":[{"name":"m"}]}}],
-		"limits":{"max_header_bytes":16384,"max_body_bytes":1000000,"header_timeout_ms":5000,"idle_timeout_ms":15000}}`, routeHost, goal.Milliseconds()))
+	d.put(wire("topic-operators"), "config", fmt.Appendf(nil, streamConfiguration, routeHost, goal.Milliseconds()))
 	p = &streamPlay{deployment: d, streams: make([]stream, count)}
 	for n := range 9 {
 		e, err := newEngine(d, fmt.Sprint("worker-", n+1), "models", "v1", 8, 30, 80*time.Millisecond)
--- a/review/kit-3/flood.go
+++ b/review/kit-3/flood.go
@@ -96,17 +96,14 @@
 			Headers: map[string]string{prefix + "Model": "m", prefix + "Token-Usage": "16,20", prefix + "Prompt-Prefix": fmt.Sprintf("%s:16", id)},
 		}
 	}
-	text, _ := json.Marshal(map[string]any{"step": 0, "model": "m", "min_version": 1, "target_groups": items / 8, "items": list})
+	text, _ := json.Marshal(map[string]any{"step": 0, "model": "m", wire("min-version"): 1, "target_groups": items / 8, "items": list})
 	return text
 }
 
 // manyJobs lets clients submit many batch jobs at once, and judges whether processes end for want of
 // memory, and whether the accepted jobs can be read in the end.
 func manyJobs(d *deployment, trouble bool) (broken bool, err error) {
-	d.put("keyed.op", "config", fmt.Appendf(nil, `{"version":3,"routes":[
-		{"name":"job","host":%q,"path_prefix":"/jobs/","route_kind":"rollout","timeout_ms":10000,"goal_ms":500,"priority":1,"service":"models","max_attempts":3,"result_due_ms":7500,"retention_s":40}],
-		"services":[{"name":"models","max_conns":140,"health_path":"/healthz","engine":{"slots":8,"models":[{"name":"m"}]}}],
-		"limits":{"max_header_bytes":16384,"max_body_bytes":33554432,"header_timeout_ms":5000,"idle_timeout_ms":15000}}`, routeHost))
+	d.put(wire("topic-operators"), "config", fmt.Appendf(nil, jobConfiguration, routeHost))
 	for n := range 9 {
 		e, err := newEngine(d, fmt.Sprint("worker-", n+1), "models", "v1", 8, 20, 20*time.Millisecond)
 		if err == nil {
--- a/review/kit-3/rollback.go
+++ b/review/kit-3/rollback.go
@@ -48,7 +48,7 @@
 	p.engines = append(append([]*engine(nil), former...), current...)
 	time.Sleep(heartbeat)
 	for _, e := range former {
-		d.put("keyed.servers", e.id, nil)
+		d.put(wire("topic-servers"), e.id, nil)
 	}
 	time.Sleep(contact)
 	for _, e := range former {
